Settle modules, seams and the tool chain

Cause: nothing stood; parts can only be built side by side once the seams do. Change: a workspace of core, serving and tools; verdict, target messages, manifest types, platform and target interfaces, goa design with generated code, forwarding messages; scripts for format, lint, generation and tests. Conclusion: seams are ready to build against; no request is served yet.

--- /dev/null
+++ b/core/verdict/reason.go
@@ -0,0 +1,61 @@
+package verdict
+
+// Reason is the machine-readable cause of a refusal or failure. Each reason
+// has a counter of its own; the operator page on refusals lists them.
+type Reason string
+
+// Reasons for refusing a request before any target saw it, or for giving up.
+const (
+	BadRequest        Reason = "bad_request"
+	BodyTooLarge      Reason = "body_too_large"
+	Unauthenticated   Reason = "unauthenticated"
+	NotAllowed        Reason = "not_allowed"
+	UnknownModel      Reason = "unknown_model"
+	UnknownService    Reason = "unknown_service"
+	PromptTooLong     Reason = "prompt_too_long"
+	DeadlineTooShort  Reason = "deadline_too_short"
+	Overloaded        Reason = "overloaded"
+	QueueFull         Reason = "queue_full"
+	QuotaExceeded     Reason = "quota_exceeded"
+	NoTarget          Reason = "no_target"
+	TargetLeaving     Reason = "target_leaving"
+	DaemonDraining    Reason = "daemon_draining"
+	NotReady          Reason = "not_ready"
+	CrashSuspect      Reason = "crash_suspect"
+	TicketInvalid     Reason = "ticket_invalid"
+	TicketExpired     Reason = "ticket_expired"
+	TicketOwnerGone   Reason = "ticket_owner_gone"
+	TicketUsed        Reason = "ticket_used"
+	KeyInUse          Reason = "key_in_use"
+	KeyHomeUnsettled  Reason = "key_home_unsettled"
+	KeyRequired       Reason = "key_required"
+	TargetRefused     Reason = "target_refused"
+	TargetUnreachable Reason = "target_unreachable"
+	TargetFailed      Reason = "target_failed"
+	TargetCrashed     Reason = "target_crashed"
+	AnswerCut         Reason = "answer_cut"
+	AnswerMismatch    Reason = "answer_mismatch"
+	PeerUnreachable   Reason = "peer_unreachable"
+	PeerFailed        Reason = "peer_failed"
+	DeadlineExceeded  Reason = "deadline_exceeded"
+	CallerGone        Reason = "caller_gone"
+	RetryBudgetSpent  Reason = "retry_budget_spent"
+	StreamUnknown     Reason = "stream_unknown"
+	SpanUnavailable   Reason = "span_unavailable"
+	HopLimit          Reason = "hop_limit"
+	Internal          Reason = "internal"
+)
+
+// Reasons returns every reason, in the order of their declaration.
+func Reasons() []Reason {
+	return []Reason{
+		BadRequest, BodyTooLarge, Unauthenticated, NotAllowed, UnknownModel,
+		UnknownService, PromptTooLong, DeadlineTooShort, Overloaded, QueueFull,
+		QuotaExceeded, NoTarget, TargetLeaving, DaemonDraining, NotReady,
+		CrashSuspect, TicketInvalid, TicketExpired, TicketOwnerGone, TicketUsed,
+		KeyInUse, KeyHomeUnsettled, KeyRequired, TargetRefused, TargetUnreachable,
+		TargetFailed, TargetCrashed, AnswerCut, AnswerMismatch, PeerUnreachable,
+		PeerFailed, DeadlineExceeded, CallerGone, RetryBudgetSpent, StreamUnknown,
+		SpanUnavailable, HopLimit, Internal,
+	}
+}
--- /dev/null
+++ b/core/version/manifest/parse.go
@@ -0,0 +1,36 @@
+package manifest
+
+import (
+	"bytes"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+)
+
+// Parse reads a manifest's TOML text. An unknown key is an error. It does not
+// validate what the manifest says.
+func Parse(text []byte) (*Manifest, error) {
+	decoder := toml.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	var m Manifest
+	if err := decoder.Decode(&m); err != nil {
+		return nil, errors.Wrap(describe(err), "manifest")
+	}
+	return &m, nil
+}
+
+// describe adds row, column and key to an error of the TOML decoder.
+func describe(err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		first := strict.Errors[0]
+		row, column := first.Position()
+		return errors.Errorf("row %d, column %d: unknown key %q", row, column, first.Key())
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, column := decode.Position()
+		return errors.Errorf("row %d, column %d, key %q: %s", row, column, decode.Key(), decode.Error())
+	}
+	return err
+}
--- /dev/null
+++ b/serving/connection/targetapi/client.go
@@ -0,0 +1,258 @@
+package targetapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"carobspoke.example/core/target"
+	"carobspoke.example/core/verdict"
+	"github.com/pkg/errors"
+)
+
+// Limits of a client of a target.
+const (
+	// DialTimeout bounds the connection's set-up.
+	DialTimeout = 500 * time.Millisecond
+	// IdlePerTarget is how many connections are kept for the next stream.
+	IdlePerTarget = 64
+	// IdleTimeout closes connections that were not used for as long.
+	IdleTimeout = 30 * time.Second
+	// ControlTimeout bounds calls that are not requests of callers.
+	ControlTimeout = 2 * time.Second
+	// MaxReplyBytes bounds an answer that is read whole.
+	MaxReplyBytes = 8 << 20
+	// MaxFrameBytes bounds one frame of a stream.
+	MaxFrameBytes = 64 << 10
+	// RefusedHeader is "1" on an answer by which the target says that it did
+	// nothing for the request.
+	RefusedHeader = "Not-Run"
+)
+
+// Client speaks the HTTP form of targets, for engines and plain services.
+//
+//	POST   /v1/streams                      target.Submit; answers frames, a JSON line each
+//	GET    /v1/streams/ID?from=N&attempt=N  frames
+//	DELETE /v1/streams/ID
+//	POST   /v1/orders                       target.Order
+//	GET    /v1/report                       target.Report
+//	GET    /v1/events?after=N               list of target.CacheEvent
+//	GET    /v1/holdings                     target.Holdings
+//	DELETE /v1/handles/ID
+//	POST   /v1/exports                      Export; answers target.Handle
+//	POST   /v1/imports                      Import; answers target.Handle
+//	POST   /v1/calls                        target.Call; answers target.Reply
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// Export is the body of an export.
+type Export struct {
+	Stream target.StreamID `json:"stream"`
+	As     target.HandleID `json:"as"`
+}
+
+// Import is the body of an import.
+type Import struct {
+	From target.Part     `json:"from"`
+	As   target.HandleID `json:"as"`
+}
+
+// NewTransport returns a transport that all clients of a process share. It
+// never sends a request twice: see send.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: DialTimeout}).DialContext,
+		MaxIdleConnsPerHost: IdlePerTarget,
+		IdleConnTimeout:     IdleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// NewClient returns a client of the target at address, "IP:port".
+func NewClient(address string, transport http.RoundTripper) *Client {
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+}
+
+// Submit implements Engine.
+func (c *Client) Submit(ctx context.Context, s target.Submit) (Stream, error) {
+	return c.stream(ctx, http.MethodPost, "/v1/streams", s)
+}
+
+// Resume implements Engine.
+func (c *Client) Resume(ctx context.Context, id target.StreamID, attempt uint32, from int) (Stream, error) {
+	query := url.Values{"from": {strconv.Itoa(from)}, "attempt": {strconv.FormatUint(uint64(attempt), 10)}}
+	return c.stream(ctx, http.MethodGet, "/v1/streams/"+url.PathEscape(string(id))+"?"+query.Encode(), nil)
+}
+
+// Cancel implements Engine.
+func (c *Client) Cancel(ctx context.Context, id target.StreamID) error {
+	return c.control(ctx, http.MethodDelete, "/v1/streams/"+url.PathEscape(string(id)), nil, nil)
+}
+
+// Order implements Engine.
+func (c *Client) Order(ctx context.Context, o target.Order) error {
+	return c.control(ctx, http.MethodPost, "/v1/orders", o, nil)
+}
+
+// Report implements Engine.
+func (c *Client) Report(ctx context.Context) (target.Report, error) {
+	var r target.Report
+	err := c.control(ctx, http.MethodGet, "/v1/report", nil, &r)
+	return r, err
+}
+
+// Events implements Engine.
+func (c *Client) Events(ctx context.Context, after uint64) ([]target.CacheEvent, error) {
+	var events []target.CacheEvent
+	err := c.control(ctx, http.MethodGet, "/v1/events?after="+strconv.FormatUint(after, 10), nil, &events)
+	return events, err
+}
+
+// Holdings implements Engine.
+func (c *Client) Holdings(ctx context.Context) (target.Holdings, error) {
+	var h target.Holdings
+	err := c.control(ctx, http.MethodGet, "/v1/holdings", nil, &h)
+	return h, err
+}
+
+// Free implements Engine.
+func (c *Client) Free(ctx context.Context, id target.HandleID) error {
+	return c.control(ctx, http.MethodDelete, "/v1/handles/"+url.PathEscape(string(id)), nil, nil)
+}
+
+// Export implements Engine.
+func (c *Client) Export(ctx context.Context, id target.StreamID, as target.HandleID) (target.Handle, error) {
+	var h target.Handle
+	err := c.control(ctx, http.MethodPost, "/v1/exports", Export{Stream: id, As: as}, &h)
+	return h, err
+}
+
+// Import implements Engine. It lasts as long as the copy, so that only ctx
+// bounds it.
+func (c *Client) Import(ctx context.Context, from target.Part, as target.HandleID) (target.Handle, error) {
+	var h target.Handle
+	err := c.exchange(ctx, http.MethodPost, "/v1/imports", Import{From: from, As: as}, &h)
+	return h, err
+}
+
+// Call implements Service.
+func (c *Client) Call(ctx context.Context, call target.Call) (target.Reply, error) {
+	var reply target.Reply
+	if err := c.exchange(ctx, http.MethodPost, "/v1/calls", call, &reply); err != nil {
+		return reply, err
+	}
+	if reply.ID != call.ID || reply.Attempt != call.Attempt {
+		return target.Reply{}, verdict.New(verdict.MayHaveRun, verdict.AnswerMismatch, "the service answered another call")
+	}
+	return reply, nil
+}
+
+func (c *Client) control(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, ControlTimeout)
+	defer cancel()
+	return c.exchange(ctx, method, path, in, out)
+}
+
+func (c *Client) exchange(ctx context.Context, method, path string, in, out any) error {
+	response, err := c.send(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close() //nolint:errcheck // the body was read or is of no use
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxReplyBytes))
+	if err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.AnswerCut, "the target's answer ended early")
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.AnswerMismatch, "the target's answer is not understood")
+	}
+	return nil
+}
+
+func (c *Client) stream(ctx context.Context, method, path string, in any) (Stream, error) {
+	response, err := c.send(ctx, method, path, in) //nolint:bodyclose // the stream's Close closes it
+	if err != nil {
+		return nil, err
+	}
+	return newFrameReader(response.Body), nil
+}
+
+// send makes one attempt. The request is written to at most one connection:
+// its body cannot be rewound and no header invites the transport to resend.
+func (c *Client) send(ctx context.Context, method, path string, in any) (*http.Response, error) {
+	trace := &writeTrace{}
+	request, err := newRequest(trace.attach(ctx), method, c.base+path, in)
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, sendError(ctx, err, trace.verdict())
+	}
+	if response.StatusCode/100 == 2 {
+		return response, nil
+	}
+	defer response.Body.Close() //nolint:errcheck // the body is of no use
+	return nil, statusError(response)
+}
+
+func newRequest(ctx context.Context, method, address string, in any) (*http.Request, error) {
+	if in == nil {
+		return http.NewRequestWithContext(ctx, method, address, http.NoBody)
+	}
+	encoded, err := json.Marshal(in)
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.Internal, "the request cannot be encoded")
+	}
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.Internal, "the request cannot be built")
+	}
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+func sendError(ctx context.Context, err error, v verdict.Verdict) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return verdict.Wrap(err, v, verdict.DeadlineExceeded, "the target did not answer in time")
+	}
+	if ctx.Err() != nil {
+		return verdict.Wrap(err, v, verdict.CallerGone, "the request was given up")
+	}
+	if v == verdict.NotRun {
+		return verdict.Wrap(err, v, verdict.TargetUnreachable, "the target cannot be reached")
+	}
+	return verdict.Wrap(err, v, verdict.TargetFailed, "the connection to the target failed")
+}
+
+func statusError(response *http.Response) error {
+	cause := errors.Errorf("status %d", response.StatusCode)
+	if response.Header.Get(RefusedHeader) == "1" {
+		return verdict.Wrap(cause, verdict.NotRun, verdict.TargetRefused, "the target refused the request").
+			WithRetryAfter(retryAfter(response.Header))
+	}
+	if response.StatusCode == http.StatusNotFound {
+		return verdict.Wrap(cause, verdict.MayHaveRun, verdict.StreamUnknown, "the target does not hold this")
+	}
+	return verdict.Wrap(cause, verdict.MayHaveRun, verdict.TargetFailed, "the target failed")
+}
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
