--- /dev/null
+++ b/serving/process/settings/check.go
@@ -0,0 +1,114 @@
+package settings
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap/zapcore"
+)
+
+// FleetKeyBytes is the length of a fleet key.
+const FleetKeyBytes = 32
+
+// Check returns the first setting that cannot work, with its key and what was
+// expected.
+func (s *Settings) Check() error {
+	checks := []error{
+		address("host", string(s.Host)),
+		required("data_centre", string(s.DataCentre)),
+		address("caller.listen", s.Caller.Listen),
+		address("admin.listen", s.Admin.Listen),
+		address("platform.address", s.Platform.Address),
+		together("caller", s.Caller.CertFile, s.Caller.KeyFile),
+		together("peer", s.Peer.CAFile, s.Peer.CertFile, s.Peer.KeyFile),
+		hexBytes("manifest.public_key", s.Manifest.PublicKey, ed25519.PublicKeySize),
+		s.checkLists(),
+		s.checkRest(),
+	}
+	for _, err := range checks {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkLists() error {
+	for _, seed := range s.Peer.Seeds {
+		if err := address("peer.seeds", string(seed)); err != nil {
+			return err
+		}
+	}
+	if len(s.Peer.FleetKeys) == 0 {
+		return errors.New("key peer.fleet_keys: expected at least one key")
+	}
+	for _, key := range s.Peer.FleetKeys {
+		if err := hexBytes("peer.fleet_keys", key, FleetKeyBytes); err != nil {
+			return err
+		}
+	}
+	for _, digest := range s.Admin.KeyDigests {
+		if err := hexBytes("admin.key_digests", string(digest), sha256.Size); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkRest() error {
+	if s.Caller.MaxBodyBytes <= 0 {
+		return errors.New("key caller.max_body_bytes: expected a positive number of bytes")
+	}
+	if _, err := zapcore.ParseLevel(s.Log.Level); err != nil {
+		return errors.Errorf("key log.level: expected debug, info, warn or error, not %q", s.Log.Level)
+	}
+	return nil
+}
+
+// Keys returns the fleet keys as bytes, the sealing one first.
+func (p Peer) Keys() [][]byte {
+	keys := make([][]byte, 0, len(p.FleetKeys))
+	for _, text := range p.FleetKeys {
+		key, _ := hex.DecodeString(text) // Check has decoded it
+		keys = append(keys, key)
+	}
+	return keys
+}
+
+func required(key, value string) error {
+	if value == "" {
+		return errors.Errorf("key %s: expected a value", key)
+	}
+	return nil
+}
+
+func address(key, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return errors.Errorf("key %s: expected IP:port, such as 10.0.0.7:7300, not %q", key, value)
+	}
+	return nil
+}
+
+func together(table string, files ...string) error {
+	set := 0
+	for _, file := range files {
+		if file != "" {
+			set++
+		}
+	}
+	if set != 0 && set != len(files) {
+		return errors.Errorf("table %s: expected all of the TLS files or none", table)
+	}
+	return nil
+}
+
+func hexBytes(key, value string, size int) error {
+	decoded, err := hex.DecodeString(value)
+	if err != nil || len(decoded) != size {
+		return errors.Errorf("key %s: expected %d bytes in hexadecimal", key, size)
+	}
+	return nil
+}
