Add stand-ins for engines, services and the platform

Cause: the whole path has nothing to run against. Change: tools/standin/engine (continuous batching by a time model, KV blocks, prefix cache, handles, orders, lagging reports, late cache events with gaps), service, platform, and fault, the HTTP server under all of them.

--- /dev/null
+++ b/tools/standin/engine/engine_test.go
@@ -0,0 +1,191 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"carobspoke.example/core/target"
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/serving/connection/targetapi"
+)
+
+const testModel = "draft"
+
+func testConfig() Config {
+	c := Default()
+	c.State = target.State{Model: testModel, Version: "1", Role: target.Mixed}
+	c.Speedup = 200
+	c.Blocks = 2000
+	c.ReportEvery = 5 * time.Millisecond
+	c.ReportLag = 10 * time.Millisecond
+	c.EventDelay = time.Millisecond
+	c.PartCheck = 5 * time.Millisecond
+	c.CrashDown = 2 * time.Second
+	return c
+}
+
+func startEngine(t *testing.T, config Config) (*Server, *targetapi.Client) {
+	t.Helper()
+	e, err := Start("127.0.0.1:0", config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	transport := targetapi.NewTransport()
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		_ = e.Close()
+	})
+	return e, targetapi.NewClient(e.Address(), transport)
+}
+
+func testSubmit(id string) target.Submit {
+	return target.Submit{
+		Stream: target.StreamID(id), Attempt: 1, Scope: "c1", Model: testModel,
+		Prompt: "prompt of " + id, PromptTokens: 1000, MaxTokens: 40,
+		Deadline: time.Now().Add(30 * time.Second),
+	}
+}
+
+// readAll reads frames until the end and returns it. Each token must be the
+// next and right.
+func readAll(t *testing.T, stream targetapi.Stream, prompt string, from int) target.Frame {
+	t.Helper()
+	for {
+		frame, err := stream.Next()
+		if err != nil {
+			t.Fatalf("token %d: %v", from, err)
+		}
+		if frame.End {
+			return frame
+		}
+		if frame.Offset != from || frame.Text != Token(prompt, from) {
+			t.Fatalf("got %+v, want token %d", frame, from)
+		}
+		from++
+	}
+}
+
+func mustSubmit(t *testing.T, c *targetapi.Client, s target.Submit) targetapi.Stream {
+	t.Helper()
+	stream, err := c.Submit(t.Context(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = stream.Close() })
+	return stream
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("never: " + what)
+}
+
+func atBaseline(e *Server) func() bool {
+	return func() bool {
+		r := e.Measure()
+		return r.FreeBlocks == r.TotalBlocks && r.RunningStreams == 0 && r.QueuedTokens == 0
+	}
+}
+
+func TestResumeNeitherLosesNorRepeatsATokenAfterACut(t *testing.T) {
+	e, client := startEngine(t, testConfig())
+	submit := testSubmit("cut")
+	for cut := 1; cut < 40; cut += 6 {
+		submit.Stream = target.StreamID(fmt.Sprintf("cut-%d", cut))
+		e.CutAfter(cut)
+		stream := mustSubmit(t, client, submit)
+		got := 0
+		for {
+			frame, err := stream.Next()
+			if err != nil {
+				break
+			}
+			if frame.Text != Token(submit.Prompt, got) {
+				t.Fatalf("got %+v, want token %d", frame, got)
+			}
+			got++
+		}
+		e.CutAfter(0)
+		resumed, err := client.Resume(t.Context(), submit.Stream, 2, got)
+		if err != nil {
+			t.Fatal(err)
+		}
+		end := readAll(t, resumed, submit.Prompt, got)
+		if end.Offset != submit.MaxTokens || end.Attempt != 2 || end.Failure != "" {
+			t.Fatalf("end %+v", end)
+		}
+		_ = resumed.Close()
+	}
+}
+
+func TestMemoryReturnsAfterFinishCancelAndDeadline(t *testing.T) {
+	e, client := startEngine(t, testConfig())
+	for i := range 4 {
+		submit := testSubmit(fmt.Sprintf("finish-%d", i))
+		submit.Prefixes = []uint64{uint64(i)}
+		submit.PromptTokens = 2000
+		readAll(t, mustSubmit(t, client, submit), submit.Prompt, 0)
+	}
+	eventually(t, "baseline after finish", atBaseline(e))
+	cancelled := testSubmit("cancelled")
+	cancelled.MaxTokens = 5000
+	mustSubmit(t, client, cancelled)
+	if err := client.Cancel(t.Context(), cancelled.Stream); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "baseline after cancel", atBaseline(e))
+	abandoned := testSubmit("abandoned")
+	abandoned.MaxTokens = 20000
+	abandoned.Deadline = time.Now().Add(50 * time.Millisecond)
+	_ = mustSubmit(t, client, abandoned).Close()
+	eventually(t, "baseline after deadline", atBaseline(e))
+}
+
+func TestACrashCutsAllEmptiesMemoryAndChangesBoot(t *testing.T) {
+	e, client := startEngine(t, testConfig())
+	before := e.Measure().Boot
+	neighbour := testSubmit("neighbour")
+	neighbour.MaxTokens = 5000
+	running := mustSubmit(t, client, neighbour)
+	if _, err := running.Next(); err != nil {
+		t.Fatal(err)
+	}
+	poison := testSubmit("poison")
+	poison.Prompt += CrashMark
+	if cut := mustSubmit(t, client, poison); !failsBeforeEnd(cut) {
+		t.Fatal("the crashing stream ended well")
+	}
+	if !failsBeforeEnd(running) {
+		t.Fatal("the neighbour's stream ended well")
+	}
+	eventually(t, "restart", func() bool {
+		r, err := client.Report(context.Background())
+		return err == nil && r.Boot != before
+	})
+	if !atBaseline(e)() {
+		t.Fatalf("after the crash: %+v", e.Measure())
+	}
+	if _, err := client.Resume(t.Context(), neighbour.Stream, 2, 0); verdict.From(err).Reason != verdict.StreamUnknown {
+		t.Fatalf("resume after the crash: %v", err)
+	}
+}
+
+func failsBeforeEnd(stream targetapi.Stream) bool {
+	for {
+		frame, err := stream.Next()
+		if err != nil {
+			return true
+		}
+		if frame.End {
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/tools/standin/fault/faults.go
@@ -0,0 +1,137 @@
+package fault
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// faults is the set of faults in force.
+type faults struct {
+	mu     sync.Mutex
+	paused chan struct{} // closed by Continue; nil while not paused
+	down   bool
+	delay  time.Duration
+	drops  int
+	cut    int
+}
+
+// Pause stops the stand-in: it neither answers nor works until Continue.
+func (s *Server) Pause() {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	if s.faults.paused == nil {
+		s.faults.paused = make(chan struct{})
+	}
+}
+
+// Continue ends a pause.
+func (s *Server) Continue() {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	if s.faults.paused != nil {
+		close(s.faults.paused)
+		s.faults.paused = nil
+	}
+}
+
+// Wait blocks while the server is paused.
+func (s *Server) Wait() {
+	s.faults.mu.Lock()
+	paused := s.faults.paused
+	s.faults.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+}
+
+// SetDown makes every request fail with status 503.
+func (s *Server) SetDown(down bool) {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.down = down
+}
+
+// SetDelay delays every request by d before it is acted on.
+func (s *Server) SetDelay(d time.Duration) {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.delay = d
+}
+
+// DropAnswers makes the next n requests act and then close the connection
+// without an answer.
+func (s *Server) DropAnswers(n int) {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.drops = n
+}
+
+// CutAfter closes the connection of every answer after n writes; zero ends
+// the fault. A stream's frame is one write.
+func (s *Server) CutAfter(n int) {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.cut = n
+}
+
+func (f *faults) isDown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down
+}
+
+func (f *faults) delayNow() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.delay
+}
+
+func (f *faults) writer(w http.ResponseWriter, wait func()) http.ResponseWriter {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	drop := f.drops > 0
+	if drop {
+		f.drops--
+	}
+	return &faultWriter{ResponseWriter: w, wait: wait, drop: drop, cut: f.cut}
+}
+
+// faultWriter ends an answer where the faults say so.
+type faultWriter struct {
+	http.ResponseWriter
+	wait   func()
+	drop   bool
+	cut    int
+	writes int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *faultWriter) WriteHeader(status int) {
+	w.before()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *faultWriter) Write(p []byte) (int, error) {
+	w.before()
+	if w.cut > 0 && w.writes >= w.cut {
+		panic(http.ErrAbortHandler)
+	}
+	w.writes++
+	return w.ResponseWriter.Write(p)
+}
+
+// Flush implements http.Flusher.
+func (w *faultWriter) Flush() {
+	if flusher, ok := w.ResponseWriter.(http.Flusher); ok {
+		flusher.Flush()
+	}
+}
+
+func (w *faultWriter) before() {
+	w.wait()
+	if w.drop {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/tools/standin/fault/server.go
@@ -0,0 +1,128 @@
+package fault
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Rebinding of an address after Kill.
+const (
+	rebindAttempts = 200
+	rebindPause    = 10 * time.Millisecond
+)
+
+// Server is an HTTP server with faults.
+type Server struct {
+	handler http.Handler
+	onKill  func()
+	address string
+
+	mu     sync.Mutex
+	server *http.Server // nil while killed
+	closed bool
+
+	faults faults
+}
+
+// Start listens on address, "IP:port", and serves handler. Kill calls onKill,
+// unless it is nil, after it has cut the connections.
+func Start(address string, handler http.Handler, onKill func()) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s := &Server{handler: handler, onKill: onKill, address: listener.Addr().String()}
+	s.serve(listener)
+	return s, nil
+}
+
+// Address returns "IP:port". It stays the same over Kill and Restart.
+func (s *Server) Address() string { return s.address }
+
+// Close ends the server for good.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.Continue()
+	return s.Kill()
+}
+
+// Kill closes the listener and cuts all connections.
+func (s *Server) Kill() error {
+	s.mu.Lock()
+	server := s.server
+	s.server = nil
+	s.mu.Unlock()
+	if server == nil {
+		return nil
+	}
+	err := server.Close()
+	if s.onKill != nil {
+		s.onKill()
+	}
+	return errors.Wrap(err, "close")
+}
+
+// Restart listens again after Kill, on the same address.
+func (s *Server) Restart() error {
+	listener, err := s.rebind()
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	refused := s.closed || s.server != nil
+	s.mu.Unlock()
+	if refused {
+		return errors.Wrap(listener.Close(), "close")
+	}
+	s.serve(listener)
+	return nil
+}
+
+// Running reports whether the server listens.
+func (s *Server) Running() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.server != nil
+}
+
+func (s *Server) rebind() (net.Listener, error) {
+	var last error
+	for range rebindAttempts {
+		listener, err := net.Listen("tcp", s.address)
+		if err == nil {
+			return listener, nil
+		}
+		last = err
+		time.Sleep(rebindPause)
+	}
+	return nil, errors.Wrap(last, "listen again")
+}
+
+func (s *Server) serve(listener net.Listener) {
+	server := &http.Server{Handler: s}
+	s.mu.Lock()
+	s.server = server
+	s.mu.Unlock()
+	go server.Serve(listener) //nolint:errcheck // it ends with ErrServerClosed
+}
+
+// ServeHTTP applies the faults around the stand-in's handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == ControlPath {
+		s.control(w, r)
+		return
+	}
+	if s.faults.isDown() {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	s.Wait()
+	time.Sleep(s.faults.delayNow())
+	s.handler.ServeHTTP(s.faults.writer(w, s.Wait), r)
+}
--- /dev/null
+++ b/tools/standin/service/service.go
@@ -0,0 +1,122 @@
+// Package service is a stand-in for a plain service. It records each call
+// that ran, so that a test can count how often a call ran whatever its caller
+// was told.
+package service
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/target"
+	"carobspoke.example/serving/connection/targetapi"
+	"carobspoke.example/tools/standin/fault"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Config is a service's settings.
+type Config struct {
+	// Name is part of each answer.
+	Name names.Service
+	// Work is how long a call takes.
+	Work time.Duration
+	// Limit is how many calls run at a time; more are refused. Zero means no
+	// limit.
+	Limit int
+}
+
+// Run is a call that ran.
+type Run struct {
+	Customer names.Customer
+	Key      string
+	ID       string
+	Attempt  uint32
+}
+
+// Server is a running service.
+type Server struct {
+	*fault.Server
+	config Config
+
+	mu      sync.Mutex
+	running int
+	runs    []Run
+}
+
+// Start serves calls at address, "IP:port".
+func Start(address string, config Config) (*Server, error) {
+	s := &Server{config: config}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/calls", s.call)
+	server, err := fault.Start(address, mux, nil)
+	if err != nil {
+		return nil, err
+	}
+	s.Server = server
+	return s, nil
+}
+
+// Runs returns every call that ran, in the order of their start.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+// Count returns how often calls with a customer's key ran.
+func (s *Server) Count(customer names.Customer, key string) int {
+	count := 0
+	for _, run := range s.Runs() {
+		if run.Customer == customer && run.Key == key {
+			count++
+		}
+	}
+	return count
+}
+
+// Answer returns the body with which the service called name answers a call.
+// It depends on customer, key and body alone.
+func Answer(name names.Service, call target.Call) []byte {
+	digest := xxhash.Sum64String(string(call.Customer) + "\x00" + call.Key + "\x00" + string(call.Body))
+	return fmt.Appendf(nil, "%s:%016x", name, digest)
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	var call target.Call
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !s.begin(call) {
+		w.Header().Set(targetapi.RefusedHeader, "1")
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.end()
+	time.Sleep(s.config.Work)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(target.Reply{
+		ID: call.ID, Attempt: call.Attempt, Status: http.StatusOK, Body: Answer(s.config.Name, call),
+	})
+}
+
+func (s *Server) begin(call target.Call) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config.Limit > 0 && s.running >= s.config.Limit {
+		return false
+	}
+	s.running++
+	s.runs = append(s.runs, Run{Customer: call.Customer, Key: call.Key, ID: call.ID, Attempt: call.Attempt})
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
