--- /dev/null
+++ b/core/request/retry/budget.go
@@ -0,0 +1,48 @@
+package retry
+
+// Limits of a budget.
+const (
+	// DefaultShare is the share of fresh requests that may be retries when
+	// the manifest says nothing.
+	DefaultShare = 0.1
+	// Burst is the most retries that a budget saves up.
+	Burst = 20
+)
+
+// Budget lets retries be a share of fresh requests. Each fresh request earns
+// a part of a retry and each retry spends a whole one, so that retries can't
+// exceed share*fresh + Burst however many requests fail. A Budget is not safe
+// for concurrent use.
+type Budget struct {
+	share float64
+	saved float64
+}
+
+// NewBudget returns a full budget. A share of zero means DefaultShare.
+func NewBudget(share float64) *Budget {
+	b := &Budget{saved: Burst}
+	b.SetShare(share)
+	return b
+}
+
+// SetShare changes the share from now on. Zero means DefaultShare.
+func (b *Budget) SetShare(share float64) {
+	if share <= 0 {
+		share = DefaultShare
+	}
+	b.share = min(share, 1)
+}
+
+// Fresh counts a request that is sent for the first time.
+func (b *Budget) Fresh() {
+	b.saved = min(Burst, b.saved+b.share)
+}
+
+// Take spends a retry, or reports false if there is none.
+func (b *Budget) Take() bool {
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
