--- /dev/null
+++ b/serving/request/dispatch/observe.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"context"
+
+	"carobspoke.example/core/process/load"
+	"carobspoke.example/core/target"
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/serving/connection/targetapi"
+)
+
+// observed is an engine that tells the admission controller how the one
+// request placed on it fares. It also fills in what the placement decided.
+type observed struct {
+	targetapi.Engine
+	placed  *placed
+	started func()
+}
+
+// Submit implements targetapi.Engine.
+func (o *observed) Submit(ctx context.Context, s target.Submit) (targetapi.Stream, error) {
+	s.Priority = o.placed.priority
+	stream, err := o.Engine.Submit(ctx, s)
+	return o.watch(stream, err)
+}
+
+// Resume implements targetapi.Engine.
+func (o *observed) Resume(ctx context.Context, id target.StreamID, attempt uint32, from int) (targetapi.Stream, error) {
+	stream, err := o.Engine.Resume(ctx, id, attempt, from)
+	return o.watch(stream, err)
+}
+
+func (o *observed) watch(stream targetapi.Stream, err error) (targetapi.Stream, error) {
+	if err != nil {
+		o.placed.outcome = outcomeOf(err)
+		return nil, err
+	}
+	return &observedStream{Stream: stream, placed: o.placed, started: o.started}, nil
+}
+
+// observedStream watches the frames of an attempt.
+type observedStream struct {
+	targetapi.Stream
+	placed  *placed
+	started func()
+}
+
+// Next implements targetapi.Stream.
+func (s *observedStream) Next() (target.Frame, error) {
+	frame, err := s.Stream.Next()
+	switch {
+	case err != nil:
+		s.placed.outcome = outcomeOf(err)
+	case frame.Failure != "":
+		s.placed.outcome = load.Fault
+	case frame.End:
+		s.placed.outcome = load.Success
+		s.placed.answerTokens = frame.Offset
+	case !s.placed.first:
+		s.placed.first = true
+		s.started()
+	}
+	return frame, err
+}
+
+// outcomeOf says what an error tells of the target.
+func outcomeOf(err error) load.Outcome {
+	switch verdict.From(err).Reason {
+	case verdict.CallerGone, verdict.DeadlineExceeded, verdict.TargetRefused, verdict.StreamUnknown:
+		return load.Neutral
+	default:
+		return load.Fault
+	}
+}
--- /dev/null
+++ b/serving/request/dispatch/place.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"context"
+	"strconv"
+	"sync"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/load"
+	"carobspoke.example/core/request/admission"
+	"carobspoke.example/core/request/facts"
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/serving/request/answer"
+)
+
+// placed is what becomes of one placement.
+type placed struct {
+	request      facts.Request
+	priority     int
+	outcome      load.Outcome
+	first        bool
+	answerTokens int
+}
+
+// placing places the attempts of one generation through admission. It
+// implements answer.Targets.
+type placing struct {
+	d       *Dispatcher
+	view    *View
+	request facts.Request
+	bytes   int
+	share   float64
+	made    int
+}
+
+var _ answer.Targets = (*placing)(nil)
+
+// Place implements answer.Targets.
+func (p *placing) Place(ctx context.Context, want answer.Want) (answer.Placement, error) {
+	action, err := p.d.Admitter.Admit(ctx, p.arrival(want))
+	if err != nil {
+		return answer.Placement{}, err
+	}
+	switch action.Kind {
+	case admission.Start:
+		return p.start(action)
+	case admission.Span:
+		return answer.Placement{}, errSpan
+	default:
+		return answer.Placement{}, action.Refusal
+	}
+}
+
+// errSpan says that a prompt needs a span. It never reaches a caller.
+var errSpan = verdict.New(verdict.NotRun, verdict.SpanUnavailable, "the prompt needs several engines")
+
+func (p *placing) arrival(want answer.Want) admission.Arrival {
+	request := p.request
+	request.ID = request.ID + "." + strconv.Itoa(p.made)
+	request.Offset = want.From
+	request.Isolate = want.Isolate
+	p.made++
+	return admission.Arrival{Request: request, Share: p.share, Bytes: p.bytes, Exclude: want.Avoid}
+}
+
+func (p *placing) start(action admission.Action) (answer.Placement, error) {
+	state := &placed{request: action.Request, priority: action.Priority, outcome: load.Neutral}
+	release := sync.OnceFunc(func() {
+		p.d.Admitter.Finished(&state.request, state.outcome, state.answerTokens)
+	})
+	engine, err := p.d.engine(p.view, action.Decision.Target)
+	if err != nil {
+		release()
+		return answer.Placement{}, err
+	}
+	watched := &observed{Engine: engine, placed: state, started: func() {
+		p.d.Admitter.FirstToken(state.request.ID)
+	}}
+	return answer.Placement{Target: action.Decision.Target, Engine: watched, Release: release}, nil
+}
+
+// held places a stream that a target already runs, outside admission: the
+// work is there, whoever reads it.
+func (d *Dispatcher) held(view *View, t names.Target) (answer.Placement, error) {
+	engine, err := d.engine(view, t)
+	if err != nil {
+		return answer.Placement{}, err
+	}
+	return answer.Placement{Target: t, Engine: engine, Release: func() {}}, nil
+}
--- /dev/null
+++ b/serving/request/forward/convert.go
@@ -0,0 +1,98 @@
+// Package forward passes a generation to another daemon, once: the receiver
+// runs it at a target that it keeps and never forwards it again.
+//
+// The deadline travels as time left, so that clocks need not agree. A failure
+// carries its verdict; if the connection ends without one, the request may
+// have run unless the call provably reached no server.
+package forward
+
+import (
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/request/facts"
+	"carobspoke.example/core/target"
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/serving/peerpb"
+)
+
+// Format is the version of the messages that this release sends. A receiver
+// refuses a larger one with NotRun.
+const Format = 1
+
+// Request is a generation on its way to another daemon.
+type Request struct {
+	Facts  facts.Request
+	Prompt string
+	Stream target.StreamID
+	// Version is the manifest version under which it was admitted.
+	Version names.Version
+	// Target is where the sender wants it; empty leaves the choice to the
+	// receiver.
+	Target names.Target
+	// Resume continues Stream, which Target holds.
+	Resume  bool
+	Attempt uint32
+}
+
+func toMessage(r Request, now time.Time) *peerpb.GenerateRequest {
+	return &peerpb.GenerateRequest{
+		Format:       Format,
+		RequestId:    r.Facts.ID,
+		Customer:     string(r.Facts.Customer),
+		Model:        string(r.Facts.Model),
+		Adapter:      string(r.Facts.Adapter),
+		Prompt:       r.Prompt,
+		PromptTokens: int64(r.Facts.PromptTokens),
+		MaxTokens:    int64(r.Facts.MaxTokens),
+		Priority:     int32(r.Facts.Priority),
+		TimeoutMs:    r.Facts.Deadline.Sub(now).Milliseconds(),
+		Version:      uint64(r.Version),
+		Hops:         1,
+		Stream:       string(r.Stream),
+		From:         int64(r.Facts.Offset),
+		Target:       string(r.Target),
+		Resume:       r.Resume,
+		Attempt:      r.Attempt,
+	}
+}
+
+func fromMessage(m *peerpb.GenerateRequest, here names.DataCentre, now time.Time) Request {
+	return Request{
+		Prompt:  m.GetPrompt(),
+		Stream:  target.StreamID(m.GetStream()),
+		Version: names.Version(m.GetVersion()),
+		Target:  names.Target(m.GetTarget()),
+		Resume:  m.GetResume(),
+		Attempt: m.GetAttempt(),
+		Facts: facts.Request{
+			ID:           m.GetRequestId(),
+			Customer:     names.Customer(m.GetCustomer()),
+			Model:        names.Model(m.GetModel()),
+			Adapter:      names.Adapter(m.GetAdapter()),
+			PromptTokens: int(m.GetPromptTokens()),
+			MaxTokens:    int(m.GetMaxTokens()),
+			Priority:     int(m.GetPriority()),
+			Deadline:     now.Add(time.Duration(m.GetTimeoutMs()) * time.Millisecond),
+			Offset:       int(m.GetFrom()),
+			DataCentre:   here,
+		},
+	}
+}
+
+// ToFailure encodes an error for a peer.
+func ToFailure(err error) *peerpb.Failure {
+	e := verdict.From(err)
+	return &peerpb.Failure{
+		Verdict:      e.Verdict.String(),
+		Reason:       string(e.Reason),
+		Message:      e.Message,
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+	}
+}
+
+// FromFailure decodes a peer's failure.
+func FromFailure(f *peerpb.Failure) error {
+	e := verdict.New(verdict.Parse(f.GetVerdict()), verdict.Reason(f.GetReason()), f.GetMessage())
+	return e.WithRetryAfter(time.Duration(f.GetRetryAfterMs()) * time.Millisecond)
+}
--- /dev/null
+++ b/serving/request/forward/server.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/serving/peerpb"
+	"google.golang.org/grpc"
+)
+
+// Runner runs a forwarded generation at a target that this daemon keeps.
+type Runner interface {
+	RunForwarded(ctx context.Context, r Request, sink Sink) error
+}
+
+// Caller runs a forwarded call to a plain service.
+type Caller interface {
+	ServeForwarded(ctx context.Context, m *peerpb.CallRequest) *peerpb.CallReply
+}
+
+// Server is the receiving side.
+type Server struct {
+	peerpb.UnimplementedForwardingServer
+	Runner     Runner
+	Caller     Caller
+	DataCentre names.DataCentre
+}
+
+// Generate implements peerpb.ForwardingServer.
+func (s *Server) Generate(m *peerpb.GenerateRequest, out grpc.ServerStreamingServer[peerpb.GenerateFrame]) error {
+	r := fromMessage(m, s.DataCentre, time.Now())
+	ctx, cancel := context.WithDeadline(out.Context(), r.Facts.Deadline)
+	defer cancel()
+	sink := &frameSink{out: out, next: r.Facts.Offset}
+	err := s.run(ctx, m, r, sink)
+	if err != nil {
+		return sink.send(&peerpb.GenerateFrame{Failure: ToFailure(err)})
+	}
+	return sink.send(&peerpb.GenerateFrame{End: true})
+}
+
+func (s *Server) run(ctx context.Context, m *peerpb.GenerateRequest, r Request, sink Sink) error {
+	if m.GetFormat() > Format {
+		return verdict.New(verdict.NotRun, verdict.PeerFailed, "the request is of a newer release")
+	}
+	if m.GetHops() > 1 {
+		return verdict.New(verdict.NotRun, verdict.HopLimit, "the request was forwarded twice")
+	}
+	return s.Runner.RunForwarded(ctx, r, sink)
+}
+
+// Call implements peerpb.ForwardingServer.
+func (s *Server) Call(ctx context.Context, m *peerpb.CallRequest) (*peerpb.CallReply, error) {
+	return s.Caller.ServeForwarded(ctx, m), nil
+}
+
+// frameSink sends an answer to the peer.
+type frameSink struct {
+	out    grpc.ServerStreamingServer[peerpb.GenerateFrame]
+	target names.Target
+	told   bool
+	next   int
+}
+
+// At implements Sink.
+func (s *frameSink) At(t names.Target) {
+	s.target = t
+	s.told = false
+}
+
+// Token implements Sink.
+func (s *frameSink) Token(offset int, text string) error {
+	s.next = offset + 1
+	return s.send(&peerpb.GenerateFrame{Offset: int64(offset), Text: text})
+}
+
+func (s *frameSink) send(frame *peerpb.GenerateFrame) error {
+	if frame.GetEnd() {
+		frame.Offset = int64(s.next)
+	}
+	if !s.told {
+		frame.Target = string(s.target)
+		s.told = true
+	}
+	if err := s.out.Send(frame); err != nil {
+		return verdict.Wrap(err, verdict.Ran, verdict.CallerGone, "the sending daemon is gone")
+	}
+	return nil
+}
