--- /dev/null
+++ b/core/version/manifest/problem.go
@@ -0,0 +1,47 @@
+package manifest
+
+import "fmt"
+
+// Problem is one reason for which a manifest is refused.
+type Problem struct {
+	// Path is the place in the manifest, such as "targets[3].address".
+	Path string
+	// Expected says what a valid manifest has there.
+	Expected string
+	// Found is what the manifest has.
+	Found string
+}
+
+// String returns the problem as one line for the operator.
+func (p Problem) String() string {
+	if p.Found == "" {
+		return fmt.Sprintf("%s: expected %s", p.Path, p.Expected)
+	}
+	return fmt.Sprintf("%s: expected %s, found %s", p.Path, p.Expected, p.Found)
+}
+
+// InvalidError is the error of a manifest that has problems.
+type InvalidError struct {
+	Problems []Problem
+}
+
+// Error returns the first problem and the number of the others.
+func (e *InvalidError) Error() string {
+	if len(e.Problems) == 0 {
+		return "invalid manifest"
+	}
+	text := "invalid manifest: " + e.Problems[0].String()
+	if more := len(e.Problems) - 1; more > 0 {
+		text += fmt.Sprintf(" (and %d more)", more)
+	}
+	return text
+}
+
+// Check returns an *InvalidError if the manifest has problems.
+func (m *Manifest) Check() error {
+	problems := m.Validate()
+	if len(problems) == 0 {
+		return nil
+	}
+	return &InvalidError{Problems: problems}
+}
--- /dev/null
+++ b/core/version/pages/delta.go
@@ -0,0 +1,91 @@
+package pages
+
+import (
+	"bytes"
+
+	"carobspoke.example/core/names"
+	"github.com/pkg/errors"
+)
+
+// Delta makes a page, or a signed root, from an older one by copying runs of
+// lines and inserting new ones.
+type Delta struct {
+	// From and To are the digests of the bytes before and after.
+	From names.Digest `json:"from"`
+	To   names.Digest `json:"to"`
+	Ops  []Op         `json:"ops"`
+}
+
+// Op appends Length bytes of the old text from Offset on, and then Insert.
+type Op struct {
+	Offset int    `json:"offset,omitempty"`
+	Length int    `json:"length,omitempty"`
+	Insert []byte `json:"insert,omitempty"`
+}
+
+// NewDelta returns the delta from one text to another.
+func NewDelta(from names.Digest, old []byte, to names.Digest, next []byte) Delta {
+	places := linePlaces(old)
+	d := Delta{From: from, To: to}
+	for line := range bytes.Lines(next) {
+		offset, known := places[string(line)]
+		d.append(offset, known, line)
+	}
+	return d
+}
+
+func linePlaces(text []byte) map[string]int {
+	places := map[string]int{}
+	offset := 0
+	for line := range bytes.Lines(text) {
+		places[string(line)] = offset
+		offset += len(line)
+	}
+	return places
+}
+
+// append adds one line to the result, copied if it is known.
+func (d *Delta) append(offset int, known bool, line []byte) {
+	var last *Op
+	if n := len(d.Ops); n > 0 {
+		last = &d.Ops[n-1]
+	}
+	switch {
+	case known && last != nil && len(last.Insert) == 0 && last.Offset+last.Length == offset:
+		last.Length += len(line)
+	case known:
+		d.Ops = append(d.Ops, Op{Offset: offset, Length: len(line)})
+	case last != nil:
+		last.Insert = append(last.Insert, line...)
+	default:
+		d.Ops = append(d.Ops, Op{Insert: bytes.Clone(line)})
+	}
+}
+
+// Bytes returns the size of the inserted text, in bytes.
+func (d Delta) Bytes() int {
+	n := 0
+	for _, op := range d.Ops {
+		n += len(op.Insert)
+	}
+	return n
+}
+
+// Apply returns the text that the delta leads to, checked by its digest.
+func (d Delta) Apply(old []byte) ([]byte, error) {
+	var next []byte
+	for _, op := range d.Ops {
+		if op.Offset < 0 || op.Length < 0 || op.Offset > len(old) || op.Length > len(old)-op.Offset {
+			return nil, errors.Wrap(ErrSource, "delta does not fit the text")
+		}
+		if len(next)+op.Length+len(op.Insert) > MaxPageBytes {
+			return nil, errors.Wrap(ErrSource, "delta makes a text over the limit")
+		}
+		next = append(next, old[op.Offset:op.Offset+op.Length]...)
+		next = append(next, op.Insert...)
+	}
+	if DigestOf(next) != d.To {
+		return nil, errors.Wrap(ErrSource, "delta's result has another digest")
+	}
+	return next, nil
+}
--- /dev/null
+++ b/core/version/pages/root.go
@@ -0,0 +1,157 @@
+package pages
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/base64"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/version/manifest"
+	"github.com/pkg/errors"
+)
+
+// Format is the version of the published form.
+const Format = 1
+
+// signatureContext is signed in front of a root, so that no other text signed
+// with the same key passes for one.
+const signatureContext = "carobspoke manifest root 1\n"
+
+// Ref names a page.
+type Ref struct {
+	Section Section
+	// First is the name of the page's first entry; it is empty for the
+	// first page of a section. With Section it tells which page of the
+	// version before this one replaces.
+	First  string
+	Digest names.Digest
+	// Bytes is the page's size.
+	Bytes int
+}
+
+// Root lists the pages of one version.
+type Root struct {
+	Format  int
+	Schema  int
+	Version names.Version
+	Pages   []Ref
+	// Digest is the SHA-256 of the encoded root without its signature.
+	Digest names.Digest
+	// Signed is the root as it is passed on: the signature in base64, a
+	// line feed, and the encoded root.
+	Signed []byte
+}
+
+func signRoot(r *Root, key ed25519.PrivateKey) error {
+	payload := encodeRoot(r)
+	signature := ed25519.Sign(key, append([]byte(signatureContext), payload...))
+	text := encode(signature)
+	r.Digest = DigestOf(payload)
+	r.Signed = append([]byte(text+"\n"), payload...)
+	if len(r.Signed) > MaxRootBytes {
+		return errors.Errorf("root has %d bytes, limit %d", len(r.Signed), MaxRootBytes)
+	}
+	return nil
+}
+
+// ParseRoot checks a signed root against the operators' public keys, any one
+// of which may have signed it, and returns it.
+func ParseRoot(signed []byte, keys []ed25519.PublicKey) (*Root, error) {
+	payload, err := verify(signed, keys)
+	if err != nil {
+		return nil, err
+	}
+	r := &Root{Digest: DigestOf(payload), Signed: bytes.Clone(signed)}
+	if err := decodeRoot(r, payload); err != nil {
+		return nil, err
+	}
+	if err := r.check(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func verify(signed []byte, keys []ed25519.PublicKey) ([]byte, error) {
+	if len(signed) > MaxRootBytes {
+		return nil, errors.Wrapf(ErrSource, "root has %d bytes, limit %d", len(signed), MaxRootBytes)
+	}
+	line, payload, found := bytes.Cut(signed, []byte("\n"))
+	if !found {
+		return nil, errors.Wrap(ErrSource, "root has no signature line")
+	}
+	signature, err := base64.StdEncoding.DecodeString(string(line))
+	if err != nil || len(signature) != ed25519.SignatureSize {
+		return nil, errors.Wrap(ErrSource, "root's signature is malformed")
+	}
+	message := append([]byte(signatureContext), payload...)
+	for _, key := range keys {
+		if len(key) == ed25519.PublicKeySize && ed25519.Verify(key, message, signature) {
+			return payload, nil
+		}
+	}
+	return nil, errors.Wrap(ErrSource, "root is signed by none of the known keys")
+}
+
+func (r *Root) check() error {
+	switch {
+	case r.Format != Format:
+		return errors.Wrapf(ErrContent, "root has format %d, this release reads %d", r.Format, Format)
+	case r.Schema != manifest.Schema:
+		return errors.Wrapf(ErrContent, "manifest has schema %d, this release reads %d", r.Schema, manifest.Schema)
+	case r.Version == 0 || r.Version > manifest.MaxVersion:
+		return errors.Wrapf(ErrContent, "version %d is out of range", r.Version)
+	case len(r.Pages) > MaxPages:
+		return errors.Wrapf(ErrContent, "%d pages, limit %d", len(r.Pages), MaxPages)
+	}
+	return r.checkPages()
+}
+
+func (r *Root) checkPages() error {
+	total := 0
+	for i, ref := range r.Pages {
+		if !validDigest(ref.Digest) || ref.Bytes < 1 || ref.Bytes > MaxPageBytes {
+			return errors.Wrapf(ErrContent, "page %d has a bad digest or size", i)
+		}
+		if ref.Section.rank() < 0 {
+			return errors.Wrapf(ErrContent, "page %d is of unknown section %q", i, ref.Section)
+		}
+		if i > 0 && !less(r.Pages[i-1], ref) {
+			return errors.Wrapf(ErrContent, "page %d is out of order", i)
+		}
+		total += ref.Bytes
+	}
+	if total > MaxManifestBytes {
+		return errors.Wrapf(ErrContent, "%d bytes in all, limit %d", total, MaxManifestBytes)
+	}
+	return nil
+}
+
+func less(a, b Ref) bool {
+	if a.Section != b.Section {
+		return a.Section.rank() < b.Section.rank()
+	}
+	return a.First < b.First
+}
+
+// Missing returns the pages of r for which have is false.
+func (r *Root) Missing(have func(names.Digest) bool) []Ref {
+	var missing []Ref
+	for _, ref := range r.Pages {
+		if !have(ref.Digest) {
+			missing = append(missing, ref)
+		}
+	}
+	return missing
+}
+
+// Predecessor returns the page of an older root that ref replaces.
+func (r *Root) Predecessor(ref Ref) (Ref, bool) {
+	for _, old := range r.Pages {
+		if old.Section == ref.Section && old.First == ref.First {
+			return old, true
+		}
+	}
+	return Ref{}, false
+}
+
+func encode(signature []byte) string { return base64.StdEncoding.EncodeToString(signature) }
--- /dev/null
+++ b/core/version/pages/rootcodec.go
@@ -0,0 +1,83 @@
+package pages
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"carobspoke.example/core/names"
+	"github.com/pkg/errors"
+)
+
+// headWord begins the first line of an encoded root, which goes on with
+// format, schema and version. Each further line is a page: section, digest,
+// bytes, and the first entry's name unless the page is its section's first.
+const headWord = "carobspoke-manifest"
+
+func encodeRoot(r *Root) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %d %d %d\n", headWord, r.Format, r.Schema, r.Version)
+	for _, ref := range r.Pages {
+		line := fmt.Sprintf("%s %s %d %s", ref.Section, ref.Digest, ref.Bytes, ref.First)
+		b.WriteString(strings.TrimRight(line, " "))
+		b.WriteByte('\n')
+	}
+	return b.Bytes()
+}
+
+// decodeRoot fills format, schema, version and pages of r. A root of another
+// format is not read beyond its first line.
+func decodeRoot(r *Root, payload []byte) error {
+	head, rest, _ := strings.Cut(string(payload), "\n")
+	if err := decodeHead(r, head); err != nil || r.Format != Format {
+		return err
+	}
+	for line := range strings.Lines(rest) {
+		if len(r.Pages) == MaxPages {
+			return errors.Wrapf(ErrContent, "root has more than %d pages", MaxPages)
+		}
+		ref, err := decodeRef(strings.TrimSuffix(line, "\n"))
+		if err != nil {
+			return errors.Wrapf(err, "page %d", len(r.Pages))
+		}
+		r.Pages = append(r.Pages, ref)
+	}
+	return nil
+}
+
+func decodeHead(r *Root, line string) error {
+	fields := strings.Split(line, " ")
+	if len(fields) != 4 || fields[0] != headWord {
+		return errors.Wrap(ErrContent, "root does not begin with "+headWord)
+	}
+	var err error
+	if r.Format, err = strconv.Atoi(fields[1]); err != nil {
+		return errors.Wrapf(ErrContent, "root's format: %v", err)
+	}
+	if r.Schema, err = strconv.Atoi(fields[2]); err != nil {
+		return errors.Wrapf(ErrContent, "root's schema: %v", err)
+	}
+	version, err := strconv.ParseUint(fields[3], 10, 64)
+	if err != nil {
+		return errors.Wrapf(ErrContent, "root's version: %v", err)
+	}
+	r.Version = names.Version(version)
+	return nil
+}
+
+func decodeRef(line string) (Ref, error) {
+	fields := strings.Split(line, " ")
+	if len(fields) != 3 && len(fields) != 4 {
+		return Ref{}, errors.Wrap(ErrContent, "expected section, digest, bytes and first name")
+	}
+	size, err := strconv.Atoi(fields[2])
+	if err != nil {
+		return Ref{}, errors.Wrapf(ErrContent, "bytes: %v", err)
+	}
+	ref := Ref{Section: Section(fields[0]), Digest: names.Digest(fields[1]), Bytes: size}
+	if len(fields) == 4 {
+		ref.First = fields[3]
+	}
+	return ref, nil
+}
