Choose, admit and order requests by predicted times

Cause: the daemon had no decisions yet; the naive ones (round robin, fewest requests) put short prompts behind long prefills and admit what ends late.

--- /dev/null
+++ b/core/process/load/load_test.go
@@ -0,0 +1,146 @@
+package load
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/request/choice"
+	"carobspoke.example/core/target"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func oneTarget() *Table {
+	t := New()
+	t.Apply([]Spec{{Name: "a", Want: target.State{Model: "m"}, PrefillRate: 1000}})
+	return t
+}
+
+func report(seq uint64, takenMs, queued int) target.Report {
+	return target.Report{
+		Target: "a", Boot: 1, Seq: seq, Taken: at(takenMs),
+		QueuedTokens: queued, PrefillRate: 1000,
+		State: target.State{Model: "m"},
+	}
+}
+
+func only(t *testing.T, table *Table, ms int) choice.Candidate {
+	t.Helper()
+	candidates := table.Candidates("m", at(ms))
+	if len(candidates) != 1 {
+		t.Fatalf("%d candidates", len(candidates))
+	}
+	return candidates[0]
+}
+
+func wantQueue(t *testing.T, table *Table, ms, tokens int) {
+	t.Helper()
+	c := only(t, table, ms)
+	if got := c.Queue(); got < tokens-1 || got > tokens+1 {
+		t.Fatalf("queue at %d ms = %d, want %d", ms, got, tokens)
+	}
+}
+
+// A table that trusts the report alone would show an idle target after each of
+// these steps, and the daemon would send everything there.
+func TestQueueAddsOwnDispatchesToALateReport(t *testing.T) {
+	table := oneTarget()
+	table.Report(report(1, 0, 500), at(200))
+	wantQueue(t, table, 200, 300)
+	table.Dispatched(Dispatch{ID: "x", Target: "a", Tokens: 2000}, at(300))
+	wantQueue(t, table, 300, 2200)
+	// Taken before the dispatch, received after it.
+	table.Report(report(2, 250, 100), at(450))
+	wantQueue(t, table, 450, 1900)
+	// Taken after the dispatch: it is in the report.
+	table.Report(report(3, 400, 1700), at(500))
+	wantQueue(t, table, 500, 1600)
+	if c := only(t, table, 500); c.OwnStreams != 0 {
+		t.Fatalf("the dispatch counts twice: %+v", c)
+	}
+}
+
+func TestAnOlderReportIsDiscarded(t *testing.T) {
+	table := oneTarget()
+	table.Report(report(5, 100, 700), at(200))
+	if table.Report(report(4, 150, 0), at(210)) {
+		t.Fatal("an older sequence number was accepted")
+	}
+	reboot := report(1, 300, 0)
+	reboot.Boot = 2
+	if !table.Report(reboot, at(310)) {
+		t.Fatal("a new boot was refused")
+	}
+	if table.Report(report(9, 200, 700), at(320)) {
+		t.Fatal("a report of the earlier boot was accepted")
+	}
+	wantQueue(t, table, 320, 0)
+}
+
+func TestASlowClockDoesNotMakeReportsStale(t *testing.T) {
+	table := oneTarget()
+	for seq := 1; seq < 4; seq++ {
+		r := report(uint64(seq), 1000*seq-60_000, 5000)
+		table.Report(r, at(1000*seq+100))
+	}
+	if c := only(t, table, 3200); !c.Known || c.ReportAge > time.Second {
+		t.Fatalf("age %s, known %t", c.ReportAge, c.Known)
+	}
+}
+
+func TestABreakerSparesAndProbes(t *testing.T) {
+	table := oneTarget()
+	fail := func(ms int) {
+		id := strconv.Itoa(ms)
+		table.Dispatched(Dispatch{ID: id, Target: "a"}, at(ms))
+		table.Finished(id, Fault, at(ms))
+	}
+	for ms := range BreakerFaults {
+		fail(ms)
+	}
+	if !only(t, table, 500).BreakerOpen {
+		t.Fatal("closed after the faults")
+	}
+	if only(t, table, 1100).BreakerOpen {
+		t.Fatal("no probe after the pause")
+	}
+	table.Dispatched(Dispatch{ID: "probe", Target: "a"}, at(1100))
+	if !only(t, table, 1101).BreakerOpen {
+		t.Fatal("a second request beside the probe")
+	}
+	table.Finished("probe", Fault, at(1200))
+	if !only(t, table, 3100).BreakerOpen {
+		t.Fatal("the pause did not double")
+	}
+	table.Dispatched(Dispatch{ID: "probe", Target: "a"}, at(3300))
+	table.Finished("probe", Success, at(3400))
+	if only(t, table, 3400).BreakerOpen {
+		t.Fatal("open after a success")
+	}
+}
+
+func TestATargetOutOfTheManifestIsForgotten(t *testing.T) {
+	table := oneTarget()
+	table.Dispatched(Dispatch{ID: "x", Target: "a", Tokens: 900}, at(0))
+	table.Apply([]Spec{{Name: "b", Want: target.State{Model: "m"}}})
+	if table.InFlight() != 0 || len(table.Candidates("m", at(0))) != 1 {
+		t.Fatal("the target or its dispatch is still there")
+	}
+	table.Finished("x", Fault, at(1))
+}
+
+func BenchmarkCandidates32(b *testing.B) {
+	table := New()
+	specs := make([]Spec, 32)
+	for i := range specs {
+		specs[i] = Spec{Name: names.Target(strconv.Itoa(i)), Want: target.State{Model: "m"}}
+	}
+	table.Apply(specs)
+	for b.Loop() {
+		table.Candidates("m", epoch)
+	}
+}
--- a/core/request/choice/choice.go
+++ b/core/request/choice/choice.go
@@ -40,8 +40,21 @@
 	CachedTokens int
 	// Isolation marks a target that only runs suspected requests.
 	Isolation bool
+	// Rank is the target's place in [0, 1) among those of its model. All
+	// daemons compute the same from one manifest; the lowest ranks make up
+	// the part of the fleet that is reserved for short prefills.
+	Rank float64
 }
 
+// ReportedQueue is what is left now of the queue in the report, in tokens.
+func (c *Candidate) ReportedQueue() int {
+	drained := c.PrefillRate() * c.ReportAge.Seconds()
+	return max(0, c.Report.QueuedTokens-int(drained))
+}
+
+// Queue is the estimated prefill work ahead of a new request, in tokens.
+func (c *Candidate) Queue() int { return c.ReportedQueue() + c.OwnTokens }
+
 // Step is one part's say about one target.
 type Step struct {
 	Target names.Target
@@ -70,3 +83,25 @@
 type Chooser interface {
 	Choose(r facts.Request, candidates []Candidate, now time.Time, random *rand.Rand, explain bool) Decision
 }
+
+// DefaultPrefillRate stands in for a rate that nobody told, in tokens a
+// second.
+const DefaultPrefillRate = 8000
+
+// PrefillRate is the target's prefill rate in tokens a second; it is positive.
+func (c *Candidate) PrefillRate() float64 {
+	if c.Report.PrefillRate > 0 {
+		return c.Report.PrefillRate
+	}
+	return DefaultPrefillRate
+}
+
+// QueueTime is the time until the prefill work ahead of a new request is done.
+func (c *Candidate) QueueTime() time.Duration {
+	return seconds(float64(c.Queue()) / c.PrefillRate())
+}
+
+// PrefillTime is the time of a request's own prefill, without what is cached.
+func (c *Candidate) PrefillTime(r *facts.Request) time.Duration {
+	return seconds(float64(CostAt(r, c).Prefill) / c.PrefillRate())
+}
--- /dev/null
+++ b/core/request/choice/choice_test.go
@@ -0,0 +1,170 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/request/facts"
+	"carobspoke.example/core/target"
+	"carobspoke.example/core/verdict"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func engine(name names.Target) Candidate {
+	state := target.State{Model: "m", Version: "1", Adapters: []names.Adapter{"loaded"}}
+	return Candidate{
+		Target: name, Known: true, Want: state, Rank: 0.9, DataCentre: "d1",
+		Report: target.Report{
+			State: state, PrefillRate: 10_000, TotalBlocks: 1000, FreeBlocks: 1000, BlockTokens: 100,
+		},
+	}
+}
+
+func request() facts.Request {
+	return facts.Request{Model: "m", PromptTokens: 2000, MaxTokens: 100, DataCentre: "d1"}
+}
+
+func seeded() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestEachFilterDropsWhatMustNotServe(t *testing.T) {
+	cases := map[string]struct {
+		change  func(*Candidate)
+		request func(*facts.Request)
+		reason  verdict.Reason
+	}{
+		"loading":       {change: func(c *Candidate) { c.Report.State.Loading = true }, reason: verdict.NoTarget},
+		"other model":   {change: func(c *Candidate) { c.Report.State.Model = "x" }, reason: verdict.NoTarget},
+		"no adapter":    {request: func(r *facts.Request) { r.Adapter = "x" }, reason: verdict.NoTarget},
+		"prefill only":  {change: func(c *Candidate) { c.Report.State.Role = target.Prefill }, reason: verdict.NoTarget},
+		"leaving":       {change: func(c *Candidate) { c.Leaving = true }, reason: verdict.TargetLeaving},
+		"leaves early":  {change: func(c *Candidate) { c.LeavesAt = now.Add(3 * time.Second) }, reason: verdict.TargetLeaving},
+		"breaker":       {change: func(c *Candidate) { c.BreakerOpen = true }, reason: verdict.Overloaded},
+		"too long":      {request: func(r *facts.Request) { r.PromptTokens = 100_000 }, reason: verdict.PromptTooLong},
+		"reserved":      {change: func(c *Candidate) { c.Rank = 0 }, request: func(r *facts.Request) { r.PromptTokens = 50_000 }, reason: verdict.Overloaded},
+		"suspect":       {request: func(r *facts.Request) { r.Isolate = true }, reason: verdict.CrashSuspect},
+		"set apart":     {change: func(c *Candidate) { c.Isolation = true }, reason: verdict.NoTarget},
+		"nothing wrong": {},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c, r := engine("a"), request()
+			if tc.change != nil {
+				tc.change(&c)
+			}
+			if tc.request != nil {
+				tc.request(&r)
+			}
+			d := New(DefaultSettings()).Choose(r, []Candidate{c}, now, seeded(), true)
+			switch {
+			case tc.reason == "" && d.Refusal != nil:
+				t.Fatalf("refused: %v", d.Refusal)
+			case tc.reason != "" && (d.Refusal == nil || d.Refusal.Reason != tc.reason || d.Refusal.Verdict != verdict.NotRun):
+				t.Fatalf("refusal = %v, want %s", d.Refusal, tc.reason)
+			case len(d.Steps) == 0:
+				t.Fatal("nothing explained")
+			}
+		})
+	}
+}
+
+func TestALongPrefillStaysOffTheReserveAndAShortOneMayUseIt(t *testing.T) {
+	reserved, open := engine("reserved"), engine("open")
+	reserved.Rank = 0
+	open.Report.QueuedTokens = 500_000
+	for tokens, want := range map[int]names.Target{2000: "reserved", 80_000: "open"} {
+		r := request()
+		r.PromptTokens = tokens
+		d := New(DefaultSettings()).Choose(r, []Candidate{reserved, open}, now, seeded(), false)
+		if d.Target != want {
+			t.Fatalf("%d tokens went to %q", tokens, d.Target)
+		}
+	}
+}
+
+func TestAffinityIsWorthTheTimeItSaves(t *testing.T) {
+	cached, idle := engine("cached"), engine("idle")
+	cached.CachedTokens = 20_000
+	r := request()
+	r.PromptTokens = 21_000
+	for queued, want := range map[int]names.Target{10_000: "cached", 30_000: "idle"} {
+		cached.Report.QueuedTokens = queued
+		d := New(Settings{}).Choose(r, []Candidate{cached, idle}, now, seeded(), false)
+		if d.Target != want {
+			t.Fatalf("with %d tokens ahead went to %q", queued, d.Target)
+		}
+	}
+}
+
+// Eight daemons look at one report that is half a second old and send 50
+// requests. The worst target gets how many times its part?
+func TestTwoChoicesDoNotHerdOnOneReport(t *testing.T) {
+	const targets, daemons, each = 10, 8, 50
+	most := func(p Picker) int {
+		policy := New(DefaultSettings())
+		policy.Picker = p
+		counts := map[names.Target]int{}
+		for d := range daemons {
+			random := rand.New(rand.NewPCG(7, uint64(d)))
+			candidates := staleReports(targets)
+			for range each {
+				pick := policy.Choose(request(), candidates, now, random, false).Target
+				counts[pick]++
+				for i := range candidates {
+					if candidates[i].Target == pick {
+						candidates[i].OwnTokens += request().PromptTokens
+					}
+				}
+			}
+		}
+		largest := 0
+		for _, n := range counts {
+			largest = max(largest, n)
+		}
+		return largest
+	}
+	first := func(p Picker) int {
+		policy := New(DefaultSettings())
+		policy.Picker = p
+		counts := map[names.Target]int{}
+		for d := range daemons {
+			random := rand.New(rand.NewPCG(7, uint64(d)))
+			counts[policy.Choose(request(), staleReports(targets), now, random, false).Target]++
+		}
+		largest := 0
+		for _, n := range counts {
+			largest = max(largest, n)
+		}
+		return largest
+	}
+	if naive := first(Best{}); naive != daemons {
+		t.Fatalf("the naive picker does not herd: %d of %d", naive, daemons)
+	}
+	if got := first(TwoChoices{}); got > daemons/2 {
+		t.Fatalf("%d of %d daemons chose the same target", got, daemons)
+	}
+	if got, part := most(TwoChoices{}), daemons*each/targets; got > part*3/2 {
+		t.Fatalf("the busiest target got %d, its part is %d", got, part)
+	}
+}
+
+func staleReports(n int) []Candidate {
+	candidates := make([]Candidate, n)
+	for i := range candidates {
+		candidates[i] = engine(names.Target(strconv.Itoa(i)))
+		candidates[i].ReportAge = 500 * time.Millisecond
+		candidates[i].Report.QueuedTokens = 5000 + 10*i
+	}
+	return candidates
+}
+
+func BenchmarkChoose32(b *testing.B) {
+	candidates := staleReports(32)
+	policy, random, r := New(DefaultSettings()), seeded(), request()
+	for b.Loop() {
+		policy.Choose(r, candidates, now, random, false)
+	}
+}
--- /dev/null
+++ b/core/request/class/class.go
@@ -0,0 +1,118 @@
+// Package class sorts prompts into length classes and predicts the length of
+// answers, from what a daemon has seen of late.
+//
+// Bounds of length classes are not constants: they split the observed prefill
+// work, in tokens, into thirds (size intervals of equal load). Where one prompt
+// in fifty is a thousand times longer than the others, this puts nearly all
+// requests into Short and a few very long ones into Long, and it moves when the
+// mix moves. The state is a histogram of fixed size with logarithmic buckets,
+// whose old observations fade with each new one.
+package class
+
+import (
+	"carobspoke.example/core/target"
+)
+
+// Shape of the observed mix.
+const (
+	// ShortShare and MediumShare are the shares of prefill work, in tokens,
+	// that lie below the upper bounds of Short and of Medium.
+	ShortShare  = 1.0 / 3
+	MediumShare = 2.0 / 3
+	// Warmup is the number of observations before which the first bounds
+	// hold.
+	Warmup = 200
+	// Refresh is the number of observations between two computations of the
+	// bounds.
+	Refresh = 64
+)
+
+// Bounds of the classes before Warmup, in tokens.
+const (
+	FirstShort  = 8000
+	FirstMedium = 64000
+)
+
+// Bounds are the largest prompts of the classes Short and Medium, in tokens.
+type Bounds struct {
+	Short  int
+	Medium int
+}
+
+// Classify returns the class of a prompt. A prompt of more tokens than
+// engineTokens needs more than one engine.
+func (b Bounds) Classify(promptTokens, engineTokens int) target.Class {
+	switch {
+	case engineTokens > 0 && promptTokens > engineTokens:
+		return target.Spanning
+	case promptTokens <= b.Short:
+		return target.Short
+	case promptTokens <= b.Medium:
+		return target.Medium
+	default:
+		return target.Long
+	}
+}
+
+// Mix is the mix of prompt lengths that a daemon has seen of late. The zero
+// value is ready for use. It is not safe for concurrent use.
+type Mix struct {
+	sketch sketch
+	bounds Bounds
+	seen   int
+}
+
+// Observe takes in a prompt's length in tokens.
+func (m *Mix) Observe(promptTokens int) {
+	m.sketch.add(promptTokens, float64(promptTokens))
+	m.seen++
+	if m.seen < Warmup || m.seen%Refresh != 0 {
+		return
+	}
+	m.bounds = Bounds{
+		Short:  m.sketch.quantile(ShortShare),
+		Medium: m.sketch.quantile(MediumShare),
+	}
+}
+
+// Bounds returns the bounds that hold now.
+func (m *Mix) Bounds() Bounds {
+	if m.bounds == (Bounds{}) {
+		return Bounds{Short: FirstShort, Medium: FirstMedium}
+	}
+	return m.bounds
+}
+
+// Answers is the mix of answer lengths that a daemon has seen of late. The
+// zero value is ready for use. It is not safe for concurrent use.
+type Answers struct {
+	sketch sketch
+	seen   int
+}
+
+// Prediction of answer lengths.
+const (
+	// AnswerQuantile is the share of answers that are no longer than
+	// predicted.
+	AnswerQuantile = 0.95
+	// AnswerWarmup is the number of answers before which FirstAnswer holds.
+	AnswerWarmup = 20
+	// FirstAnswer is the predicted length of an answer, in tokens, before
+	// any was seen.
+	FirstAnswer = 256
+)
+
+// Observe takes in the length of a complete answer, in tokens.
+func (a *Answers) Observe(tokens int) {
+	a.sketch.add(tokens, 1)
+	a.seen++
+}
+
+// Predict returns the number of tokens to plan for an answer that the caller
+// limits to maxTokens.
+func (a *Answers) Predict(maxTokens int) int {
+	if a.seen < AnswerWarmup {
+		return min(maxTokens, FirstAnswer)
+	}
+	return min(maxTokens, a.sketch.quantile(AnswerQuantile))
+}
