--- a/core/connection/attempt/attempt.go
+++ b/core/connection/attempt/attempt.go
@@ -73,7 +73,7 @@
 
 func (c *Checker) end(f target.Frame) (Action, error) {
 	if f.Failure != "" {
-		return Discard, verdict.New(verdict.Ran, verdict.AnswerCut, "the engine ended the answer early")
+		return Discard, verdict.New(verdict.Ran, verdict.TargetFailed, "the engine ended the answer early")
 	}
 	if f.Offset != c.next {
 		return Discard, mismatch("the answer ends after %d tokens of %d", c.next, f.Offset)
--- a/core/process/crash/crash.go
+++ b/core/process/crash/crash.go
@@ -28,6 +28,7 @@
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/verdict"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -48,6 +49,17 @@
 // String returns the digest in hexadecimal.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
+// ParseDigest returns the digest that String wrote.
+func ParseDigest(text string) (Digest, error) {
+	var d Digest
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != digestBytes {
+		return d, errors.Errorf("crash: %q is not a digest", text)
+	}
+	copy(d[:], raw)
+	return d, nil
+}
+
 // Of returns the digest of a prompt.
 func Of(customer names.Customer, model names.Model, adapter names.Adapter, prompt string) Digest {
 	hash := sha256.New()
--- a/core/process/crash/crash_test.go
+++ b/core/process/crash/crash_test.go
@@ -39,7 +39,7 @@
 	table := New()
 	bad := Of("a", "m", "", "boom")
 	table.Crashed(bad, true, start)
-	for i := range uint32(MaxDigests+200) {
+	for i := range uint32(MaxDigests + 200) {
 		var d Digest
 		binary.BigEndian.PutUint32(d[:], i)
 		table.Crashed(d, false, start.Add(time.Duration(i)))
--- a/core/request/retry/budget.go
+++ b/core/request/retry/budget.go
@@ -6,7 +6,7 @@
 	// the manifest says nothing.
 	DefaultShare = 0.1
 	// Burst is the most retries that a budget saves up.
-	Burst = 20
+	Burst = 100
 )
 
 // Budget lets retries be a share of fresh requests. Each fresh request earns
--- a/core/request/ticket/ticket.go
+++ b/core/request/ticket/ticket.go
@@ -59,6 +59,8 @@
 	Stream   target.StreamID `json:"s"`
 	// Deadline is when the engine may drop the stream.
 	Deadline time.Time `json:"d"`
+	// Prompt is the digest under which crashes are held against the prompt.
+	Prompt names.Digest `json:"p,omitempty"`
 }
 
 // NewID returns a random number for a call.
--- /dev/null
+++ b/serving/request/answer/crashes.go
@@ -0,0 +1,75 @@
+package answer
+
+import (
+	"sync"
+	"time"
+
+	"carobspoke.example/core/process/crash"
+	"carobspoke.example/core/verdict"
+)
+
+// Crashes shares a table of crash standings among the requests of a daemon. It
+// is safe for concurrent use.
+type Crashes struct {
+	clock func() time.Time
+
+	mu    sync.Mutex
+	table *crash.Table
+}
+
+// NewCrashes returns an empty table.
+func NewCrashes(clock func() time.Time) *Crashes {
+	return &Crashes{clock: clock, table: crash.New()}
+}
+
+// Digests returns what to tell other daemons.
+func (c *Crashes) Digests() []crash.Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Digests(c.clock())
+}
+
+// Learn takes in what another daemon told.
+func (c *Crashes) Learn(entries []crash.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Learn(entries, c.clock())
+}
+
+// Prompt returns the standing of one prompt.
+func (c *Crashes) Prompt(digest crash.Digest) Prompt {
+	return &prompt{crashes: c, digest: digest}
+}
+
+type prompt struct {
+	crashes *Crashes
+	digest  crash.Digest
+}
+
+// Standing implements Prompt.
+func (p *prompt) Standing() crash.Standing {
+	p.crashes.mu.Lock()
+	defer p.crashes.mu.Unlock()
+	return p.crashes.table.Check(p.digest, p.crashes.clock())
+}
+
+// Crashed implements Prompt.
+func (p *prompt) Crashed(alone bool) crash.Standing {
+	p.crashes.mu.Lock()
+	defer p.crashes.mu.Unlock()
+	return p.crashes.table.Crashed(p.digest, alone, p.crashes.clock())
+}
+
+// Ended implements Prompt.
+func (p *prompt) Ended() {
+	p.crashes.mu.Lock()
+	defer p.crashes.mu.Unlock()
+	p.crashes.table.Ended(p.digest, p.crashes.clock())
+}
+
+// Refusal implements Prompt.
+func (p *prompt) Refusal() *verdict.Error {
+	p.crashes.mu.Lock()
+	defer p.crashes.mu.Unlock()
+	return p.crashes.table.Refusal(p.digest, p.crashes.clock())
+}
