--- /dev/null
+++ b/serving/cmd/carobspoked/main.go
@@ -0,0 +1,97 @@
+// Command carobspoked is the daemon on an entry host.
+//
+// Exit codes: 0 after a drained stop, 1 for a failure while running, 2 for
+// settings that cannot work.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"carobspoke.example/serving/process/daemon"
+	"carobspoke.example/serving/process/settings"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+func main() {
+	command := &cli.Command{
+		Name:                  "carobspoked",
+		Usage:                 "serve callers, and pass their requests to targets",
+		Description:           "Exit codes: 0 after a drained stop, 1 for a failure while running, 2 for settings that cannot work.",
+		EnableShellCompletion: true,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings `FILE` (TOML)", Required: true},
+			&cli.BoolFlag{Name: "check-config", Usage: "check the settings and exit"},
+		},
+		Action: run,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "carobspoked:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var coded cli.ExitCoder
+	if errors.As(err, &coded) {
+		return coded.ExitCode()
+	}
+	return exitFailure
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	loaded, err := settings.Load(c.String("config"))
+	if err != nil {
+		return cli.Exit(err, exitSettings)
+	}
+	if c.Bool("check-config") {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	log, err := logger(loaded.Log.Level)
+	if err != nil {
+		return cli.Exit(err, exitSettings)
+	}
+	return serve(ctx, loaded, log)
+}
+
+func logger(level string) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	parsed, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	config.Level = parsed
+	return config.Build()
+}
+
+// serve runs a daemon until a signal asks it to stop, and drains it then. A
+// second signal ends it at once.
+func serve(ctx context.Context, loaded *settings.Settings, log *zap.Logger) error {
+	d, err := daemon.New(daemon.Options{Settings: loaded, Log: log})
+	if err != nil {
+		return cli.Exit(err, exitFailure)
+	}
+	d.Start()
+	defer d.Close()
+	first, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	<-first.Done()
+	stop()
+	second, stopSecond := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stopSecond()
+	drain, cancel := context.WithTimeout(second, time.Duration(loaded.Caller.DrainTimeout))
+	defer cancel()
+	return d.Drain(drain)
+}
--- /dev/null
+++ b/serving/process/admin/admin.go
@@ -0,0 +1,181 @@
+// Package admin implements the administration interface. It only reads:
+// operators drive by publishing a manifest.
+package admin
+
+import (
+	"context"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/request/choice"
+	"carobspoke.example/core/request/facts"
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/core/version/manifest"
+	"carobspoke.example/serving/gen/admin"
+	"carobspoke.example/serving/request/directory"
+	"carobspoke.example/serving/version"
+)
+
+// Explanation is why a request would go where.
+type Explanation struct {
+	Class    string
+	Decision choice.Decision
+}
+
+// Sources are what the interface reads.
+type Sources struct {
+	// KeyDigests are those of the administration keys.
+	KeyDigests []names.Digest
+	Versions   *version.Holder
+	// Status returns the daemon's state.
+	Status func() *admin.StatusResult
+	// Explain decides on a request without sending it.
+	Explain func(r facts.Request) Explanation
+	// Metrics returns every metric.
+	Metrics func() map[string]map[string]any
+	// Ready returns nil if the daemon takes new requests.
+	Ready func() error
+}
+
+// Service implements admin.Service.
+type Service struct {
+	Sources
+}
+
+var _ admin.Service = (*Service)(nil)
+
+// Defaults of an explanation.
+const (
+	defaultMaxTokens = 512
+	defaultTimeout   = time.Minute
+)
+
+func (s *Service) authenticate(authorization *string) error {
+	refusal := verdict.New(verdict.NotRun, verdict.Unauthenticated, "an administration key is needed")
+	if authorization == nil {
+		return refusal
+	}
+	digest, ok := directory.KeyDigest(*authorization)
+	if !ok {
+		return refusal
+	}
+	for _, known := range s.KeyDigests {
+		if known == digest {
+			return nil
+		}
+	}
+	return refusal
+}
+
+// Status implements admin.Service.
+func (s *Service) Status(_ context.Context, p *admin.StatusPayload) (*admin.StatusResult, error) {
+	if err := s.authenticate(p.Authorization); err != nil {
+		return nil, err
+	}
+	return s.Sources.Status(), nil
+}
+
+// Metrics implements admin.Service.
+func (s *Service) Metrics(_ context.Context, p *admin.MetricsPayload) (map[string]any, error) {
+	if err := s.authenticate(p.Authorization); err != nil {
+		return nil, err
+	}
+	all := make(map[string]any)
+	for name, values := range s.Sources.Metrics() {
+		all[name] = values
+	}
+	return all, nil
+}
+
+// Health implements admin.Service.
+func (s *Service) Health(context.Context) (string, error) { return "ok", nil }
+
+// Ready implements admin.Service.
+func (s *Service) Ready(context.Context) (string, error) {
+	if err := s.Sources.Ready(); err != nil {
+		return "", err
+	}
+	return "ready", nil
+}
+
+// Explain implements admin.Service.
+func (s *Service) Explain(_ context.Context, p *admin.ExplainPayload) (*admin.ExplainResult, error) {
+	if err := s.authenticate(p.Authorization); err != nil {
+		return nil, err
+	}
+	explanation := s.Sources.Explain(request(p))
+	return explained(explanation), nil
+}
+
+func request(p *admin.ExplainPayload) facts.Request {
+	r := facts.Request{
+		ID:           "explain",
+		Customer:     names.Customer(p.Customer),
+		Model:        names.Model(p.Model),
+		PromptTokens: p.PromptTokens,
+		MaxTokens:    defaultMaxTokens,
+		Deadline:     time.Now().Add(defaultTimeout),
+	}
+	if p.MaxTokens != nil {
+		r.MaxTokens = *p.MaxTokens
+	}
+	if p.TimeoutMs != nil {
+		r.Deadline = time.Now().Add(time.Duration(*p.TimeoutMs) * time.Millisecond)
+	}
+	return r
+}
+
+func explained(e Explanation) *admin.ExplainResult {
+	result := &admin.ExplainResult{Class: e.Class}
+	if e.Decision.Refusal != nil {
+		result.Decision = e.Decision.Refusal.Error()
+	} else {
+		chosen := string(e.Decision.Target)
+		result.Target = &chosen
+		result.Decision = "first token predicted in " + e.Decision.FirstToken.Round(time.Millisecond).String()
+	}
+	for _, step := range e.Decision.Steps {
+		result.Steps = append(result.Steps, &admin.ScoreStep{
+			Target: string(step.Target), Step: step.Part, Verdict: step.Say, Reason: step.Why,
+		})
+	}
+	return result
+}
+
+// DryRun implements admin.Service.
+func (s *Service) DryRun(_ context.Context, p *admin.DryRunPayload) (*admin.DryRunResult, error) {
+	if err := s.authenticate(p.Authorization); err != nil {
+		return nil, err
+	}
+	result := &admin.DryRunResult{Problems: []string{}, Changes: []string{}}
+	next, err := manifest.Parse([]byte(p.Manifest))
+	if err != nil {
+		result.Problems = append(result.Problems, err.Error())
+		return result, nil
+	}
+	for _, problem := range next.Validate() {
+		result.Problems = append(result.Problems, problem.String())
+	}
+	result.Valid = len(result.Problems) == 0
+	if view := s.Versions.Current(); view != nil && result.Valid {
+		result.Problems, result.Valid = newer(view, next)
+		result.Changes = changes(view, next)
+	}
+	return result, nil
+}
+
+// newer checks that a manifest would be taken after the one in force.
+func newer(view *version.State, next *manifest.Manifest) ([]string, bool) {
+	if next.Version > view.Version() {
+		return []string{}, true
+	}
+	return []string{"version: expected a number above the one in force"}, false
+}
+
+func changes(view *version.State, next *manifest.Manifest) []string {
+	lines := []string{}
+	for _, change := range manifest.Diff(view.Manifest, next) {
+		lines = append(lines, change.Sentence)
+	}
+	return lines
+}
--- /dev/null
+++ b/serving/process/daemon/status.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"carobspoke.example/core/request/choice"
+	"carobspoke.example/core/request/facts"
+	"carobspoke.example/core/version/manifest"
+	genadmin "carobspoke.example/serving/gen/admin"
+	"carobspoke.example/serving/process/admin"
+	"carobspoke.example/serving/version"
+)
+
+// status returns the daemon's state for the administration interface.
+func (d *Daemon) status() *genadmin.StatusResult {
+	result := &genadmin.StatusResult{
+		Host:        string(d.Host()),
+		DataCentre:  string(d.settings.DataCentre),
+		Incarnation: uint64(d.incarnation),
+		Ready:       d.ready() == nil,
+		Draining:    d.draining.Load(),
+		Members:     []*genadmin.MemberStatus{},
+		Targets:     []*genadmin.TargetStatus{},
+		Quotas:      []*genadmin.QuotaStatus{},
+		Refusals:    d.counters.Refusals(),
+		Control:     map[string]float64{},
+	}
+	view := d.versions.Current()
+	if view == nil {
+		return result
+	}
+	result.Version = uint64(view.Version())
+	result.Digest = string(view.Digest)
+	result.Targets = d.targetStatus(view)
+	return result
+}
+
+func (d *Daemon) targetStatus(view *version.State) []*genadmin.TargetStatus {
+	var list []*genadmin.TargetStatus
+	for i := range view.Manifest.Models {
+		for _, candidate := range d.admitter.Candidates(view.Manifest.Models[i].Name) {
+			if entry, ok := view.Index.Target(candidate.Target); ok {
+				list = append(list, engineStatus(entry, candidate))
+			}
+		}
+	}
+	return list
+}
+
+func engineStatus(entry *manifest.Target, c choice.Candidate) *genadmin.TargetStatus {
+	status := &genadmin.TargetStatus{
+		Name:         string(entry.Name),
+		Address:      entry.Address,
+		DataCentre:   string(entry.DataCentre),
+		Serves:       string(c.Report.State.Model) + " " + c.Report.State.Version,
+		State:        stateOf(c),
+		QueuedTokens: c.Queue(),
+		FreeBlocks:   c.Report.FreeBlocks,
+		TotalBlocks:  c.Report.TotalBlocks,
+		InFlight:     c.OwnStreams,
+		ReportAgeMs:  c.ReportAge.Milliseconds(),
+	}
+	if !c.LeavesAt.IsZero() {
+		at := c.LeavesAt.UTC().Format(time.RFC3339)
+		status.LeavesAt = &at
+	}
+	return status
+}
+
+func stateOf(c choice.Candidate) string {
+	switch {
+	case c.Leaving:
+		return "leaving"
+	case !c.Known, c.BreakerOpen:
+		return "unreachable"
+	case c.Report.State.Loading:
+		return "loading"
+	default:
+		return "ready"
+	}
+}
+
+// explain decides on a request without sending it. Its random numbers are
+// fixed, so that two explanations of one state are the same.
+func (d *Daemon) explain(r facts.Request) admin.Explanation {
+	settings := choice.DefaultSettings()
+	settings.Region = d.regionOf
+	r.DataCentre = d.settings.DataCentre
+	candidates := d.admitter.Candidates(r.Model)
+	decision := choice.New(settings).Choose(r, candidates, time.Now(), rand.New(rand.NewPCG(1, 1)), true)
+	return admin.Explanation{Class: r.Class.String(), Decision: decision}
+}
--- a/serving/request/dispatch/admitter.go
+++ b/serving/request/dispatch/admitter.go
@@ -151,7 +151,7 @@
 }
 
 func endedWaiting(ctx context.Context) error {
-	if ctx.Err() == context.DeadlineExceeded { //nolint:errorlint // a context's own error is not wrapped
+	if ctx.Err() == context.DeadlineExceeded {
 		return verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the deadline passed before a target was free")
 	}
 	return verdict.New(verdict.NotRun, verdict.CallerGone, "the caller left before a target was free")
--- a/serving/request/dispatch/dispatch.go
+++ b/serving/request/dispatch/dispatch.go
@@ -15,7 +15,6 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/crash"
 	"carobspoke.example/core/request/facts"
-	"carobspoke.example/core/request/stream"
 	"carobspoke.example/core/request/ticket"
 	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
@@ -68,6 +67,8 @@
 	Crashes     *Crashes
 	Tickets     *ticket.Ring
 	Abandoned   *Abandoned
+	// NewStream returns a name for a stream that is wanted until a deadline.
+	NewStream func(deadline time.Time) (target.StreamID, error)
 	// Ready returns nil if the daemon takes new requests.
 	Ready func() error
 }
@@ -100,12 +101,12 @@
 		return err
 	}
 	d.Retries.Fresh()
-	name, err := stream.New(d.Host, d.Incarnation, g.Facts.Deadline, rand.Reader)
+	name, err := d.NewStream(g.Facts.Deadline)
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.Internal, "no name for the stream")
 	}
-	out := &ticketSink{d: d, sink: sink, request: g.Facts, stream: name.Stream()}
-	r := forward.Request{Facts: g.Facts, Prompt: g.Prompt, Stream: name.Stream(), Version: view.Version()}
+	out := &ticketSink{d: d, sink: sink, request: g.Facts, stream: name}
+	r := forward.Request{Facts: g.Facts, Prompt: g.Prompt, Stream: name, Version: view.Version()}
 	if !d.Relays.Keeps(g.Facts.Model) {
 		return d.relay(ctx, r, out)
 	}
