--- a/tools/standin/engine/batch.go
+++ b/tools/standin/engine/batch.go
@@ -93,14 +93,14 @@
 	if s.handle != nil {
 		cached = max(cached, s.handle.info.Tokens)
 	}
-	own := e.config.blocksFor(max(0, s.prompt-cached) + s.end)
+	own := e.config.blocksFor(max(0, s.prompt+s.end-cached))
 	if !e.memory.reserve(own) {
 		e.memory.leave(entries)
 		return false
 	}
 	s.entries = entries
 	s.own = own
-	s.toPrefill = max(0, s.prompt-cached) + s.submit.From
+	s.toPrefill = max(0, s.prompt+s.submit.From-cached)
 	return true
 }
 
--- a/tools/standin/engine/config.go
+++ b/tools/standin/engine/config.go
@@ -81,7 +81,7 @@
 func Default() Config {
 	return Config{
 		Speedup:        1,
-		Blocks:         32768,
+		Blocks:         28672,
 		BlockTokens:    16,
 		PrefixTokens:   1024,
 		MaxBatch:       64,
--- a/tools/standin/engine/engine.go
+++ b/tools/standin/engine/engine.go
@@ -61,7 +61,7 @@
 	e.serves.state = config.State
 	e.serves.want = config.State
 	e.clearLocked()
-	server, err := fault.Start(address, e.routes(), e.killed)
+	server, err := fault.Start(address, e.routes(), fault.Hooks{Killed: e.killed, Switch: e.switchFault})
 	if err != nil {
 		return nil, err
 	}
@@ -181,6 +181,12 @@
 	}
 }
 
+func (e *Server) switchFault(kind fault.Kind, on bool) {
+	if kind == fault.Crash && on {
+		e.crash()
+	}
+}
+
 // crash cuts all connections, empties the memory and restarts the engine
 // after a while, with a new boot number.
 func (e *Server) crash() {
--- /dev/null
+++ b/tools/standin/engine/handle_test.go
@@ -0,0 +1,131 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"carobspoke.example/core/target"
+	"carobspoke.example/core/verdict"
+)
+
+func mustHold(t *testing.T, e *Server, submit target.Submit, tokens int, as target.HandleID) target.Part {
+	t.Helper()
+	submit.Stream += target.StreamID("-" + string(as))
+	submit.PromptTokens = tokens
+	submit.Hold = as
+	s, refused := e.submit(submit, time.Now())
+	if refused != nil {
+		t.Fatal(refused.message)
+	}
+	eventually(t, "held", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return s.over()
+	})
+	return target.Part{Address: e.Address(), Handle: as, Tokens: tokens}
+}
+
+// TestASpanReadsItsPartsAndFailsWhenOneIsGone generates after a prompt that
+// is larger than the memory of the engine that decodes.
+func TestASpanReadsItsPartsAndFailsWhenOneIsGone(t *testing.T) {
+	small := testConfig()
+	small.Blocks = 100
+	first, firstClient := startEngine(t, small)
+	second, _ := startEngine(t, small)
+	last, client := startEngine(t, small)
+	submit := testSubmit("span")
+	submit.MaxTokens = 100
+	submit.Parts = []target.Part{mustHold(t, first, submit, 1500, "h1"), mustHold(t, second, submit, 1500, "h2")}
+	submit.PromptTokens = 4000
+	end := readAll(t, mustSubmit(t, client, submit), submit.Prompt, 0)
+	if end.Failure != "" || end.Offset != 100 {
+		t.Fatalf("end %+v", end)
+	}
+	eventually(t, "baseline at the last engine", atBaseline(last))
+	if free := first.Measure().FreeBlocks; free != 100-94 {
+		t.Fatalf("the first part is not pinned: %d blocks free", free)
+	}
+	submit.Stream = "span-2"
+	submit.MaxTokens = 500
+	stream := mustSubmit(t, client, submit)
+	if _, err := stream.Next(); err != nil {
+		t.Fatal(err)
+	}
+	if err := firstClient.Free(t.Context(), "h1"); err != nil {
+		t.Fatal(err)
+	}
+	if end := lastFrame(t, stream); end.Failure != FailurePartGone {
+		t.Fatalf("end %+v", end)
+	}
+	eventually(t, "baseline at the last engine", atBaseline(last))
+	eventually(t, "baseline at the first engine", atBaseline(first))
+}
+
+func lastFrame(t *testing.T, stream interface{ Next() (target.Frame, error) }) target.Frame {
+	t.Helper()
+	for {
+		frame, err := stream.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if frame.End {
+			return frame
+		}
+	}
+}
+
+func TestAStreamMovesByExportAndImportAndHandlesLeakUntilFreed(t *testing.T) {
+	from, fromClient := startEngine(t, testConfig())
+	to, toClient := startEngine(t, testConfig())
+	submit := testSubmit("move")
+	submit.MaxTokens = 3000
+	stream := mustSubmit(t, fromClient, submit)
+	for range 10 {
+		if _, err := stream.Next(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	exported, err := fromClient.Export(t.Context(), submit.Stream, "out")
+	if err != nil {
+		t.Fatal(err)
+	}
+	part := target.Part{Address: from.Address(), Handle: "out", Tokens: exported.Tokens}
+	if _, err := toClient.Import(t.Context(), part, "in"); err != nil {
+		t.Fatal(err)
+	}
+	if err := fromClient.Cancel(t.Context(), submit.Stream); err != nil {
+		t.Fatal(err)
+	}
+	moved := submit
+	moved.Stream, moved.From, moved.Handle, moved.MaxTokens = "moved", 10, "in", 60
+	readAll(t, mustSubmit(t, toClient, moved), submit.Prompt, 10)
+	if from.Measure().FreeBlocks == from.Measure().TotalBlocks || to.Measure().FreeBlocks == to.Measure().TotalBlocks {
+		t.Fatal("a handle that nobody freed is gone")
+	}
+	foreign := moved
+	foreign.Stream, foreign.Scope = "foreign", "c2"
+	if _, err := toClient.Submit(t.Context(), foreign); verdict.From(err) == nil || verdict.From(err).Verdict != verdict.NotRun {
+		t.Fatalf("another customer's handle: %v", err)
+	}
+	if err := fromClient.Free(t.Context(), "out"); err != nil {
+		t.Fatal(err)
+	}
+	if err := toClient.Free(t.Context(), "in"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "baseline at the source", atBaseline(from))
+	eventually(t, "baseline at the destination", atBaseline(to))
+}
+
+func TestMemoryExhaustedByHandlesIsRefusedAsNotRun(t *testing.T) {
+	config := testConfig()
+	config.Blocks = 100
+	e, client := startEngine(t, config)
+	submit := testSubmit("full")
+	mustHold(t, e, submit, 1500, "pinned")
+	submit.PromptTokens = 300
+	_, err := client.Submit(t.Context(), submit)
+	if refused := verdict.From(err); refused == nil || refused.Reason != verdict.TargetRefused || refused.Verdict != verdict.NotRun {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/tools/standin/fault/control.go
+++ b/tools/standin/fault/control.go
@@ -21,6 +21,10 @@
 	Drop    Kind = "drop"
 	Cut     Kind = "cut"
 	Recover Kind = "recover"
+	// Stale freezes what the platform answers.
+	Stale Kind = "stale"
+	// Crash is the crash of an engine by a prompt.
+	Crash Kind = "crash"
 )
 
 // Command is the body of a POST to ControlPath.
@@ -71,6 +75,14 @@
 		s.CutAfter(c.Count)
 	case Recover:
 		s.recoverAll()
+	default:
+		s.other(c.Kind, true)
+	}
+}
+
+func (s *Server) other(kind Kind, on bool) {
+	if s.hooks.Switch != nil {
+		s.hooks.Switch(kind, on)
 	}
 }
 
@@ -88,11 +100,13 @@
 		s.DropAnswers(0)
 	case Cut:
 		s.CutAfter(0)
+	default:
+		s.other(kind, false)
 	}
 }
 
 func (s *Server) recoverAll() {
-	for _, kind := range []Kind{Pause, Down, Delay, Drop, Cut} {
+	for _, kind := range []Kind{Pause, Down, Delay, Drop, Cut, Stale} {
 		s.end(kind)
 	}
 }
--- a/tools/standin/fault/server.go
+++ b/tools/standin/fault/server.go
@@ -15,10 +15,18 @@
 	rebindPause    = 10 * time.Millisecond
 )
 
+// Hooks are what a stand-in itself does about faults.
+type Hooks struct {
+	// Killed is called after Kill has cut the connections.
+	Killed func()
+	// Switch carries out kinds of faults that only this stand-in knows.
+	Switch func(kind Kind, on bool)
+}
+
 // Server is an HTTP server with faults.
 type Server struct {
 	handler http.Handler
-	onKill  func()
+	hooks   Hooks
 	address string
 
 	mu     sync.Mutex
@@ -28,14 +36,14 @@
 	faults faults
 }
 
-// Start listens on address, "IP:port", and serves handler. Kill calls onKill,
-// unless it is nil, after it has cut the connections.
-func Start(address string, handler http.Handler, onKill func()) (*Server, error) {
+// Start listens on address, "IP:port", and serves handler. The
+// hooks may be empty.
+func Start(address string, handler http.Handler, hooks Hooks) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	s := &Server{handler: handler, onKill: onKill, address: listener.Addr().String()}
+	s := &Server{handler: handler, hooks: hooks, address: listener.Addr().String()}
 	s.serve(listener)
 	return s, nil
 }
@@ -62,8 +70,8 @@
 		return nil
 	}
 	err := server.Close()
-	if s.onKill != nil {
-		s.onKill()
+	if s.hooks.Killed != nil {
+		s.hooks.Killed()
 	}
 	return errors.Wrap(err, "close")
 }
--- /dev/null
+++ b/tools/standin/fleet/fleet_test.go
@@ -0,0 +1,32 @@
+package fleet
+
+import (
+	"testing"
+
+	"carobspoke.example/core/names"
+)
+
+func TestEachSizeStartsWhatItsManifestNames(t *testing.T) {
+	sizes := map[Size][2]int{Dev: {4, 2}, Sahayatri: {15, 3}, Tuuraj: {25, 3}}
+	for size, want := range sizes {
+		f, err := Start(Config{Size: size})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := f.Manifest()
+		if len(f.Engines()) != want[0] || len(f.Services()) != want[1] {
+			t.Errorf("%s: %d engines, %d services", size, len(f.Engines()), len(f.Services()))
+		}
+		if len(m.Targets) != want[0]+2*want[1] {
+			t.Errorf("%s: %d targets", size, len(m.Targets))
+		}
+		addresses := map[names.Target]string{}
+		for _, target := range m.Targets {
+			addresses[target.Name] = target.Address
+		}
+		if len(addresses) != len(m.Targets) {
+			t.Errorf("%s: names are not unique", size)
+		}
+		f.Close()
+	}
+}
--- /dev/null
+++ b/tools/standin/fleet/manifest.go
@@ -0,0 +1,90 @@
+package fleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/target"
+	"carobspoke.example/core/version/manifest"
+)
+
+// Versions of the model's weights, and what they share.
+const (
+	FirstVersion  = "1"
+	SecondVersion = "2"
+	weightBytes   = 60 << 30
+)
+
+// Settings of customers.
+const (
+	largeShare  = 5
+	smallShare  = 1
+	maxPriority = 5
+)
+
+// Key returns the API key of a customer of a stand-in fleet.
+func Key(customer names.Customer) string { return "standin-" + string(customer) }
+
+// build returns a manifest without targets.
+func (l layout) build() manifest.Manifest {
+	m := manifest.Manifest{
+		Schema:  manifest.Schema,
+		Version: 1,
+		Fleet:   manifest.Fleet{ExpectedDaemons: l.daemons},
+		Models: []manifest.Model{{
+			Name: l.model,
+			Versions: []manifest.ModelVersion{
+				{Name: FirstVersion, WeightBytes: weightBytes},
+				{Name: SecondVersion, WeightBytes: weightBytes},
+			},
+			Adapters: l.adapters,
+		}},
+		Services: []manifest.Service{
+			{Name: l.orders, Idempotent: false},
+			{Name: l.lookups, Idempotent: true},
+		},
+	}
+	for _, name := range l.dataCentres {
+		m.Fleet.DataCentres = append(m.Fleet.DataCentres, manifest.DataCentreRegion{Name: name, Region: l.region})
+	}
+	for _, name := range l.large {
+		m.Customers = append(m.Customers, l.customer(name, largeShare))
+	}
+	for _, name := range l.small {
+		m.Customers = append(m.Customers, l.customer(name, smallShare))
+	}
+	return m
+}
+
+func (l layout) customer(name names.Customer, share float64) manifest.Customer {
+	digest := sha256.Sum256([]byte(Key(name)))
+	return manifest.Customer{
+		Name:        name,
+		KeyDigests:  []names.Digest{names.Digest(hex.EncodeToString(digest[:]))},
+		Share:       share,
+		MaxPriority: maxPriority,
+		Models:      []names.Model{l.model},
+		Services:    []names.Service{l.orders, l.lookups},
+	}
+}
+
+func (l layout) dataCentre(i int) names.DataCentre { return l.dataCentres[i%len(l.dataCentres)] }
+
+func (l layout) engineName(i int) names.Target {
+	return names.Target(fmt.Sprintf("%s-%02d", l.model, i+1))
+}
+
+func (l layout) replicaName(i int, service names.Service) names.Target {
+	return names.Target(fmt.Sprintf("%s-%d-%s", l.application, i+1, service))
+}
+
+func (l layout) want() target.State {
+	return target.State{Model: l.model, Version: FirstVersion, Adapters: l.adapters[:1], Role: target.Mixed}
+}
+
+func (l layout) checksFencing(i int) bool { return i%l.fencingEvery == 0 }
+
+// isolated reports whether an engine is set apart: the last one is.
+func (l layout) isolated(i int) bool { return i == l.engines-1 }
--- a/tools/standin/platform/platform.go
+++ b/tools/standin/platform/platform.go
@@ -68,7 +68,7 @@
 	}
 	s := &Server{config: config, values: map[string]value{}, changed: make(chan struct{})}
 	s.limit = limiter{rate: float64(config.CallsPerSecond)}
-	server, err := fault.Start(address, s.routes(), nil)
+	server, err := fault.Start(address, s.routes(), fault.Hooks{Switch: s.switchFault})
 	if err != nil {
 		return nil, err
 	}
@@ -117,6 +117,12 @@
 	return s.calls, s.refused
 }
 
+func (s *Server) switchFault(kind fault.Kind, on bool) {
+	if kind == fault.Stale {
+		s.SetStale(on)
+	}
+}
+
 func (s *Server) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/values/{key}", s.counted(s.getValue))
--- a/tools/standin/service/service.go
+++ b/tools/standin/service/service.go
@@ -51,7 +51,7 @@
 	s := &Server{config: config}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/calls", s.call)
-	server, err := fault.Start(address, mux, nil)
+	server, err := fault.Start(address, mux, fault.Hooks{})
 	if err != nil {
 		return nil, err
 	}
