Add membership, gossip queue and subsets

Cause: daemons need to know each other, and who keeps which target, without any store and within a bounded number of messages. Change: a pure failure detector with suspicion, indirect probes, incarnations, refutation, anti-entropy and contact with unreachable members; a queue of updates with priority by kind; keepers and homes by rendezvous hashing; a network in virtual time for tests and measurements.

--- /dev/null
+++ b/core/process/membership/datagram.go
@@ -0,0 +1,102 @@
+package membership
+
+import (
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/gossip"
+)
+
+// Purpose says what a datagram is for.
+type Purpose uint8
+
+// Purposes of datagrams.
+const (
+	// Ping asks for an Ack.
+	Ping Purpose = iota
+	// Ack answers a Ping, directly or through the helper that was asked.
+	Ack
+	// PingRequest asks the receiver to ping another member.
+	PingRequest
+	// Push carries digests that cannot wait for the next probe.
+	Push
+	// SyncRequest asks for a page of the member table.
+	SyncRequest
+	// SyncReply is a page of the member table.
+	SyncReply
+	// Purposes is the number of purposes.
+	Purposes
+)
+
+// String returns the purpose's name in metrics.
+func (p Purpose) String() string {
+	switch p {
+	case Ping:
+		return "ping"
+	case Ack:
+		return "ack"
+	case PingRequest:
+		return "ping_request"
+	case Push:
+		return "push"
+	case SyncRequest:
+		return "sync_request"
+	case SyncReply:
+		return "sync_reply"
+	default:
+		return "unknown"
+	}
+}
+
+// Digest is a small fact that daemons pass on beside member updates.
+type Digest struct {
+	Kind gossip.Kind
+	// Key says what the digest is about.
+	Key string
+	// Sequence grows with each change of the same key.
+	Sequence uint64
+	Payload  []byte
+}
+
+// digestBytes is the size of a digest in a datagram without key and payload.
+const digestBytes = 20
+
+// Bytes bounds the size of the digest in a datagram.
+func (d *Digest) Bytes() int { return digestBytes + len(d.Key) + len(d.Payload) }
+
+// Datagram is one message between two daemons.
+type Datagram struct {
+	Purpose Purpose
+	// From is the sender's own entry.
+	From Member
+	// To is the incarnation that the sender takes the receiver for; zero if
+	// unknown. Another incarnation drops the datagram.
+	To names.Incarnation
+	// Sequence ties an Ack or SyncReply to what it answers.
+	Sequence uint64
+	// About is the member to ping, in a PingRequest.
+	About names.Host
+	// Table is a digest of the sender's counted members and Counted their
+	// number, by which the receiver learns that the views differ.
+	Table   uint64
+	Counted int
+	// Cursor is the host after which a SyncRequest wants entries. In a
+	// SyncReply it is the last host of the page; empty means the end.
+	Cursor  names.Host
+	Updates []Update
+	Digests []Digest
+}
+
+// headerBytes is the size of a datagram without updates, digests and names,
+// sealed, with the headers of UDP and IP.
+const headerBytes = 28 + 28 + 4 + updateBytes + 9 + 9 + 10 + 3 + 2*8
+
+// Bytes bounds the size of the datagram on the network.
+func (d *Datagram) Bytes() int {
+	size := headerBytes + len(d.From.DataCentre)
+	for i := range d.Updates {
+		size += d.Updates[i].Bytes()
+	}
+	for i := range d.Digests {
+		size += d.Digests[i].Bytes()
+	}
+	return size
+}
--- /dev/null
+++ b/core/process/membership/send.go
@@ -0,0 +1,63 @@
+package membership
+
+import (
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/gossip"
+)
+
+// send completes a datagram's header, adds what is waiting to be passed on,
+// and hands it to the shell.
+func (m *Machine) send(to names.Host, d Datagram) {
+	d.From = m.self
+	if e, ok := m.table.byHost[to]; ok && e.Counted() {
+		d.To = e.Incarnation
+	}
+	d.Table = m.table.digest ^ hash(&m.self)
+	d.Counted = len(m.table.ring) + 1
+	if d.Purpose != SyncReply {
+		m.load(&d)
+	}
+	size := d.Bytes()
+	m.allowance -= float64(size)
+	m.counters.Sent[d.Purpose]++
+	m.counters.SentBytes[d.Purpose] += uint64(size)
+	m.actions = append(m.actions, Send{To: to, Datagram: d})
+}
+
+// load adds updates and digests as far as the datagram and the rate allow.
+func (m *Machine) load(d *Datagram) {
+	size := d.Bytes()
+	room := min(m.config.DatagramBytes, int(m.allowance)) - size
+	if room <= 0 {
+		return
+	}
+	for _, e := range m.queue.Take(room) {
+		if e.Kind != gossip.Member {
+			d.Digests = append(d.Digests, e.Value.digest)
+			continue
+		}
+		if u, ok := m.update(e.Value.host); ok {
+			d.Updates = append(d.Updates, u)
+		}
+	}
+}
+
+// fill adds entries of the table to an answer to a peer whose view differs,
+// each time the next ones, so that views agree even when gossip missed some.
+func (m *Machine) fill(d *Datagram) {
+	room := fillBytes
+	rest := m.table.after(m.refill)
+	for _, e := range rest {
+		u := m.updateOf(e)
+		room -= u.Bytes()
+		if room < 0 {
+			return
+		}
+		d.Updates = append(d.Updates, u)
+		m.refill = e.Host
+	}
+	m.refill = ""
+}
+
+// fillBytes bounds what anti-entropy adds to one answer.
+const fillBytes = 200
--- /dev/null
+++ b/core/process/subset/measure.go
@@ -0,0 +1,72 @@
+package subset
+
+import (
+	"slices"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/membership"
+)
+
+// Place is a target and where it runs.
+type Place struct {
+	Target     names.Target
+	DataCentre names.DataCentre
+}
+
+// Imbalance describes how evenly targets are kept.
+type Imbalance struct {
+	// Mean, P99 and Max are targets for each daemon.
+	Mean float64
+	P99  int
+	Max  int
+}
+
+// MeasureImbalance counts the targets of each member.
+func MeasureImbalance(members []membership.Member, places []Place, k int) Imbalance {
+	kept := make(map[names.Host]int, len(members))
+	for _, keepers := range Assign(members, places, k) {
+		for _, m := range keepers {
+			kept[m.Host]++
+		}
+	}
+	counts := make([]int, 0, len(members))
+	sum := 0
+	for i := range members {
+		counts = append(counts, kept[members[i].Host])
+		sum += kept[members[i].Host]
+	}
+	slices.Sort(counts)
+	return Imbalance{
+		Mean: float64(sum) / float64(len(counts)),
+		P99:  counts[(len(counts)-1)*99/100],
+		Max:  counts[len(counts)-1],
+	}
+}
+
+// Assign returns the keepers of each place.
+func Assign(members []membership.Member, places []Place, k int) [][]membership.Member {
+	a := New(members)
+	all := make([][]membership.Member, 0, len(places))
+	for _, p := range places {
+		all = append(all, a.Keepers(p.Target, p.DataCentre, k))
+	}
+	return all
+}
+
+// Moved counts pairs of target and keeper that after holds and before does
+// not.
+func Moved(before, after [][]membership.Member) int {
+	moved := 0
+	for i := range after {
+		for j := range after[i] {
+			if !holds(before[i], after[i][j].Host) {
+				moved++
+			}
+		}
+	}
+	return moved
+}
+
+func holds(members []membership.Member, h names.Host) bool {
+	return slices.ContainsFunc(members, func(m membership.Member) bool { return m.Host == h })
+}
--- /dev/null
+++ b/core/process/subset/subset_test.go
@@ -0,0 +1,130 @@
+package subset
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/membership"
+)
+
+// fleet returns n members in 9 data centres of 3 regions.
+func fleet(n int) []membership.Member {
+	members := make([]membership.Member, 0, n)
+	for i := range n {
+		members = append(members, membership.Member{
+			Host:       names.Host(fmt.Sprintf("10.0.%03d.%03d:7000", i/250, i%250)),
+			DataCentre: names.DataCentre(fmt.Sprintf("dc%d", i%9)),
+			Region:     names.Region(fmt.Sprintf("r%d", i%3)),
+		})
+	}
+	return members
+}
+
+func places(n int) []Place {
+	all := make([]Place, 0, n)
+	for i := range n {
+		all = append(all, Place{
+			Target:     names.Target(fmt.Sprintf("replica-%d", i)),
+			DataCentre: names.DataCentre(fmt.Sprintf("dc%d", i%9)),
+		})
+	}
+	return all
+}
+
+func TestKeeperCount(t *testing.T) {
+	cases := []struct{ daemons, targets, want int }{
+		{9, 28, 9},
+		{8, 18, 8},
+		{2, 500, 2},
+		{50, 400, 4},
+		{200, 1500, 4},
+		{830, 6200, 4},
+		{830, 100_000, 3},
+		{0, 10, 0},
+	}
+	for _, c := range cases {
+		if got := KeeperCount(c.daemons, c.targets); got != c.want {
+			t.Errorf("%d daemons, %d targets: %d, want %d", c.daemons, c.targets, got, c.want)
+		}
+	}
+}
+
+func TestKeepersComeFromTheTargetsDataCentreThenItsRegion(t *testing.T) {
+	members := fleet(27)
+	got := Keepers("a", "dc4", members, 11)
+	for i, m := range got {
+		switch {
+		case i < 3 && m.DataCentre != "dc4":
+			t.Errorf("keeper %d is in %s", i, m.DataCentre)
+		case i >= 3 && i < 9 && m.Region != "r1":
+			t.Errorf("keeper %d is in region %s", i, m.Region)
+		}
+	}
+	if len(got) != 11 {
+		t.Fatalf("%d keepers", len(got))
+	}
+}
+
+// modulo is the naive assignment: the hash picks a place in the list.
+func modulo(members []membership.Member, all []Place, k int) [][]membership.Member {
+	assigned := make([][]membership.Member, 0, len(all))
+	for i := range all {
+		keepers := make([]membership.Member, 0, k)
+		for j := range k {
+			keepers = append(keepers, members[(i*7919+j)%len(members)])
+		}
+		assigned = append(assigned, keepers)
+	}
+	return assigned
+}
+
+func TestOneDepartureMovesOnlyWhatItHeld(t *testing.T) {
+	members := fleet(200)
+	all := places(1500)
+	left := slices.Delete(slices.Clone(members), 77, 78)
+	before := Assign(members, all, 4)
+	held := 0
+	for _, keepers := range before {
+		if holds(keepers, members[77].Host) {
+			held++
+		}
+	}
+	if moved := Moved(before, Assign(left, all, 4)); moved != held {
+		t.Fatalf("%d moved, it held %d", moved, held)
+	}
+	if naive := Moved(modulo(members, all, 4), modulo(left, all, 4)); naive < 10*held {
+		t.Fatalf("the naive assignment moved only %d", naive)
+	}
+}
+
+func TestNobodyKeepsFarMoreThanTheMean(t *testing.T) {
+	i := MeasureImbalance(fleet(200), places(1500), 4)
+	if float64(i.Max) > 2*i.Mean {
+		t.Fatalf("%+v", i)
+	}
+}
+
+func TestHomeDoesNotDependOnTheOrderOfMovesElsewhere(t *testing.T) {
+	members := fleet(50)
+	moved := 0
+	left := slices.Delete(slices.Clone(members), 10, 11)
+	for i := range 1000 {
+		key := fmt.Sprint(i)
+		before, _ := Home(key, members)
+		after, _ := Home(key, left)
+		if before.Host != after.Host && before.Host != members[10].Host {
+			t.Fatalf("key %s moved without need", key)
+		}
+		if before.Host != after.Host {
+			moved++
+		}
+	}
+	if moved == 0 || moved > 60 {
+		t.Fatalf("%d keys moved", moved)
+	}
+	if _, ok := Home("a", nil); ok {
+		t.Fatal("a home among nobody")
+	}
+}
