--- a/core/version/manifest/validate.go
+++ b/core/version/manifest/validate.go
@@ -48,7 +48,7 @@
 	serviceSet map[names.Service]bool
 	targetSet  map[names.Target]bool
 	keys       map[names.Digest]names.Customer
-	address    map[string]names.Target
+	address    map[string]*Target
 }
 
 func newValidator(m *Manifest) *validator {
@@ -59,7 +59,7 @@
 		serviceSet: map[names.Service]bool{},
 		targetSet:  map[names.Target]bool{},
 		keys:       map[names.Digest]names.Customer{},
-		address:    map[string]names.Target{},
+		address:    map[string]*Target{},
 	}
 	return v
 }
@@ -191,10 +191,16 @@
 		v.add(path+".address", "an IP number and port such as 10.0.0.1:8000", quote(t.Address))
 		return
 	}
-	if other, taken := v.address[t.Address]; taken {
-		v.add(path+".address", "an address that no other target has", "the address of target "+quote(other))
+	if other := v.address[t.Address]; other != nil && !sharable(t, other) {
+		v.add(path+".address", "an address that no other target has", "the address of target "+quote(other.Name))
 	}
-	v.address[t.Address] = t.Name
+	v.address[t.Address] = t
+}
+
+// sharable reports whether two targets may be one process: it may be a
+// replica of several plain services.
+func sharable(a, b *Target) bool {
+	return a.Service != "" && b.Service != "" && a.Service != b.Service
 }
 
 func (v *validator) serviceTarget(path string, t *Target) {
--- a/serving/process/daemon/daemon.go
+++ b/serving/process/daemon/daemon.go
@@ -138,6 +138,12 @@
 // Host returns the address of this daemon for its peers.
 func (d *Daemon) Host() names.Host { return names.Host(d.listeners.Peer.Addr().String()) }
 
+// DataCentre returns where this daemon's host stands.
+func (d *Daemon) DataCentre() names.DataCentre { return d.settings.DataCentre }
+
+// Ready returns nil if the daemon takes new requests.
+func (d *Daemon) Ready() error { return d.ready() }
+
 // CallerAddress returns the address of the caller interface.
 func (d *Daemon) CallerAddress() string { return d.listeners.Caller.Addr().String() }
 
--- a/serving/process/settings/defaults.go
+++ b/serving/process/settings/defaults.go
@@ -33,7 +33,8 @@
 	return []byte(time.Duration(d).String()), nil
 }
 
-func defaults() *Settings {
+// Default returns settings with everything that a file may leave out.
+func Default() *Settings {
 	return &Settings{
 		Caller: Caller{
 			MaxBodyBytes:   DefaultMaxBodyBytes,
--- a/serving/process/settings/settings.go
+++ b/serving/process/settings/settings.go
@@ -99,7 +99,7 @@
 
 // Read is Load for a text that is already in memory.
 func Read(name string, text []byte) (*Settings, error) {
-	s := defaults()
+	s := Default()
 	if err := strict.Decode(name, text, s); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/tools/dev/dev.go
@@ -0,0 +1,261 @@
+// Package dev runs a whole fleet in one process on loopback: stand-ins for
+// engines, plain services and the platform, and several daemons between them
+// and callers.
+package dev
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"sync"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/version/manifest"
+	"carobspoke.example/core/version/pages"
+	"carobspoke.example/serving/platform"
+	"carobspoke.example/serving/process/daemon"
+	"carobspoke.example/serving/process/settings"
+	"carobspoke.example/tools/standin/fleet"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// AdminKey is the administration key of a development fleet.
+const AdminKey = "dev-admin"
+
+// ReadyTimeout bounds how long a fleet may take until all daemons have the
+// manifest in force.
+const ReadyTimeout = 20 * time.Second
+
+// Config says what to run.
+type Config struct {
+	Fleet fleet.Config
+	// Daemons is the number of daemons; zero means as many as the manifest
+	// expects.
+	Daemons int
+	// CallerAddress is where the first daemon listens for callers, "IP:port";
+	// empty means a free port.
+	CallerAddress string
+	// Adjust changes the first manifest before it is published, if set.
+	Adjust func(*manifest.Manifest)
+	Log    *zap.Logger
+}
+
+// Dev is a running fleet.
+type Dev struct {
+	Fleet *fleet.Fleet
+
+	config   Config
+	key      ed25519.PrivateKey
+	fleetKey string
+
+	mu       sync.Mutex
+	daemons  []*daemon.Daemon
+	manifest manifest.Manifest
+	packed   *pages.Packed
+}
+
+// Start starts a fleet and waits until its manifest is in force everywhere.
+func Start(ctx context.Context, c Config) (*Dev, error) {
+	stand, err := fleet.Start(c.Fleet)
+	if err != nil {
+		return nil, err
+	}
+	d := &Dev{Fleet: stand, config: c, manifest: stand.Manifest(), fleetKey: randomKey()}
+	if err := d.start(ctx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Dev) start(ctx context.Context) error {
+	_, key, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	d.key = key
+	count := d.config.Daemons
+	if count == 0 {
+		count = d.manifest.Fleet.ExpectedDaemons
+	}
+	d.manifest.Fleet.ExpectedDaemons = count
+	if d.config.Adjust != nil {
+		d.config.Adjust(&d.manifest)
+	}
+	if err := d.Publish(d.manifest); err != nil {
+		return err
+	}
+	for range count {
+		if _, err := d.AddDaemon(); err != nil {
+			return err
+		}
+	}
+	return d.WaitReady(ctx)
+}
+
+// Publish packs, signs and publishes a manifest: its pages first, the root
+// last.
+func (d *Dev) Publish(m manifest.Manifest) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	packed, err := pages.Pack(&m, d.key)
+	if err != nil {
+		return err
+	}
+	values, err := pages.Publish(d.packed, packed)
+	if err != nil {
+		return err
+	}
+	for _, value := range values {
+		if _, err := d.Fleet.Platform().Publish(value.Key, value.Data); err != nil {
+			return err
+		}
+	}
+	d.packed = packed
+	d.manifest = m
+	return nil
+}
+
+// Manifest returns the manifest published last.
+func (d *Dev) Manifest() manifest.Manifest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.manifest
+}
+
+// AddDaemon starts one more daemon.
+func (d *Dev) AddDaemon() (*daemon.Daemon, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, listeners, err := d.settings(len(d.daemons))
+	if err != nil {
+		return nil, err
+	}
+	added, err := daemon.New(daemon.Options{
+		Settings:  s,
+		Log:       d.config.Log.With(zap.String("host", string(s.Host))),
+		Listeners: listeners,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.daemons = append(d.daemons, added)
+	d.tellHosts()
+	added.Start()
+	return added, nil
+}
+
+// tellHosts puts the daemons on the platform's list.
+func (d *Dev) tellHosts() {
+	entries := make([]platform.HostEntry, 0, len(d.daemons))
+	for _, running := range d.daemons {
+		entries = append(entries, platform.HostEntry{
+			Host: running.Host(), DataCentre: running.DataCentre(), State: platform.HostLive,
+		})
+	}
+	d.Fleet.Platform().SetHosts(entries)
+}
+
+func (d *Dev) settings(number int) (*settings.Settings, daemon.Listeners, error) {
+	var listeners daemon.Listeners
+	callerAddress := "127.0.0.1:0"
+	if number == 0 && d.config.CallerAddress != "" {
+		callerAddress = d.config.CallerAddress
+	}
+	sockets := []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&listeners.Caller, callerAddress},
+		{&listeners.Admin, "127.0.0.1:0"},
+		{&listeners.Peer, "127.0.0.1:0"},
+	}
+	for _, socket := range sockets {
+		listener, err := net.Listen("tcp", socket.address)
+		if err != nil {
+			return nil, listeners, errors.WithStack(err)
+		}
+		*socket.listener = listener
+	}
+	centres := d.manifest.Fleet.DataCentres
+	adminDigest := sha256.Sum256([]byte(AdminKey))
+	s := settings.Default()
+	s.Host = names.Host(listeners.Peer.Addr().String())
+	s.DataCentre = centres[number%len(centres)].Name
+	s.Caller.Listen = listeners.Caller.Addr().String()
+	s.Admin.Listen = listeners.Admin.Addr().String()
+	s.Admin.KeyDigests = []names.Digest{names.Digest(hex.EncodeToString(adminDigest[:]))}
+	s.Peer.FleetKeys = []string{d.fleetKey}
+	s.Platform.Address = d.Fleet.Platform().Address()
+	s.Manifest.PublicKey = hex.EncodeToString(d.key.Public().(ed25519.PublicKey)) //nolint:forcetypeassert,errcheck // an Ed25519 key has no other public key
+	return s, listeners, s.Check()
+}
+
+// Daemons returns the daemons that were started and not removed.
+func (d *Dev) Daemons() []*daemon.Daemon {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]*daemon.Daemon(nil), d.daemons...)
+}
+
+// Remove takes a daemon off the list, drains it if the context allows, and
+// closes it.
+func (d *Dev) Remove(ctx context.Context, gone *daemon.Daemon) error {
+	err := gone.Drain(ctx)
+	d.mu.Lock()
+	for i, running := range d.daemons {
+		if running == gone {
+			d.daemons = append(d.daemons[:i], d.daemons[i+1:]...)
+			break
+		}
+	}
+	d.tellHosts()
+	d.mu.Unlock()
+	gone.Close()
+	return err
+}
+
+// WaitReady waits until all daemons have the published version in force.
+func (d *Dev) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, ReadyTimeout)
+	defer cancel()
+	for !d.inForce() {
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("manifest version %d is not in force everywhere", d.Manifest().Version)
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+const readyPoll = 10 * time.Millisecond
+
+func (d *Dev) inForce() bool {
+	want := d.Manifest().Version
+	for _, running := range d.Daemons() {
+		if running.Versions().Current().Version() < want || running.Ready() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Close ends daemons and stand-ins.
+func (d *Dev) Close() {
+	for _, running := range d.Daemons() {
+		running.Close()
+	}
+	d.Fleet.Close()
+}
+
+func randomKey() string {
+	var key [settings.FleetKeyBytes]byte
+	_, _ = rand.Read(key[:]) // it never fails
+	return hex.EncodeToString(key[:])
+}
