Answer bad requests with the failure form

Cause: an embedded *verdict.Error hid its Error method, so that errors.As panicked on each refusal and the caller saw an empty reply. Change: Ticketed has methods of its own; answers are JSON whatever Accept says.

--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -102,7 +102,7 @@
 		Log:            d.log,
 	})
 	endpoints := completions.NewEndpoints(service)
-	completionsserver.New(endpoints, mux, gateway.Decoder, goahttp.ResponseEncoder, d.writeFailed, failure.Formatter).Mount(mux)
+	completionsserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, failure.Formatter).Mount(mux)
 	caller := d.settings.Caller
 	limited := gateway.Limit(d.counted(mux), caller.MaxBodyBytes, time.Duration(caller.BodyTimeout))
 	d.callerServer = gateway.NewServer(limited)
@@ -119,7 +119,7 @@
 		Ready:      d.ready,
 	}}
 	endpoints := genadmin.NewEndpoints(service)
-	adminserver.New(endpoints, mux, gateway.Decoder, goahttp.ResponseEncoder, d.writeFailed, failure.Formatter).Mount(mux)
+	adminserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, failure.Formatter).Mount(mux)
 	d.adminServer = gateway.NewServer(gateway.Limit(mux, maxAdminBody, adminBodyTimeout))
 }
 
--- a/serving/request/failure/failure.go
+++ b/serving/request/failure/failure.go
@@ -41,12 +41,15 @@
 
 // Ticketed is an error that offers the caller a ticket.
 type Ticketed struct {
-	*verdict.Error
+	Cause  *verdict.Error
 	Ticket string
 }
 
+// Error implements error.
+func (t *Ticketed) Error() string { return t.Cause.Error() }
+
 // Unwrap returns the error without its ticket.
-func (t *Ticketed) Unwrap() error { return t.Error }
+func (t *Ticketed) Unwrap() error { return t.Cause }
 
 // StatusCode implements goa's Statuser.
 func (b *Body) StatusCode() int { return b.status }
@@ -87,6 +90,7 @@
 }
 
 func setHeaders(header http.Header, body *Body) {
+	header.Set("Content-Type", "application/json")
 	if body.Error.RetryAfterMillis > 0 {
 		wait := time.Duration(body.Error.RetryAfterMillis) * time.Millisecond
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
--- a/serving/request/gateway/http.go
+++ b/serving/request/gateway/http.go
@@ -77,6 +77,12 @@
 	return err
 }
 
+// Encoder is goa's response encoder: JSON, whatever the caller would accept.
+func Encoder(_ context.Context, w http.ResponseWriter) goahttp.Encoder {
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w)
+}
+
 // lateWriter holds back the status until the first byte of the body, so that
 // an error before it can still choose another.
 type lateWriter struct {
