Serve calls to plain services at most once

Cause: a resend reaches another daemon, and a refusal of a resend reads as proof that the call never ran.

--- /dev/null
+++ b/serving/request/calls/api.go
@@ -0,0 +1,143 @@
+package calls
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/request/ticket"
+	"carobspoke.example/core/verdict"
+	gencalls "carobspoke.example/serving/gen/calls"
+	"github.com/pkg/errors"
+)
+
+var _ gencalls.Service = (*Server)(nil)
+
+// Ticket implements goa's calls service. Errors are *verdict.Error with
+// NotRun.
+func (s *Server) Ticket(_ context.Context, in *gencalls.TicketPayload) (*gencalls.TicketResult, error) {
+	text, left, err := s.ticket(in)
+	if err != nil {
+		return nil, s.counted(err)
+	}
+	return &gencalls.TicketResult{Ticket: text, ExpiresMs: left.Milliseconds()}, nil
+}
+
+func (s *Server) ticket(in *gencalls.TicketPayload) (string, time.Duration, error) {
+	customer, err := s.deps.Authenticate(value(in.Authorization))
+	if err != nil {
+		return "", 0, err
+	}
+	service := names.Service(in.Service)
+	if _, err := s.deps.Directory.Service(customer, service); err != nil {
+		return "", 0, err
+	}
+	return s.mint(customer, service, value(in.Key))
+}
+
+func (s *Server) mint(customer names.Customer, service names.Service, key string) (string, time.Duration, error) {
+	id, err := ticket.NewID(s.deps.Random)
+	if err != nil {
+		return "", 0, verdict.Wrap(err, verdict.NotRun, verdict.Internal, "no ticket can be minted")
+	}
+	life := s.deps.Limits.TicketLifetime
+	text, err := s.deps.Ring().SealCall(ticket.Call{
+		ID:          id,
+		Customer:    customer,
+		Service:     service,
+		Owner:       s.deps.Self.Host,
+		Incarnation: s.deps.Self.Incarnation,
+		Lifetime:    s.age() + life,
+		ExpiresAt:   s.deps.Clock().Add(life).Round(0),
+		Key:         ticket.KeyDigest(customer, service, key),
+	}, s.deps.Random)
+	if err != nil {
+		return "", 0, verdict.Wrap(err, verdict.NotRun, verdict.Internal, "no ticket can be minted")
+	}
+	return text, life, nil
+}
+
+// Call implements goa's calls service. Errors are *verdict.Error, or *Failure
+// if they offer a ticket.
+func (s *Server) Call(ctx context.Context, in *gencalls.CallPayload, body io.ReadCloser) (*gencalls.CallResult, io.ReadCloser, error) {
+	defer body.Close() //nolint:errcheck // it was read or is refused
+	id := s.deps.RequestID()
+	out, err := s.call(ctx, in, id, body)
+	if err != nil {
+		return nil, nil, s.counted(err)
+	}
+	result := &gencalls.CallResult{RequestID: id, Replayed: out.replayed, ContentType: contentType(out.body)}
+	return result, io.NopCloser(bytes.NewReader(out.body)), nil
+}
+
+func (s *Server) call(ctx context.Context, in *gencalls.CallPayload, id string, body io.Reader) (outcome, error) {
+	out := send{requestID: id, service: names.Service(in.Service), ticket: value(in.Ticket), key: value(in.Key)}
+	customer, err := s.deps.Authenticate(value(in.Authorization))
+	if err != nil {
+		return outcome{}, out.refused(err)
+	}
+	out.customer = customer
+	timeout, err := s.timeout(in.TimeoutMs)
+	if err != nil {
+		return outcome{}, out.refused(err)
+	}
+	out.deadline = s.deps.Clock().Add(timeout)
+	out.body, err = s.read(body)
+	if err != nil {
+		return outcome{}, out.refused(err)
+	}
+	return s.route(ctx, out)
+}
+
+func (s *Server) timeout(ms *int64) (time.Duration, error) {
+	if ms == nil {
+		return s.deps.Limits.Timeout, nil
+	}
+	if *ms <= 0 {
+		return 0, verdict.New(verdict.NotRun, verdict.BadRequest, "the timeout must be positive")
+	}
+	if *ms > s.deps.Limits.MaxTimeout.Milliseconds() {
+		return s.deps.Limits.MaxTimeout, nil
+	}
+	return time.Duration(*ms) * time.Millisecond, nil
+}
+
+func (s *Server) read(body io.Reader) ([]byte, error) {
+	limit := s.deps.Limits.BodyBytes
+	all, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CallerGone, "the body did not come whole")
+	}
+	if int64(len(all)) > limit {
+		return nil, verdict.Newf(verdict.NotRun, verdict.BodyTooLarge, "the body is longer than %d bytes", limit)
+	}
+	return all, nil
+}
+
+// counted counts a failure and gives it a type that callers know.
+func (s *Server) counted(err error) error {
+	failure := verdict.From(err)
+	s.deps.Count(failure.Reason)
+	var offer *Failure
+	if errors.As(err, &offer) {
+		return offer
+	}
+	return failure
+}
+
+func contentType(body []byte) string {
+	if json.Valid(body) {
+		return "application/json"
+	}
+	return "application/octet-stream"
+}
+
+func value(text *string) string {
+	if text == nil {
+		return ""
+	}
+	return *text
+}
