--- a/serving/request/calls/calls.go
+++ b/serving/request/calls/calls.go
@@ -34,6 +34,7 @@
 	"carobspoke.example/core/request/ticket"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/connection/targetapi"
+	"carobspoke.example/serving/request/failure"
 	"carobspoke.example/serving/request/retries"
 )
 
@@ -158,17 +159,6 @@
 	return s.deps.Clock().Sub(s.deps.Self.Started)
 }
 
-// Failure is an error with a ticket for the caller to go on with.
-type Failure struct {
-	// Cause is the error.
-	Cause *verdict.Error
-	// Ticket is what the caller may send next, if it knows that it never sent
-	// the call.
-	Ticket string
-}
-
-// Error implements error.
-func (f *Failure) Error() string { return f.Cause.Error() }
-
-// Unwrap returns the error without its ticket.
-func (f *Failure) Unwrap() error { return f.Cause }
+// Failure is an error with a ticket for the caller to go on with, if it knows
+// that it never sent the call.
+type Failure = failure.Ticketed
--- a/serving/request/directory/directory.go
+++ b/serving/request/directory/directory.go
@@ -13,6 +13,7 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/manifest"
+	"carobspoke.example/serving/request/calls"
 	"carobspoke.example/serving/request/gateway"
 	"carobspoke.example/serving/version"
 )
@@ -22,7 +23,10 @@
 	Versions *version.Holder
 }
 
-var _ gateway.Directory = (*Directory)(nil)
+var (
+	_ gateway.Directory = (*Directory)(nil)
+	_ calls.Directory   = (*Directory)(nil)
+)
 
 const bearer = "Bearer "
 
@@ -66,6 +70,19 @@
 	return nil
 }
 
+// Service implements calls.Directory.
+func (d *Directory) Service(c names.Customer, name names.Service) (calls.Service, error) {
+	view, err := d.view()
+	if err != nil {
+		return calls.Service{}, err
+	}
+	entry, ok := view.Index.Service(name)
+	if !ok || !view.Index.MayUseService(c, name) {
+		return calls.Service{}, verdict.New(verdict.NotRun, verdict.UnknownService, "the service does not exist or is not yours to call")
+	}
+	return calls.Service{Idempotent: entry.Idempotent, Version: view.Version()}, nil
+}
+
 func hasAdapter(m *manifest.Model, a names.Adapter) bool {
 	return a == "" || slices.Contains(m.Adapters, a)
 }
--- a/serving/request/forward/server.go
+++ b/serving/request/forward/server.go
@@ -17,7 +17,7 @@
 
 // Caller runs a forwarded call to a plain service.
 type Caller interface {
-	ServeForwarded(ctx context.Context, m *peerpb.CallRequest) *peerpb.CallReply
+	Forwarded(ctx context.Context, m *peerpb.CallRequest) (*peerpb.CallReply, error)
 }
 
 // Server is the receiving side.
@@ -53,7 +53,7 @@
 
 // Call implements peerpb.ForwardingServer.
 func (s *Server) Call(ctx context.Context, m *peerpb.CallRequest) (*peerpb.CallReply, error) {
-	return s.Caller.ServeForwarded(ctx, m), nil
+	return s.Caller.Forwarded(ctx, m)
 }
 
 // frameSink sends an answer to the peer.
--- a/serving/request/gateway/http.go
+++ b/serving/request/gateway/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -39,23 +40,32 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		controller := http.NewResponseController(w)
 		_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout)) // not all writers have deadlines
-		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		r.Body = &timedBody{ReadCloser: http.MaxBytesReader(w, r.Body, maxBody), controller: controller}
 		late := &lateWriter{ResponseWriter: w}
 		ctx := failure.WithHeader(r.Context(), w.Header())
-		ctx = context.WithValue(ctx, controllerKey{}, controller)
 		next.ServeHTTP(late, r.WithContext(ctx))
 		late.commit()
 	})
 }
 
-type controllerKey struct{}
+// timedBody ends the time limit on reading a request's body once it is read.
+type timedBody struct {
+	io.ReadCloser
+	controller *http.ResponseController
+}
 
-// BodyRead ends the time limit on reading a request's body. It is called when
-// the body has been read.
-func BodyRead(ctx context.Context) {
-	if controller, ok := ctx.Value(controllerKey{}).(*http.ResponseController); ok {
-		_ = controller.SetReadDeadline(time.Time{}) // not all writers have deadlines
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.done()
 	}
+	return n, err
+}
+
+// done lifts the limit.
+func (b *timedBody) done() {
+	_ = b.controller.SetReadDeadline(time.Time{}) // not all writers have deadlines
 }
 
 // Decoder is goa's request decoder for JSON, with errors that say which limit
@@ -69,7 +79,9 @@
 // Decode implements goahttp.Decoder.
 func (d *decoder) Decode(value any) error {
 	err := json.NewDecoder(d.request.Body).Decode(value)
-	BodyRead(d.request.Context())
+	if body, ok := d.request.Body.(*timedBody); ok {
+		body.done()
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return goa.NewServiceError(err, string(verdict.BodyTooLarge), false, false, false)
