Report wrong time spans with their key; settings for separate processes

Cause: a bare number for a time span was taken for nanoseconds, and a wrong one was reported without its key. Conclusion: each mistake names file, key and what was expected.

--- a/serving/cmd/carobspoked/main.go
+++ b/serving/cmd/carobspoked/main.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"carobspoke.example/serving/process/daemon"
 	"carobspoke.example/serving/process/settings"
@@ -54,7 +53,7 @@
 func run(ctx context.Context, c *cli.Command) error {
 	loaded, err := settings.Load(c.String("config"))
 	if err != nil {
-		return cli.Exit(err, exitSettings)
+		return cli.Exit(err.Error(), exitSettings)
 	}
 	if c.Bool("check-config") {
 		fmt.Println("settings are valid")
@@ -62,7 +61,7 @@
 	}
 	log, err := logger(loaded.Log.Level)
 	if err != nil {
-		return cli.Exit(err, exitSettings)
+		return cli.Exit(err.Error(), exitSettings)
 	}
 	return serve(ctx, loaded, log)
 }
@@ -82,7 +81,7 @@
 func serve(ctx context.Context, loaded *settings.Settings, log *zap.Logger) error {
 	d, err := daemon.New(daemon.Options{Settings: loaded, Log: log})
 	if err != nil {
-		return cli.Exit(err, exitFailure)
+		return cli.Exit(err.Error(), exitFailure)
 	}
 	d.Start()
 	defer d.Close()
@@ -91,7 +90,7 @@
 	stop()
 	second, stopSecond := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stopSecond()
-	drain, cancel := context.WithTimeout(second, time.Duration(loaded.Caller.DrainTimeout))
+	drain, cancel := context.WithTimeout(second, loaded.Caller.DrainTimeout.Duration)
 	defer cancel()
 	return d.Drain(drain)
 }
--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -96,7 +96,7 @@
 		Directory:      &directory.Directory{Versions: d.versions},
 		Runner:         d.dispatcher,
 		DataCentre:     d.settings.DataCentre,
-		DefaultTimeout: time.Duration(d.settings.Caller.DefaultTimeout),
+		DefaultTimeout: d.settings.Caller.DefaultTimeout.Duration,
 		RequestID:      newRequestID,
 		Ended:          d.ended,
 		Log:            d.log,
@@ -104,7 +104,7 @@
 	endpoints := completions.NewEndpoints(service)
 	completionsserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, failure.Formatter).Mount(mux)
 	caller := d.settings.Caller
-	limited := gateway.Limit(d.counted(mux), caller.MaxBodyBytes, time.Duration(caller.BodyTimeout))
+	limited := gateway.Limit(d.counted(mux), caller.MaxBodyBytes, caller.BodyTimeout.Duration)
 	d.callerServer = gateway.NewServer(limited)
 }
 
--- a/serving/process/settings/check.go
+++ b/serving/process/settings/check.go
@@ -25,6 +25,9 @@
 		together("caller", s.Caller.CertFile, s.Caller.KeyFile),
 		together("peer", s.Peer.CAFile, s.Peer.CertFile, s.Peer.KeyFile),
 		hexBytes("manifest.public_key", s.Manifest.PublicKey, ed25519.PublicKeySize),
+		duration("caller.body_timeout", s.Caller.BodyTimeout),
+		duration("caller.default_timeout", s.Caller.DefaultTimeout),
+		duration("caller.drain_timeout", s.Caller.DrainTimeout),
 		s.checkLists(),
 		s.checkRest(),
 	}
@@ -92,6 +95,13 @@
 	return nil
 }
 
+func duration(key string, d Duration) error {
+	if d.mistake != "" {
+		return errors.Errorf("key %s: expected a positive time span with a unit, such as \"10s\", not %q", key, d.mistake)
+	}
+	return nil
+}
+
 func together(table string, files ...string) error {
 	set := 0
 	for _, file := range files {
--- a/serving/process/settings/defaults.go
+++ b/serving/process/settings/defaults.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/pkg/errors"
 )
 
 // Defaults of settings that a file may leave out.
@@ -16,21 +15,27 @@
 )
 
 // Duration is a time span written as "10s" or "1m30s".
-type Duration time.Duration
+type Duration struct {
+	time.Duration
+	// mistake is what the file says, if that is no time span. Check reports
+	// it with its key.
+	mistake string
+}
 
-// UnmarshalText implements encoding.TextUnmarshaler.
+// UnmarshalText implements encoding.TextUnmarshaler. It takes any text.
 func (d *Duration) UnmarshalText(text []byte) error {
 	parsed, err := time.ParseDuration(string(text))
 	if err != nil || parsed <= 0 {
-		return errors.Errorf("expected a positive time span with a unit, such as \"10s\", not %q", text)
+		d.mistake = string(text)
+		return nil
 	}
-	*d = Duration(parsed)
+	*d = Duration{Duration: parsed}
 	return nil
 }
 
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
+	return []byte(d.String()), nil
 }
 
 // Default returns settings with everything that a file may leave out.
@@ -38,9 +43,9 @@
 	return &Settings{
 		Caller: Caller{
 			MaxBodyBytes:   DefaultMaxBodyBytes,
-			BodyTimeout:    Duration(DefaultBodyTimeout),
-			DefaultTimeout: Duration(DefaultRequestTimeout),
-			DrainTimeout:   Duration(DefaultDrainTimeout),
+			BodyTimeout:    Duration{Duration: DefaultBodyTimeout},
+			DefaultTimeout: Duration{Duration: DefaultRequestTimeout},
+			DrainTimeout:   Duration{Duration: DefaultDrainTimeout},
 		},
 		Log: Log{Level: DefaultLogLevel},
 	}
--- a/tools/dev/command.go
+++ b/tools/dev/command.go
@@ -27,6 +27,7 @@
 			&cli.IntFlag{Name: "daemons", Usage: "number of daemons; 0 means as many as the size expects"},
 			&cli.FloatFlag{Name: "speedup", Value: 1, Usage: "divide the stand-ins' durations by this"},
 			&cli.StringFlag{Name: "listen", Value: DefaultCallerAddress, Usage: "`IP:PORT` of the first daemon for callers"},
+			&cli.StringFlag{Name: "separate", Usage: "start no daemons, but write their settings files into `FOLDER`"},
 			&cli.BoolFlag{Name: "verbose", Usage: "print the daemons' logs"},
 		},
 		Action: run,
@@ -48,26 +49,52 @@
 		Fleet:         fleet.Config{Size: fleet.Size(c.String("size")), Speedup: c.Float("speedup")},
 		Daemons:       c.Int("daemons"),
 		CallerAddress: c.String("listen"),
+		Separate:      c.String("separate") != "",
 		Log:           log,
 	})
 	if err != nil {
 		return err
 	}
 	defer running.Close()
-	describe(running)
+	if folder := c.String("separate"); folder != "" {
+		err = describeSeparate(running, folder)
+	} else {
+		describe(running)
+	}
+	if err != nil {
+		return err
+	}
 	<-ctx.Done()
 	return nil
 }
 
+// describeSeparate writes settings files and prints how to start daemons.
+func describeSeparate(d *Dev, folder string) error {
+	daemons, err := d.WriteSettings(folder)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("platform http://%s, administration key %s\n", d.Fleet.Platform().Address(), AdminKey)
+	for _, one := range daemons {
+		fmt.Printf("carobspoked --config %s   # callers http://%s\n", one.File, one.Settings.Caller.Listen)
+	}
+	sample(d, daemons[0].Settings.Caller.Listen)
+	return nil
+}
+
 // describe prints where to call and with what.
 func describe(d *Dev) {
-	m := d.Manifest()
 	for _, running := range d.Daemons() {
 		fmt.Printf("daemon %s: callers http://%s, administration http://%s\n", running.Host(), running.CallerAddress(), running.AdminAddress())
 	}
-	customer := m.Customers[0].Name
-	fmt.Printf("platform http://%s, administration key %s\n\n", d.Fleet.Platform().Address(), AdminKey)
-	fmt.Printf("Try:\n\n  curl -N http://%s/v1/chat/completions \\\n", d.Daemons()[0].CallerAddress())
-	fmt.Printf("    -H 'Authorization: Bearer %s' \\\n", fleet.Key(customer))
+	fmt.Printf("platform http://%s, administration key %s\n", d.Fleet.Platform().Address(), AdminKey)
+	sample(d, d.Daemons()[0].CallerAddress())
+}
+
+// sample prints a request to copy and paste.
+func sample(d *Dev, caller string) {
+	m := d.Manifest()
+	fmt.Printf("\nTry:\n\n  curl -N http://%s/v1/chat/completions \\\n", caller)
+	fmt.Printf("    -H 'Authorization: Bearer %s' \\\n", fleet.Key(m.Customers[0].Name))
 	fmt.Printf("    -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":16,\"messages\":[{\"role\":\"user\",\"content\":\"Draft a petition\"}]}'\n", m.Models[0].Name)
 }
--- a/tools/dev/dev.go
+++ b/tools/dev/dev.go
@@ -37,6 +37,9 @@
 	// Daemons is the number of daemons; zero means as many as the manifest
 	// expects.
 	Daemons int
+	// Separate leaves the daemons to processes of their own, which are
+	// started with the files of WriteSettings.
+	Separate bool
 	// CallerAddress is where the first daemon listens for callers, "IP:port";
 	// empty means a free port.
 	CallerAddress string
@@ -90,6 +93,9 @@
 	if err := d.Publish(d.manifest); err != nil {
 		return err
 	}
+	if d.config.Separate {
+		return nil
+	}
 	for range count {
 		if _, err := d.AddDaemon(); err != nil {
 			return err
@@ -192,7 +198,7 @@
 	s.Admin.KeyDigests = []names.Digest{names.Digest(hex.EncodeToString(adminDigest[:]))}
 	s.Peer.FleetKeys = []string{d.fleetKey}
 	s.Platform.Address = d.Fleet.Platform().Address()
-	s.Manifest.PublicKey = hex.EncodeToString(d.key.Public().(ed25519.PublicKey)) //nolint:forcetypeassert,errcheck // an Ed25519 key has no other public key
+	s.Manifest.PublicKey = hex.EncodeToString(d.key.Public().(ed25519.PublicKey)) //nolint:forcetypeassert // an Ed25519 key has no other public key
 	return s, listeners, s.Check()
 }
 
--- a/tools/dev/dev_test.go
+++ b/tools/dev/dev_test.go
@@ -18,15 +18,9 @@
 
 const testSpeedup = 50
 
-func startDev(t *testing.T, c Config) *Dev {
+func startDev(t *testing.T) *Dev {
 	t.Helper()
-	if c.Fleet.Size == "" {
-		c.Fleet.Size = fleet.Dev
-	}
-	if c.Fleet.Speedup == 0 {
-		c.Fleet.Speedup = testSpeedup
-	}
-	c.Log = zap.NewNop()
+	c := Config{Fleet: fleet.Config{Size: fleet.Dev, Speedup: testSpeedup}, Log: zap.NewNop()}
 	d, err := Start(context.Background(), c)
 	if err != nil {
 		t.Fatal(err)
@@ -62,7 +56,7 @@
 }
 
 func TestPublishedClientGetsPlainAndStreamedAnswers(t *testing.T) {
-	d := startDev(t, Config{})
+	d := startDev(t)
 	ctx := t.Context()
 	for i := range d.Daemons() {
 		c := client(d, i, "customer-a")
@@ -88,7 +82,7 @@
 }
 
 func TestPublishedClientSeesRefusals(t *testing.T) {
-	d := startDev(t, Config{})
+	d := startDev(t)
 	cases := []struct {
 		customer names.Customer
 		model    string
@@ -114,7 +108,7 @@
 }
 
 func TestManifestIsInForceEverywhereAfterPublication(t *testing.T) {
-	d := startDev(t, Config{})
+	d := startDev(t)
 	m := d.Manifest()
 	m.Version++
 	m.Customers = m.Customers[:len(m.Customers)-1]
@@ -133,7 +127,7 @@
 }
 
 func TestDrainedDaemonCutsNothing(t *testing.T) {
-	d := startDev(t, Config{})
+	d := startDev(t)
 	leaving := d.Daemons()[0]
 	c := client(d, 0, "customer-a")
 	stream := c.Chat.Completions.NewStreaming(t.Context(), chat("long", 200))
