--- a/tools/cmd/carobspoke/main.go
+++ b/tools/cmd/carobspoke/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 
+	"carobspoke.example/tools/bench"
 	"carobspoke.example/tools/dev"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -22,6 +23,7 @@
 		Description:           "Exit codes: 0 for success, 1 for a failure, 2 for wrong arguments or input.",
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
+			bench.Command(),
 			dev.Command(),
 		},
 	}
--- a/tools/dev/command.go
+++ b/tools/dev/command.go
@@ -75,6 +75,9 @@
 		return err
 	}
 	fmt.Printf("platform http://%s, administration key %s\n", d.Fleet.Platform().Address(), AdminKey)
+	for _, engine := range d.Fleet.Engines() {
+		fmt.Printf("engine %s\n", engine.Address())
+	}
 	for _, one := range daemons {
 		fmt.Printf("carobspoked --config %s   # callers http://%s\n", one.File, one.Settings.Caller.Listen)
 	}
