Carry out the distribution of versions between daemons

Cause: the machine that decides needs a shell that reads the service, talks to peers and puts versions in force. Conclusion: the daemon can be wired to Distributor and Holder.

--- /dev/null
+++ b/serving/process/distribution/peer.go
@@ -0,0 +1,182 @@
+package distribution
+
+import (
+	"context"
+	"io"
+
+	"carobspoke.example/core/names"
+	core "carobspoke.example/core/process/distribution"
+	"carobspoke.example/core/version/pages"
+	"carobspoke.example/serving/peerpb"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// format is the version of the messages between daemons.
+const format = 1
+
+// ask asks a peer what it has in force.
+func (d *Distributor) ask(ctx context.Context, host names.Host) {
+	asking, cancel := context.WithTimeout(ctx, AskTimeout)
+	defer cancel()
+	client, err := d.client(host)
+	if err != nil {
+		return
+	}
+	reply, err := client.Held(asking, &peerpb.HeldRequest{Format: format})
+	if err != nil {
+		return
+	}
+	held := core.Held{Version: names.Version(reply.GetVersion()), Digest: names.Digest(reply.GetDigest())}
+	d.post(ctx, core.Told{From: host, Held: held})
+}
+
+func (d *Distributor) client(host names.Host) (peerpb.ManifestsClient, error) {
+	conn, err := d.config.Peers.Dial(host)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", host)
+	}
+	return peerpb.NewManifestsClient(conn), nil
+}
+
+// fetchPeer fetches root and missing pages from a peer.
+func (d *Distributor) fetchPeer(ctx context.Context, a core.FetchPeer) {
+	fetching, cancel := context.WithTimeout(ctx, FetchTimeout)
+	defer cancel()
+	d.post(ctx, d.fromPeer(fetching, a))
+}
+
+func (d *Distributor) fromPeer(ctx context.Context, a core.FetchPeer) core.Event {
+	client, err := d.client(a.Host)
+	if err != nil {
+		return core.FetchFailed{Held: a.Held, Failure: core.Unreachable}
+	}
+	root, err := d.rootFrom(ctx, client, a.Held)
+	if err == nil {
+		err = d.pagesFrom(ctx, client, root)
+	}
+	if err != nil {
+		d.config.Logger.Info("fetch from a peer failed", zap.String("peer", string(a.Host)),
+			zap.Uint64("version", uint64(a.Held.Version)), zap.Error(err))
+		return core.FetchFailed{Held: a.Held, Failure: peerFailure(err)}
+	}
+	return d.assemble(root)
+}
+
+// errNotYet says that a peer does not have a version yet.
+var errNotYet = errors.New("the peer does not have the version yet")
+
+func peerFailure(err error) core.Failure {
+	switch {
+	case errors.Is(err, errNotYet):
+		return core.NotYet
+	case errors.Is(err, pages.ErrContent):
+		return core.Content
+	case errors.Is(err, pages.ErrSource):
+		return core.Lied
+	default:
+		return core.Unreachable
+	}
+}
+
+// rootFrom returns the root of a version, from the store or from a peer, and
+// keeps what pages came with it.
+func (d *Distributor) rootFrom(ctx context.Context, client peerpb.ManifestsClient, h core.Held) (*pages.Root, error) {
+	d.mutex.Lock()
+	newest := d.store.Newest()
+	d.mutex.Unlock()
+	request := &peerpb.RootRequest{Format: format, Digest: string(h.Digest)}
+	if newest != nil {
+		request.Have = string(newest.Digest)
+	}
+	reply, err := client.Root(ctx, request)
+	if err != nil {
+		return nil, errors.Wrap(err, "root")
+	}
+	if reply.GetNotYet() {
+		return nil, errNotYet
+	}
+	signed, err := signedOf(reply, newest)
+	if err != nil {
+		return nil, err
+	}
+	d.counts.bytesIn.Inc(replyBytes(reply))
+	root, err := pages.ParseRoot(signed, d.config.Keys)
+	if err != nil {
+		return nil, err
+	}
+	if heldOf(root) != h {
+		return nil, errors.Wrap(pages.ErrSource, "the peer gave another version")
+	}
+	d.keep(root, deltasOf(reply.GetPages()))
+	return root, nil
+}
+
+func signedOf(reply *peerpb.RootReply, newest *pages.Root) ([]byte, error) {
+	if reply.GetDelta() == nil {
+		return reply.GetSigned(), nil
+	}
+	if newest == nil {
+		return nil, errors.Wrap(pages.ErrSource, "a delta from nothing")
+	}
+	return deltaOf(reply.GetDelta()).Apply(newest.Signed)
+}
+
+// pagesFrom fetches the pages that are missing still.
+func (d *Distributor) pagesFrom(ctx context.Context, client peerpb.ManifestsClient, root *pages.Root) error {
+	d.mutex.Lock()
+	missing := root.Missing(d.store.Has)
+	d.mutex.Unlock()
+	if len(missing) == 0 {
+		return nil
+	}
+	request := &peerpb.PagesRequest{Format: format}
+	wanted := map[names.Digest]pages.Ref{}
+	for _, ref := range missing {
+		request.Digests = append(request.Digests, string(ref.Digest))
+		wanted[ref.Digest] = ref
+	}
+	stream, err := client.Pages(ctx, request)
+	if err != nil {
+		return errors.Wrap(err, "pages")
+	}
+	for {
+		reply, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return errors.Wrap(err, "pages")
+		}
+		ref, asked := wanted[names.Digest(reply.GetDigest())]
+		if !asked || !d.addPage(ref, reply.GetData()) {
+			return errors.Wrapf(pages.ErrSource, "page %q", reply.GetDigest())
+		}
+	}
+	return d.complete(root)
+}
+
+func (d *Distributor) complete(root *pages.Root) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if len(root.Missing(d.store.Has)) > 0 {
+		return errNotYet
+	}
+	return nil
+}
+
+func deltaOf(d *peerpb.TextDelta) pages.Delta {
+	delta := pages.Delta{From: names.Digest(d.GetFrom()), To: names.Digest(d.GetTo())}
+	for _, op := range d.GetOps() {
+		delta.Ops = append(delta.Ops, pages.Op{Offset: int(op.GetOffset()), Length: int(op.GetLength()), Insert: op.GetInsert()})
+	}
+	return delta
+}
+
+func deltasOf(list []*peerpb.TextDelta) []pages.Delta {
+	deltas := make([]pages.Delta, 0, len(list))
+	for _, d := range list {
+		deltas = append(deltas, deltaOf(d))
+	}
+	return deltas
+}
--- /dev/null
+++ b/serving/process/distribution/service.go
@@ -0,0 +1,179 @@
+package distribution
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"carobspoke.example/core/names"
+	core "carobspoke.example/core/process/distribution"
+	"carobspoke.example/core/version/manifest"
+	"carobspoke.example/core/version/pages"
+	"carobspoke.example/serving/platform"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// read reads the root at the service once.
+func (d *Distributor) read(ctx context.Context) {
+	value, err := d.config.Platform.Get(ctx, pages.RootKey)
+	d.post(ctx, d.rootEvent(value, err, false))
+}
+
+// watch waits for the next root at the service.
+func (d *Distributor) watch(ctx context.Context, a core.Watch) {
+	watching, cancel := context.WithCancel(ctx)
+	d.unwatch = cancel
+	d.spawn(func() {
+		defer cancel()
+		value, err := d.config.Platform.Watch(watching, pages.RootKey, platform.Revision(a.After))
+		if watching.Err() == nil {
+			d.post(watching, d.rootEvent(value, err, true))
+		}
+	})
+}
+
+// rootEvent turns what the service answered into an event, and keeps a root
+// that is signed.
+func (d *Distributor) rootEvent(value platform.Value, err error, watched bool) core.Event {
+	if err != nil {
+		return core.ReadFailed{Watched: watched, Quiet: errors.Is(err, platform.ErrNoChange)}
+	}
+	d.counts.bytesIn.Inc(int64(len(value.Data)))
+	publication, err := pages.ParsePublication(value.Data)
+	if err != nil {
+		return d.badRoot(err, watched)
+	}
+	root, err := pages.ParseRoot([]byte(publication.Root), d.config.Keys)
+	if err != nil {
+		return d.badRoot(err, watched)
+	}
+	missing := d.keep(root, publication.Deltas)
+	return core.RootRead{Revision: uint64(value.Revision), Held: heldOf(root), Missing: missing, Watched: watched}
+}
+
+func (d *Distributor) badRoot(err error, watched bool) core.Event {
+	d.config.Logger.Error("root at the configuration service refused, the version in force stays",
+		zap.Uint64("in_force", uint64(d.Status().InForce.Version)), zap.String("cause", err.Error()))
+	return core.ReadFailed{Watched: watched, Bad: true, Content: errors.Is(err, pages.ErrContent)}
+}
+
+// keep keeps a root above the version in force, makes what pages it can from
+// deltas, and returns how many pages are missing.
+func (d *Distributor) keep(root *pages.Root, deltas []pages.Delta) int {
+	if root.Version <= d.Status().InForce.Version {
+		return 0
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.store.AddRoot(root)
+	d.store.Apply(root, deltas)
+	return len(root.Missing(d.store.Has))
+}
+
+// fetchService reads missing pages of a version from the service.
+func (d *Distributor) fetchService(ctx context.Context, a core.FetchService) {
+	ctx, cancel := context.WithTimeout(ctx, FetchTimeout)
+	defer cancel()
+	d.mutex.Lock()
+	root, held := d.store.Root(a.Held.Digest)
+	var missing []pages.Ref
+	if held {
+		missing = root.Missing(d.store.Has)
+	}
+	d.mutex.Unlock()
+	if !held {
+		d.post(ctx, core.FetchFailed{Held: a.Held, Failure: core.Unreachable, Missing: 1})
+		return
+	}
+	lied := d.readPages(ctx, missing[:min(a.Calls, len(missing))])
+	d.post(ctx, d.afterService(root, lied))
+}
+
+// readPages reads pages, a few at a time, and reports whether any had another
+// digest than its key says.
+func (d *Distributor) readPages(ctx context.Context, refs []pages.Ref) bool {
+	var lied bool
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	slots := make(chan struct{}, ParallelReads)
+	for _, ref := range refs {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			value, err := d.config.Platform.Get(ctx, pages.PageKey(ref.Digest))
+			if err != nil || d.addPage(ref, value.Data) {
+				return
+			}
+			mutex.Lock()
+			lied = true
+			mutex.Unlock()
+		})
+	}
+	group.Wait()
+	return lied
+}
+
+func (d *Distributor) addPage(ref pages.Ref, data []byte) bool {
+	d.counts.bytesIn.Inc(int64(len(data)))
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.store.AddPage(ref, data)
+}
+
+func (d *Distributor) afterService(root *pages.Root, lied bool) core.Event {
+	d.mutex.Lock()
+	left := len(root.Missing(d.store.Has))
+	d.mutex.Unlock()
+	switch {
+	case lied:
+		return core.FetchFailed{Held: heldOf(root), Failure: core.Lied, Missing: left}
+	case left > 0:
+		return core.FetchFailed{Held: heldOf(root), Failure: core.NotYet, Missing: left}
+	default:
+		return d.assemble(root)
+	}
+}
+
+// askTargets asks a random sample of a version's engines for their fencing
+// numbers.
+func (d *Distributor) askTargets(ctx context.Context, h core.Held) {
+	asking, cancel := context.WithTimeout(ctx, AskTimeout)
+	defer cancel()
+	d.mutex.Lock()
+	m := d.assembled[h]
+	d.mutex.Unlock()
+	if m == nil {
+		return
+	}
+	sample := sampleEngines(m)
+	answers := make(chan uint64, len(sample))
+	var group sync.WaitGroup
+	for _, t := range sample {
+		group.Go(func() {
+			if report, err := d.config.Report(asking, t.Address); err == nil {
+				answers <- report.Fence
+			}
+		})
+	}
+	group.Wait()
+	close(answers)
+	e := core.TargetsAnswered{Held: h, Asked: len(sample), Answered: len(answers)}
+	for fence := range answers {
+		if v := names.Version(fence); v <= manifest.MaxVersion {
+			d.post(ctx, core.Fence{Version: v})
+		}
+	}
+	d.post(ctx, e)
+}
+
+func sampleEngines(m *manifest.Manifest) []*manifest.Target {
+	var engines []*manifest.Target
+	for i := range m.Targets {
+		if m.Targets[i].Service == "" {
+			engines = append(engines, &m.Targets[i])
+		}
+	}
+	rand.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
+	return engines[:min(len(engines), TargetSample)]
+}
