Admit at arrival by the queue at the target, and keep no queue

Cause: a fair queue in each daemon releases its backlog to every target that looks free in a late report; eight daemons did so at once, and admitted requests ended late.

Change: the daemon starts or refuses at once. A limit on the queue at the target, lower for customers ahead of their share, takes the place of the fair queue. Targets are divided into zones by rank.

Conclusion: the queue is taken out.

--- a/core/process/load/load.go
+++ b/core/process/load/load.go
@@ -57,7 +57,7 @@
 	// it takes no new work.
 	LeavesAt time.Time
 	Leaving  bool
-	// Rank is the target's place in [0, 1) among those of its model, see
+	// Rank is the target's place in [0, 1] among those of its model, see
 	// Ranks.
 	Rank float64
 }
--- a/core/process/load/ranks.go
+++ b/core/process/load/ranks.go
@@ -10,7 +10,8 @@
 	"carobspoke.example/core/version/manifest"
 )
 
-// Ranks returns the place in [0, 1) of each engine among those of its model.
+// Ranks returns the place in [0, 1] of each engine among those of its model, the
+// last at 1.
 // The order follows a hash of the name, so that every daemon computes the same
 // from one manifest, and a change of the fleet moves few ranks far. Isolation
 // targets have none.
@@ -27,12 +28,20 @@
 	for _, list := range byModel {
 		slices.SortFunc(list, byHash)
 		for i, name := range list {
-			ranks[name] = float64(i) / float64(len(list))
+			ranks[name] = Rank(i, len(list))
 		}
 	}
 	return ranks
 }
 
+// Rank returns the rank of the i-th of n targets. A single target has rank 1.
+func Rank(i, n int) float64 {
+	if n <= 1 {
+		return 1
+	}
+	return float64(i) / float64(n-1)
+}
+
 func byHash(a, b names.Target) int {
 	return cmp.Or(
 		cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))),
--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -1,42 +1,39 @@
 // Package admission decides for each request that reaches a daemon whether it
-// starts now, waits, or is refused, and where it runs.
+// starts or is refused, and where it runs.
 //
 // # Contract
 //
-// A Controller is driven by events. Each takes the current time and returns
-// the actions that the shell must carry out, in order:
+// Arrive answers each request at once with one Action:
 //
-//   - Start: send the request to Action.Decision.Target. The dispatch is
-//     already counted; the shell must call Finished exactly once for it, and
-//     FirstToken before if a token came.
+//   - Start: send the request to Action.Decision.Target with Action.Priority.
+//     The dispatch is already counted; the shell must call Finished exactly
+//     once for it, and FirstToken before if a token came.
 //   - Refuse: answer the caller with Action.Refusal. Its verdict is NotRun: no
 //     target has seen the request.
 //   - Span: the prompt is over the memory of every single engine that serves
-//     the model, but not over that of several; package span runs it. The
-//     controller keeps nothing about it. A span's parts are made known with
+//     the model, but not over that of several; package span runs it. It is
+//     counted like a started request, at no target: the shell must call
+//     Finished exactly once for it, and make the parts known with
 //     Table().Dispatched and Table().Finished.
 //
-// Every request that arrived gets exactly one action, in the answer to Arrive
-// or to a later event, unless the shell withdraws it with Cancel. A request
-// that has started is never given up by the controller. A waiting request is
-// refused if it turns out that it can no longer meet its deadline.
-//
 // A retry is a new arrival under a new ID, with the targets that failed in
 // Exclude. Budgets for retries are not kept here.
 //
-// Wait is true while requests wait: the shell then calls Tick every
-// TickInterval, since estimated queues drain without any event.
-//
 // # Promises
 //
-// A request is refused at once when its predicted end is past its deadline.
-// Waiting work is bounded in tokens and bytes for each model and class.
-// Requests wait in the daemon, in fair order, and not at the targets: a
-// request starts only when the queue at its target is below a window.
+// A request is refused at once when its predicted end is past its deadline, or
+// when the queue at its target, in time, is above its limit. Nothing waits in
+// the daemon, and nothing that was admitted is given up by the controller. The
+// queues that it fills are bounded in tokens by MaxQueue at each target's
+// prefill rate, and what it holds itself in bytes by MaxBytes.
+//
+// The limit is lower for customers that got more than their share of late, see
+// package fairness, and higher for longer prefills, which can stand a longer
+// wait in relation to their own time.
 //
 // A Controller is not safe for concurrent use; the shell holds one lock around
-// it. It does no I/O. An event takes time logarithmic in the customers that
-// wait, and linear in the targets of the model that this daemon keeps.
+// it. It does no I/O. Arrive takes time linear in the targets of the model that
+// this daemon keeps; all else takes constant time.
 package admission
 
 import (
@@ -53,9 +50,6 @@
 	"carobspoke.example/core/verdict"
 )
 
-// TickInterval is the time between two ticks while requests wait.
-const TickInterval = 20 * time.Millisecond
-
 // Kind says what an action asks the shell to do.
 type Kind uint8
 
@@ -69,12 +63,11 @@
 // Action is what the shell must do for a request.
 type Action struct {
 	Kind Kind
-	ID   string
 	// Request is the request with its class filled in.
 	Request facts.Request
 	// Decision is set for Start.
 	Decision choice.Decision
-	// Priority is what to ask of the engine, for Start.
+	// Priority is what to ask of the engine, for Start and Span.
 	Priority int
 	// Refusal is set for Refuse.
 	Refusal *verdict.Error
@@ -89,6 +82,8 @@
 	Bytes int
 	// Exclude names targets that must not get the request again.
 	Exclude []names.Target
+	// Explain records the steps of the decision.
+	Explain bool
 }
 
 // Cache tells what the prefix caches of targets are thought to hold.
@@ -111,37 +106,29 @@
 	chooser  choice.Chooser
 	cache    Cache
 	random   *rand.Rand
+	usage    *fairness.Usage
 	models   map[names.Model]*modelState
-	order    []names.Model // models in the order of their first request
-	waiting  map[string]*waiting
-	daemons  int
+	held     map[string]held
+	bytes    int
+	byOwner  map[names.Customer]int
 }
 
-// waiting is a request that has not been decided on.
-type waiting struct {
-	arrival Arrival
-	lane    *lane
+// held is a request that was admitted and has not finished.
+type held struct {
+	model    names.Model
+	customer names.Customer
+	bytes    int
+	first    time.Time
 }
 
 // modelState is what is known of one model's requests.
 type modelState struct {
 	mix     class.Mix
 	answers class.Answers
-	lanes   [laneCount]*lane
-}
-
-// laneCount is the number of classes that wait apart from each other: no
-// class waits behind the head of another.
-const laneCount = int(target.Long) + 1
-
-// lane holds the waiting requests of one model and class.
-type lane struct {
-	queue *fairness.Queue
-	meter meter
 }
 
 // New returns a controller over a table, which it alone changes from now on
-// except for Apply.
+// except for Apply and the parts of spans.
 func New(s Settings, table *load.Table, chooser choice.Chooser, cache Cache, random *rand.Rand) *Controller {
 	return &Controller{
 		settings: s,
@@ -149,182 +136,139 @@
 		chooser:  chooser,
 		cache:    cache,
 		random:   random,
+		usage:    fairness.New(),
 		models:   make(map[names.Model]*modelState),
-		waiting:  make(map[string]*waiting),
-		daemons:  1,
+		held:     make(map[string]held),
+		byOwner:  make(map[names.Customer]int),
 	}
 }
 
 // Table returns the controller's table of targets.
 func (c *Controller) Table() *load.Table { return c.table }
 
-// SetDaemons tells how many daemons share the targets, this one included.
-func (c *Controller) SetDaemons(n int) { c.daemons = max(n, 1) }
-
-// Wait reports whether requests wait.
-func (c *Controller) Wait() bool { return len(c.waiting) > 0 }
-
-// Waiting returns the number of waiting requests.
-func (c *Controller) Waiting() int { return len(c.waiting) }
+// Held returns the number of requests that were admitted and have not
+// finished, and their bytes.
+func (c *Controller) Held() (requests, bytes int) { return len(c.held), c.bytes }
 
 // Bounds returns the class bounds of a model.
-func (c *Controller) Bounds(model names.Model) class.Bounds {
-	if m := c.models[model]; m != nil {
-		return m.mix.Bounds()
-	}
-	return (&class.Mix{}).Bounds()
-}
+func (c *Controller) Bounds(model names.Model) class.Bounds { return c.model(model).mix.Bounds() }
 
-// Arrive takes in a request.
-func (c *Controller) Arrive(now time.Time, a Arrival) []Action {
+// Arrive admits or refuses a request.
+func (c *Controller) Arrive(now time.Time, a Arrival) Action {
 	m := c.model(a.Request.Model)
 	m.mix.Observe(a.Request.PromptTokens)
 	candidates := c.candidates(&a, now)
 	a.Request.Class = classify(m, &a.Request, largestEngine(candidates))
-	if a.Request.Class == target.Spanning {
-		return []Action{c.spanOrRefuse(&a, candidates)}
+	if !c.hasRoom(&a) {
+		return refuse(&a, c.retryLater(verdict.QueueFull, "too much is in flight", 0))
 	}
-	l := m.lanes[a.Request.Class]
-	if refusal := c.refusal(now, m, l, &a, candidates); refusal != nil {
-		return []Action{refuse(&a, refusal)}
-	}
-	if !l.queue.Push(item(&a)) {
-		return []Action{refuse(&a, c.queueFull(now, l, &a))}
+	if a.Request.Class == target.Spanning {
+		return c.span(&a, candidates)
 	}
-	c.waiting[a.Request.ID] = &waiting{arrival: a, lane: l}
-	return c.pump(now, m, nil)
+	return c.place(now, m, &a, candidates)
 }
 
-// FirstToken notes that a started request's first token came.
-func (c *Controller) FirstToken(now time.Time, id string) []Action {
-	c.table.FirstToken(id)
-	return c.Tick(now)
+// place chooses a target, and refuses if it cannot serve the request in time.
+func (c *Controller) place(now time.Time, m *modelState, a *Arrival, candidates []choice.Candidate) Action {
+	d := c.chooser.Choose(a.Request, candidates, now, c.random, a.Explain)
+	if d.Refusal != nil {
+		return refusePlaced(a, d, c.withRetryAfter(d.Refusal, 0))
+	}
+	chosen := find(candidates, d.Target)
+	end := c.end(now, m, a, d, chosen)
+	if late := end.Sub(a.Request.Deadline); late > 0 && !a.Request.Deadline.IsZero() {
+		return refusePlaced(a, d, c.late(now, m, a, chosen, late))
+	}
+	limit := fairness.Limit(c.settings.limit(chosen.PrefillTime(&a.Request)), c.usage.Ratio(now, a.Request.Customer))
+	if over := chosen.QueueTime() - limit; over > 0 {
+		return refusePlaced(a, d, c.retryLater(verdict.Overloaded, "too much is waiting", over))
+	}
+	c.start(now, a, chosen)
+	return Action{Kind: Start, Request: a.Request, Decision: d, Priority: Priority(&a.Request)}
 }
 
-// Finished notes the end of a started request. answerTokens is the length of a
-// complete answer, in tokens, and zero otherwise.
-func (c *Controller) Finished(now time.Time, r *facts.Request, outcome load.Outcome, answerTokens int) []Action {
-	c.table.Finished(r.ID, outcome, now)
-	if outcome == load.Success && answerTokens > 0 {
-		c.model(r.Model).answers.Observe(answerTokens)
-	}
-	return c.Tick(now)
+func (c *Controller) start(now time.Time, a *Arrival, chosen *choice.Candidate) {
+	cost := choice.CostAt(&a.Request, chosen)
+	c.table.Dispatched(load.Dispatch{
+		ID:     a.Request.ID,
+		Target: chosen.Target,
+		Tokens: cost.Prefill,
+		Blocks: cost.Blocks,
+	}, now)
+	c.usage.Add(now, a.Request.Customer, a.Share, cost.Prefill)
+	c.hold(a)
 }
 
-// Report takes in a target's report. It returns false in fresh for one that
-// was discarded.
-func (c *Controller) Report(now time.Time, r target.Report) (actions []Action, fresh bool) {
-	if !c.table.Report(r, now) {
-		return nil, false
+// span admits a prompt that is over the memory of each engine, or refuses it if
+// it is also over that of several.
+func (c *Controller) span(a *Arrival, candidates []choice.Candidate) Action {
+	if !fitsSpan(a, candidates, c.settings.SpanEngines) {
+		return refuse(a, verdict.Newf(verdict.NotRun, verdict.PromptTooLong,
+			"%d tokens are more than the engines that one prompt may use can hold", a.Request.PromptTokens))
 	}
-	return c.Tick(now), true
+	c.hold(a)
+	return Action{Kind: Span, Request: a.Request, Priority: Priority(&a.Request)}
 }
 
-// Cancel withdraws a waiting request, and reports whether it was waiting. A
-// started request ends with Finished instead.
-func (c *Controller) Cancel(id string) bool {
-	w := c.waiting[id]
-	if w == nil {
-		return false
+// FirstToken notes that a started request's first token came.
+func (c *Controller) FirstToken(now time.Time, id string) {
+	c.table.FirstToken(id)
+	h, ok := c.held[id]
+	if !ok {
+		return
 	}
-	delete(c.waiting, id)
-	w.lane.queue.Remove(id)
-	return true
+	h.first = now
+	c.held[id] = h
 }
 
-// Tick starts or refuses what waits, as far as the time allows.
-func (c *Controller) Tick(now time.Time) []Action {
-	if len(c.waiting) == 0 {
-		return nil
+// Finished notes the end of an admitted request. answerTokens is the length of
+// a complete answer, in tokens, and zero otherwise.
+func (c *Controller) Finished(now time.Time, id string, outcome load.Outcome, answerTokens int) {
+	c.table.Finished(id, outcome, now)
+	h, ok := c.held[id]
+	if !ok {
+		return
 	}
-	var actions []Action
-	for _, name := range c.order {
-		actions = c.pump(now, c.models[name], actions)
+	c.release(id, h)
+	if outcome == load.Success && answerTokens > 0 {
+		c.model(h.model).answers.Observe(answerTokens, now.Sub(h.first))
 	}
-	return actions
 }
 
+// Report takes in a target's report. It returns false for one that is older
+// than that already held, or of a target that is not kept.
+func (c *Controller) Report(now time.Time, r target.Report) bool { return c.table.Report(r, now) }
+
 func (c *Controller) model(name names.Model) *modelState {
 	m := c.models[name]
-	if m != nil {
-		return m
-	}
-	m = &modelState{}
-	for i := range m.lanes {
-		m.lanes[i] = &lane{queue: fairness.New(c.settings.Room)}
+	if m == nil {
+		m = &modelState{}
+		c.models[name] = m
 	}
-	c.models[name] = m
-	c.order = append(c.order, name)
 	return m
 }
 
-// classify returns the class of a request. Its answer needs memory too.
-func classify(m *modelState, r *facts.Request, engineTokens int) target.Class {
-	if engineTokens > 0 && r.PromptTokens+r.MaxTokens > engineTokens {
-		return target.Spanning
-	}
-	return m.mix.Bounds().Classify(r.PromptTokens, engineTokens)
+// hasRoom reports whether the daemon's memory has room for a request. A
+// customer may hold no more than what is left free, so that it can never take
+// all, and alone it may take half.
+func (c *Controller) hasRoom(a *Arrival) bool {
+	left := c.settings.MaxBytes - c.bytes - a.Bytes
+	return c.byOwner[a.Request.Customer]+a.Bytes <= left
 }
 
-// pump handles the heads of a model's lanes, short requests first.
-func (c *Controller) pump(now time.Time, m *modelState, actions []Action) []Action {
-	for _, l := range m.lanes {
-		for {
-			action, done := c.head(now, m, l)
-			if !done {
-				break
-			}
-			actions = append(actions, action)
-		}
-	}
-	return actions
+func (c *Controller) hold(a *Arrival) {
+	c.held[a.Request.ID] = held{model: a.Request.Model, customer: a.Request.Customer, bytes: a.Bytes}
+	c.bytes += a.Bytes
+	c.byOwner[a.Request.Customer] += a.Bytes
 }
 
-// head decides on a lane's next request; false leaves it waiting.
-func (c *Controller) head(now time.Time, m *modelState, l *lane) (Action, bool) {
-	next, ok := l.queue.Peek()
-	if !ok {
-		return Action{}, false
+func (c *Controller) release(id string, h held) {
+	delete(c.held, id)
+	c.bytes -= h.bytes
+	c.byOwner[h.customer] -= h.bytes
+	if c.byOwner[h.customer] == 0 {
+		delete(c.byOwner, h.customer)
 	}
-	a := &c.waiting[next.ID].arrival
-	candidates := c.candidates(a, now)
-	d := c.chooser.Choose(a.Request, candidates, now, c.random, false)
-	if d.Refusal != nil {
-		return c.take(l, refuse(a, c.withRetryAfter(d.Refusal, 0)))
-	}
-	chosen := find(candidates, d.Target)
-	if chosen.QueueTime() > c.settings.window(a.Request.Class, chosen.PrefillTime(&a.Request)) {
-		return Action{}, false
-	}
-	if late := c.lateness(now, m, a, d, chosen, 0); late > 0 {
-		return c.take(l, refuse(a, c.late(now, m, a, chosen, late)))
-	}
-	c.start(now, l, a, chosen)
-	return c.take(l, Action{
-		Kind:     Start,
-		ID:       a.Request.ID,
-		Request:  a.Request,
-		Decision: d,
-		Priority: Priority(&a.Request),
-	})
-}
-
-// take removes the head of a lane.
-func (c *Controller) take(l *lane, action Action) (Action, bool) {
-	l.queue.Pop()
-	delete(c.waiting, action.ID)
-	return action, true
-}
-
-func (c *Controller) start(now time.Time, l *lane, a *Arrival, chosen *choice.Candidate) {
-	cost := choice.CostAt(&a.Request, chosen)
-	l.meter.add(now, float64(a.Request.PromptTokens))
-	c.table.Dispatched(load.Dispatch{
-		ID:     a.Request.ID,
-		Target: chosen.Target,
-		Tokens: cost.Prefill,
-		Blocks: cost.Blocks,
-	}, now)
 }
 
 func (c *Controller) candidates(a *Arrival, now time.Time) []choice.Candidate {
@@ -339,3 +283,11 @@
 	}
 	return kept
 }
+
+// classify returns the class of a request. Its answer needs memory too.
+func classify(m *modelState, r *facts.Request, engineTokens int) target.Class {
+	if engineTokens > 0 && r.PromptTokens+r.MaxTokens > engineTokens {
+		return target.Spanning
+	}
+	return m.mix.Bounds().Classify(r.PromptTokens, engineTokens)
+}
--- a/core/request/admission/settings.go
+++ b/core/request/admission/settings.go
@@ -4,23 +4,21 @@
 	"time"
 
 	"carobspoke.example/core/request/facts"
-	"carobspoke.example/core/request/fairness"
-	"carobspoke.example/core/target"
 )
 
 // Settings parametrise a controller.
 type Settings struct {
-	// Window is the queue at a target, in time, up to which it gets another
-	// request.
-	Window time.Duration
-	// LongWindow is the same for Long prompts, which wait for one another
-	// at the target.
-	LongWindow time.Duration
-	// Margin is what predicted waits are multiplied with before they are
-	// compared with a deadline.
+	// MaxQueue is the queue at a target, in time, behind which a request may
+	// start, and QueuePerPrefill what is added to it for each second of the
+	// request's own prefill.
+	MaxQueue        time.Duration
+	QueuePerPrefill float64
+	// Margin is what a predicted time to first token is multiplied with
+	// before the end is compared with the deadline.
 	Margin float64
-	// Room bounds what waits for each model and class.
-	Room fairness.Room
+	// MaxBytes bounds what the requests in flight take of the daemon's
+	// memory.
+	MaxBytes int
 	// SpanEngines is the largest number of engines that one prompt may use;
 	// below two, no prompt may use more than one.
 	SpanEngines int
@@ -28,30 +26,26 @@
 
 // Defaults of Settings.
 const (
-	DefaultWindow      = 300 * time.Millisecond
-	DefaultLongWindow  = 10 * time.Second
-	DefaultMargin      = 1.2
-	DefaultRoomTokens  = 8_000_000
-	DefaultRoomBytes   = 48 << 20
-	DefaultSpanEngines = 4
+	DefaultMaxQueue        = time.Second
+	DefaultQueuePerPrefill = 0.3
+	DefaultMargin          = 1.2
+	DefaultMaxBytes        = 64 << 20
+	DefaultSpanEngines     = 4
 )
 
 // DefaultSettings returns the settings of this release.
 func DefaultSettings() Settings {
 	return Settings{
-		Window:      DefaultWindow,
-		LongWindow:  DefaultLongWindow,
-		Margin:      DefaultMargin,
-		Room:        fairness.Room{Tokens: DefaultRoomTokens, Bytes: DefaultRoomBytes},
-		SpanEngines: DefaultSpanEngines,
+		MaxQueue:        DefaultMaxQueue,
+		QueuePerPrefill: DefaultQueuePerPrefill,
+		Margin:          DefaultMargin,
+		MaxBytes:        DefaultMaxBytes,
+		SpanEngines:     DefaultSpanEngines,
 	}
 }
 
-func (s *Settings) window(c target.Class, _ time.Duration) time.Duration {
-	if c >= target.Long {
-		return s.LongWindow
-	}
-	return s.Window
+func (s *Settings) limit(prefill time.Duration) time.Duration {
+	return s.MaxQueue + time.Duration(s.QueuePerPrefill*float64(prefill))
 }
 
 // classPriorities is the number of engine priorities that each caller's
--- a/core/request/choice/choice.go
+++ b/core/request/choice/choice.go
@@ -40,9 +40,9 @@
 	CachedTokens int
 	// Isolation marks a target that only runs suspected requests.
 	Isolation bool
-	// Rank is the target's place in [0, 1) among those of its model. All
-	// daemons compute the same from one manifest; the lowest ranks make up
-	// the part of the fleet that is reserved for short prefills.
+	// Rank is the target's place in [0, 1] among those of its model. All
+	// daemons compute the same from one manifest. The lowest ranks are reserved for short
+	// prefills, and the highest alone take long ones.
 	Rank float64
 }
 
--- a/core/request/choice/chooser.go
+++ b/core/request/choice/chooser.go
@@ -50,48 +50,46 @@
 	Pick(scored []Scored, random *rand.Rand) Scored
 }
 
-// Policy is a Chooser made of parts: filters in order, then scorers, then the
-// picker. It has no state and may be shared.
+// Policy is a Chooser made of parts: filters in order, then preferences,
+// scorers, and the picker. It has no state and may be shared.
 type Policy struct {
 	Filters []Filter
-	Scorers []Scorer
-	Picker  Picker
+	// Preferences are filters that give way rather than leave a request
+	// without a target: of the candidates that passed Filters, the one with
+	// the highest rank is kept if they would drop all.
+	Preferences []Filter
+	Scorers     []Scorer
+	Picker      Picker
 }
 
 // Settings parametrise the policy of New.
 type Settings struct {
-	// ShortReserve is the share of a model's targets that take no prefill
-	// longer than LendLimit; zero switches the reserve off.
-	ShortReserve float64
-	// LendLimit bounds the prefill time lent from the reserve, and with it
-	// the time until the reserve is free again.
-	LendLimit time.Duration
+	// Zones divides the targets; its zero value lets all take everything.
+	Zones Zones
 	// Region returns the region of a data centre; nil puts all in one.
 	Region func(names.DataCentre) names.Region
 }
 
 // DefaultSettings returns the settings of this release.
 func DefaultSettings() Settings {
-	return Settings{ShortReserve: DefaultShortReserve, LendLimit: DefaultLendLimit}
+	return Settings{Zones: Zones{
+		ShortReserve: DefaultShortReserve,
+		LongZone:     DefaultLongZone,
+		LendLimit:    DefaultLendLimit,
+	}}
 }
 
-// Defaults of Settings.
+// Defaults of Zones.
 const (
-	DefaultShortReserve = 0.25
+	DefaultShortReserve = 0.33
+	DefaultLongZone     = 0.35
 	DefaultLendLimit    = time.Second
 )
 
 // New returns the policy of this release.
 func New(s Settings) *Policy {
-	return &Policy{
-		Filters: []Filter{
-			isolation{},
-			served{},
-			leaving{},
-			breaker{},
-			memory{},
-			reserve{share: s.ShortReserve, limit: s.LendLimit},
-		},
+	p := &Policy{
+		Filters: []Filter{isolation{}, served{}, leaving{}, breaker{}, memory{}},
 		Scorers: []Scorer{
 			queueTime{},
 			prefillTime{},
@@ -103,6 +101,10 @@
 		},
 		Picker: TwoChoices{},
 	}
+	if s.Zones != (Zones{}) {
+		p.Preferences = []Filter{s.Zones}
+	}
+	return p
 }
 
 // Choose implements Chooser.
@@ -133,27 +135,43 @@
 
 func (c *choosing) score(candidates []Candidate) []Scored {
 	scored := make([]Scored, 0, len(candidates))
+	var last *Candidate
 	for i := range candidates {
 		candidate := &candidates[i]
-		if !c.keep(candidate) {
+		if !c.filter(candidate) {
 			continue
 		}
-		scored = append(scored, Scored{Candidate: candidate, FirstToken: c.predict(candidate)})
+		if last == nil || candidate.Rank > last.Rank {
+			last = candidate
+		}
+		if c.passes(c.policy.Preferences, candidate) < 0 {
+			scored = append(scored, Scored{Candidate: candidate, FirstToken: c.predict(candidate)})
+		}
+	}
+	if len(scored) == 0 && last != nil {
+		c.note(last.Target, "preferences", "kept", "no other is left")
+		scored = append(scored, Scored{Candidate: last, FirstToken: c.predict(last)})
 	}
 	return scored
 }
 
-func (c *choosing) keep(candidate *Candidate) bool {
-	for i, f := range c.policy.Filters {
+func (c *choosing) filter(candidate *Candidate) bool {
+	failed := c.passes(c.policy.Filters, candidate)
+	c.furthest = max(c.furthest, failed+1)
+	return failed < 0
+}
+
+// passes returns the index of the filter that drops a candidate, or -1.
+func (c *choosing) passes(filters []Filter, candidate *Candidate) int {
+	for i, f := range filters {
 		keep, why := f.Keep(&c.in, candidate)
 		if !keep {
-			c.furthest = max(c.furthest, i+1)
 			c.note(candidate.Target, f.Name(), "dropped", why)
-			return false
+			return i
 		}
 		c.note(candidate.Target, f.Name(), "kept", "")
 	}
-	return true
+	return -1
 }
 
 func (c *choosing) predict(candidate *Candidate) time.Duration {
--- a/core/request/choice/filters.go
+++ b/core/request/choice/filters.go
@@ -128,25 +128,4 @@
 	return true, ""
 }
 
-// reserve keeps long prefills off the share of targets with the lowest ranks.
-// What a target of the reserve lends it has back within the limit, because
-// the queue that a prefill leaves there is no longer than that.
-type reserve struct {
-	share float64
-	limit time.Duration
-}
-
-func (reserve) Name() string                  { return "reserve" }
-func (reserve) Refusal(*Input) verdict.Reason { return verdict.Overloaded }
-
-func (f reserve) Keep(in *Input, c *Candidate) (bool, string) {
-	if c.Rank >= f.share || in.Request.Isolate {
-		return true, ""
-	}
-	if c.PrefillTime(in.Request) > f.limit {
-		return false, "reserved for short prefills"
-	}
-	return true, ""
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/core/request/choice/zones.go
@@ -0,0 +1,46 @@
+package choice
+
+import (
+	"time"
+
+	"carobspoke.example/core/target"
+	"carobspoke.example/core/verdict"
+)
+
+// Zones divides a model's targets by rank into three zones, so that a prefill
+// has only shorter ones to compete with in the lower zones:
+//
+//   - the reserve, up to ShortReserve: prefills of at most LendLimit;
+//   - the middle: prefills of the classes Short and Medium;
+//   - the long zone, from 1-LongZone on: everything.
+//
+// Shorter work uses the higher zones whenever they are idle. Longer work is
+// lent a lower zone only as far as it can be had back in time, which is what
+// LendLimit says for the reserve. Since classes split the work into thirds,
+// zones of a third each are in balance when the fleet is full, whatever the
+// mix is.
+type Zones struct {
+	ShortReserve float64
+	LongZone     float64
+	LendLimit    time.Duration
+}
+
+// Name implements Filter.
+func (Zones) Name() string { return "zones" }
+
+// Refusal implements Filter.
+func (Zones) Refusal(*Input) verdict.Reason { return verdict.Overloaded }
+
+// Keep implements Filter.
+func (z Zones) Keep(in *Input, c *Candidate) (bool, string) {
+	switch {
+	case in.Request.Isolate:
+		return true, ""
+	case c.Rank < z.ShortReserve && c.PrefillTime(in.Request) > z.LendLimit:
+		return false, "reserved for short prefills"
+	case c.Rank < 1-z.LongZone && in.Request.Class >= target.Long:
+		return false, "not in the zone for long prompts"
+	default:
+		return true, ""
+	}
+}
--- a/core/request/class/class.go
+++ b/core/request/class/class.go
@@ -10,6 +10,8 @@
 package class
 
 import (
+	"time"
+
 	"carobspoke.example/core/target"
 )
 
@@ -83,10 +85,11 @@
 	return m.bounds
 }
 
-// Answers is the mix of answer lengths that a daemon has seen of late. The
+// Answers is the mix of answer lengths and speeds that a daemon has seen of late. The
 // zero value is ready for use. It is not safe for concurrent use.
 type Answers struct {
 	sketch sketch
+	speed  sketch // time between two tokens, in microseconds
 	seen   int
 }
 
@@ -102,10 +105,23 @@
 	FirstAnswer = 256
 )
 
-// Observe takes in the length of a complete answer, in tokens.
-func (a *Answers) Observe(tokens int) {
+// Observe takes in the length of a complete answer, in tokens, and the time
+// from its first token to its last.
+func (a *Answers) Observe(tokens int, elapsed time.Duration) {
 	a.sketch.add(tokens, 1)
 	a.seen++
+	if tokens > 1 {
+		a.speed.add(int((elapsed / time.Duration(tokens-1)).Microseconds()), 1)
+	}
+}
+
+// TokenTime returns the time between two tokens that AnswerQuantile of the
+// answers did not exceed; zero before AnswerWarmup answers.
+func (a *Answers) TokenTime() time.Duration {
+	if a.seen < AnswerWarmup {
+		return 0
+	}
+	return time.Duration(a.speed.quantile(AnswerQuantile)) * time.Microsecond
 }
 
 // Predict returns the number of tokens to plan for an answer that the caller
--- a/core/request/fairness/fairness.go
+++ b/core/request/fairness/fairness.go
@@ -1,209 +1,133 @@
-// Package fairness orders waiting requests so that customers get capacity in
-// proportion to their shares, whatever each asks for.
+// Package fairness keeps how much of the capacity each customer got of late, in
+// relation to its share, so that admission can refuse those that are ahead
+// first.
 //
-// Queue is a start-time fair queue. Each customer has a first-in first-out
-// list; a request's tag is the virtual time at which the customer's earlier
-// requests would be done if it had its share alone, and the lowest tag goes
-// next. A customer that was idle starts at the current virtual time: it gets
-// its share at once, and is owed nothing for the time it did not ask. What it
-// does not use goes to the others by itself. A customer whose list runs empty
-// keeps its tag until the virtual time has passed it, so that asking for one
-// large request after another gains nothing.
+// Nothing waits here. A request is admitted if the queue at its target is below
+// a limit, and the limit is lower for a customer that got more than the average
+// (see Limit). When the fleet is full, the queue settles at the limit of the
+// customers that are ahead: they get what the others leave, and a customer
+// within its share, whose limit is higher, is hardly ever refused. When the
+// fleet is not full, nobody reaches a limit and idle capacity is everyone's. A
+// customer that returns finds its share within UsageTime.
 //
-// Room is bounded in tokens and bytes. A customer may hold no more than what is
-// left free (a dynamic threshold), so that one customer can never fill the
-// queue against another, and alone it may use half.
+// A daemon counts what it admits itself. No state is shared: where callers
+// reach daemons by way of a balancer, each daemon sees the same proportions.
 package fairness
 
 import (
-	"container/heap"
+	"math"
+	"time"
 
 	"carobspoke.example/core/names"
 )
 
-// purgeSlack is the number of idle customers below which none is forgotten.
-const purgeSlack = 64
-
-// Item is a waiting request.
-type Item struct {
-	ID       string
-	Customer names.Customer
-	// Share is the customer's weight; zero or less counts as one.
-	Share float64
-	// Tokens is the request's cost, and Bytes what it takes of the daemon's
-	// memory while it waits.
-	Tokens int
-	Bytes  int
-}
-
-// Room is the space of a queue.
-type Room struct {
-	Tokens int
-	Bytes  int
-}
+// Limits of a Usage.
+const (
+	// UsageTime is the time in which usage fades to a third.
+	UsageTime = 5 * time.Second
+	// MaxCustomers bounds the customers that are told apart.
+	MaxCustomers = 8192
+	// purgeSlack is the number of customers below which none is forgotten.
+	purgeSlack = 64
+	// forgotten is the faded usage, in tokens, that counts as none.
+	forgotten = 1.0
+)
 
-// Queue is a bounded fair queue. It is not safe for concurrent use. Push, Pop
-// and Remove take time logarithmic in the number of customers that wait.
-type Queue struct {
-	room    Room
-	used    Room
-	shares  float64
-	virtual float64
-	flows   map[names.Customer]*flow
-	idle    map[names.Customer]float64 // tags of customers that do not wait
-	purgeAt int                        // size of idle that calls for a purge
-	active  flowHeap
-	items   map[string]*flow
+// Usage is what customers got of late. It is not safe for concurrent use. Its
+// operations take constant time, averaged over many.
+type Usage struct {
+	customers map[names.Customer]*use
+	total     use // over all customers; its share is the sum of theirs
+	purgeAt   int // size of customers that calls for a purge
+	purged    time.Time
 }
 
-// flow is the list of one customer. It exists while the customer waits.
-type flow struct {
-	customer names.Customer
-	share    float64
-	items    []Item
-	used     Room
-	tag      float64 // start tag of the first item
-	index    int     // place in the heap
+// use is work that fades with time.
+type use struct {
+	tokens float64
+	at     time.Time
+	share  float64
 }
 
-// New returns an empty queue.
-func New(room Room) *Queue {
-	return &Queue{
-		room:  room,
-		flows: make(map[names.Customer]*flow),
-		idle:  make(map[names.Customer]float64),
-		items: make(map[string]*flow),
+func (u *use) fade(now time.Time) {
+	if now.After(u.at) {
+		u.tokens *= math.Exp(-now.Sub(u.at).Seconds() / UsageTime.Seconds())
+		u.at = now
 	}
 }
 
-// Push appends an item to its customer's list. It returns false, and does
-// nothing, if the customer has no room left.
-func (q *Queue) Push(it Item) bool {
-	f := q.flows[it.Customer]
-	if !q.fits(f, it) {
-		return false
-	}
-	if f == nil {
-		f = q.open(it)
-	}
-	f.items = append(f.items, it)
-	q.items[it.ID] = f
-	q.account(f, it.Tokens, it.Bytes)
-	return true
+// New returns an empty record.
+func New() *Usage {
+	return &Usage{customers: make(map[names.Customer]*use), purgeAt: purgeSlack}
 }
 
-func (q *Queue) open(it Item) *flow {
-	f := &flow{
-		customer: it.Customer,
-		share:    weight(it.Share),
-		tag:      max(q.virtual, q.idle[it.Customer]),
+// Add notes work that a customer got, in tokens. A share of zero or less
+// counts as one.
+func (u *Usage) Add(now time.Time, c names.Customer, share float64, tokens int) {
+	e := u.entry(now, c)
+	if e == nil {
+		return
 	}
-	delete(q.idle, it.Customer)
-	q.flows[it.Customer] = f
-	q.shares += f.share
-	heap.Push(&q.active, f)
-	return f
+	u.total.share += weight(share) - e.share
+	e.share = weight(share)
+	e.fade(now)
+	e.tokens += float64(tokens)
+	u.total.fade(now)
+	u.total.tokens += float64(tokens)
 }
 
-func (q *Queue) fits(f *flow, it Item) bool {
-	var own Room
-	if f != nil {
-		own = f.used
+func (u *Usage) entry(now time.Time, c names.Customer) *use {
+	if e := u.customers[c]; e != nil {
+		return e
 	}
-	return own.Tokens+it.Tokens <= q.room.Tokens-q.used.Tokens-it.Tokens &&
-		own.Bytes+it.Bytes <= q.room.Bytes-q.used.Bytes-it.Bytes
-}
-
-func (q *Queue) account(f *flow, tokens, bytes int) {
-	f.used.Tokens += tokens
-	f.used.Bytes += bytes
-	q.used.Tokens += tokens
-	q.used.Bytes += bytes
-}
-
-// Peek returns the item that goes next.
-func (q *Queue) Peek() (Item, bool) {
-	if len(q.active) == 0 {
-		return Item{}, false
+	full := len(u.customers) >= MaxCustomers && now.Sub(u.purged) > UsageTime
+	if full || len(u.customers) >= u.purgeAt {
+		u.purge(now)
 	}
-	return q.active[0].items[0], true
-}
-
-// Pop removes the item that goes next.
-func (q *Queue) Pop() (Item, bool) {
-	if len(q.active) == 0 {
-		return Item{}, false
+	if len(u.customers) >= MaxCustomers {
+		return nil
 	}
-	f := q.active[0]
-	it := f.items[0]
-	q.virtual = max(q.virtual, f.tag)
-	f.tag += float64(it.Tokens) / f.share
-	q.drop(f, 0)
-	return it, true
-}
-
-// Remove takes out an item before its turn. It costs its customer nothing.
-func (q *Queue) Remove(id string) bool {
-	f := q.items[id]
-	if f == nil {
-		return false
+	e := &use{at: now}
+	u.customers[c] = e
+	return e
+}
+
+// Ratio returns a customer's usage in relation to what all customers that were
+// served of late got on average for the same share: one is the average, zero a
+// customer that got nothing.
+func (u *Usage) Ratio(now time.Time, c names.Customer) float64 {
+	e := u.customers[c]
+	if e == nil {
+		return 0
 	}
-	for i := range f.items {
-		if f.items[i].ID == id {
-			q.drop(f, i)
-			return true
-		}
+	e.fade(now)
+	u.total.fade(now)
+	if u.total.tokens < forgotten {
+		return 0
 	}
-	return false
+	return (e.tokens / e.share) / (u.total.tokens / u.total.share)
 }
 
-func (q *Queue) drop(f *flow, i int) {
-	it := f.items[i]
-	delete(q.items, it.ID)
-	q.account(f, -it.Tokens, -it.Bytes)
-	f.items = append(f.items[:i], f.items[i+1:]...)
-	if len(f.items) > 0 {
-		heap.Fix(&q.active, f.index)
-		return
+// Limit lowers a limit for a customer that is ahead of the average, with the
+// square of its ratio.
+func Limit(limit time.Duration, ratio float64) time.Duration {
+	if ratio <= 1 {
+		return limit
 	}
-	q.close(f)
+	return time.Duration(float64(limit) / (ratio * ratio))
 }
 
-func (q *Queue) close(f *flow) {
-	heap.Remove(&q.active, f.index)
-	delete(q.flows, f.customer)
-	q.shares -= f.share
-	q.idle[f.customer] = f.tag
-	if len(q.idle) < q.purgeAt {
-		return
-	}
-	for c, tag := range q.idle {
-		if tag <= q.virtual {
-			delete(q.idle, c)
+// purge forgets customers that got nothing for long.
+func (u *Usage) purge(now time.Time) {
+	for c, e := range u.customers {
+		e.fade(now)
+		if e.tokens < forgotten {
+			u.total.share -= e.share
+			delete(u.customers, c)
 		}
 	}
-	q.purgeAt = 2*len(q.idle) + purgeSlack
-}
-
-// Len returns the number of waiting items.
-func (q *Queue) Len() int { return len(q.items) }
-
-// Used returns the room taken.
-func (q *Queue) Used() Room { return q.used }
-
-// Ahead returns a bound on the work, in tokens, that goes before a new item of
-// a customer: all that waits, or what the customer's share makes of its own
-// list, whichever is less.
-func (q *Queue) Ahead(c names.Customer, share float64) int {
-	f := q.flows[c]
-	own, shares := 0, q.shares
-	if f == nil {
-		shares += weight(share)
-	} else {
-		own = f.used.Tokens
-	}
-	scaled := float64(own) * shares / weight(share)
-	return min(q.used.Tokens, int(scaled))
+	u.purged = now
+	u.purgeAt = 2*len(u.customers) + purgeSlack
 }
 
 func weight(share float64) float64 {
