--- a/tools/standin/service/service.go
+++ b/tools/standin/service/service.go
@@ -1,6 +1,6 @@
 // Package service is a stand-in for a plain service. It records each call
 // that ran, so that a test can count how often a call ran whatever its caller
-// was told.
+// was told. GET /v1/runs lists the records for tests in other processes.
 package service
 
 import (
@@ -30,10 +30,12 @@
 
 // Run is a call that ran.
 type Run struct {
-	Customer names.Customer
-	Key      string
-	ID       string
-	Attempt  uint32
+	Customer names.Customer `json:"customer"`
+	Key      string         `json:"key"`
+	ID       string         `json:"id"`
+	Attempt  uint32         `json:"attempt"`
+	// Body is the digest of the call's body.
+	Body uint64 `json:"body"`
 }
 
 // Server is a running service.
@@ -51,6 +53,7 @@
 	s := &Server{config: config}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/calls", s.call)
+	mux.HandleFunc("GET /v1/runs", s.getRuns)
 	server, err := fault.Start(address, mux, fault.Hooks{})
 	if err != nil {
 		return nil, err
@@ -84,6 +87,14 @@
 	return fmt.Appendf(nil, "%s:%016x", name, digest)
 }
 
+// Digest returns the number by which a Run names a call's body.
+func Digest(body []byte) uint64 { return xxhash.Sum64(body) }
+
+func (s *Server) getRuns(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.Runs())
+}
+
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
 	var call target.Call
 	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
@@ -111,7 +122,9 @@
 		return false
 	}
 	s.running++
-	s.runs = append(s.runs, Run{Customer: call.Customer, Key: call.Key, ID: call.ID, Attempt: call.Attempt})
+	s.runs = append(s.runs, Run{
+		Customer: call.Customer, Key: call.Key, ID: call.ID, Attempt: call.Attempt, Body: Digest(call.Body),
+	})
 	return true
 }
 
