Follow admission at arrival in the dispatcher

Cause: the controller decides at once and keeps no queue any more. Change: the shell around it loses its waiting requests. Conclusion: a simpler shell.

--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -132,7 +132,6 @@
 // loops returns what runs in the background until the daemon is closed.
 func (d *Daemon) loops() []func(context.Context) {
 	return []func(context.Context){
-		d.admitter.Run,
 		d.dispatcher.Abandoned.Run,
 		func(ctx context.Context) { every(ctx, manifestPoll, d.readManifest) },
 		func(ctx context.Context) { every(ctx, reportPoll, d.readReports) },
--- a/serving/process/daemon/status.go
+++ b/serving/process/daemon/status.go
@@ -87,6 +87,7 @@
 	settings := choice.DefaultSettings()
 	settings.Region = d.regionOf
 	r.DataCentre = d.settings.DataCentre
+	r.Class = d.admitter.ClassOf(r.Model, r.PromptTokens)
 	candidates := d.admitter.Candidates(r.Model)
 	decision := choice.New(settings).Choose(r, candidates, time.Now(), rand.New(rand.NewPCG(1, 1)), true)
 	return admin.Explanation{Class: r.Class.String(), Decision: decision}
--- a/serving/process/daemon/thin.go
+++ b/serving/process/daemon/thin.go
@@ -57,7 +57,7 @@
 		return
 	}
 	if d.versions.Install(m, digest) {
-		d.admitter.Keep(specs(d.versions.Current()), 1)
+		d.admitter.Keep(specs(d.versions.Current()))
 		d.log.Info("manifest in force", zap.Uint64("version", uint64(m.Version)))
 	}
 }
--- a/serving/request/dispatch/admitter.go
+++ b/serving/request/dispatch/admitter.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -9,96 +8,69 @@
 	"carobspoke.example/core/process/load"
 	"carobspoke.example/core/request/admission"
 	"carobspoke.example/core/request/choice"
-	"carobspoke.example/core/request/facts"
 	"carobspoke.example/core/target"
-	"carobspoke.example/core/verdict"
 )
 
-// Admitter is the shell of an admission.Controller: it holds the lock around
-// it and wakes the requests that its actions concern. It is safe for
-// concurrent use.
+// Admitter is the shell of an admission.Controller: the lock around it and the
+// clock. It is safe for concurrent use.
 type Admitter struct {
 	mu         sync.Mutex
 	controller *admission.Controller
-	waiting    map[string]chan admission.Action
 }
 
 // NewAdmitter returns a shell around a controller, which it owns from now on.
 func NewAdmitter(c *admission.Controller) *Admitter {
-	return &Admitter{controller: c, waiting: make(map[string]chan admission.Action)}
+	return &Admitter{controller: c}
 }
 
-// Admit waits until the controller has decided on a request. A request whose
-// context ends while it waits is withdrawn.
-func (a *Admitter) Admit(ctx context.Context, arrival admission.Arrival) (admission.Action, error) {
-	id := arrival.Request.ID
-	decided := a.arrive(id, arrival)
-	select {
-	case action := <-decided:
-		return action, nil
-	case <-ctx.Done():
-		a.withdraw(id, decided)
-		return admission.Action{}, endedWaiting(ctx)
-	}
+// Arrive decides on a request.
+func (a *Admitter) Arrive(arrival admission.Arrival) admission.Action {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.Arrive(time.Now(), arrival)
 }
 
-func (a *Admitter) arrive(id string, arrival admission.Arrival) <-chan admission.Action {
-	decided := make(chan admission.Action, 1)
+// FirstToken tells that a started request's first token came.
+func (a *Admitter) FirstToken(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.waiting[id] = decided
-	a.deliver(a.controller.Arrive(time.Now(), arrival))
-	return decided
+	a.controller.FirstToken(time.Now(), id)
 }
 
-// withdraw takes back a request that nobody waits for. If it was started at
-// the same moment, its dispatch is ended.
-func (a *Admitter) withdraw(id string, decided <-chan admission.Action) {
+// Finished tells that a started request ended. answerTokens is the length of a
+// whole answer and zero otherwise.
+func (a *Admitter) Finished(id string, outcome load.Outcome, answerTokens int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.waiting, id)
-	if a.controller.Cancel(id) {
-		return
-	}
-	select {
-	case action := <-decided:
-		if action.Kind == admission.Start {
-			a.deliver(a.controller.Finished(time.Now(), &action.Request, load.Neutral, 0))
-		}
-	default:
-	}
+	a.controller.Finished(time.Now(), id, outcome, answerTokens)
 }
 
-// FirstToken tells that a started request's first token came.
-func (a *Admitter) FirstToken(id string) {
+// PartStarted counts work of a span at a target.
+func (a *Admitter) PartStarted(d load.Dispatch) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.deliver(a.controller.FirstToken(time.Now(), id))
+	a.controller.Table().Dispatched(d, time.Now())
 }
 
-// Finished tells that a started request ended. answerTokens is the length of a
-// whole answer and zero otherwise.
-func (a *Admitter) Finished(r *facts.Request, outcome load.Outcome, answerTokens int) {
+// PartFinished ends what PartStarted counted.
+func (a *Admitter) PartFinished(id string, outcome load.Outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.deliver(a.controller.Finished(time.Now(), r, outcome, answerTokens))
+	a.controller.Table().Finished(id, outcome, time.Now())
 }
 
 // Report takes in a target's load report.
 func (a *Admitter) Report(r target.Report) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	actions, _ := a.controller.Report(time.Now(), r)
-	a.deliver(actions)
+	a.controller.Report(time.Now(), r)
 }
 
-// Keep sets the targets that this daemon keeps, and how many daemons share
-// them.
-func (a *Admitter) Keep(specs []load.Spec, daemons int) {
+// Keep sets the targets that this daemon keeps.
+func (a *Admitter) Keep(specs []load.Spec) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.controller.Table().Apply(specs)
-	a.controller.SetDaemons(daemons)
 }
 
 // Candidates returns what is known of a model's targets.
@@ -108,51 +80,16 @@
 	return a.controller.Table().Candidates(model, time.Now())
 }
 
-// InFlight returns the number of requests at targets.
-func (a *Admitter) InFlight() int {
+// Held returns the requests that are at targets, and their size in bytes.
+func (a *Admitter) Held() (requests, bytes int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.controller.Table().InFlight()
-}
-
-// Run ticks while requests wait, until the context ends.
-func (a *Admitter) Run(ctx context.Context) {
-	ticker := time.NewTicker(admission.TickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			a.tick()
-		}
-	}
+	return a.controller.Held()
 }
 
-func (a *Admitter) tick() {
+// ClassOf returns the class that a prompt of a model has at present.
+func (a *Admitter) ClassOf(model names.Model, promptTokens int) target.Class {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.controller.Wait() {
-		a.deliver(a.controller.Tick(time.Now()))
-	}
-}
-
-// deliver hands actions to the requests that wait for them. The channels have
-// room for the one action that each request gets.
-func (a *Admitter) deliver(actions []admission.Action) {
-	for _, action := range actions {
-		decided, ok := a.waiting[action.ID]
-		if !ok {
-			continue
-		}
-		delete(a.waiting, action.ID)
-		decided <- action
-	}
-}
-
-func endedWaiting(ctx context.Context) error {
-	if ctx.Err() == context.DeadlineExceeded {
-		return verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the deadline passed before a target was free")
-	}
-	return verdict.New(verdict.NotRun, verdict.CallerGone, "the caller left before a target was free")
+	return a.controller.Bounds(model).Classify(promptTokens, 0)
 }
--- a/serving/request/dispatch/place.go
+++ b/serving/request/dispatch/place.go
@@ -36,11 +36,8 @@
 var _ answer.Targets = (*placing)(nil)
 
 // Place implements answer.Targets.
-func (p *placing) Place(ctx context.Context, want answer.Want) (answer.Placement, error) {
-	action, err := p.d.Admitter.Admit(ctx, p.arrival(want))
-	if err != nil {
-		return answer.Placement{}, err
-	}
+func (p *placing) Place(_ context.Context, want answer.Want) (answer.Placement, error) {
+	action := p.d.Admitter.Arrive(p.arrival(want))
 	switch action.Kind {
 	case admission.Start:
 		return p.start(action)
@@ -66,7 +63,7 @@
 func (p *placing) start(action admission.Action) (answer.Placement, error) {
 	state := &placed{request: action.Request, priority: action.Priority, outcome: load.Neutral}
 	release := sync.OnceFunc(func() {
-		p.d.Admitter.Finished(&state.request, state.outcome, state.answerTokens)
+		p.d.Admitter.Finished(state.request.ID, state.outcome, state.answerTokens)
 	})
 	engine, err := p.d.engine(p.view, action.Decision.Target)
 	if err != nil {
