Wire distribution, calls and keepers into the daemon

Cause: the daemon read the manifest by polling and kept every target. Change: the distribution shell, the calls service with forwarding, and a view of members and version from which kept targets and relays follow. Conclusion: members still come from the platform's list until the membership shell lands.

--- a/core/version/manifest/manifest.go
+++ b/core/version/manifest/manifest.go
@@ -54,6 +54,9 @@
 	// ShortReserve is the share of each engine's capacity that only short
 	// prompts may use.
 	ShortReserve float64 `toml:"short_reserve" json:"short_reserve"`
+	// Keepers is the number of daemons that watch each target and pass
+	// requests to it; zero leaves it to the fleet's size.
+	Keepers int `toml:"keepers" json:"keepers"`
 }
 
 // Model is a model with its versions and adapters.
--- a/core/version/manifest/validate.go
+++ b/core/version/manifest/validate.go
@@ -91,6 +91,9 @@
 func (v *validator) policy() {
 	v.share("policy.retry_budget", v.m.Policy.RetryBudget)
 	v.share("policy.short_reserve", v.m.Policy.ShortReserve)
+	if v.m.Policy.Keepers < 0 {
+		v.add("policy.keepers", "zero or more", strconv.Itoa(v.m.Policy.Keepers))
+	}
 }
 
 func (v *validator) models() {
--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/ed25519"
 	crand "crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
@@ -11,7 +12,10 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	core "carobspoke.example/core/process/distribution"
 	"carobspoke.example/core/process/load"
+	"carobspoke.example/core/process/membership"
+	"carobspoke.example/core/process/subset"
 	"carobspoke.example/core/request/admission"
 	"carobspoke.example/core/request/choice"
 	"carobspoke.example/core/request/retry"
@@ -21,20 +25,28 @@
 	"carobspoke.example/serving/connection/peers"
 	"carobspoke.example/serving/connection/targetapi"
 	genadmin "carobspoke.example/serving/gen/admin"
+	gencalls "carobspoke.example/serving/gen/calls"
 	"carobspoke.example/serving/gen/completions"
 	adminserver "carobspoke.example/serving/gen/http/admin/server"
+	callsserver "carobspoke.example/serving/gen/http/calls/server"
 	completionsserver "carobspoke.example/serving/gen/http/completions/server"
 	"carobspoke.example/serving/peerpb"
 	"carobspoke.example/serving/process/admin"
+	"carobspoke.example/serving/process/counters"
+	"carobspoke.example/serving/process/distribution"
+	"carobspoke.example/serving/process/fleet"
+	"carobspoke.example/serving/request/calls"
 	"carobspoke.example/serving/request/directory"
 	"carobspoke.example/serving/request/dispatch"
 	"carobspoke.example/serving/request/failure"
 	"carobspoke.example/serving/request/forward"
 	"carobspoke.example/serving/request/gateway"
+	"carobspoke.example/serving/request/replica"
 	"carobspoke.example/serving/request/retries"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	goahttp "goa.design/goa/v3/http"
+	"google.golang.org/grpc"
 )
 
 // build makes the parts that live as long as the process.
@@ -44,7 +56,12 @@
 		return errors.Wrap(err, "key peer.fleet_keys")
 	}
 	d.buildPeers()
+	d.buildFleet()
+	if err := d.buildDistribution(); err != nil {
+		return err
+	}
 	d.buildDispatcher(ring)
+	d.buildCalls(ring)
 	d.buildPeerServer()
 	d.buildCallerServer()
 	d.buildAdminServer()
@@ -61,20 +78,87 @@
 	d.peerServer = peers.NewServer(d.peerTLS.MutualServerConfig())
 }
 
+func (d *Daemon) buildFleet() {
+	d.members = listedMembers{d: d}
+	d.fleet = fleet.New(d.Host(), d.members, d.versions, d.changed)
+}
+
+func (d *Daemon) buildDistribution() error {
+	key, err := hex.DecodeString(d.settings.Manifest.PublicKey)
+	if err != nil {
+		return errors.Wrap(err, "key manifest.public_key")
+	}
+	d.distributor, err = distribution.New(distribution.Config{
+		Self:     core.Member{Host: d.Host(), DataCentre: d.settings.DataCentre},
+		Platform: d.platform,
+		Peers:    manifestPeers{d: d},
+		Report: func(ctx context.Context, address string) (target.Report, error) {
+			return targetapi.NewClient(address, d.transport).Report(ctx)
+		},
+		Keys:     []ed25519.PublicKey{key},
+		Holder:   d.versions,
+		Logger:   d.log,
+		Registry: d.counters.Registry(),
+	})
+	return err
+}
+
+func (d *Daemon) buildCalls(ring *ticket.Ring) {
+	who := &directory.Directory{Versions: d.versions}
+	d.calls = calls.New(calls.Deps{
+		Self:   calls.Self{Host: d.Host(), Incarnation: d.incarnation, Started: time.Now()},
+		Limits: calls.DefaultLimits(),
+		Clock:  time.Now,
+		Random: crand.Reader,
+		Ring:   func() *ticket.Ring { return ring },
+		Authenticate: func(authorization string) (names.Customer, error) {
+			customer, err := who.Authenticate(authorization)
+			return customer.Name, err
+		},
+		Directory: who,
+		Picker: &replica.Picker{
+			Versions: d.versions, DataCentre: d.settings.DataCentre, Gone: leaves,
+			Client: func(address string) targetapi.Service { return targetapi.NewClient(address, d.transport) },
+		},
+		Peers: &calls.GRPCPeers{
+			Conn:  func(host names.Host) (grpc.ClientConnInterface, error) { return d.pool.Conn(host) },
+			Known: d.fleet.Known,
+		},
+		Retries:   d.retries,
+		Choose:    homeOf,
+		Count:     d.countReason,
+		RequestID: newRequestID,
+	})
+}
+
+// homeOf is the choice function of homes of keys.
+func homeOf(key names.Digest, hosts []names.Host) names.Host {
+	members := make([]membership.Member, 0, len(hosts))
+	for _, host := range hosts {
+		members = append(members, membership.Member{Host: host})
+	}
+	home, _ := subset.Home(string(key), members)
+	return home.Host
+}
+
+func (d *Daemon) countReason(reason verdict.Reason) {
+	d.counters.Add(counters.RefusedPrefix+string(reason), 1)
+}
+
 func (d *Daemon) buildDispatcher(ring *ticket.Ring) {
 	chosen := choice.DefaultSettings()
 	chosen.Region = d.regionOf
 	controller := admission.New(admission.DefaultSettings(), load.New(), choice.New(chosen), admission.NoCache{}, newRandom())
 	d.admitter = dispatch.NewAdmitter(controller)
-	transport := targetapi.NewTransport()
+	d.retries = retries.New(retry.Default(), time.Now, newRandom(), d.countRetry)
 	d.dispatcher = &dispatch.Dispatcher{
 		Versions:  d.versions,
 		Admitter:  d.admitter,
-		Engines:   engines{transport: transport},
+		Engines:   engines{transport: d.transport},
 		Quota:     freeQuota{},
-		Relays:    allKept{},
+		Relays:    d.fleet,
 		Forward:   &forward.Client{Peers: d.pool},
-		Retries:   retries.New(retry.Default(), time.Now, newRandom(), d.countRetry),
+		Retries:   d.retries,
 		Crashes:   dispatch.NewCrashes(nil),
 		Tickets:   ring,
 		Abandoned: dispatch.NewAbandoned(func() { d.counters.Add("abandon_queue_full", 1) }),
@@ -84,8 +168,10 @@
 }
 
 func (d *Daemon) buildPeerServer() {
+	d.distributor.Register(d.peerServer)
 	peerpb.RegisterForwardingServer(d.peerServer, &forward.Server{
 		Runner:     d.dispatcher,
+		Caller:     d.calls,
 		DataCentre: d.settings.DataCentre,
 	})
 }
@@ -103,6 +189,8 @@
 	})
 	endpoints := completions.NewEndpoints(service)
 	completionsserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, failure.Formatter).Mount(mux)
+	callEndpoints := gencalls.NewEndpoints(d.calls)
+	callsserver.New(callEndpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, failure.Formatter).Mount(mux)
 	caller := d.settings.Caller
 	limited := gateway.Limit(d.counted(mux), caller.MaxBodyBytes, caller.BodyTimeout.Duration)
 	d.callerServer = gateway.NewServer(limited)
@@ -133,7 +221,11 @@
 func (d *Daemon) loops() []func(context.Context) {
 	return []func(context.Context){
 		d.dispatcher.Abandoned.Run,
-		func(ctx context.Context) { every(ctx, manifestPoll, d.readManifest) },
+		d.fleet.Run,
+		func(ctx context.Context) { _ = d.distributor.Run(ctx) }, // it ends with the context
+		func(ctx context.Context) {
+			every(ctx, hostsPoll, func(ctx context.Context) { d.hosts.read(ctx, d.platform) })
+		},
 		func(ctx context.Context) { every(ctx, reportPoll, d.readReports) },
 	}
 }
--- a/serving/process/daemon/daemon.go
+++ b/serving/process/daemon/daemon.go
@@ -18,11 +18,16 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/connection/peers"
+	"carobspoke.example/serving/connection/targetapi"
 	"carobspoke.example/serving/connection/tlskeys"
 	"carobspoke.example/serving/platform"
 	"carobspoke.example/serving/process/counters"
+	"carobspoke.example/serving/process/distribution"
+	"carobspoke.example/serving/process/fleet"
 	"carobspoke.example/serving/process/settings"
+	"carobspoke.example/serving/request/calls"
 	"carobspoke.example/serving/request/dispatch"
+	"carobspoke.example/serving/request/retries"
 	"carobspoke.example/serving/version"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -55,11 +60,18 @@
 	callerTLS   *tls.Config
 	peerTLS     *tlskeys.Pair
 
-	counters   *counters.Counters
-	versions   *version.Holder
-	pool       *peers.Pool
-	admitter   *dispatch.Admitter
-	dispatcher *dispatch.Dispatcher
+	counters    *counters.Counters
+	versions    *version.Holder
+	hosts       hostList
+	members     fleet.Members
+	fleet       *fleet.Fleet
+	transport   http.RoundTripper
+	pool        *peers.Pool
+	retries     *retries.Retries
+	calls       *calls.Server
+	distributor *distribution.Distributor
+	admitter    *dispatch.Admitter
+	dispatcher  *dispatch.Dispatcher
 
 	callerServer *http.Server
 	adminServer  *http.Server
@@ -81,6 +93,7 @@
 		platform:    o.Platform,
 		counters:    counters.New(),
 		versions:    &version.Holder{},
+		transport:   targetapi.NewTransport(),
 	}
 	if d.platform == nil {
 		d.platform = platform.NewClient(o.Settings.Platform.Address)
@@ -260,4 +273,3 @@
 	}
 	d.counters.Ended(err)
 }
-
--- /dev/null
+++ b/serving/process/daemon/peers.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/distribution"
+	"google.golang.org/grpc"
+)
+
+// manifestPeers is what the distribution of manifests sees of the fleet. It
+// implements distribution.Peers of the shell.
+type manifestPeers struct {
+	d *Daemon
+}
+
+// Live implements distribution.Peers.
+func (p manifestPeers) Live() []distribution.Member {
+	members := p.d.members.Live()
+	list := make([]distribution.Member, 0, len(members))
+	for i := range members {
+		if members[i].Host != p.d.Host() {
+			list = append(list, distribution.Member{Host: members[i].Host, DataCentre: members[i].DataCentre})
+		}
+	}
+	return list
+}
+
+// Listed implements distribution.Peers.
+func (p manifestPeers) Listed() int { return p.d.hosts.Count() }
+
+// Dial implements distribution.Peers.
+func (p manifestPeers) Dial(host names.Host) (*grpc.ClientConn, error) {
+	return p.d.pool.Conn(host)
+}
+
+// Announce implements distribution.Peers. Until gossip carries it, peers learn
+// of a version when they ask or read by themselves.
+func (p manifestPeers) Announce(distribution.Held) {}
--- a/serving/process/daemon/thin.go
+++ b/serving/process/daemon/thin.go
@@ -2,17 +2,18 @@
 
 import (
 	"context"
-	"crypto/ed25519"
-	"encoding/hex"
+	"slices"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/load"
-	"carobspoke.example/core/version/manifest"
-	"carobspoke.example/core/version/pages"
+	"carobspoke.example/core/process/membership"
 	"carobspoke.example/serving/connection/targetapi"
+	"carobspoke.example/serving/platform"
+	"carobspoke.example/serving/process/fleet"
 	"carobspoke.example/serving/version"
-	"go.uber.org/zap"
 )
 
 // freeQuota admits everything.
@@ -21,18 +22,9 @@
 // Admit implements dispatch.Quota.
 func (freeQuota) Admit(names.Customer, int) error { return nil }
 
-// allKept is the relay table of a daemon that keeps every target.
-type allKept struct{}
-
-// Keeps implements dispatch.Relays.
-func (allKept) Keeps(names.Model) bool { return true }
-
-// Pick implements dispatch.Relays.
-func (allKept) Pick(names.Model, []names.Host) (names.Host, bool) { return "", false }
-
 const (
-	manifestPoll = 500 * time.Millisecond
-	reportPoll   = 250 * time.Millisecond
+	hostsPoll  = time.Second
+	reportPoll = 250 * time.Millisecond
 )
 
 // every calls f at an interval until the context ends.
@@ -49,55 +41,68 @@
 	}
 }
 
-// readManifest reads the version in the configuration service.
-func (d *Daemon) readManifest(ctx context.Context) {
-	m, digest, err := d.fetchManifest(ctx)
-	if err != nil {
-		d.log.Debug("manifest not read", zap.Error(err))
-		return
-	}
-	if d.versions.Install(m, digest) {
-		d.admitter.Keep(specs(d.versions.Current()))
-		d.log.Info("manifest in force", zap.Uint64("version", uint64(m.Version)))
-	}
+// hostList follows the platform's list of hosts.
+type hostList struct {
+	entries atomic.Pointer[[]platform.HostEntry]
 }
 
-func (d *Daemon) fetchManifest(ctx context.Context) (*manifest.Manifest, names.Digest, error) {
-	value, err := d.platform.Get(ctx, pages.RootKey)
-	if err != nil {
-		return nil, "", err
+func (l *hostList) read(ctx context.Context, p platform.Platform) {
+	if entries, err := p.Hosts(ctx); err == nil {
+		l.entries.Store(&entries)
 	}
-	publication, err := pages.ParsePublication(value.Data)
-	if err != nil {
-		return nil, "", err
+}
+
+// Entries returns the newest list.
+func (l *hostList) Entries() []platform.HostEntry {
+	if entries := l.entries.Load(); entries != nil {
+		return *entries
 	}
-	key, err := hex.DecodeString(d.settings.Manifest.PublicKey)
-	if err != nil {
-		return nil, "", err
+	return nil
+}
+
+// Count returns the number of listed hosts.
+func (l *hostList) Count() int { return len(l.Entries()) }
+
+// listedMembers takes the platform's list for the members.
+type listedMembers struct {
+	d *Daemon
+}
+
+// Live implements fleet.Members.
+func (l listedMembers) Live() []membership.Member {
+	var list []membership.Member
+	for _, entry := range l.d.hosts.Entries() {
+		list = append(list, membership.Member{
+			Host: entry.Host, DataCentre: entry.DataCentre, Draining: entry.State == platform.HostLeaving,
+			Region: l.d.regionOf(entry.DataCentre),
+		})
 	}
-	root, err := pages.ParseRoot([]byte(publication.Root), []ed25519.PublicKey{key})
-	if err != nil {
-		return nil, "", err
+	slices.SortFunc(list, func(a, b membership.Member) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	return list
+}
+
+// changed takes in a new view of members and version.
+func (d *Daemon) changed(v *fleet.View) {
+	hosts := make([]names.Host, 0, len(v.Members))
+	for i := range v.Members {
+		hosts = append(hosts, v.Members[i].Host)
 	}
-	if root.Version <= d.versions.Current().Version() {
-		return d.versions.Current().Manifest, "", nil
+	if v.Version == nil {
+		return
 	}
-	m, err := pages.Assemble(root, func(digest names.Digest) ([]byte, bool) {
-		page, err := d.platform.Get(ctx, pages.PageKey(digest))
-		return page.Data, err == nil
-	})
-	return m, pages.DigestOf([]byte(publication.Root)), err
+	d.calls.Observe(hosts, v.Version.Manifest.Fleet.ExpectedDaemons)
+	d.admitter.Keep(specs(v))
 }
 
-// readReports asks every engine for its load.
+// readReports asks every kept engine for its load.
 func (d *Daemon) readReports(ctx context.Context) {
-	view := d.versions.Current()
-	if view == nil {
+	v := d.fleet.View()
+	if v.Version == nil {
 		return
 	}
-	for i := range view.Manifest.Targets {
-		entry := &view.Manifest.Targets[i]
-		if entry.Service == "" {
+	for i := range v.Version.Manifest.Targets {
+		entry := &v.Version.Manifest.Targets[i]
+		if entry.Service == "" && v.Assignment.Kept(entry.Name) {
 			go d.readReport(ctx, d.dispatcher.Engines.Engine(entry.Address), entry.Name)
 		}
 	}
@@ -109,19 +114,21 @@
 		return
 	}
 	report.Target = name
+	d.distributor.FenceSeen(names.Version(report.Fence))
 	d.admitter.Report(report)
 }
 
-// specs returns what the load table is told of a version's engines.
-func specs(view *version.State) []load.Spec {
-	ranks := load.Ranks(view.Manifest)
+// specs returns what the load table is told of the engines that this daemon
+// keeps.
+func specs(v *fleet.View) []load.Spec {
+	ranks := load.Ranks(v.Version.Manifest)
 	var list []load.Spec
-	for i := range view.Manifest.Targets {
-		entry := &view.Manifest.Targets[i]
-		if entry.Service != "" {
+	for i := range v.Version.Manifest.Targets {
+		entry := &v.Version.Manifest.Targets[i]
+		if entry.Service != "" || !v.Assignment.Kept(entry.Name) {
 			continue
 		}
-		at, leaves := view.Index.Departure(entry.Name)
+		at, leaves := v.Version.Index.Departure(entry.Name)
 		list = append(list, load.Spec{
 			Name:         entry.Name,
 			DataCentre:   entry.DataCentre,
@@ -137,3 +144,9 @@
 	}
 	return list
 }
+
+// leaves reports whether a departing target takes no new work.
+func leaves(view *version.State, t names.Target) bool {
+	_, leaving := view.Index.Departure(t)
+	return leaving
+}
--- a/serving/process/settings/defaults.go
+++ b/serving/process/settings/defaults.go
@@ -2,7 +2,6 @@
 
 import (
 	"time"
-
 )
 
 // Defaults of settings that a file may leave out.
