Prove calls and relays on a whole fleet

Cause: forwarding was wired and untested. Change: tests with three daemons: a ticket runs once through all of them, is never run once its owner is gone, is offered where it is missing; a generation passes through two daemons when only one keeps the engine. Conclusion: the path through two daemons stands.

--- a/serving/process/daemon/daemon.go
+++ b/serving/process/daemon/daemon.go
@@ -157,6 +157,9 @@
 // Ready returns nil if the daemon takes new requests.
 func (d *Daemon) Ready() error { return d.ready() }
 
+// Keeps reports whether this daemon keeps an engine of a model.
+func (d *Daemon) Keeps(model names.Model) bool { return d.fleet.Keeps(model) }
+
 // CallerAddress returns the address of the caller interface.
 func (d *Daemon) CallerAddress() string { return d.listeners.Caller.Addr().String() }
 
--- /dev/null
+++ b/tools/dev/calls_test.go
@@ -0,0 +1,162 @@
+package dev
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+
+	"carobspoke.example/core/version/manifest"
+	"carobspoke.example/tools/standin/fleet"
+	"go.uber.org/zap"
+)
+
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// post sends a request to a daemon, as customer-a.
+func post(t *testing.T, d *Dev, daemon int, path, body string, header map[string]string) reply {
+	t.Helper()
+	url := "http://" + d.Daemons()[daemon].CallerAddress() + path
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+fleet.Key("customer-a"))
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close() //nolint:errcheck // it is read whole
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply{status: response.StatusCode, header: response.Header, body: text}
+}
+
+func field(t *testing.T, body []byte, path ...string) string {
+	t.Helper()
+	var value any
+	if err := json.Unmarshal(body, &value); err != nil {
+		t.Fatalf("%s: %s", err, body)
+	}
+	for _, key := range path {
+		fields, _ := value.(map[string]any)
+		value = fields[key]
+	}
+	text, _ := value.(string)
+	return text
+}
+
+// runs counts the calls that replicas ran.
+func runs(d *Dev) int {
+	total := 0
+	for _, s := range d.Fleet.Services() {
+		total += len(s.Runs())
+	}
+	return total
+}
+
+func TestTicketRunsOnceThroughEveryDaemon(t *testing.T) {
+	d := startDev(t)
+	minted := post(t, d, 0, "/v1/services/orders/tickets", `{}`, nil)
+	ticket := map[string]string{"Carobspoke-Ticket": field(t, minted.body, "ticket")}
+	var first []byte
+	for i := range d.Daemons() {
+		got := post(t, d, i, "/v1/services/orders/call", `{"plates":3}`, ticket)
+		if got.status != http.StatusOK {
+			t.Fatalf("daemon %d: %d %s", i, got.status, got.body)
+		}
+		if first == nil {
+			first = got.body
+		}
+		if !bytes.Equal(first, got.body) || got.header.Get("Carobspoke-Replayed") != map[bool]string{true: "true", false: "false"}[i > 0] {
+			t.Fatalf("daemon %d: %s, header %v", i, got.body, got.header)
+		}
+	}
+	if n := runs(d); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+func TestTicketOfAClosedDaemonIsNeverRun(t *testing.T) {
+	d := startDev(t)
+	minted := post(t, d, 0, "/v1/services/orders/tickets", `{}`, nil)
+	ticket := map[string]string{"Carobspoke-Ticket": field(t, minted.body, "ticket")}
+	owner := d.Daemons()[0]
+	if err := d.Remove(t.Context(), owner); err != nil {
+		t.Fatal(err)
+	}
+	for i := range d.Daemons() {
+		got := post(t, d, i, "/v1/services/orders/call", `{}`, ticket)
+		if got.status == http.StatusOK || field(t, got.body, "error", "verdict") != "may_have_run" {
+			t.Fatalf("daemon %d: %d %s", i, got.status, got.body)
+		}
+	}
+	if n := runs(d); n != 0 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+func TestCallWithoutTicketOrKeyIsOfferedATicket(t *testing.T) {
+	d := startDev(t)
+	refused := post(t, d, 0, "/v1/services/orders/call", `{}`, nil)
+	if refused.status != http.StatusPreconditionRequired || field(t, refused.body, "error", "verdict") != "not_run" {
+		t.Fatalf("%d %s", refused.status, refused.body)
+	}
+	ticket := map[string]string{"Carobspoke-Ticket": field(t, refused.body, "error", "ticket")}
+	if got := post(t, d, 1, "/v1/services/orders/call", `{}`, ticket); got.status != http.StatusOK {
+		t.Fatalf("%d %s", got.status, got.body)
+	}
+}
+
+func TestRequestPassesThroughTwoDaemons(t *testing.T) {
+	c := Config{
+		Fleet:  fleet.Config{Size: fleet.Dev, Speedup: testSpeedup},
+		Log:    zap.NewNop(),
+		Adjust: func(m *manifest.Manifest) { onlyEngine(m) },
+	}
+	d, err := Start(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	relayed := 0
+	for i, daemon := range d.Daemons() {
+		got := post(t, d, i, "/v1/completions", `{"model":"draft","prompt":"x","max_tokens":5}`, nil)
+		if got.status != http.StatusOK {
+			t.Fatalf("daemon %d: %d %s", i, got.status, got.body)
+		}
+		if !daemon.Keeps("draft") {
+			relayed++
+		}
+	}
+	if relayed != len(d.Daemons())-1 {
+		t.Fatalf("%d of %d daemons relayed", relayed, len(d.Daemons()))
+	}
+}
+
+// onlyEngine leaves one engine, with one keeper.
+func onlyEngine(m *manifest.Manifest) {
+	m.Policy.Keepers = 1
+	kept := m.Targets[:0:0]
+	engines := 0
+	for _, target := range m.Targets {
+		if target.Service == "" {
+			engines++
+			if engines > 1 {
+				continue
+			}
+		}
+		kept = append(kept, target)
+	}
+	m.Targets = kept
+}
