Add carobspoke manifest check, diff, pack, sign and keygen

Cause: operators' pipelines need the daemons' own checks and the values to publish in their order, with the private key needed in one step only. Change: the commands; pages split into cutting and signing; watchers are chosen by package subset. Conclusion: a manifest can be published by a pipeline.

--- a/core/process/distribution/distribution.go
+++ b/core/process/distribution/distribution.go
@@ -47,9 +47,6 @@
 	// ExpectedDaemons is the number of daemons from the settings, or zero.
 	// It serves until a member list or a manifest says more.
 	ExpectedDaemons int
-	// First returns the first n hosts of the rendezvous order for a key. It
-	// is nil for the order of this package.
-	First func(n int, key string, hosts []names.Host) []names.Host
 	// FleetCalls is the rate of calls to the service of all daemons
 	// together, in calls a second. Within a single second they may
 	// make up to twice as many.
--- a/core/process/distribution/machine.go
+++ b/core/process/distribution/machine.go
@@ -36,9 +36,6 @@
 
 // New returns a machine that starts at now with nothing in force.
 func New(config Config, random *rand.Rand, now time.Time) *Machine {
-	if config.First == nil {
-		config.First = first
-	}
 	m := &Machine{config: config, random: random, started: now}
 	m.boot.answers = map[names.Host]Held{}
 	m.claims.refused = map[Held]bool{}
--- a/core/process/distribution/rendezvous.go
+++ b/core/process/distribution/rendezvous.go
@@ -5,7 +5,8 @@
 	"slices"
 
 	"carobspoke.example/core/names"
-	"github.com/cespare/xxhash/v2"
+	"carobspoke.example/core/process/membership"
+	"carobspoke.example/core/process/subset"
 )
 
 // watchKey is the key of the rendezvous order of watchers.
@@ -13,13 +14,14 @@
 
 // first returns the first n hosts of the rendezvous order for a key.
 func first(n int, key string, hosts []names.Host) []names.Host {
-	order := slices.Clone(hosts)
-	slices.SortFunc(order, func(a, b names.Host) int {
-		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a, b))
-	})
-	return order[:min(n, len(order))]
-}
-
-func weight(key string, host names.Host) uint64 {
-	return xxhash.Sum64String(key + "\x00" + string(host))
+	members := make([]membership.Member, 0, len(hosts))
+	for _, host := range hosts {
+		members = append(members, membership.Member{Host: host})
+	}
+	slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(a.Host, b.Host) })
+	chosen := make([]names.Host, 0, n)
+	for _, member := range subset.First(n, key, members) {
+		chosen = append(chosen, member.Host)
+	}
+	return chosen
 }
--- a/core/process/distribution/service.go
+++ b/core/process/distribution/service.go
@@ -54,7 +54,7 @@
 		}
 	}
 	m.service.watcher = false
-	for _, host := range m.config.First(m.config.WatchersPerCentre, watchKey, hosts) {
+	for _, host := range first(m.config.WatchersPerCentre, watchKey, hosts) {
 		m.service.watcher = m.service.watcher || host == m.config.Self.Host
 	}
 	if m.members() > SmallFleet && now.Sub(m.started) < m.config.ViewSettle {
--- a/core/version/pages/pack.go
+++ b/core/version/pages/pack.go
@@ -31,11 +31,17 @@
 
 // Pack checks a manifest, cuts it into pages and signs the root.
 func Pack(m *manifest.Manifest, key ed25519.PrivateKey) (*Packed, error) {
-	if err := m.Check(); err != nil {
+	p, err := Cut(m)
+	if err != nil {
 		return nil, err
 	}
-	if len(key) != ed25519.PrivateKeySize {
-		return nil, errors.Errorf("private key has %d bytes, expected %d", len(key), ed25519.PrivateKeySize)
+	return p, signRoot(p.Root, key)
+}
+
+// Cut checks a manifest and cuts it into pages. The root is not signed yet.
+func Cut(m *manifest.Manifest) (*Packed, error) {
+	if err := m.Check(); err != nil {
+		return nil, err
 	}
 	all, err := sections(m.Canonical())
 	if err != nil {
@@ -48,10 +54,7 @@
 	for _, page := range p.Pages {
 		p.Root.Pages = append(p.Root.Pages, page.Ref)
 	}
-	if err := p.Root.check(); err != nil {
-		return nil, err
-	}
-	return p, signRoot(p.Root, key)
+	return p, p.Root.check()
 }
 
 // Page returns a page's data.
@@ -66,8 +69,18 @@
 
 // Publish returns the values to write, in the order in which they must be
 // written: the pages that previous does not have, then the root. Previous is
-// the version published before, or nil.
+// the version published before, signed or not, or nil.
 func Publish(previous, next *Packed) ([]Value, error) {
+	values := NewPages(previous, next)
+	root, err := EncodePublication(next.Root.Signed, Deltas(previous, next))
+	if err != nil {
+		return nil, err
+	}
+	return append(values, root), nil
+}
+
+// NewPages returns the pages of next that previous does not have.
+func NewPages(previous, next *Packed) []Value {
 	var values []Value
 	for _, page := range next.Pages {
 		if previous != nil {
@@ -77,29 +90,24 @@
 		}
 		values = append(values, Value{Key: PageKey(page.Ref.Digest), Data: page.Data})
 	}
-	root, err := publication(previous, next)
-	if err != nil {
-		return nil, err
-	}
-	return append(values, Value{Key: RootKey, Data: root}), nil
+	return values
 }
 
-// publication encodes the root's value, without deltas if they do not fit.
-func publication(previous, next *Packed) ([]byte, error) {
-	p := Publication{Root: string(next.Root.Signed), Deltas: deltas(previous, next)}
+// EncodePublication returns the root's value, without deltas if they do not
+// fit.
+func EncodePublication(signed []byte, deltas []Delta) (Value, error) {
+	p := Publication{Root: string(signed), Deltas: deltas}
 	data, err := json.Marshal(p)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode publication")
-	}
-	if len(data) <= MaxPublicationBytes {
-		return data, nil
+	if err == nil && len(data) > MaxPublicationBytes {
+		p.Deltas = nil
+		data, err = json.Marshal(p)
 	}
-	p.Deltas = nil
-	data, err = json.Marshal(p)
-	return data, errors.Wrap(err, "encode publication")
+	return Value{Key: RootKey, Data: data}, errors.Wrap(err, "encode publication")
 }
 
-func deltas(previous, next *Packed) []Delta {
+// Deltas returns what leads from the pages of one version to the next.
+// Previous may be nil.
+func Deltas(previous, next *Packed) []Delta {
 	if previous == nil {
 		return nil
 	}
--- a/core/version/pages/pages_test.go
+++ b/core/version/pages/pages_test.go
@@ -96,7 +96,7 @@
 		}
 		published := len(values[len(values)-1].Data)
 		bytes := NewDelta("", old.Root.Signed, "", next.Root.Signed).Bytes()
-		for _, d := range deltas(old, next) {
+		for _, d := range Deltas(old, next) {
 			bytes += d.Bytes()
 		}
 		t.Logf("%s: whole %d bytes in %d pages, root %d, root's value %d, deltas of root and pages %d, values written %d",
@@ -117,7 +117,7 @@
 		m := large(version, 400+random.IntN(200), 400+random.IntN(200))
 		m.Targets[random.IntN(len(m.Targets))].Want.Version = "v2"
 		next := pack(t, m)
-		for _, d := range deltas(old, next) {
+		for _, d := range Deltas(old, next) {
 			before, _ := old.Page(d.From)
 			after, _ := next.Page(d.To)
 			got, err := d.Apply(before)
--- a/core/version/pages/root.go
+++ b/core/version/pages/root.go
@@ -42,15 +42,29 @@
 	Signed []byte
 }
 
+// Encode returns the root without a signature, as Sign takes it.
+func (r *Root) Encode() []byte { return encodeRoot(r) }
+
+// Sign returns the signed form of an encoded root.
+func Sign(encoded []byte, key ed25519.PrivateKey) ([]byte, error) {
+	if len(key) != ed25519.PrivateKeySize {
+		return nil, errors.Errorf("private key has %d bytes, expected %d", len(key), ed25519.PrivateKeySize)
+	}
+	signature := ed25519.Sign(key, append([]byte(signatureContext), encoded...))
+	signed := append([]byte(encode(signature)+"\n"), encoded...)
+	if len(signed) > MaxRootBytes {
+		return nil, errors.Errorf("root has %d bytes, limit %d", len(signed), MaxRootBytes)
+	}
+	return signed, nil
+}
+
 func signRoot(r *Root, key ed25519.PrivateKey) error {
-	payload := encodeRoot(r)
-	signature := ed25519.Sign(key, append([]byte(signatureContext), payload...))
-	text := encode(signature)
-	r.Digest = DigestOf(payload)
-	r.Signed = append([]byte(text+"\n"), payload...)
-	if len(r.Signed) > MaxRootBytes {
-		return errors.Errorf("root has %d bytes, limit %d", len(r.Signed), MaxRootBytes)
+	encoded := encodeRoot(r)
+	signed, err := Sign(encoded, key)
+	if err != nil {
+		return err
 	}
+	r.Digest, r.Signed = DigestOf(encoded), signed
 	return nil
 }
 
--- /dev/null
+++ b/tools/cmd/carobspoke/manifestcmd/keys.go
@@ -0,0 +1,72 @@
+package manifestcmd
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/hex"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func keygenCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "keygen",
+		Usage:     "make a key pair for signing manifests",
+		ArgsUsage: "PREFIX",
+		Description: `Writes PREFIX.key, which stays in the pipeline, and PREFIX.pub, whose text goes
+into the daemons' settings as manifest.public_key. Files that exist are left
+alone.
+
+` + exitCodes,
+		Action: func(_ context.Context, c *cli.Command) error {
+			paths, err := arguments(c, 1)
+			if err != nil {
+				return err
+			}
+			return keygen(c, paths[0])
+		},
+	}
+}
+
+func keygen(c *cli.Command, prefix string) error {
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return errors.Wrap(err, "generate key")
+	}
+	if err := create(prefix+".key", hex.EncodeToString(private), secretMode); err != nil {
+		return err
+	}
+	text := hex.EncodeToString(public)
+	if err := create(prefix+".pub", text, fileMode); err != nil {
+		return err
+	}
+	return say(c, "public_key = %q\n", text)
+}
+
+// create writes a file that must not exist.
+func create(path, text string, mode os.FileMode) error {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return errors.Wrap(err, "key file")
+	}
+	_, err = file.WriteString(text + "\n")
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Wrap(err, "key file")
+}
+
+func readPrivateKey(path string) (ed25519.PrivateKey, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "private key")
+	}
+	key, err := hex.DecodeString(strings.TrimSpace(string(text)))
+	if err != nil || len(key) != ed25519.PrivateKeySize {
+		return nil, refuse("%s: expected a private key of %d hexadecimal digits", path, 2*ed25519.PrivateKeySize)
+	}
+	return key, nil
+}
