--- a/core/process/keys/keys.go
+++ b/core/process/keys/keys.go
@@ -8,12 +8,18 @@
 // home of the key without interruption for the whole window, in every view
 // that it had, each with a majority of the expected daemons.
 //
-// The promise: of the sends of a key within a window of its first one, at most
-// one runs, as long as no two daemons hold contradictory views, each with a
-// majority, for longer than a window. What stays open: daemons that disagree
-// about the members for longer than that, which an asymmetric partition can
-// cause; and a resend later than the window, which runs again. A ticket has
-// neither gap.
+// The promise: of the sends of a key that its caller makes within ResendWithin
+// of the first, at most one runs, as long as no two daemons hold contradictory
+// views, each with a majority, for longer than a window, and as long as the
+// network delays no send by more than MaxDelay. A daemon that was paused for
+// longer than MaxPause treats the pause as an interruption, both as a home and
+// when it passes a send on: what waited in its buffers meanwhile is of unknown
+// age.
+//
+// What stays open: daemons that disagree about the members for longer than a
+// window, which an asymmetric partition can cause; a send that the network
+// delivers later than MaxDelay; and a resend after the window, which runs
+// again. A ticket has none of these gaps, since it carries its own expiry.
 //
 // Times are durations since the daemon's start on its monotonic clock. Homes
 // is not safe for concurrent use.
@@ -30,9 +36,18 @@
 	// Window is how long a home remembers a key, and how long it must have
 	// been the key's home before it runs it.
 	Window = 10 * time.Minute
+	// ResendWithin is how long after its first send a caller may resend. The
+	// rest of the window covers what delays sends.
+	ResendWithin = 5 * time.Minute
+	// MaxDelay is the longest delay of a send in the network that the window
+	// covers.
+	MaxDelay = 3 * time.Minute
+	// MaxPause is the longest pause of a daemon that the window covers, once
+	// where a send enters and once at its home.
+	MaxPause = time.Minute
 	// MaxViews is the most views that are remembered. If the members change
 	// more often within a window, no key is settled until it has passed.
-	MaxViews = 128
+	MaxViews = 256
 )
 
 // Choose returns the home of a key among members, which are never empty. It
@@ -48,6 +63,10 @@
 	views    []view
 	// unknownUntil is when the last view that was dropped leaves the window.
 	unknownUntil time.Duration
+	// alive is when the daemon last was seen to run.
+	alive time.Duration
+	// pausedUntil is when the last pause leaves the window.
+	pausedUntil time.Duration
 }
 
 // view is what the daemon took for the live members from since on.
@@ -69,6 +88,7 @@
 // member that restarts keeps the place of its host: its keys stay with it, and
 // it refuses them for a window since its own start.
 func (h *Homes) Observe(members []names.Host, now time.Duration) {
+	h.Alive(now)
 	h.trim(now)
 	sorted := slices.Sorted(slices.Values(members))
 	if len(h.views) == 0 {
@@ -82,6 +102,16 @@
 	}
 }
 
+// Alive records that the daemon runs. It is to be called every few seconds; a
+// longer silence than MaxPause is taken for a pause.
+func (h *Homes) Alive(now time.Duration) {
+	if now-h.alive > MaxPause {
+		h.unknownUntil = max(h.unknownUntil, now+h.window)
+		h.pausedUntil = now + h.window
+	}
+	h.alive = max(h.alive, now)
+}
+
 // Place says where the home of a key is.
 type Place struct {
 	// Home is the key's home in the present view; empty if there is none.
@@ -91,10 +121,14 @@
 	// SettledIn is how long this daemon has to stay the home before it may,
 	// if the members stay as they are.
 	SettledIn time.Duration
+	// Paused says that this daemon was paused within the window, and passes
+	// no sends on.
+	Paused bool
 }
 
 // Find returns the place of a key.
 func (h *Homes) Find(key names.Digest, now time.Duration) Place {
+	h.Alive(now)
 	h.trim(now)
 	if len(h.views) == 0 {
 		return Place{SettledIn: h.window}
@@ -103,7 +137,7 @@
 	if len(newest.members) == 0 {
 		return Place{SettledIn: h.window}
 	}
-	p := Place{Home: h.choose(key, newest.members)}
+	p := Place{Home: h.choose(key, newest.members), Paused: now < h.pausedUntil}
 	p.SettledIn = max(0, h.settledAt(key, now)-now)
 	p.Settled = p.Home == h.self && p.SettledIn == 0
 	return p
--- a/core/process/keys/keys_test.go
+++ b/core/process/keys/keys_test.go
@@ -30,26 +30,48 @@
 	home := rendezvous(key, all)
 	h := New(home, Window, rendezvous)
 	h.SetExpected(3)
+	h.runTo(2 * minute)
 	h.Observe(all, 2*minute)
 	for _, c := range []struct {
 		at   time.Duration
 		want bool
 	}{{3 * minute, false}, {12*minute - 1, false}, {12 * minute, true}} {
+		h.runTo(c.at)
 		if p := h.Find(key, c.at); p.Settled != c.want || p.Home != home {
 			t.Fatalf("at %s: %+v", c.at, p)
 		}
 	}
+	h.runTo(20 * minute)
 	h.Observe([]names.Host{home}, 20*minute)
 	if p := h.Find(key, 20*minute); p.Settled {
 		t.Fatal("settled within a minority")
 	}
 	h.Observe(all, 21*minute)
+	h.runTo(22 * minute)
 	if p := h.Find(key, 22*minute); p.Settled || p.SettledIn != 9*minute {
 		t.Fatalf("after the minority: %+v", p)
 	}
+	h.runTo(31 * minute)
 	if p := h.Find(key, 31*minute); !p.Settled {
 		t.Fatalf("a window later: %+v", p)
 	}
+	if p := h.Find(key, 32*minute); !p.Settled {
+		t.Fatalf("after a short pause: %+v", p)
+	}
+	if p := h.Find(key, 34*minute); p.Settled || !p.Paused {
+		t.Fatalf("after a long pause: %+v", p)
+	}
+	h.runTo(44 * minute)
+	if p := h.Find(key, 44*minute); !p.Settled || p.Paused {
+		t.Fatalf("a window after the pause: %+v", p)
+	}
+}
+
+// runTo lets the daemon run without a pause.
+func (h *Homes) runTo(end time.Duration) {
+	for now := h.alive; now <= end; now += 10 * time.Second {
+		h.Alive(now)
+	}
 }
 
 func TestTooManyViewsUnsettle(t *testing.T) {
@@ -59,6 +81,7 @@
 		h.Observe([]names.Host{"a", names.Host(strconv.Itoa(i))}, time.Duration(i)*time.Second)
 	}
 	dropped := time.Duration(2*MaxViews) * time.Second
+	h.runTo(dropped + Window - 1)
 	if p := h.Find("1", dropped+Window-1); p.Settled {
 		t.Fatal("settled although views of the window were dropped")
 	}
--- a/serving/request/calls/calls.go
+++ b/serving/request/calls/calls.go
@@ -143,6 +143,14 @@
 	s.homes.Observe(members, s.age())
 }
 
+// Tick tells that the process runs. It is to be called about once a second;
+// by its absence the server knows that the process was paused.
+func (s *Server) Tick() {
+	s.homesMu.Lock()
+	defer s.homesMu.Unlock()
+	s.homes.Alive(s.age())
+}
+
 // Owned returns how many calls the daemon remembers, and the size of their
 // answers in bytes.
 func (s *Server) Owned() (calls, answerBytes int) { return s.owner.size() }
@@ -172,3 +180,6 @@
 
 // Unwrap returns the error without its ticket.
 func (f *Failure) Unwrap() error { return f.Cause }
+
+// OfferedTicket returns the ticket, for the failure's form.
+func (f *Failure) OfferedTicket() string { return f.Ticket }
--- a/serving/request/calls/peers.go
+++ b/serving/request/calls/peers.go
@@ -29,22 +29,12 @@
 // that the server's transport never handed to a handler. They are harmless:
 // the receiver knows a forwarded call by its ticket or key and runs it once.
 type GRPCPeers struct {
-	// Conn returns a connection made with DialOptions.
-	Conn func(names.Host) (grpc.ClientConnInterface, error)
+	// Conn returns a connection; see peers.Pool.
+	Conn func(names.Host) (*grpc.ClientConn, error)
 	// Known returns the newest incarnation that is known of a host, or zero.
 	Known func(names.Host) names.Incarnation
 }
 
-// DialOptions returns the options that Conn must dial with, beside those for
-// security.
-func DialOptions() []grpc.DialOption {
-	return []grpc.DialOption{
-		grpc.WithDisableRetry(),
-		grpc.WithDisableServiceConfig(),
-		grpc.WithDefaultCallOptions(grpc.WaitForReady(false)),
-	}
-}
-
 // Call implements Peers.
 func (p *GRPCPeers) Call(ctx context.Context, host names.Host, in *peerpb.CallRequest) (*peerpb.CallReply, error) {
 	conn, err := p.Conn(host)
--- a/serving/request/calls/route.go
+++ b/serving/request/calls/route.go
@@ -77,11 +77,11 @@
 func (s *Server) routeKey(ctx context.Context, in send) (outcome, error) {
 	key := ticket.KeyDigest(in.customer, in.service, in.key)
 	place := s.place(key)
-	if place.Home != "" && place.Home != s.deps.Self.Host {
+	if place.Home != "" && place.Home != s.deps.Self.Host && !place.Paused {
 		out, err := s.forward(ctx, in, place.Home, 0)
 		return out, s.offerUnsettled(in, err)
 	}
-	if !place.Settled {
+	if !place.Settled || place.Paused {
 		failure := verdict.New(verdict.MayHaveRun, verdict.KeyHomeUnsettled,
 			"this send did not run; it is not known whether an earlier one with the key did")
 		return outcome{}, s.offer(in, failure.WithRetryAfter(place.SettledIn))
