--- a/serving/request/calls/calls.go
+++ b/serving/request/calls/calls.go
@@ -144,6 +144,14 @@
 	s.homes.Observe(members, s.age())
 }
 
+// Tick tells that the process runs. It is to be called about once a second;
+// by its absence the server knows that the process was paused.
+func (s *Server) Tick() {
+	s.homesMu.Lock()
+	defer s.homesMu.Unlock()
+	s.homes.Alive(s.age())
+}
+
 // Owned returns how many calls the daemon remembers, and the size of their
 // answers in bytes.
 func (s *Server) Owned() (calls, answerBytes int) { return s.owner.size() }
--- a/tools/cmd/carobspoke/main.go
+++ b/tools/cmd/carobspoke/main.go
@@ -9,6 +9,7 @@
 	"os"
 
 	"carobspoke.example/tools/bench"
+	"carobspoke.example/tools/cmd/carobspoke/manifestcmd"
 	"carobspoke.example/tools/dev"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -25,6 +26,7 @@
 		Commands: []*cli.Command{
 			bench.Command(),
 			dev.Command(),
+			manifestcmd.Command(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
