Give calls the pool's connections; wait until daemons see each other

Cause: peers of calls take gRPC's own connection type now, and a test of relays ran before a daemon had read the platform's list. Change: the pool's method is passed as it is; dev waits for all members.

--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -46,7 +46,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	goahttp "goa.design/goa/v3/http"
-	"google.golang.org/grpc"
 )
 
 // build makes the parts that live as long as the process.
@@ -121,7 +120,7 @@
 			Client: func(address string) targetapi.Service { return targetapi.NewClient(address, d.transport) },
 		},
 		Peers: &calls.GRPCPeers{
-			Conn:  func(host names.Host) (grpc.ClientConnInterface, error) { return d.pool.Conn(host) },
+			Conn:  d.pool.Conn,
 			Known: d.fleet.Known,
 		},
 		Retries:   d.retries,
--- a/serving/process/daemon/daemon.go
+++ b/serving/process/daemon/daemon.go
@@ -157,6 +157,9 @@
 // Ready returns nil if the daemon takes new requests.
 func (d *Daemon) Ready() error { return d.ready() }
 
+// Members returns how many live members this daemon sees, itself included.
+func (d *Daemon) Members() int { return len(d.fleet.View().Members) }
+
 // Keeps reports whether this daemon keeps an engine of a model.
 func (d *Daemon) Keeps(model names.Model) bool { return d.fleet.Keeps(model) }
 
--- a/tools/dev/dev.go
+++ b/tools/dev/dev.go
@@ -226,7 +226,8 @@
 	return err
 }
 
-// WaitReady waits until all daemons have the published version in force.
+// WaitReady waits until all daemons have the published version in force and
+// see each other.
 func (d *Dev) WaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, ReadyTimeout)
 	defer cancel()
@@ -244,8 +245,9 @@
 
 func (d *Dev) inForce() bool {
 	want := d.Manifest().Version
-	for _, running := range d.Daemons() {
-		if running.Versions().Current().Version() < want || running.Ready() != nil {
+	daemons := d.Daemons()
+	for _, running := range daemons {
+		if running.Versions().Current().Version() < want || running.Ready() != nil || running.Members() != len(daemons) {
 			return false
 		}
 	}
