Add carobspoke status and explain

Cause: operators could not look at a fleet. Change: two commands over the generated administration client.

--- a/serving/process/daemon/status.go
+++ b/serving/process/daemon/status.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"carobspoke.example/core/process/membership"
 	"carobspoke.example/core/request/choice"
 	"carobspoke.example/core/request/facts"
 	"carobspoke.example/core/version/manifest"
@@ -20,7 +21,7 @@
 		Incarnation: uint64(d.incarnation),
 		Ready:       d.ready() == nil,
 		Draining:    d.draining.Load(),
-		Members:     []*genadmin.MemberStatus{},
+		Members:     memberStatus(d.fleet.View().Members),
 		Targets:     []*genadmin.TargetStatus{},
 		Quotas:      []*genadmin.QuotaStatus{},
 		Refusals:    d.counters.Refusals(),
@@ -36,6 +37,20 @@
 	return result
 }
 
+func memberStatus(members []membership.Member) []*genadmin.MemberStatus {
+	list := make([]*genadmin.MemberStatus, 0, len(members))
+	for i := range members {
+		list = append(list, &genadmin.MemberStatus{
+			Host:        string(members[i].Host),
+			DataCentre:  string(members[i].DataCentre),
+			Incarnation: uint64(members[i].Incarnation),
+			State:       members[i].State.String(),
+			Version:     uint64(members[i].Version),
+		})
+	}
+	return list
+}
+
 func (d *Daemon) targetStatus(view *version.State) []*genadmin.TargetStatus {
 	var list []*genadmin.TargetStatus
 	for i := range view.Manifest.Models {
--- /dev/null
+++ b/tools/adminclient/explain.go
@@ -0,0 +1,70 @@
+package adminclient
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"carobspoke.example/serving/gen/admin"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// ExplainCommand returns `carobspoke explain`.
+func ExplainCommand() *cli.Command {
+	flags := append(commonFlags(),
+		&cli.StringFlag{Name: "customer", Required: true},
+		&cli.StringFlag{Name: "model", Required: true},
+		&cli.IntFlag{Name: "prompt-tokens", Required: true},
+		&cli.IntFlag{Name: "max-tokens", Value: 512},
+		&cli.DurationFlag{Name: "timeout", Usage: "the request's time; 0 means a minute"},
+	)
+	return &cli.Command{
+		Name:  "explain",
+		Usage: "say why a request would go where, without sending it",
+		Flags: flags,
+		Action: func(ctx context.Context, c *cli.Command) error {
+			for _, address := range c.StringSlice("admin") {
+				if err := explainAt(ctx, c, address); err != nil {
+					return errors.Wrap(err, address)
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func explainAt(ctx context.Context, c *cli.Command, address string) error {
+	maxTokens := c.Int("max-tokens")
+	payload := &admin.ExplainPayload{
+		Customer: c.String("customer"), Model: c.String("model"),
+		PromptTokens: c.Int("prompt-tokens"), MaxTokens: &maxTokens,
+	}
+	if timeout := c.Duration("timeout"); timeout > 0 {
+		millis := timeout.Milliseconds()
+		payload.TimeoutMs = &millis
+	}
+	result, err := New(address, c.String("key")).Explain(ctx, payload)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(os.Stdout, result)
+	}
+	return printExplanation(os.Stdout, result)
+}
+
+func printExplanation(out io.Writer, e *admin.ExplainResult) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	chosen := "none"
+	if e.Target != nil {
+		chosen = *e.Target
+	}
+	fmt.Fprintf(table, "class %s, target %s: %s\n\nTARGET\tPART\tSAYS\tWHY\n", e.Class, chosen, e.Decision)
+	for _, step := range e.Steps {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", step.Target, step.Step, step.Verdict, step.Reason)
+	}
+	return errors.WithStack(table.Flush())
+}
--- a/tools/cmd/carobspoke/main.go
+++ b/tools/cmd/carobspoke/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 
+	"carobspoke.example/tools/adminclient"
 	"carobspoke.example/tools/bench"
 	"carobspoke.example/tools/cmd/carobspoke/manifestcmd"
 	"carobspoke.example/tools/dev"
@@ -24,6 +25,8 @@
 		Description:           "Exit codes: 0 for success, 1 for a failure, 2 for wrong arguments or input.",
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
+			adminclient.StatusCommand(),
+			adminclient.ExplainCommand(),
 			bench.Command(),
 			dev.Command(),
 			manifestcmd.Command(),
