--- a/tools/cmd/carobspoke/main.go
+++ b/tools/cmd/carobspoke/main.go
@@ -8,6 +8,9 @@
 	"fmt"
 	"os"
 
+	"carobspoke.example/tools/adminclient"
+	"carobspoke.example/tools/bench"
+	"carobspoke.example/tools/cmd/carobspoke/manifestcmd"
 	"carobspoke.example/tools/dev"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -22,7 +25,11 @@
 		Description:           "Exit codes: 0 for success, 1 for a failure, 2 for wrong arguments or input.",
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
+			adminclient.StatusCommand(),
+			adminclient.ExplainCommand(),
+			bench.Command(),
 			dev.Command(),
+			manifestcmd.Command(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
