--- a/tools/standin/platform/platform.go
+++ b/tools/standin/platform/platform.go
@@ -109,6 +109,20 @@
 	s.wakeLocked()
 }
 
+// Checkpoint remembers the present state and returns a function that freezes
+// what readers see at it, as a replica does that has fallen behind.
+func (s *Server) Checkpoint() (goBack func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := copyValues(s.values)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.frozen = old
+		s.wakeLocked()
+	}
+}
+
 // Calls returns how many calls were answered and how many refused by the
 // limit.
 func (s *Server) Calls() (answered, refused int) {
