Prove TLS towards callers and between daemons; digest prompt prefixes

Cause: TLS was wired and untested; engines and the choice of targets need digests of a prompt's first blocks. Conclusion: TLS and key renewal hold.

--- a/serving/connection/tlskeys/tlskeys.go
+++ b/serving/connection/tlskeys/tlskeys.go
@@ -22,6 +22,7 @@
 	certFile string
 	keyFile  string
 	caFile   string
+	now      func() time.Time
 
 	mu      sync.Mutex
 	cert    *tls.Certificate
@@ -32,11 +33,16 @@
 
 // Load reads a pair. caFile may be empty.
 func Load(certFile, keyFile, caFile string) (*Pair, error) {
-	p := &Pair{certFile: certFile, keyFile: keyFile, caFile: caFile}
+	return LoadAt(time.Now, certFile, keyFile, caFile)
+}
+
+// LoadAt is Load with a clock.
+func LoadAt(now func() time.Time, certFile, keyFile, caFile string) (*Pair, error) {
+	p := &Pair{certFile: certFile, keyFile: keyFile, caFile: caFile, now: now}
 	if err := p.read(); err != nil {
 		return nil, err
 	}
-	p.checked = time.Now()
+	p.checked = now()
 	return p, nil
 }
 
@@ -104,8 +110,8 @@
 func (p *Pair) current() (*tls.Certificate, *x509.CertPool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if time.Since(p.checked) >= CheckInterval {
-		p.checked = time.Now()
+	if now := p.now(); now.Sub(p.checked) >= CheckInterval {
+		p.checked = now
 		p.reread()
 	}
 	return p.cert, p.pool
--- a/serving/request/forward/convert.go
+++ b/serving/request/forward/convert.go
@@ -75,11 +75,17 @@
 			Priority:     int(m.GetPriority()),
 			Deadline:     now.Add(time.Duration(m.GetTimeoutMs()) * time.Millisecond),
 			Offset:       int(m.GetFrom()),
+			Prefixes:     prefixes(m),
 			DataCentre:   here,
 		},
 	}
 }
 
+// prefixes computes the digests anew, which is cheaper than sending them.
+func prefixes(m *peerpb.GenerateRequest) []uint64 {
+	return facts.Prefixes(names.Customer(m.GetCustomer()), names.Model(m.GetModel()), names.Adapter(m.GetAdapter()), m.GetPrompt())
+}
+
 // ToFailure encodes an error for a peer.
 func ToFailure(err error) *peerpb.Failure {
 	e := verdict.From(err)
--- a/serving/request/gateway/input.go
+++ b/serving/request/gateway/input.go
@@ -77,6 +77,7 @@
 		MaxTokens:    orDefault(in.maxTokens, DefaultMaxTokens),
 		Priority:     priority(in.priority, customer.MaxPriority),
 		Deadline:     s.deadline(in.header),
+		Prefixes:     facts.Prefixes(customer.Name, model, adapter, in.prompt),
 		DataCentre:   s.DataCentre,
 	}}, nil
 }
--- a/tools/dev/dev.go
+++ b/tools/dev/dev.go
@@ -43,6 +43,8 @@
 	// CallerAddress is where the first daemon listens for callers, "IP:port";
 	// empty means a free port.
 	CallerAddress string
+	// Authority signs the daemons' TLS certificates; nil means plain TCP.
+	Authority *Authority
 	// Adjust changes the first manifest before it is published, if set.
 	Adjust func(*manifest.Manifest)
 	Log    *zap.Logger
@@ -197,11 +199,22 @@
 	s.Admin.Listen = listeners.Admin.Addr().String()
 	s.Admin.KeyDigests = []names.Digest{names.Digest(hex.EncodeToString(adminDigest[:]))}
 	s.Peer.FleetKeys = []string{d.fleetKey}
+	d.secure(s)
 	s.Platform.Address = d.Fleet.Platform().Address()
 	s.Manifest.PublicKey = hex.EncodeToString(d.key.Public().(ed25519.PublicKey)) //nolint:forcetypeassert // an Ed25519 key has no other public key
 	return s, listeners, s.Check()
 }
 
+// secure switches TLS on if there is an authority.
+func (d *Dev) secure(s *settings.Settings) {
+	a := d.config.Authority
+	if a == nil {
+		return
+	}
+	s.Caller.CertFile, s.Caller.KeyFile = a.File(CertFile), a.File(KeyFile)
+	s.Peer.CertFile, s.Peer.KeyFile, s.Peer.CAFile = a.File(CertFile), a.File(KeyFile), a.File(CAFile)
+}
+
 // Daemons returns the daemons that were started and not removed.
 func (d *Dev) Daemons() []*daemon.Daemon {
 	d.mu.Lock()
--- /dev/null
+++ b/tools/dev/tls_test.go
@@ -0,0 +1,105 @@
+package dev
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"carobspoke.example/serving/connection/peers"
+	"carobspoke.example/serving/connection/tlskeys"
+	"carobspoke.example/serving/peerpb"
+	"carobspoke.example/tools/standin/fleet"
+	"go.uber.org/zap"
+)
+
+func startSecure(t *testing.T) (*Dev, *Authority) {
+	t.Helper()
+	authority, err := NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := Start(t.Context(), Config{
+		Fleet:     fleet.Config{Size: fleet.Dev, Speedup: testSpeedup},
+		Authority: authority, Log: zap.NewNop(), Adjust: onlyEngine,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d, authority
+}
+
+func TestCallersAndPeersSpeakTLS(t *testing.T) {
+	d, authority := startSecure(t)
+	roots := x509.NewCertPool()
+	roots.AddCert(authority.Certificate())
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}}}
+	for _, daemon := range d.Daemons() {
+		body := strings.NewReader(`{"model":"draft","prompt":"x","max_tokens":3}`)
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "https://"+daemon.CallerAddress()+"/v1/completions", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+fleet.Key("customer-a"))
+		response, err := client.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close() // only the status counts
+		if response.StatusCode != http.StatusOK {
+			t.Fatalf("status %d", response.StatusCode)
+		}
+	}
+}
+
+func TestPeerOfAnotherAuthorityIsRefused(t *testing.T) {
+	d, _ := startSecure(t)
+	stranger, err := NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair, err := tlskeys.Load(stranger.File(CertFile), stranger.File(KeyFile), stranger.File(CAFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := peers.NewPool(pair.MutualClientConfig())
+	defer pool.Close()
+	conn, err := pool.Conn(d.Daemons()[0].Host())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := peerpb.NewForwardingClient(conn).Call(t.Context(), &peerpb.CallRequest{}); err == nil {
+		t.Fatal("a stranger was answered")
+	}
+}
+
+func TestRenewedPairIsUsedWithoutARestart(t *testing.T) {
+	authority, err := NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	pair, err := tlskeys.LoadAt(func() time.Time { return now }, authority.File(CertFile), authority.File(KeyFile), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(10 * time.Millisecond) // so that the files' times differ
+	if err := authority.Renew(77); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(tlskeys.CheckInterval)
+	cert, err := pair.ServerConfig().GetCertificate(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(cert.Certificate[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if leaf.SerialNumber.Int64() != 77 {
+		t.Fatalf("serial number %s", leaf.SerialNumber)
+	}
+}
