Tick the calls server by itself; benchmarks of tables

Cause: a daemon that never ticks its calls server settles no key; offers had two types. Change: Server.Run(ctx) ticks once a second, and the daemon must run it; offers are failure.Ticketed only.

--- a/core/process/keys/keys_test.go
+++ b/core/process/keys/keys_test.go
@@ -182,3 +182,24 @@
 		t.Fatal("the schedules prove nothing")
 	}
 }
+
+func BenchmarkFind(b *testing.B) {
+	for _, views := range []int{1, 16, MaxViews} {
+		for _, daemons := range []int{9, 830} {
+			b.Run(strconv.Itoa(daemons)+"daemons-"+strconv.Itoa(views)+"views", func(b *testing.B) {
+				h := New("0", Window, rendezvous)
+				h.SetExpected(daemons)
+				for v := range views {
+					members := make([]names.Host, daemons-v%2)
+					for i := range members {
+						members[i] = names.Host(strconv.Itoa(i))
+					}
+					h.Observe(members, time.Duration(v)*time.Second)
+				}
+				for b.Loop() {
+					h.Find("key", time.Duration(views)*time.Second)
+				}
+			})
+		}
+	}
+}
--- a/core/process/owned/owned_test.go
+++ b/core/process/owned/owned_test.go
@@ -114,3 +114,17 @@
 		}
 	})
 }
+
+func BenchmarkCall(b *testing.B) {
+	table := New(Limits{Calls: 32 << 10, CallsPerCustomer: 32 << 10, AnswerBytes: 16 << 20})
+	var now time.Duration
+	body := []byte("an answer of forty bytes, more or less..")
+	b.ReportAllocs()
+	for i := range b.N {
+		now += 20 * time.Millisecond
+		id := strconv.Itoa(i)
+		table.Begin(Call{ID: id, Customer: "a", Body: "b", Expires: now + 10*time.Minute}, now)
+		table.Finish(id, Answer{Body: body}, now)
+	}
+	b.ReportMetric(float64(table.Len()), "entries")
+}
--- a/serving/request/calls/api.go
+++ b/serving/request/calls/api.go
@@ -11,6 +11,7 @@
 	"carobspoke.example/core/request/ticket"
 	"carobspoke.example/core/verdict"
 	gencalls "carobspoke.example/serving/gen/calls"
+	"carobspoke.example/serving/request/failure"
 	"github.com/pkg/errors"
 )
 
@@ -60,8 +61,8 @@
 	return text, life, nil
 }
 
-// Call implements goa's calls service. Errors are *verdict.Error, or *Failure
-// if they offer a ticket.
+// Call implements goa's calls service. Errors are *verdict.Error, or
+// *failure.Ticketed if they offer a ticket.
 func (s *Server) Call(ctx context.Context, in *gencalls.CallPayload, body io.ReadCloser) (*gencalls.CallResult, io.ReadCloser, error) {
 	defer body.Close() //nolint:errcheck // it was read or is refused
 	id := s.deps.RequestID()
@@ -119,13 +120,13 @@
 
 // counted counts a failure and gives it a type that callers know.
 func (s *Server) counted(err error) error {
-	failure := verdict.From(err)
-	s.deps.Count(failure.Reason)
-	var offer *Failure
-	if errors.As(err, &offer) {
-		return offer
+	refusal := verdict.From(err)
+	s.deps.Count(refusal.Reason)
+	var ticketed *failure.Ticketed
+	if errors.As(err, &ticketed) {
+		return ticketed
 	}
-	return failure
+	return refusal
 }
 
 func contentType(body []byte) string {
--- a/serving/request/calls/calls.go
+++ b/serving/request/calls/calls.go
@@ -24,6 +24,7 @@
 package calls
 
 import (
+	"context"
 	"io"
 	"sync"
 	"time"
@@ -34,7 +35,6 @@
 	"carobspoke.example/core/request/ticket"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/connection/targetapi"
-	"carobspoke.example/serving/request/failure"
 	"carobspoke.example/serving/request/retries"
 )
 
@@ -144,6 +144,23 @@
 	s.homes.Observe(members, s.age())
 }
 
+// tickEvery is the time between two ticks of Run.
+const tickEvery = time.Second
+
+// Run ticks until the context ends. A server that does not run settles no key.
+func (s *Server) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.Tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Tick tells that the process runs. It is to be called about once a second;
 // by its absence the server knows that the process was paused.
 func (s *Server) Tick() {
@@ -166,7 +183,3 @@
 func (s *Server) age() time.Duration {
 	return s.deps.Clock().Sub(s.deps.Self.Started)
 }
-
-// Failure is an error with a ticket for the caller to go on with, if it knows
-// that it never sent the call.
-type Failure = failure.Ticketed
--- a/serving/request/calls/calls_test.go
+++ b/serving/request/calls/calls_test.go
@@ -16,6 +16,7 @@
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/connection/peers"
 	"carobspoke.example/serving/peerpb"
+	"carobspoke.example/serving/request/failure"
 	"github.com/cockroachdb/datadriven"
 	"google.golang.org/grpc"
 )
@@ -85,7 +86,7 @@
 		return fmt.Sprintf("%s, replayed=%t; actions=%d\n", body, replayed, p.acted())
 	}
 	e := verdict.From(err)
-	var offer *Failure
+	var offer *failure.Ticketed
 	return fmt.Sprintf("%s %s, offers a ticket=%t; actions=%d\n", e.Verdict, e.Reason, errors.As(err, &offer), p.acted())
 }
 
--- a/serving/request/calls/route.go
+++ b/serving/request/calls/route.go
@@ -8,6 +8,7 @@
 	"carobspoke.example/core/request/ticket"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/peerpb"
+	"carobspoke.example/serving/request/failure"
 )
 
 const (
@@ -41,11 +42,11 @@
 
 // refused returns the failure of a send that its owner or home did not see.
 func (in send) refused(err error) error {
-	failure := verdict.From(err)
+	refusal := verdict.From(err)
 	if in.ticket == "" && in.key == "" {
-		return failure
+		return refusal
 	}
-	return failure.WithVerdict(verdict.MayHaveRun)
+	return refusal.WithVerdict(verdict.MayHaveRun)
 }
 
 func (s *Server) runIdempotent(ctx context.Context, in send) (outcome, error) {
@@ -82,9 +83,9 @@
 		return out, s.offerUnsettled(in, err)
 	}
 	if !place.Settled || place.Paused {
-		failure := verdict.New(verdict.MayHaveRun, verdict.KeyHomeUnsettled,
+		refusal := verdict.New(verdict.MayHaveRun, verdict.KeyHomeUnsettled,
 			"this send did not run; it is not known whether an earlier one with the key did")
-		return outcome{}, s.offer(in, failure.WithRetryAfter(place.SettledIn))
+		return outcome{}, s.offer(in, refusal.WithRetryAfter(place.SettledIn))
 	}
 	out, err := s.runOwned(ctx, in, keyPrefix+string(key), s.age()+keys.Window)
 	return out, keyReason(err)
@@ -92,31 +93,31 @@
 
 // keyReason names what went wrong as callers that brought a key know it.
 func keyReason(err error) error {
-	if failure := verdict.From(err); failure != nil && failure.Reason == verdict.TicketUsed {
-		return verdict.New(failure.Verdict, verdict.KeyInUse, failure.Message)
+	if e := verdict.From(err); e != nil && e.Reason == verdict.TicketUsed {
+		return verdict.New(e.Verdict, verdict.KeyInUse, e.Message)
 	}
 	return err
 }
 
 // offerUnsettled adds a ticket to the refusal of a home that is not settled.
 func (s *Server) offerUnsettled(in send, err error) error {
-	if failure := verdict.From(err); failure != nil && failure.Reason == verdict.KeyHomeUnsettled {
-		return s.offer(in, failure)
+	if e := verdict.From(err); e != nil && e.Reason == verdict.KeyHomeUnsettled {
+		return s.offer(in, e)
 	}
 	return err
 }
 
 // offer adds a ticket of this daemon to a failure. Only the daemon that the
 // caller speaks to offers one.
-func (s *Server) offer(in send, failure *verdict.Error) error {
+func (s *Server) offer(in send, refusal *verdict.Error) error {
 	if in.hops > 0 {
-		return failure
+		return refusal
 	}
 	text, _, err := s.mint(in.customer, in.service, in.key)
 	if err != nil {
-		return failure
+		return refusal
 	}
-	return &Failure{Cause: failure, Ticket: text}
+	return &failure.Ticketed{Cause: refusal, Ticket: text}
 }
 
 func ownerGone() *verdict.Error {
