Carry membership over sealed UDP datagrams

Cause: members came from the platform's list, which lags. Change: the shell of the membership machine, its codec, AES-GCM under the fleet's keys; versions and crashed prompts travel by gossip; a daemon that has not heard from its peers since its start or a pause is not ready.

--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -34,7 +34,6 @@
 	"carobspoke.example/serving/process/admin"
 	"carobspoke.example/serving/process/counters"
 	"carobspoke.example/serving/process/distribution"
-	"carobspoke.example/serving/process/fleet"
 	"carobspoke.example/serving/request/calls"
 	"carobspoke.example/serving/request/directory"
 	"carobspoke.example/serving/request/dispatch"
@@ -55,7 +54,9 @@
 		return errors.Wrap(err, "key peer.fleet_keys")
 	}
 	d.buildPeers()
-	d.buildFleet()
+	if err := d.buildMembership(); err != nil {
+		return err
+	}
 	if err := d.buildDistribution(); err != nil {
 		return err
 	}
@@ -77,11 +78,6 @@
 	d.peerServer = peers.NewServer(d.peerTLS.MutualServerConfig())
 }
 
-func (d *Daemon) buildFleet() {
-	d.members = listedMembers{d: d}
-	d.fleet = fleet.New(d.Host(), d.members, d.versions, d.changed)
-}
-
 func (d *Daemon) buildDistribution() error {
 	key, err := hex.DecodeString(d.settings.Manifest.PublicKey)
 	if err != nil {
@@ -158,7 +154,7 @@
 		Relays:    d.fleet,
 		Forward:   &forward.Client{Peers: d.pool},
 		Retries:   d.retries,
-		Crashes:   dispatch.NewCrashes(nil),
+		Crashes:   dispatch.NewCrashes(d.tellCrashes),
 		Tickets:   ring,
 		Abandoned: dispatch.NewAbandoned(func() { d.counters.Add("abandon_queue_full", 1) }),
 		NewStream: d.newStream,
@@ -220,10 +216,11 @@
 func (d *Daemon) loops() []func(context.Context) {
 	return []func(context.Context){
 		d.dispatcher.Abandoned.Run,
+		d.members.Run,
 		d.fleet.Run,
 		func(ctx context.Context) { _ = d.distributor.Run(ctx) }, // it ends with the context
 		func(ctx context.Context) {
-			every(ctx, hostsPoll, func(ctx context.Context) { d.hosts.read(ctx, d.platform) })
+			every(ctx, hostsPoll, d.readHosts)
 		},
 		func(ctx context.Context) { every(ctx, reportPoll, d.readReports) },
 	}
--- a/serving/process/daemon/daemon.go
+++ b/serving/process/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"carobspoke.example/serving/process/counters"
 	"carobspoke.example/serving/process/distribution"
 	"carobspoke.example/serving/process/fleet"
+	"carobspoke.example/serving/process/membership"
 	"carobspoke.example/serving/process/settings"
 	"carobspoke.example/serving/request/calls"
 	"carobspoke.example/serving/request/dispatch"
@@ -63,7 +64,7 @@
 	counters    *counters.Counters
 	versions    *version.Holder
 	hosts       hostList
-	members     fleet.Members
+	members     *membership.Membership
 	fleet       *fleet.Fleet
 	transport   http.RoundTripper
 	pool        *peers.Pool
@@ -219,6 +220,9 @@
 	if d.versions.Current() == nil {
 		return verdict.New(verdict.NotRun, verdict.NotReady, "no manifest is in force yet").WithRetryAfter(time.Second)
 	}
+	if !d.members.Awake() {
+		return verdict.New(verdict.NotRun, verdict.NotReady, "the daemon has not heard from its peers since its start or a pause").WithRetryAfter(time.Second)
+	}
 	return nil
 }
 
@@ -229,6 +233,7 @@
 // the context ends. Health checks of the balancer fail from now on.
 func (d *Daemon) Drain(ctx context.Context) error {
 	d.draining.Store(true)
+	d.members.Drain()
 	d.log.Info("draining", zap.Int64("in_flight", d.active.Load()))
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
@@ -246,6 +251,7 @@
 
 // Close ends the daemon at once.
 func (d *Daemon) Close() {
+	d.members.Leave()
 	d.cancel()
 	_ = d.callerServer.Close() // its connections are of no use any more
 	_ = d.adminServer.Close()  // the same
--- /dev/null
+++ b/serving/process/daemon/members.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/crash"
+	"carobspoke.example/core/process/distribution"
+	"carobspoke.example/core/process/gossip"
+	core "carobspoke.example/core/process/membership"
+	"carobspoke.example/serving/process/fleet"
+	"carobspoke.example/serving/process/membership"
+)
+
+// versionKey is the key of the gossiped digest of the version in force.
+const versionKey = "manifest"
+
+func (d *Daemon) buildMembership() error {
+	sealer, err := membership.NewSealer(d.settings.Peer.Keys())
+	if err != nil {
+		return err
+	}
+	network, err := membership.ListenUDP(d.Host())
+	if err != nil {
+		return err
+	}
+	machine := core.DefaultConfig()
+	machine.AloneAfter = d.settings.Peer.AloneAfter.Duration
+	d.members = membership.New(membership.Config{
+		Self:     core.Member{Host: d.Host(), DataCentre: d.settings.DataCentre, Incarnation: d.incarnation},
+		Machine:  machine,
+		Network:  network,
+		Sealer:   sealer,
+		Deliver:  d.delivered,
+		Log:      d.log,
+		Registry: d.counters.Registry(),
+		Meter:    func(int) {},
+	})
+	d.fleet = fleet.New(d.Host(), d.members, d.versions, d.changed)
+	return nil
+}
+
+// readHosts tells the membership which hosts the platform and the settings
+// name.
+func (d *Daemon) readHosts(ctx context.Context) {
+	d.hosts.read(ctx, d.platform)
+	seeds := slices.Clone(d.settings.Peer.Seeds)
+	for _, entry := range d.hosts.Entries() {
+		seeds = append(seeds, entry.Host)
+	}
+	d.members.Seeds(seeds)
+}
+
+// delivered takes in what another daemon told.
+func (d *Daemon) delivered(a core.Deliver) {
+	switch a.Digest.Kind {
+	case gossip.Version:
+		held := distribution.Held{Version: names.Version(a.Digest.Sequence), Digest: names.Digest(a.Digest.Payload)}
+		d.distributor.Told(a.From, held)
+	case gossip.Crash:
+		if entry, ok := decodeCrash(a.Digest); ok {
+			d.dispatcher.Crashes.Learn([]crash.Entry{entry})
+		}
+	}
+}
+
+// tellCrashes passes standings of prompts on to the other daemons. The
+// sequence grows with the standing, so that a refusal replaces a suspicion.
+func (d *Daemon) tellCrashes(entries []crash.Entry) {
+	for _, entry := range entries {
+		d.members.Publish(core.Digest{
+			Kind: gossip.Crash, Key: string(entry.Digest[:]), Sequence: uint64(entry.Standing), Payload: encodeCrash(entry),
+		})
+	}
+}
+
+// crashPayloadBytes is the length of a crash digest's payload: the standing
+// and how many seconds it lasts.
+const crashPayloadBytes = 5
+
+func encodeCrash(e crash.Entry) []byte {
+	payload := []byte{byte(e.Standing)}
+	return binary.BigEndian.AppendUint32(payload, uint32(e.Left.Seconds()))
+}
+
+func decodeCrash(digest core.Digest) (crash.Entry, bool) {
+	var entry crash.Entry
+	if len(digest.Payload) != crashPayloadBytes || copy(entry.Digest[:], digest.Key) != len(entry.Digest) {
+		return entry, false
+	}
+	entry.Standing = crash.Standing(digest.Payload[0])
+	entry.Left = time.Duration(binary.BigEndian.Uint32(digest.Payload[1:])) * time.Second
+	return entry, true
+}
--- a/serving/process/daemon/peers.go
+++ b/serving/process/daemon/peers.go
@@ -3,6 +3,8 @@
 import (
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/distribution"
+	"carobspoke.example/core/process/gossip"
+	"carobspoke.example/core/process/membership"
 	"google.golang.org/grpc"
 )
 
@@ -32,6 +34,9 @@
 	return p.d.pool.Conn(host)
 }
 
-// Announce implements distribution.Peers. Until gossip carries it, peers learn
-// of a version when they ask or read by themselves.
-func (p manifestPeers) Announce(distribution.Held) {}
+// Announce implements distribution.Peers.
+func (p manifestPeers) Announce(held distribution.Held) {
+	p.d.members.Publish(membership.Digest{
+		Kind: gossip.Version, Key: versionKey, Sequence: uint64(held.Version), Payload: []byte(held.Digest),
+	})
+}
--- a/serving/process/daemon/thin.go
+++ b/serving/process/daemon/thin.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/load"
-	"carobspoke.example/core/process/membership"
 	"carobspoke.example/serving/connection/targetapi"
 	"carobspoke.example/serving/platform"
 	"carobspoke.example/serving/process/fleet"
@@ -63,24 +60,6 @@
 // Count returns the number of listed hosts.
 func (l *hostList) Count() int { return len(l.Entries()) }
 
-// listedMembers takes the platform's list for the members.
-type listedMembers struct {
-	d *Daemon
-}
-
-// Live implements fleet.Members.
-func (l listedMembers) Live() []membership.Member {
-	var list []membership.Member
-	for _, entry := range l.d.hosts.Entries() {
-		list = append(list, membership.Member{
-			Host: entry.Host, DataCentre: entry.DataCentre, Draining: entry.State == platform.HostLeaving,
-			Region: l.d.regionOf(entry.DataCentre),
-		})
-	}
-	slices.SortFunc(list, func(a, b membership.Member) int { return strings.Compare(string(a.Host), string(b.Host)) })
-	return list
-}
-
 // changed takes in a new view of members and version.
 func (d *Daemon) changed(v *fleet.View) {
 	hosts := make([]names.Host, 0, len(v.Members))
--- /dev/null
+++ b/serving/process/membership/codec.go
@@ -0,0 +1,164 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/gossip"
+	core "carobspoke.example/core/process/membership"
+	"carobspoke.example/serving/peerpb"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// Format is the version of the datagrams that this release sends. Those of a
+// larger one are dropped.
+const Format = 1
+
+// Bounds of a received datagram's lists.
+const (
+	maxUpdates = 256
+	maxDigests = 256
+)
+
+func encode(d *core.Datagram) ([]byte, error) {
+	message := &peerpb.Datagram{
+		Format:   Format,
+		Purpose:  uint32(d.Purpose),
+		From:     toUpdate(&core.Update{Member: d.From}),
+		To:       uint64(d.To),
+		Sequence: d.Sequence,
+		About:    packHost(d.About),
+		Table:    d.Table,
+		Counted:  uint32(d.Counted),
+		Cursor:   packHost(d.Cursor),
+	}
+	for i := range d.Updates {
+		message.Updates = append(message.Updates, toUpdate(&d.Updates[i]))
+	}
+	for i := range d.Digests {
+		message.Digests = append(message.Digests, toDigest(&d.Digests[i]))
+	}
+	packet, err := proto.Marshal(message)
+	return packet, errors.Wrap(err, "datagram")
+}
+
+func decode(packet []byte) (core.Datagram, error) {
+	var message peerpb.Datagram
+	if err := proto.Unmarshal(packet, &message); err != nil {
+		return core.Datagram{}, errors.Wrap(err, "datagram")
+	}
+	if message.GetFormat() != Format || message.GetPurpose() >= uint32(core.Purposes) || message.GetFrom() == nil {
+		return core.Datagram{}, errors.New("datagram: of another release")
+	}
+	if len(message.GetUpdates()) > maxUpdates || len(message.GetDigests()) > maxDigests {
+		return core.Datagram{}, errors.New("datagram: too many entries")
+	}
+	return fromMessage(&message)
+}
+
+func fromMessage(message *peerpb.Datagram) (core.Datagram, error) {
+	from, err := fromUpdate(message.GetFrom())
+	if err != nil {
+		return core.Datagram{}, err
+	}
+	about, err := unpackHost(message.GetAbout())
+	if err != nil {
+		return core.Datagram{}, err
+	}
+	cursor, err := unpackHost(message.GetCursor())
+	if err != nil {
+		return core.Datagram{}, err
+	}
+	d := core.Datagram{
+		Purpose:  core.Purpose(message.GetPurpose()),
+		From:     from.Member,
+		To:       names.Incarnation(message.GetTo()),
+		Sequence: message.GetSequence(),
+		About:    about,
+		Table:    message.GetTable(),
+		Counted:  int(message.GetCounted()),
+		Cursor:   cursor,
+	}
+	return d, addLists(&d, message)
+}
+
+func addLists(d *core.Datagram, message *peerpb.Datagram) error {
+	for _, m := range message.GetUpdates() {
+		update, err := fromUpdate(m)
+		if err != nil {
+			return err
+		}
+		d.Updates = append(d.Updates, update)
+	}
+	for _, m := range message.GetDigests() {
+		if m.GetKind() >= uint32(gossip.Kinds) || len(m.GetPayload()) > core.MaxPayloadBytes {
+			return errors.New("datagram: unknown kind of digest")
+		}
+		d.Digests = append(d.Digests, core.Digest{
+			Kind: gossip.Kind(m.GetKind()), Key: string(m.GetKey()), Sequence: m.GetSequence(), Payload: m.GetPayload(),
+		})
+	}
+	return nil
+}
+
+func toUpdate(u *core.Update) *peerpb.MemberUpdate {
+	return &peerpb.MemberUpdate{
+		Host:        packHost(u.Host),
+		DataCentre:  string(u.DataCentre),
+		Incarnation: uint64(u.Incarnation),
+		Refutation:  u.Refutation,
+		State:       uint32(u.State),
+		Draining:    u.Draining,
+		Version:     uint64(u.Version),
+		DeadForMs:   uint64(u.DeadFor.Milliseconds()),
+	}
+}
+
+func fromUpdate(m *peerpb.MemberUpdate) (core.Update, error) {
+	host, err := unpackHost(m.GetHost())
+	if err != nil {
+		return core.Update{}, err
+	}
+	if host == "" || m.GetState() > uint32(core.Left) {
+		return core.Update{}, errors.New("datagram: not a member")
+	}
+	return core.Update{
+		Member: core.Member{
+			Host:        host,
+			DataCentre:  names.DataCentre(m.GetDataCentre()),
+			Incarnation: names.Incarnation(m.GetIncarnation()),
+			Refutation:  m.GetRefutation(),
+			State:       core.State(m.GetState()),
+			Draining:    m.GetDraining(),
+			Version:     names.Version(m.GetVersion()),
+		},
+		DeadFor: time.Duration(m.GetDeadForMs()) * time.Millisecond,
+	}, nil
+}
+
+func toDigest(d *core.Digest) *peerpb.GossipDigest {
+	return &peerpb.GossipDigest{Kind: uint32(d.Kind), Key: []byte(d.Key), Sequence: d.Sequence, Payload: d.Payload}
+}
+
+// packHost returns the bytes of a host's IP number and port, or none.
+func packHost(h names.Host) []byte {
+	address, err := netip.ParseAddrPort(string(h))
+	if err != nil {
+		return nil
+	}
+	packed, _ := address.MarshalBinary() // it never fails
+	return packed
+}
+
+func unpackHost(packed []byte) (names.Host, error) {
+	if len(packed) == 0 {
+		return "", nil
+	}
+	var address netip.AddrPort
+	if err := address.UnmarshalBinary(packed); err != nil {
+		return "", errors.Wrap(err, "datagram: host")
+	}
+	return names.Host(address.String()), nil
+}
--- a/serving/process/settings/defaults.go
+++ b/serving/process/settings/defaults.go
@@ -10,6 +10,7 @@
 	DefaultBodyTimeout    = 20 * time.Second
 	DefaultRequestTimeout = 5 * time.Minute
 	DefaultDrainTimeout   = 5 * time.Minute
+	DefaultAloneAfter     = 15 * time.Second
 	DefaultLogLevel       = "info"
 )
 
@@ -46,6 +47,7 @@
 			DefaultTimeout: Duration{Duration: DefaultRequestTimeout},
 			DrainTimeout:   Duration{Duration: DefaultDrainTimeout},
 		},
-		Log: Log{Level: DefaultLogLevel},
+		Peer: Peer{AloneAfter: Duration{Duration: DefaultAloneAfter}},
+		Log:  Log{Level: DefaultLogLevel},
 	}
 }
--- a/serving/process/settings/settings.go
+++ b/serving/process/settings/settings.go
@@ -67,6 +67,9 @@
 	// Seeds are peers to contact first, "IP:port", beside the platform's
 	// host list.
 	Seeds []names.Host `toml:"seeds"`
+	// AloneAfter is how long a daemon that starts and reaches no peer waits
+	// before it takes itself for the only one.
+	AloneAfter Duration `toml:"alone_after"`
 }
 
 // Platform says where the platform's services are.
