Run suspects alone; retry requests that have begun for longer

Cause: two daemons could isolate two suspects at one engine, so that an innocent one was blamed; a suspect that waited for isolation ran although its prompt had been refused meanwhile; a cut request gave up before a crashed engine came back. Change: answer.Alone places suspects apart within a daemon and asks the engine before and after a submit; standing is read again after the wait; a request that has begun is retried up to 40 times, within deadline and budget, others 12 times; a target that failed is taken again rather than none.

--- a/core/request/retry/retry.go
+++ b/core/request/retry/retry.go
@@ -19,6 +19,9 @@
 type Policy struct {
 	// MaxAttempts is the most attempts of one request, the first included.
 	MaxAttempts int
+	// MaxAttemptsBegun is the same for a request that was cut after it had
+	// begun to run. It waits out the restart of an engine.
+	MaxAttemptsBegun int
 	// BaseWait is the longest wait before the first retry; it doubles with
 	// each one up to MaxWait.
 	BaseWait time.Duration
@@ -31,10 +34,11 @@
 // Default returns the policy of this release.
 func Default() Policy {
 	return Policy{
-		MaxAttempts: 5,
-		BaseWait:    10 * time.Millisecond,
-		MaxWait:     time.Second,
-		MinWork:     20 * time.Millisecond,
+		MaxAttempts:      12,
+		MaxAttemptsBegun: 40,
+		BaseWait:         10 * time.Millisecond,
+		MaxWait:          time.Second,
+		MinWork:          20 * time.Millisecond,
 	}
 }
 
@@ -60,6 +64,8 @@
 type Attempt struct {
 	// Made counts the attempts so far.
 	Made int
+	// Begun says that an earlier attempt may have run.
+	Begun bool
 	// Failure is the error of the newest.
 	Failure *verdict.Error
 	// Idempotent says that the request may be repeated. A generation that
@@ -88,7 +94,7 @@
 		return Decision{Outcome: NotRetriable, Failure: a.Failure}
 	case !verdict.MayRepeat(a.Failure.Verdict, a.Idempotent):
 		return Decision{Outcome: UnsafeRepeat, Failure: a.Failure}
-	case a.Made >= p.MaxAttempts:
+	case a.Made >= p.limit(a.Begun):
 		return Decision{Outcome: TooMany, Failure: a.Failure}
 	}
 	wait := max(p.wait(a.Made, random), a.Failure.RetryAfter)
@@ -102,6 +108,13 @@
 	return Decision{Outcome: Retried, Wait: wait}
 }
 
+func (p Policy) limit(begun bool) int {
+	if begun {
+		return max(p.MaxAttempts, p.MaxAttemptsBegun)
+	}
+	return p.MaxAttempts
+}
+
 // wait draws evenly from zero to an exponentially growing bound.
 func (p Policy) wait(made int, random *rand.Rand) time.Duration {
 	bound := p.BaseWait
--- a/core/request/retry/retry_test.go
+++ b/core/request/retry/retry_test.go
@@ -32,6 +32,7 @@
 		failure := verdict.New(verdict.Parse(ran), verdict.Reason(reason), "")
 		got := Default().Decide(Attempt{
 			Made:       made,
+			Begun:      d.HasArg("begun"),
 			Failure:    failure.WithRetryAfter(time.Duration(after) * time.Millisecond),
 			Idempotent: d.HasArg("idempotent"),
 			Deadline:   start.Add(time.Duration(left) * time.Millisecond),
--- /dev/null
+++ b/serving/request/answer/alone.go
@@ -0,0 +1,181 @@
+package answer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/target"
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/serving/connection/targetapi"
+)
+
+// AlonePoll is the longest time between two looks at an isolation target that
+// is in use.
+const AlonePoll = 200 * time.Millisecond
+
+// Alone keeps suspects apart at isolation targets: within this daemon by a
+// table of those in use, and among daemons by asking the engine what it runs,
+// before a suspect is submitted and again after. A suspect that finds it has
+// company withdraws and comes back after a random wait. Two suspects may thus
+// meet for a round trip; if one of them crashes the engine within it, the other
+// may be blamed. It is safe for concurrent use.
+type Alone struct {
+	mu    sync.Mutex
+	inUse map[names.Target]bool
+	// freed is closed and replaced when a target is no longer in use.
+	freed chan struct{}
+}
+
+// NewAlone returns a table with nothing in use.
+func NewAlone() *Alone {
+	return &Alone{inUse: make(map[names.Target]bool), freed: make(chan struct{})}
+}
+
+// Wrap returns Targets that place suspects alone and leave other placements to
+// inner. Place then waits for a free target as long as ctx lasts.
+func (a *Alone) Wrap(inner Targets) Targets {
+	return &aloneTargets{alone: a, inner: inner}
+}
+
+type aloneTargets struct {
+	alone *Alone
+	inner Targets
+}
+
+// Place implements Targets.
+func (t *aloneTargets) Place(ctx context.Context, want Want) (Placement, error) {
+	if !want.Isolate {
+		return t.inner.Place(ctx, want)
+	}
+	placement, err := t.claim(ctx, want)
+	if err != nil {
+		return Placement{}, err
+	}
+	if err := waitIdle(ctx, placement.Engine); err != nil {
+		placement.Release()
+		return Placement{}, err
+	}
+	placement.Engine = aloneEngine{placement.Engine}
+	return placement, nil
+}
+
+// aloneEngine is an isolation target that takes back a submit which has
+// company.
+type aloneEngine struct{ targetapi.Engine }
+
+// Submit implements targetapi.Engine.
+func (e aloneEngine) Submit(ctx context.Context, s target.Submit) (targetapi.Stream, error) {
+	stream, err := e.Engine.Submit(ctx, s)
+	if err != nil || running(ctx, e.Engine) <= 1 {
+		return stream, err
+	}
+	_ = stream.Close()          // the stream is cancelled
+	_ = e.Cancel(ctx, s.Stream) // else the engine's keepers free it
+	return nil, verdict.New(verdict.Ran, verdict.NoTarget, "the isolation target is in use")
+}
+
+// claim takes an isolation target that this daemon does not use.
+func (t *aloneTargets) claim(ctx context.Context, want Want) (Placement, error) {
+	for {
+		placement, freed, err := t.try(ctx, want)
+		if err == nil || freed == nil {
+			return placement, err
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return Placement{}, busy(ctx.Err())
+		}
+	}
+}
+
+// try claims a target, or returns the error and, if it is worth waiting, what
+// tells that a target was freed.
+func (t *aloneTargets) try(ctx context.Context, want Want) (Placement, <-chan struct{}, error) {
+	used, freed := t.alone.used()
+	want.Avoid = append(append([]names.Target(nil), want.Avoid...), used...)
+	placement, err := t.inner.Place(ctx, want)
+	if err != nil {
+		if len(used) == 0 {
+			freed = nil
+		}
+		return Placement{}, freed, err
+	}
+	if !t.alone.take(placement.Target) {
+		placement.Release()
+		return Placement{}, freed, busy(nil)
+	}
+	release := placement.Release
+	placement.Release = sync.OnceFunc(func() {
+		release()
+		t.alone.free(placement.Target)
+	})
+	return placement, nil, nil
+}
+
+func (a *Alone) used() ([]names.Target, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	used := make([]names.Target, 0, len(a.inUse))
+	for name := range a.inUse {
+		used = append(used, name)
+	}
+	return used, a.freed
+}
+
+func (a *Alone) take(name names.Target) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.inUse[name] {
+		return false
+	}
+	a.inUse[name] = true
+	return true
+}
+
+func (a *Alone) free(name names.Target) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.inUse, name)
+	close(a.freed)
+	a.freed = make(chan struct{})
+}
+
+// waitIdle waits until an engine runs no stream.
+func waitIdle(ctx context.Context, engine targetapi.Engine) error {
+	for running(ctx, engine) > 0 {
+		select {
+		case <-time.After(AlonePoll/2 + rand.N(AlonePoll/2)):
+		case <-ctx.Done():
+			return busy(ctx.Err())
+		}
+	}
+	return nil
+}
+
+// running counts the streams that an engine runs. An engine that cannot be
+// asked is taken to be idle: the submit tells what is wrong with it.
+func running(ctx context.Context, engine targetapi.Engine) int {
+	holdings, err := engine.Holdings(ctx)
+	if err != nil {
+		return 0
+	}
+	count := 0
+	for i := range holdings.Streams {
+		if !holdings.Streams[i].Done {
+			count++
+		}
+	}
+	return count
+}
+
+func busy(cause error) error {
+	const message = "every isolation target is in use"
+	if cause == nil {
+		return verdict.New(verdict.NotRun, verdict.NoTarget, message)
+	}
+	return verdict.Wrap(cause, verdict.NotRun, verdict.NoTarget, message)
+}
--- a/serving/request/answer/judge.go
+++ b/serving/request/answer/judge.go
@@ -14,6 +14,9 @@
 func (r *run) judge(failure *verdict.Error) *verdict.Error {
 	r.made++
 	r.worst = max(r.worst, failure.Verdict)
+	if r.step == placing && failure.Reason == verdict.NoTarget {
+		r.avoid = nil // better a target that failed than none
+	}
 	switch {
 	case r.step == placing, failure.Reason == verdict.CallerGone:
 		return failure
@@ -47,7 +50,7 @@
 func (r *run) holds(failure *verdict.Error) bool {
 	switch r.step {
 	case submitting:
-		return failure.Verdict != verdict.NotRun
+		return failure.Verdict != verdict.NotRun && failure.Reason != verdict.NoTarget
 	case reading:
 		return failure.Reason == verdict.AnswerCut && !r.resume
 	case progressing:
--- a/serving/request/answer/run.go
+++ b/serving/request/answer/run.go
@@ -77,7 +77,13 @@
 }
 
 func (r *run) asAttempt(failure *verdict.Error) retry.Attempt {
-	return retry.Attempt{Made: r.made, Failure: failure, Idempotent: true, Deadline: r.submit.Deadline}
+	return retry.Attempt{
+		Made:       r.made,
+		Begun:      r.worst != verdict.NotRun,
+		Failure:    failure,
+		Idempotent: true,
+		Deadline:   r.submit.Deadline,
+	}
 }
 
 // attempt makes one attempt: it places the request if need be, and reads.
@@ -117,6 +123,10 @@
 	if err != nil {
 		return err
 	}
+	if isolate && r.deps.Prompt.Standing() == crash.Refused {
+		placement.Release() // the wait for it has told more
+		return r.deps.Prompt.Refusal()
+	}
 	r.placement, r.placed, r.alone, r.resume = placement, true, isolate, false
 	return nil
 }
