Pull differing members by a filter, and take told deaths for suspicions

Cause: trials at 830 members showed that pages in order of hosts waste most of their room after a mass restart, that every daemon contacted one dead host, and that two halves which meet again declared each other's living members dead. Change: a pull carries a filter of what is known; contacts are shared by the fleet; a death that others tell of starts an own suspicion.

--- a/core/process/membership/config.go
+++ b/core/process/membership/config.go
@@ -36,8 +36,10 @@
 	DeadKept        time.Duration
 	UnreachableKept time.Duration
 	// ContactPeriod is the time between contacts with hosts that are listed
-	// or kept but not counted.
+	// or kept but not counted. The fleet together contacts each such host
+	// about ContactsEach times in it, and no daemon more than one.
 	ContactPeriod time.Duration
+	ContactsEach  int
 	// SyncPeriod is the time between requests for pages of the table.
 	SyncPeriod time.Duration
 	// SyncReplies is how many pages a daemon gives away in a second.
@@ -83,9 +85,10 @@
 		DeadKept:         10 * time.Minute,
 		UnreachableKept:  3 * time.Hour,
 		ContactPeriod:    5 * time.Second,
+		ContactsEach:     3,
 		SyncPeriod:       250 * time.Millisecond,
 		SyncReplies:      4,
-		PageBytes:        700,
+		PageBytes:        900,
 		DatagramBytes:    1100,
 		BytesPerSecond:   2000,
 		Fanout:           3,
--- a/core/process/membership/datagram.go
+++ b/core/process/membership/datagram.go
@@ -18,9 +18,9 @@
 	PingRequest
 	// Push carries digests that cannot wait for the next probe.
 	Push
-	// SyncRequest asks for a page of the member table.
+	// SyncRequest asks for the members that the sender does not know.
 	SyncRequest
-	// SyncReply is a page of the member table.
+	// SyncReply is a page of these members.
 	SyncReply
 	// Purposes is the number of purposes.
 	Purposes
@@ -78,20 +78,21 @@
 	// number, by which the receiver learns that the views differ.
 	Table   uint64
 	Counted int
-	// Cursor is the host after which a SyncRequest wants entries. In a
-	// SyncReply it is the last host of the page; empty means the end.
-	Cursor  names.Host
+	// Known is a filter of the sender's counted members, in a SyncRequest.
+	Known []byte
+	// More says that a SyncReply had no room for all that differs.
+	More    bool
 	Updates []Update
 	Digests []Digest
 }
 
 // headerBytes is the size of a datagram without updates, digests and names,
 // sealed, with the headers of UDP and IP.
-const headerBytes = 28 + 28 + 4 + updateBytes + 9 + 9 + 10 + 3 + 2*8
+const headerBytes = 28 + 28 + 4 + updateBytes + 9 + 9 + 10 + 3 + 11
 
 // Bytes bounds the size of the datagram on the network.
 func (d *Datagram) Bytes() int {
-	size := headerBytes + len(d.From.DataCentre)
+	size := headerBytes + len(d.From.DataCentre) + len(d.Known)
 	for i := range d.Updates {
 		size += d.Updates[i].Bytes()
 	}
--- a/core/process/membership/hints.go
+++ b/core/process/membership/hints.go
@@ -11,8 +11,13 @@
 type hints struct {
 	hosts []names.Host
 	next  time.Time
+	// hasten is until when contacts are made more often.
+	hasten time.Time
 }
 
+// hastenFor is how long one returning member hastens contacts.
+const hastenFor = 10 * time.Second
+
 // set replaces the listed hosts.
 func (h *hints) set(hosts []names.Host, self names.Host) {
 	h.hosts = h.hosts[:0]
@@ -33,62 +38,55 @@
 	}
 	m.hints.next = m.now.Add(m.contactPeriod())
 	m.forget()
-	if h, ok := m.stranger(); ok {
-		m.counters.Contacts++
-		m.ping(h)
+	strangers := m.strangers()
+	if len(strangers) == 0 {
+		return
 	}
+	if m.random.IntN(len(m.table.ring)+1) >= len(strangers)*m.config.ContactsEach {
+		return
+	}
+	m.counters.Contacts++
+	m.ping(strangers[m.random.IntN(len(strangers))])
 }
 
+// contactPeriod is shorter while a daemon that starts finds its first peers,
+// and while a region that was apart comes back.
 func (m *Machine) contactPeriod() time.Duration {
-	if m.wake.waking {
+	switch {
+	case m.wake.waking && len(m.wake.answers) < m.config.WakeAnswers:
 		return m.config.SyncPeriod
+	case m.wake.waking || m.now.Before(m.hints.hasten):
+		return m.config.Period
+	default:
+		return m.config.ContactPeriod
 	}
-	return m.config.ContactPeriod
 }
 
-// stranger returns a host that is listed or kept but not counted. The platform's
-// list and the table's dead are visited in turn, from a random place.
-func (m *Machine) stranger() (names.Host, bool) {
-	if m.random.IntN(2) == 0 {
-		if h, ok := m.listed(); ok {
-			return h, true
-		}
-		return m.unreachable()
+// returned hastens contacts when a dead member of another region is heard of
+// again: the rest of its region is likely to be back too.
+func (m *Machine) returned(e *entry) {
+	if e.State == Dead && e.Region != m.self.Region {
+		m.hints.hasten = m.now.Add(hastenFor)
 	}
-	if h, ok := m.unreachable(); ok {
-		return h, true
-	}
-	return m.listed()
 }
 
-func (m *Machine) listed() (names.Host, bool) {
-	n := len(m.hints.hosts)
-	if n == 0 {
-		return "", false
-	}
-	first := m.random.IntN(n)
-	for i := range n {
-		h := m.hints.hosts[(first+i)%n]
-		if e, ok := m.table.byHost[h]; !ok || e.State == Dead {
-			return h, true
+// strangers returns the hosts that are listed or kept but not counted.
+func (m *Machine) strangers() []names.Host {
+	var found []names.Host
+	for _, h := range m.hints.hosts {
+		if _, ok := m.table.byHost[h]; !ok {
+			found = append(found, h)
 		}
 	}
-	return "", false
-}
-
-func (m *Machine) unreachable() (names.Host, bool) {
 	if len(m.table.ring) == len(m.table.byHost) {
-		return "", false
+		return found
 	}
-	all := m.table.all()
-	first := m.random.IntN(len(all))
-	for i := range all {
-		e := all[(first+i)%len(all)]
+	for _, e := range m.table.all() {
 		if e.State == Dead {
-			return e.Host, true
+			found = append(found, e.Host)
 		}
 	}
-	return "", false
+	return found
 }
 
 // forget drops members that have been gone for long enough.
--- a/core/process/membership/machine.go
+++ b/core/process/membership/machine.go
@@ -32,16 +32,16 @@
 	sequence uint64
 	// allowance is how many bytes may be sent now without deferring updates.
 	allowance float64
-	// refill is the next host that anti-entropy sends.
-	refill names.Host
-
-	probe    probe
-	relays   []relay
-	suspects []*entry
-	hints    hints
-	wake     wake
-	sync     syncer
-	actions  []Action
+	probe     probe
+	relays    []relay
+	suspects  []*entry
+	hints     hints
+	wake      wake
+	sync      syncer
+	actions   []Action
+	// pulled is true while a page is taken in: what was pulled is not passed
+	// on, since others pull it too.
+	pulled bool
 }
 
 // New returns the view of a daemon that has just started. The caller draws
@@ -196,7 +196,9 @@
 	if digits(counted) != digits(len(m.table.ring)) {
 		m.resize()
 	}
-	m.pass(u.Host)
+	if !m.pulled {
+		m.pass(u.Host)
+	}
 	m.actions = append(m.actions, Changed{Member: u})
 }
 
--- a/core/process/membership/receive.go
+++ b/core/process/membership/receive.go
@@ -21,11 +21,13 @@
 	if !m.greet(d) {
 		return
 	}
+	m.pulled = d.Purpose == SyncReply
 	for i := range d.Updates {
 		if d.Updates[i].Host != m.self.Host {
 			m.learn(&d.Updates[i])
 		}
 	}
+	m.pulled = false
 	for i := range d.Digests {
 		m.learnDigest(&d.Digests[i], d.From.Host)
 	}
@@ -57,6 +59,7 @@
 		return false
 	}
 	if d.From.supersedes(&e.Member) {
+		m.returned(e)
 		m.learn(&Update{Member: d.From})
 		return true
 	}
@@ -77,7 +80,10 @@
 	m.send(e.Host, Datagram{Purpose: Ack, Sequence: d.Sequence, Updates: []Update{m.updateOf(e)}})
 }
 
-// learn takes in what a peer says of another member.
+// learn takes in what a peer says of another member. A death that others tell
+// of is taken for a suspicion: each daemon waits for the refutation itself.
+// Otherwise two halves of a fleet that find each other again would each bring
+// the other's judgement of the living.
 func (m *Machine) learn(u *Update) {
 	e, known := m.table.byHost[u.Host]
 	if !known {
@@ -85,11 +91,15 @@
 		return
 	}
 	e.Version = max(e.Version, u.Version)
-	if !u.supersedes(&e.Member) {
+	told := u.Member
+	if told.State == Dead && e.Counted() {
+		told.State = Suspect
+	}
+	if !told.supersedes(&e.Member) {
 		return
 	}
-	m.set(e, u.Member)
-	if !u.Counted() {
+	m.set(e, told)
+	if !told.Counted() {
 		e.diedAt = m.now.Add(-u.DeadFor)
 	}
 }
@@ -139,11 +149,7 @@
 func (m *Machine) answer(d *Datagram) {
 	switch d.Purpose {
 	case Ping:
-		ack := Datagram{Purpose: Ack, Sequence: d.Sequence}
-		if d.Table != m.table.digest^hash(&m.self) {
-			m.fill(&ack)
-		}
-		m.send(d.From.Host, ack)
+		m.send(d.From.Host, Datagram{Purpose: Ack, Sequence: d.Sequence})
 	case Ack:
 		m.acked(d)
 	case PingRequest:
--- a/core/process/membership/send.go
+++ b/core/process/membership/send.go
@@ -41,23 +41,3 @@
 		}
 	}
 }
-
-// fill adds entries of the table to an answer to a peer whose view differs,
-// each time the next ones, so that views agree even when gossip missed some.
-func (m *Machine) fill(d *Datagram) {
-	room := fillBytes
-	rest := m.table.after(m.refill)
-	for _, e := range rest {
-		u := m.updateOf(e)
-		room -= u.Bytes()
-		if room < 0 {
-			return
-		}
-		d.Updates = append(d.Updates, u)
-		m.refill = e.Host
-	}
-	m.refill = ""
-}
-
-// fillBytes bounds what anti-entropy adds to one answer.
-const fillBytes = 200
--- a/core/process/membership/sync.go
+++ b/core/process/membership/sync.go
@@ -1,22 +1,21 @@
 package membership
 
-import (
-	"time"
+import "time"
 
-	"carobspoke.example/core/names"
-)
-
-// syncer reads the whole member table from peers, page by page, when this
-// daemon starts or finds that its view differs much from theirs.
+// syncer pulls from peers the entries in which their tables differ from this
+// daemon's: when it starts, and when views go on differing.
+//
+// A request carries a filter of what the daemon knows, and the answer only
+// what the filter lacks, so that a small difference costs a small answer and a
+// daemon that knows little gets a full page of news each time.
 type syncer struct {
 	running bool
-	cursor  names.Host
 	next    time.Time
 	// sequence is that of the last request; answers to others are late.
 	sequence uint64
-	// quiet is until when no new pass is started.
-	quiet time.Time
-	// passed is true once a pass was completed.
+	// agreed is when a peer's view was last equal to this daemon's.
+	agreed time.Time
+	// passed is true once a peer has sent all that differed.
 	passed bool
 	// given counts the pages given away since refreshed.
 	given     int
@@ -24,34 +23,35 @@
 }
 
 const (
-	// syncQuiet is the least time between two passes.
-	syncQuiet = 10 * time.Second
+	// FilterBytes is the size of the filter in a request.
+	FilterBytes = 256
+	// syncAfter is how long views may differ before entries are pulled.
+	syncAfter = 3 * time.Second
 	// syncShare is the difference in size of two views, as a share of the
-	// larger, that starts a pass.
+	// larger, that needs no such wait, and syncLeast its least in members.
 	syncShare = 0.05
-	// syncLeast is the least such difference in members.
 	syncLeast = 2
 )
 
-// compareViews starts a pass if the sender's view has a very different size.
+// compareViews starts to pull if views go on differing, or differ much.
 func (m *Machine) compareViews(d *Datagram) {
-	own := len(m.table.ring) + 1
-	difference := d.Counted - own
-	if difference < 0 {
-		difference = -difference
-	}
-	if difference <= syncLeast || float64(difference) <= syncShare*float64(max(own, d.Counted)) {
+	if d.Table == m.table.digest^hash(&m.self) {
+		m.sync.agreed = m.now
 		return
 	}
-	if m.sync.running || m.now.Before(m.sync.quiet) {
+	if m.sync.running {
 		return
 	}
-	m.beginSync()
+	own := len(m.table.ring) + 1
+	difference := max(d.Counted, own) - min(d.Counted, own)
+	much := difference > syncLeast && float64(difference) > syncShare*float64(max(own, d.Counted))
+	if much || m.now.Sub(m.sync.agreed) >= syncAfter {
+		m.beginSync()
+	}
 }
 
 func (m *Machine) beginSync() {
 	m.sync.running = true
-	m.sync.cursor = ""
 	m.sync.next = m.now
 	m.counters.Syncs++
 }
@@ -68,48 +68,101 @@
 	for _, e := range m.sample(1) {
 		m.sequence++
 		m.sync.sequence = m.sequence
-		m.send(e.Host, Datagram{Purpose: SyncRequest, Sequence: m.sequence, Cursor: m.sync.cursor})
+		m.send(e.Host, Datagram{Purpose: SyncRequest, Sequence: m.sequence, Known: m.known(m.sequence)})
 	}
 }
 
-// givePage answers with the entries after the cursor that fit into a page.
+// known returns a filter of the daemon's entries, the dead included: the bit
+// of each is set. The salt moves the bits, so that a member that is hidden
+// by another one's bit is not hidden from the next request.
+func (m *Machine) known(salt uint64) []byte {
+	filter := make([]byte, FilterBytes)
+	set(filter, hash(&m.self), salt)
+	for _, e := range m.table.all() {
+		set(filter, e.hash, salt)
+	}
+	return filter
+}
+
+func position(h, salt uint64) uint64 {
+	h ^= salt * 0x9e3779b97f4a7c15
+	h ^= h >> 32
+	h *= 0xd6e8feb86659fd93
+	h ^= h >> 32
+	return h % (8 * FilterBytes)
+}
+
+func set(filter []byte, h, salt uint64) {
+	p := position(h, salt)
+	filter[p/8] |= 1 << (p % 8)
+}
+
+func isSet(filter []byte, h, salt uint64) bool {
+	p := position(h, salt)
+	return filter[p/8]&(1<<(p%8)) != 0
+}
+
+// givePage answers with entries that the filter lacks, as many as fit into a
+// page.
 func (m *Machine) givePage(d *Datagram) {
-	if m.sync.given >= m.config.SyncReplies {
+	if m.sync.given >= m.config.SyncReplies || len(d.Known) != FilterBytes {
 		m.counters.DroppedBusy++
 		return
 	}
 	m.sync.given++
 	reply := Datagram{Purpose: SyncReply, Sequence: d.Sequence}
-	room := m.config.PageBytes - reply.Bytes()
-	for _, e := range m.table.after(d.Cursor) {
+	reply.Updates, reply.More = m.page(m.missing(d), m.config.PageBytes-reply.Bytes())
+	m.send(d.From.Host, reply)
+}
+
+// missing returns the entries that the request's filter lacks, from a random
+// one on, so that requests to several peers bring different pages.
+func (m *Machine) missing(d *Datagram) []*entry {
+	var entries []*entry
+	for _, e := range m.table.all() {
+		if e.Host != d.From.Host && !isSet(d.Known, e.hash, d.Sequence) {
+			entries = append(entries, e)
+		}
+	}
+	if len(entries) == 0 {
+		return nil
+	}
+	first := m.random.IntN(len(entries))
+	return append(entries[first:], entries[:first]...)
+}
+
+// page returns the updates that fit into room bytes, and whether some did not.
+func (m *Machine) page(entries []*entry, room int) ([]Update, bool) {
+	var updates []Update
+	for _, e := range entries {
 		u := m.updateOf(e)
 		room -= u.Bytes()
 		if room < 0 {
-			m.send(d.From.Host, reply)
-			return
+			return updates, true
 		}
-		reply.Updates = append(reply.Updates, u)
-		reply.Cursor = e.Host
+		updates = append(updates, u)
 	}
-	reply.Cursor = ""
-	m.send(d.From.Host, reply)
+	return updates, false
 }
 
-// takePage asks for the next page, or ends the pass. A daemon that starts goes on
-// with the next pass until it is awake.
+// takePage ends pulling once a peer has sent all that differed. A daemon that
+// starts goes on until it is awake.
 func (m *Machine) takePage(d *Datagram) {
 	m.heard(d)
-	if !m.sync.running || d.Sequence != m.sync.sequence {
+	if !m.sync.running || d.Sequence != m.sync.sequence || d.More {
 		return
 	}
-	m.sync.cursor = d.Cursor
-	if d.Cursor != "" {
+	if len(d.Updates) > 0 && d.Table != m.table.digest^hash(&m.self) {
 		return
 	}
 	m.sync.passed = true
 	if m.wake.booting && m.wake.waking {
 		return
 	}
+	m.endSync()
+}
+
+func (m *Machine) endSync() {
 	m.sync.running = false
-	m.sync.quiet = m.now.Add(syncQuiet)
+	m.sync.agreed = m.now
 }
--- a/core/process/membership/table.go
+++ b/core/process/membership/table.go
@@ -22,7 +22,7 @@
 	deadline time.Time
 	// diedAt is when the member died or left.
 	diedAt time.Time
-	// hash is the entry's part of the table's digest.
+	// hash is the entry's part of the table's digest, if it is counted.
 	hash uint64
 }
 
@@ -34,7 +34,8 @@
 	// sorted holds all entries by host; nil when out of date.
 	sorted []*entry
 	// live is the cached answer of Live; nil when out of date.
-	live   []Member
+	live []Member
+	// digest covers the counted members.
 	digest uint64
 }
 
@@ -48,6 +49,9 @@
 	if m.Draining {
 		h = ^h
 	}
+	if !m.Counted() {
+		h += uint64(m.State) << 32
+	}
 	h ^= h >> 31
 	h *= 0xbf58476d1ce4e5b9
 	return h ^ h>>29
@@ -65,6 +69,7 @@
 	}
 	e.Member = m
 	t.live = nil
+	e.hash = hash(&m)
 	if !m.Counted() {
 		t.unring(e)
 		return
@@ -72,7 +77,6 @@
 	if e.place == absent {
 		t.enring(e, at(len(t.ring)+1))
 	}
-	e.hash = hash(&m)
 	t.digest ^= e.hash
 }
 
@@ -116,13 +120,3 @@
 	}
 	return t.sorted
 }
-
-// after returns the entries whose host is above cursor.
-func (t *table) after(cursor names.Host) []*entry {
-	all := t.all()
-	first, found := slices.BinarySearchFunc(all, cursor, func(e *entry, h names.Host) int { return cmp.Compare(e.Host, h) })
-	if found {
-		first++
-	}
-	return all[first:]
-}
--- a/core/process/membership/wake.go
+++ b/core/process/membership/wake.go
@@ -88,8 +88,6 @@
 		return
 	}
 	m.wake.waking = false
-	m.sync.running = false
-	m.sync.quiet = m.now.Add(syncQuiet)
 }
 
 // settled reports whether a daemon that starts knows most of the listed hosts,
