Count datagrams' bytes exactly; tell regions at run time

Cause: the machine's estimate was below the encoded size, so that the byte budget was no bound; regions come from the manifest, which a starting daemon does not have. Change: sizes follow the encoding; an event sets the regions. Conclusion: the budget of control bytes rests on a true bound.

--- a/core/process/membership/datagram.go
+++ b/core/process/membership/datagram.go
@@ -1,6 +1,9 @@
 package membership
 
 import (
+	"math/bits"
+	"strings"
+
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/gossip"
 )
@@ -56,11 +59,11 @@
 	Payload  []byte
 }
 
-// digestBytes is the size of a digest in a datagram without key and payload.
-const digestBytes = 20
-
 // Bytes bounds the size of the digest in a datagram.
-func (d *Digest) Bytes() int { return digestBytes + len(d.Key) + len(d.Payload) }
+func (d *Digest) Bytes() int {
+	const fixed = 3 + 2 + 2 + 3
+	return fixed + len(d.Key) + numberBytes(d.Sequence) + len(d.Payload)
+}
 
 // Datagram is one message between two daemons.
 type Datagram struct {
@@ -86,13 +89,36 @@
 	Digests []Digest
 }
 
-// headerBytes is the size of a datagram without updates, digests and names,
-// sealed, with the headers of UDP and IP.
-const headerBytes = 28 + 28 + 4 + updateBytes + 9 + 9 + 10 + 3 + 11
+// Sizes of what every datagram has, in bytes.
+const (
+	// packetBytes are the headers of UDP and IP, and the seal.
+	packetBytes = 28 + 32
+	// fieldBytes are the fields of fixed size and the heads of the others.
+	fieldBytes = 2 + 2 + 9 + 2 + 9 + 3 + 2
+	// numberHead is the size of a number's head in the encoding.
+	numberHead  = 1
+	bitsPerByte = 7
+)
+
+// numberBytes returns the size of a number of variable size.
+func numberBytes(n uint64) int {
+	return numberHead + (bits.Len64(n|1)+bitsPerByte-1)/bitsPerByte
+}
+
+// hostBytes returns the size of a packed IP number and port.
+func hostBytes(h names.Host) int {
+	const version4, version6 = 6, 18
+	if strings.HasPrefix(string(h), "[") {
+		return version6
+	}
+	return version4
+}
 
 // Bytes bounds the size of the datagram on the network.
 func (d *Datagram) Bytes() int {
-	size := headerBytes + len(d.From.DataCentre) + len(d.Known)
+	from := Update{Member: d.From}
+	size := packetBytes + fieldBytes + from.Bytes() + len(d.Known)
+	size += numberBytes(d.Sequence) + hostBytes(d.About) + numberBytes(uint64(d.Counted))
 	for i := range d.Updates {
 		size += d.Updates[i].Bytes()
 	}
--- a/core/process/membership/event.go
+++ b/core/process/membership/event.go
@@ -15,6 +15,11 @@
 // host becomes a member only when it answers.
 type Seeds struct{ Hosts []names.Host }
 
+// Regions replaces what Config.Regions says, once a manifest tells it.
+type Regions struct {
+	Regions map[names.DataCentre]names.Region
+}
+
 // Publish passes on a digest of this daemon's own. Version digests also set
 // the version that the daemon reports, to their sequence.
 type Publish struct{ Digest Digest }
@@ -28,6 +33,7 @@
 func (Tick) event()    {}
 func (Receive) event() {}
 func (Seeds) event()   {}
+func (Regions) event() {}
 func (Publish) event() {}
 func (Drain) event()   {}
 func (Leave) event()   {}
--- a/core/process/membership/machine.go
+++ b/core/process/membership/machine.go
@@ -75,6 +75,8 @@
 		m.receive(&e.Datagram)
 	case Seeds:
 		m.hints.set(e.Hosts, m.self.Host)
+	case Regions:
+		m.setRegions(e.Regions)
 	case Publish:
 		m.publish(e.Digest)
 	case Drain:
@@ -147,6 +149,16 @@
 	return names.Region(dc)
 }
 
+// setRegions gives all entries the regions that a manifest tells.
+func (m *Machine) setRegions(regions map[names.DataCentre]names.Region) {
+	m.config.Regions = regions
+	m.self.Region = m.region(m.self.DataCentre)
+	for _, e := range m.table.byHost {
+		e.Region = m.region(e.DataCentre)
+	}
+	m.table.live = nil
+}
+
 // start sets the clocks of a machine that was never ticked.
 func (m *Machine) start(now time.Time) {
 	m.now = now
@@ -218,7 +230,7 @@
 	m.queue.Add(gossip.Entry[payload]{
 		Kind:  gossip.Member,
 		Key:   string(h),
-		Bytes: updateBytes + len(dc),
+		Bytes: updateBound(h, dc),
 		Value: payload{host: h},
 	})
 }
--- a/core/process/membership/machine_test.go
+++ b/core/process/membership/machine_test.go
@@ -302,3 +302,18 @@
 	}
 	return sum
 }
+
+func TestRegionsAreToldAtRunTime(t *testing.T) {
+	n := settled(t, 6, fakenet.Options{Seed: 11})
+	m := n.Nodes[0].Machine
+	m.Step(n.Now, membership.Regions{Regions: map[names.DataCentre]names.Region{"dc0": "east", "dc1": "east", "dc2": "west"}})
+	for _, member := range m.Live() {
+		want := names.Region("east")
+		if member.DataCentre == "dc2" {
+			want = "west"
+		}
+		if member.Region != want {
+			t.Fatalf("%s of %s lies in %q", member.Host, member.DataCentre, member.Region)
+		}
+	}
+}
--- a/core/process/membership/member.go
+++ b/core/process/membership/member.go
@@ -80,8 +80,18 @@
 	DeadFor time.Duration
 }
 
-// updateBytes is the size of an update in a datagram without its data centre.
-const updateBytes = 34
-
 // Bytes bounds the size of the update in a datagram.
-func (u *Update) Bytes() int { return updateBytes + len(u.DataCentre) }
+func (u *Update) Bytes() int {
+	size := fixedUpdateBytes + hostBytes(u.Host) + len(u.DataCentre) + numberBytes(uint64(u.Refutation))
+	return size + numberBytes(uint64(u.Version)) + numberBytes(uint64(u.DeadFor.Milliseconds()))
+}
+
+// fixedUpdateBytes are the fields of fixed size and the heads of the others.
+const fixedUpdateBytes = 2 + 2 + 2 + 9 + 2 + 2
+
+// updateBound is the size of an update whose numbers are not yet known: of a
+// refutation below 2^21, a version below 2^42 and a death of the last year.
+func updateBound(h names.Host, dc names.DataCentre) int {
+	const numbers = 4 + 7 + 7
+	return fixedUpdateBytes + hostBytes(h) + len(dc) + numbers
+}
--- a/serving/process/daemon/thin.go
+++ b/serving/process/daemon/thin.go
@@ -63,6 +63,11 @@
 	if v.Version == nil {
 		return
 	}
+	regions := make(map[names.DataCentre]names.Region)
+	for _, dc := range v.Version.Manifest.Fleet.DataCentres {
+		regions[dc.Name] = dc.Region
+	}
+	d.members.Regions(regions)
 	d.calls.Observe(hosts, v.Version.Manifest.Fleet.ExpectedDaemons)
 	d.admitter.Keep(specs(v))
 }
--- a/serving/process/membership/codec.go
+++ b/serving/process/membership/codec.go
@@ -32,7 +32,8 @@
 		About:    packHost(d.About),
 		Table:    d.Table,
 		Counted:  uint32(d.Counted),
-		Cursor:   packHost(d.Cursor),
+		Known:    d.Known,
+		More:     d.More,
 	}
 	for i := range d.Updates {
 		message.Updates = append(message.Updates, toUpdate(&d.Updates[i]))
@@ -67,10 +68,6 @@
 	if err != nil {
 		return core.Datagram{}, err
 	}
-	cursor, err := unpackHost(message.GetCursor())
-	if err != nil {
-		return core.Datagram{}, err
-	}
 	d := core.Datagram{
 		Purpose:  core.Purpose(message.GetPurpose()),
 		From:     from.Member,
@@ -79,7 +76,8 @@
 		About:    about,
 		Table:    message.GetTable(),
 		Counted:  int(message.GetCounted()),
-		Cursor:   cursor,
+		Known:    message.GetKnown(),
+		More:     message.GetMore(),
 	}
 	return d, addLists(&d, message)
 }
--- a/serving/process/membership/membership.go
+++ b/serving/process/membership/membership.go
@@ -102,6 +102,11 @@
 // Seeds tells the hosts that the platform lists.
 func (m *Membership) Seeds(hosts []names.Host) { m.offer(core.Seeds{Hosts: hosts}) }
 
+// Regions tells in which region each data centre lies.
+func (m *Membership) Regions(regions map[names.DataCentre]names.Region) {
+	m.offer(core.Regions{Regions: regions})
+}
+
 // Publish passes a digest on to the other daemons.
 func (m *Membership) Publish(d core.Digest) { m.offer(core.Publish{Digest: d}) }
 
