Give the test of regions a configuration

Change: it uses the test's configuration. Figures: core/process/membership passes. Conclusion: mended.

--- a/core/process/membership/machine_test.go
+++ b/core/process/membership/machine_test.go
@@ -304,7 +304,7 @@
 }
 
 func TestRegionsAreToldAtRunTime(t *testing.T) {
-	n := settled(t, 6, fakenet.Options{Seed: 11})
+	n := settled(t, 6, fakenet.Options{Seed: 11, Config: twoRegions()})
 	m := n.Nodes[0].Machine
 	m.Step(n.Now, membership.Regions{Regions: map[names.DataCentre]names.Region{"dc0": "east", "dc1": "east", "dc2": "west"}})
 	for _, member := range m.Live() {
