Spread daemons over targets, and keep classes to their zones

Cause: daemons that see the same late report choose the same idle target, and a short request is caught behind a long prefill that no report has told yet.

Change: among near-equal predictions a daemon takes the target next to its own place on a ring; a zone other than the class's own must save time; a customer's limit falls with the square of its ratio, to a quarter at the lowest. A driver in virtual time runs the product's decisions against naive ones.

--- a/core/process/load/entry.go
+++ b/core/process/load/entry.go
@@ -137,7 +137,8 @@
 		Leaving:     e.spec.Leaving,
 		BreakerOpen: e.breaker.open(now),
 		Isolation:   e.spec.Isolation,
-		Rank:        e.spec.Rank,
+		Rank:        e.spec.Place.Rank,
+		Offset:      e.spec.Place.Offset,
 	}
 	if e.known {
 		c.ReportAge = age
--- a/core/process/load/load.go
+++ b/core/process/load/load.go
@@ -57,9 +57,8 @@
 	// it takes no new work.
 	LeavesAt time.Time
 	Leaving  bool
-	// Rank is the target's place in [0, 1] among those of its model, see
-	// Ranks.
-	Rank float64
+	// Place is where the target stands among those of its model, see Places.
+	Place Place
 }
 
 // Dispatch is a request that the daemon is about to send to a target.
--- a/core/process/load/load_test.go
+++ b/core/process/load/load_test.go
@@ -133,6 +133,29 @@
 	table.Finished("x", Fault, at(1))
 }
 
+// Any few targets in a row of ranks must not all be the first for one daemon.
+func TestDaemonsPreferDifferentTargets(t *testing.T) {
+	for _, size := range [][2]int{{15, 8}, {25, 9}, {320, 30}} {
+		targets, daemons := size[0], size[1]
+		from, to := targets/3, targets/3+targets/3
+		first := map[int]int{}
+		for d := range daemons {
+			best := from
+			for i := from; i < to; i++ {
+				if PlaceOf(i, targets, d, daemons).Offset < PlaceOf(best, targets, d, daemons).Offset {
+					best = i
+				}
+			}
+			first[best]++
+		}
+		for i, n := range first {
+			if bound := (daemons + to - from - 1) / (to - from) * 2; n > bound {
+				t.Fatalf("%d of %d daemons prefer target %d of %d", n, daemons, i, to-from)
+			}
+		}
+	}
+}
+
 func BenchmarkCandidates32(b *testing.B) {
 	table := New()
 	specs := make([]Spec, 32)
--- a/core/request/admission/admission_test.go
+++ b/core/request/admission/admission_test.go
@@ -25,7 +25,7 @@
 	for i := range specs {
 		specs[i] = load.Spec{
 			Name: names.Target("t" + strconv.Itoa(i)), Want: target.State{Model: "m"},
-			MemoryBlocks: 1000, BlockTokens: 100, PrefillRate: 10_000, Rank: float64(i) / float64(n),
+			MemoryBlocks: 1000, BlockTokens: 100, PrefillRate: 10_000, Place: load.PlaceOf(i, n, 0, 1),
 		}
 	}
 	table := load.New()
--- a/core/request/choice/choice.go
+++ b/core/request/choice/choice.go
@@ -44,6 +44,9 @@
 	// daemons compute the same from one manifest. The lowest ranks are reserved for short
 	// prefills, and the highest alone take long ones.
 	Rank float64
+	// Offset is the target's distance, in [0, 1), from this daemon's place
+	// on a ring of all targets. Daemons prefer different targets by it.
+	Offset float64
 }
 
 // ReportedQueue is what is left now of the queue in the report, in tokens.
--- a/core/request/choice/choice_test.go
+++ b/core/request/choice/choice_test.go
@@ -1,7 +1,9 @@
 package choice
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -109,56 +111,56 @@
 	}
 }
 
-// Eight daemons look at one report that is half a second old and send 50
-// requests. The worst target gets how many times its part?
-func TestTwoChoicesDoNotHerdOnOneReport(t *testing.T) {
-	const targets, daemons, each = 10, 8, 50
-	most := func(p Picker) int {
-		policy := New(DefaultSettings())
-		policy.Picker = p
-		counts := map[names.Target]int{}
-		for d := range daemons {
-			random := rand.New(rand.NewPCG(7, uint64(d)))
-			candidates := staleReports(targets)
-			for range each {
-				pick := policy.Choose(request(), candidates, now, random, false).Target
-				counts[pick]++
-				for i := range candidates {
-					if candidates[i].Target == pick {
-						candidates[i].OwnTokens += request().PromptTokens
-					}
-				}
+// Eight daemons look at one report that is half a second old, send one request
+// each and then 50 each, knowing only of their own. How many does the busiest of
+// ten targets get?
+func TestDaemonsDoNotHerdOnOneReport(t *testing.T) {
+	const targets, daemons = 10, 8
+	cases := map[string]struct {
+		picker      Picker
+		offsets     bool
+		first, most int
+	}{
+		"naive":                 {picker: Best{}, first: daemons, most: 1000},
+		"two choices":           {picker: TwoChoices{}, first: daemons / 2, most: 60},
+		"spread":                {picker: Spread{}, offsets: true, first: 2, most: 60},
+		"spread, place unknown": {picker: Spread{}, first: daemons / 2, most: 60},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			policy := New(DefaultSettings())
+			policy.Picker = tc.picker
+			first, most := herd(policy, targets, daemons, 1, tc.offsets), herd(policy, targets, daemons, 50, tc.offsets)
+			if name == "naive" && first < daemons {
+				t.Fatalf("the naive picker does not herd: %d", first)
 			}
-		}
-		largest := 0
-		for _, n := range counts {
-			largest = max(largest, n)
-		}
-		return largest
+			if first > tc.first || most > tc.most {
+				t.Fatalf("the busiest target got %d of 8, and %d of 400", first, most)
+			}
+		})
 	}
-	first := func(p Picker) int {
-		policy := New(DefaultSettings())
-		policy.Picker = p
-		counts := map[names.Target]int{}
-		for d := range daemons {
-			random := rand.New(rand.NewPCG(7, uint64(d)))
-			counts[policy.Choose(request(), staleReports(targets), now, random, false).Target]++
+}
+
+func herd(policy *Policy, targets, daemons, each int, offsets bool) int {
+	counts, largest := map[names.Target]int{}, 0
+	for d := range daemons {
+		random := rand.New(rand.NewPCG(7, uint64(d)))
+		candidates := staleReports(targets)
+		for i := range candidates {
+			if offsets {
+				at := float64(i)/float64(targets) - float64(d)/float64(daemons) + 1
+				candidates[i].Offset = at - math.Floor(at)
+			}
 		}
-		largest := 0
-		for _, n := range counts {
-			largest = max(largest, n)
+		for range each {
+			pick := policy.Choose(request(), candidates, now, random, false).Target
+			counts[pick]++
+			largest = max(largest, counts[pick])
+			i := slices.IndexFunc(candidates, func(c Candidate) bool { return c.Target == pick })
+			candidates[i].OwnTokens += request().PromptTokens
 		}
-		return largest
-	}
-	if naive := first(Best{}); naive != daemons {
-		t.Fatalf("the naive picker does not herd: %d of %d", naive, daemons)
-	}
-	if got := first(TwoChoices{}); got > daemons/2 {
-		t.Fatalf("%d of %d daemons chose the same target", got, daemons)
-	}
-	if got, part := most(TwoChoices{}), daemons*each/targets; got > part*3/2 {
-		t.Fatalf("the busiest target got %d, its part is %d", got, part)
 	}
+	return largest
 }
 
 func staleReports(n int) []Candidate {
--- a/core/request/choice/chooser.go
+++ b/core/request/choice/chooser.go
@@ -76,14 +76,16 @@
 		ShortReserve: DefaultShortReserve,
 		LongZone:     DefaultLongZone,
 		LendLimit:    DefaultLendLimit,
+		Cost:         DefaultZoneCost,
 	}}
 }
 
 // Defaults of Zones.
 const (
 	DefaultShortReserve = 0.33
-	DefaultLongZone     = 0.35
+	DefaultLongZone     = 0.5
 	DefaultLendLimit    = time.Second
+	DefaultZoneCost     = 100 * time.Millisecond
 )
 
 // New returns the policy of this release.
@@ -99,10 +101,11 @@
 			versionLag{},
 			memoryWait{},
 		},
-		Picker: TwoChoices{},
+		Picker: Spread{},
 	}
 	if s.Zones != (Zones{}) {
 		p.Preferences = []Filter{s.Zones}
+		p.Scorers = append(p.Scorers, zoneCost{zones: s.Zones})
 	}
 	return p
 }
--- a/core/request/choice/picker.go
+++ b/core/request/choice/picker.go
@@ -8,22 +8,49 @@
 // Bounds of what counts as near-equal.
 const (
 	// NearTime is the difference of predictions that means nothing.
-	NearTime = 20 * time.Millisecond
+	NearTime = 50 * time.Millisecond
 	// NearShare is the same as a share of the best prediction.
 	NearShare = 0.1
 	// NearAge is the same as a share of the report's age: what other
 	// daemons may have sent in the meantime.
-	NearAge = 0.25
+	NearAge = 0.5
 )
 
-// TwoChoices draws two of the near-equal candidates and takes the better. Of
-// daemons that see the same stale report, each goes its own way, and each
-// still avoids the worse half.
+// Spread takes the near-equal candidate with the smallest offset. Daemons
+// stand at different places of the ring, so that they go different ways with
+// the same stale report; and since a daemon knows its own dispatches at once,
+// its view of the targets that it prefers is better than a report. Equal
+// offsets, as when none are known, are left to TwoChoices.
+type Spread struct{}
+
+// Pick implements Picker.
+func (Spread) Pick(scored []Scored, random *rand.Rand) Scored {
+	near := nearEqual(scored)
+	nearest := near[:0]
+	for _, s := range near {
+		if len(nearest) > 0 && s.Candidate.Offset > nearest[0].Candidate.Offset {
+			continue
+		}
+		if len(nearest) > 0 && s.Candidate.Offset < nearest[0].Candidate.Offset {
+			nearest = nearest[:0]
+		}
+		nearest = append(nearest, s)
+	}
+	return twoOf(nearest, random)
+}
+
+// TwoChoices draws two of the near-equal candidates and takes the better.
 type TwoChoices struct{}
 
 // Pick implements Picker.
 func (TwoChoices) Pick(scored []Scored, random *rand.Rand) Scored {
-	near := nearEqual(scored)
+	return twoOf(nearEqual(scored), random)
+}
+
+func twoOf(near []Scored, random *rand.Rand) Scored {
+	if len(near) == 1 {
+		return near[0]
+	}
 	a := near[random.IntN(len(near))]
 	b := near[random.IntN(len(near))]
 	if b.FirstToken < a.FirstToken {
@@ -49,7 +76,7 @@
 }
 
 // Best takes the lowest prediction, the first of equals. Daemons that see the
-// same reports herd with it; it is the naive version of TwoChoices.
+// same reports herd with it; it is the naive version of the others.
 type Best struct{}
 
 // Pick implements Picker.
--- a/core/request/choice/zones.go
+++ b/core/request/choice/zones.go
@@ -23,6 +23,9 @@
 	ShortReserve float64
 	LongZone     float64
 	LendLimit    time.Duration
+	// Cost is the predicted time that the choice of another zone than that
+	// of the request's class must save for each zone between them.
+	Cost time.Duration
 }
 
 // Name implements Filter.
@@ -44,3 +47,29 @@
 		return true, ""
 	}
 }
+
+// zone returns 0 for the reserve, 1 for the middle and 2 for the long zone.
+func (z Zones) zone(c *Candidate) int {
+	switch {
+	case c.Rank < z.ShortReserve:
+		return 0
+	case c.Rank < 1-z.LongZone:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// zoneCost keeps each class to its own zone as long as that costs little, so
+// that a longer prefill finds its zone free, and a short one is not caught
+// behind a long prefill that no report has told yet.
+type zoneCost struct {
+	zones Zones
+}
+
+func (zoneCost) Name() string { return "zone" }
+
+func (s zoneCost) Score(in *Input, c *Candidate) time.Duration {
+	own := min(int(in.Request.Class), int(target.Long))
+	return time.Duration(max(s.zones.zone(c)-own, own-s.zones.zone(c))) * s.zones.Cost
+}
--- a/core/request/fairness/fairness.go
+++ b/core/request/fairness/fairness.go
@@ -108,13 +108,25 @@
 	return (e.tokens / e.share) / (u.total.tokens / u.total.share)
 }
 
+// Bounds of Limit.
+const (
+	// lowest is the part of a limit that is left to a customer far ahead.
+	lowest = 0.25
+	// highest is what a limit is multiplied with for a customer far behind.
+	highest = 1.5
+)
+
 // Limit lowers a limit for a customer that is ahead of the average, with the
-// square of its ratio.
+// square of its ratio, and raises it for one that is behind.
 func Limit(limit time.Duration, ratio float64) time.Duration {
-	if ratio <= 1 {
-		return limit
+	factor := highest
+	if ratio > 0 {
+		factor = min(highest, 1/ratio)
+	}
+	if ratio > 1 {
+		factor = max(lowest, 1/(ratio*ratio))
 	}
-	return time.Duration(float64(limit) / (ratio * ratio))
+	return time.Duration(factor * float64(limit))
 }
 
 // purge forgets customers that got nothing for long.
--- a/core/request/fairness/fairness_test.go
+++ b/core/request/fairness/fairness_test.go
@@ -45,3 +45,13 @@
 		t.Fatalf("%d customers with a share of %f", len(u.customers), u.total.share)
 	}
 }
+
+func TestLimitFollowsTheRatio(t *testing.T) {
+	for ratio, want := range map[float64]time.Duration{
+		0: 1500, 0.5: 1500, 0.8: 1250, 1: 1000, 2: 250, 10: 250,
+	} {
+		if got := Limit(time.Second, ratio); got != want*time.Millisecond {
+			t.Fatalf("limit at %f = %s", ratio, got)
+		}
+	}
+}
--- /dev/null
+++ b/tools/experiment/result.go
@@ -0,0 +1,96 @@
+package experiment
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/verdict"
+)
+
+// tally counts the attempts of one kind of prompts.
+type tally struct {
+	offered   int // jobs
+	started   int // attempts that a target got
+	completed int // jobs answered in time
+	late      int // attempts that were started and ran out of time
+	refused   int // attempts refused
+	waits     []time.Duration
+	// slowdowns are waits in relation to the same prompt's at an idle engine.
+	slowdowns []float64
+}
+
+// result is what a run measured.
+type result struct {
+	start     time.Time
+	kinds     [kinds]tally
+	customers map[names.Customer]int // tokens of complete answers and their prompts
+	reasons   map[verdict.Reason]int
+	seconds   map[int]int // tokens completed in each second
+	refusals  []time.Duration
+}
+
+func (r *result) first(a *attempt, now time.Time) {
+	if a.done {
+		return
+	}
+	t := &r.kinds[a.job.kind]
+	wait := now.Sub(a.sent)
+	t.waits = append(t.waits, wait)
+	t.slowdowns = append(t.slowdowns, float64(wait)/float64(a.job.unloaded()))
+}
+
+func (r *result) completed(a *attempt, now time.Time) {
+	if r.customers == nil {
+		r.customers = make(map[names.Customer]int)
+		r.seconds = make(map[int]int)
+	}
+	r.kinds[a.job.kind].completed++
+	r.customers[a.job.customer] += a.job.tokens()
+	r.seconds[int(now.Sub(r.start).Seconds())] += a.job.tokens()
+}
+
+func (r *result) refused(a *attempt, refusal *verdict.Error, now time.Time) {
+	if r.reasons == nil {
+		r.reasons = make(map[verdict.Reason]int)
+	}
+	r.reasons[refusal.Reason]++
+	r.kinds[a.job.kind].refused++
+	r.refusals = append(r.refusals, now.Sub(a.sent))
+}
+
+// goodput is the tokens a second of answers completed between two seconds.
+func (r *result) goodput(from, to int) float64 {
+	sum := 0
+	for s := from; s < to; s++ {
+		sum += r.seconds[s]
+	}
+	return float64(sum) / float64(to-from)
+}
+
+func (r *result) started() int { return r.sum(func(t *tally) int { return t.started }) }
+func (r *result) late() int    { return r.sum(func(t *tally) int { return t.late }) }
+func (r *result) offered() int { return r.sum(func(t *tally) int { return t.offered }) }
+
+func (r *result) completedAll() int { return r.sum(func(t *tally) int { return t.completed }) }
+
+func (r *result) sum(f func(*tally) int) int {
+	sum := 0
+	for i := range r.kinds {
+		sum += f(&r.kinds[i])
+	}
+	return sum
+}
+
+// quantile returns the q-quantile of durations, zero if there are none.
+func quantile[T cmp.Ordered](list []T, q float64) T {
+	if len(list) == 0 {
+		var zero T
+		return zero
+	}
+	sorted := slices.Clone(list)
+	slices.Sort(sorted)
+	i := int(q * float64(len(sorted)))
+	return sorted[min(i, len(sorted)-1)]
+}
--- /dev/null
+++ b/tools/experiment/scenarios.go
@@ -0,0 +1,101 @@
+package experiment
+
+import (
+	"strconv"
+	"time"
+
+	"carobspoke.example/core/names"
+)
+
+// sizes are the fleets of both users.
+var sizes = []size{
+	{name: "Sahayatri", engines: 15, daemons: 8},
+	{name: "Tuuraj", engines: 25, daemons: 9},
+}
+
+// Lengths of the runs.
+const (
+	steadyTime  = 240 * time.Second
+	warmTime    = 30 * time.Second
+	crestTime   = 120 * time.Second
+	spikeTime   = 10 * time.Second
+	recoverTime = 60 * time.Second
+	// steadyLoad is the load of the slowdown experiment, as a share of
+	// capacity.
+	steadyLoad = 0.6
+)
+
+// tenTenants are ten customers, three of them large.
+func tenTenants() []tenant {
+	list := make([]tenant, 10)
+	for i := range list {
+		list[i] = tenant{name: names.Customer("customer" + strconv.Itoa(i)), part: 1}
+	}
+	for i := range 3 {
+		list[i].part = 5
+	}
+	return list
+}
+
+// capacity is the throughput of one engine that always has work, in tokens a
+// second, and the same in jobs of the mix.
+func capacity(seed uint64) (tokens, perSecond float64) {
+	list := jobs(seed, []phase{{length: time.Second, rate: 400}}, tenTenants())
+	c := newClock()
+	e := &engine{clock: c}
+	done, sum := 0, 0
+	var last time.Time
+	for i := range list {
+		j := &list[i]
+		s := &stream{id: strconv.Itoa(i), prompt: j.prompt, answer: j.answer, first: func() {}}
+		s.end = func() {
+			done++
+			sum += j.tokens()
+			last = c.now
+		}
+		e.submit(s)
+	}
+	start := c.now
+	c.run(start.Add(time.Hour))
+	elapsed := last.Sub(start).Seconds()
+	return float64(sum) / elapsed, float64(done) / elapsed
+}
+
+// jobRate is the rate of arrivals that is a share of the fleet's capacity.
+func (s size) jobRate(share float64, seed uint64) float64 {
+	_, perSecond := capacity(seed)
+	return share * perSecond * float64(s.engines)
+}
+
+// steady is a constant load.
+func steady(s size, share float64, seed uint64) []job {
+	return jobs(seed, []phase{{length: steadyTime, rate: s.jobRate(share, seed)}}, tenTenants())
+}
+
+// crest is a load of 0.6, then of 2, then of 0.6 of the capacity.
+func crest(s size, seed uint64) []job {
+	low, high := s.jobRate(0.6, seed), s.jobRate(2, seed)
+	return jobs(seed, []phase{
+		{length: warmTime, rate: low},
+		{length: crestTime, rate: high},
+		{length: recoverTime, rate: low},
+	}, tenTenants())
+}
+
+// spike is a load of 0.6, of five times that for ten seconds, and of 0.6.
+func spike(s size, seed uint64) []job {
+	low := s.jobRate(0.6, seed)
+	return jobs(seed, []phase{
+		{length: warmTime, rate: low},
+		{length: spikeTime, rate: 5 * low},
+		{length: recoverTime, rate: low},
+	}, tenTenants())
+}
+
+// crowd is a customer within its share beside one that asks for ten times as
+// much; together they are over capacity.
+func crowd(s size, seed uint64) []job {
+	return jobs(seed, []phase{{length: steadyTime / 2, rate: s.jobRate(2.2, seed)}}, []tenant{
+		{name: "small", part: 1}, {name: "large", part: 10},
+	})
+}
