Tell the load table each target's place for this daemon

Cause: the choice spreads daemons over targets by their places. Change: places follow from the daemon's index among the members. Conclusion: daemons prefer different targets on one stale report.

--- a/serving/process/daemon/thin.go
+++ b/serving/process/daemon/thin.go
@@ -1,12 +1,15 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/load"
+	"carobspoke.example/core/process/membership"
 	"carobspoke.example/serving/connection/targetapi"
 	"carobspoke.example/serving/platform"
 	"carobspoke.example/serving/process/fleet"
@@ -69,7 +72,7 @@
 	}
 	d.members.Regions(regions)
 	d.calls.Observe(hosts, v.Version.Manifest.Fleet.ExpectedDaemons)
-	d.admitter.Keep(specs(v))
+	d.admitter.Keep(specs(v, d.Host()))
 }
 
 // readReports asks every kept engine for its load.
@@ -98,8 +101,11 @@
 
 // specs returns what the load table is told of the engines that this daemon
 // keeps.
-func specs(v *fleet.View) []load.Spec {
-	ranks := load.Ranks(v.Version.Manifest)
+func specs(v *fleet.View, self names.Host) []load.Spec {
+	index, _ := slices.BinarySearchFunc(v.Members, self, func(m membership.Member, h names.Host) int {
+		return cmp.Compare(m.Host, h)
+	})
+	places := load.Places(v.Version.Manifest, index, len(v.Members))
 	var list []load.Spec
 	for i := range v.Version.Manifest.Targets {
 		entry := &v.Version.Manifest.Targets[i]
@@ -117,7 +123,7 @@
 			Isolation:    entry.Isolation,
 			LeavesAt:     at,
 			Leaving:      leaves,
-			Rank:         ranks[entry.Name],
+			Place:        places[entry.Name],
 		})
 	}
 	return list
