Meter control work in the daemon

Cause: nobody knew what control costs in a running daemon. Change: bytes and messages of datagrams, calls between daemons, calls to the platform and polls of targets are counted apart and shown by status.

--- a/serving/connection/peers/peers.go
+++ b/serving/connection/peers/peers.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
 )
 
 // Limits of connections between daemons.
@@ -42,8 +43,9 @@
 	conns map[names.Host]*grpc.ClientConn
 }
 
-// NewPool returns an empty pool. config is nil for plain TCP.
-func NewPool(config *tls.Config) *Pool {
+// NewPool returns an empty pool. config is nil for plain TCP; meter counts
+// calls.
+func NewPool(config *tls.Config, meter stats.Handler) *Pool {
 	creds := insecure.NewCredentials()
 	if config != nil {
 		creds = credentials.NewTLS(config)
@@ -53,6 +55,7 @@
 		options: []grpc.DialOption{
 			grpc.WithTransportCredentials(creds),
 			grpc.WithDisableRetry(),
+			grpc.WithStatsHandler(meter),
 			grpc.WithNoProxy(),
 			grpc.WithIdleTimeout(IdleTimeout),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: KeepaliveTime, Timeout: KeepaliveTimeout}),
@@ -101,9 +104,11 @@
 	}
 }
 
-// NewServer returns a gRPC server for peers. config is nil for plain TCP.
-func NewServer(config *tls.Config) *grpc.Server {
+// NewServer returns a gRPC server for peers. config is nil for plain TCP;
+// meter counts calls.
+func NewServer(config *tls.Config, meter stats.Handler) *grpc.Server {
 	options := []grpc.ServerOption{
+		grpc.StatsHandler(meter),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.MaxSendMsgSize(MaxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
--- a/serving/platform/http.go
+++ b/serving/platform/http.go
@@ -32,8 +32,8 @@
 }
 
 // NewClient returns a client of the service at address, "IP:port".
-func NewClient(address string) *Client {
-	return &Client{base: "http://" + address, http: &http.Client{}}
+func NewClient(address string, transport http.RoundTripper) *Client {
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
 }
 
 // Get implements Platform.
--- /dev/null
+++ b/serving/process/budget/grpc.go
@@ -0,0 +1,59 @@
+package budget
+
+import (
+	"context"
+	"strings"
+
+	core "carobspoke.example/core/process/budget"
+	"google.golang.org/grpc/stats"
+)
+
+// callHeaderBytes allows for the headers of a call between daemons on a
+// connection that is in use, down to IP.
+const callHeaderBytes = 160
+
+// services maps the services that are control to their mechanisms. Forwarding
+// is request work.
+var services = map[string]core.Mechanism{
+	"/carobspoke.peer.v1.Manifests/": core.Distribution,
+	"/carobspoke.peer.v1.Quotas/":    core.Quota,
+}
+
+// CallMeter is a gRPC stats handler, for clients and servers.
+type CallMeter struct {
+	Meter *Meter
+}
+
+var _ stats.Handler = CallMeter{}
+
+type mechanismKey struct{}
+
+// TagRPC implements stats.Handler.
+func (c CallMeter) TagRPC(ctx context.Context, info *stats.RPCTagInfo) context.Context {
+	for prefix, mechanism := range services {
+		if strings.HasPrefix(info.FullMethodName, prefix) {
+			return context.WithValue(ctx, mechanismKey{}, mechanism)
+		}
+	}
+	return ctx
+}
+
+// HandleRPC implements stats.Handler.
+func (c CallMeter) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	mechanism, ok := ctx.Value(mechanismKey{}).(core.Mechanism)
+	if !ok {
+		return
+	}
+	switch event := s.(type) {
+	case *stats.InPayload:
+		c.Meter.Spent(mechanism, event.WireLength+callHeaderBytes)
+	case *stats.OutPayload:
+		c.Meter.Spent(mechanism, event.WireLength+callHeaderBytes)
+	}
+}
+
+// TagConn implements stats.Handler.
+func (c CallMeter) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+// HandleConn implements stats.Handler.
+func (c CallMeter) HandleConn(context.Context, stats.ConnStats) {}
--- /dev/null
+++ b/serving/process/budget/http.go
@@ -0,0 +1,44 @@
+package budget
+
+import (
+	"io"
+	"net/http"
+
+	core "carobspoke.example/core/process/budget"
+)
+
+// exchangeHeaderBytes allows for the headers of a request and its answer on a
+// connection that is in use, down to IP.
+const exchangeHeaderBytes = 600
+
+// Transport counts the exchanges of an HTTP client.
+type Transport struct {
+	Next      http.RoundTripper
+	Meter     *Meter
+	Mechanism core.Mechanism
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	sent := exchangeHeaderBytes + int(max(r.ContentLength, 0))
+	response, err := t.Next.RoundTrip(r)
+	t.Meter.Spent(t.Mechanism, sent)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &countedBody{ReadCloser: response.Body, transport: t}
+	return response, nil
+}
+
+// countedBody counts what is read of an answer.
+type countedBody struct {
+	io.ReadCloser
+	transport *Transport
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.transport.Meter.add(b.transport.Mechanism, core.Spending{Bytes: uint64(n)})
+	return n, err
+}
--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -32,6 +32,7 @@
 	completionsserver "carobspoke.example/serving/gen/http/completions/server"
 	"carobspoke.example/serving/peerpb"
 	"carobspoke.example/serving/process/admin"
+	"carobspoke.example/serving/process/budget"
 	"carobspoke.example/serving/process/counters"
 	"carobspoke.example/serving/process/distribution"
 	"carobspoke.example/serving/request/calls"
@@ -70,13 +71,14 @@
 }
 
 func (d *Daemon) buildPeers() {
+	meter := budget.CallMeter{Meter: d.meter}
 	if d.peerTLS == nil {
-		d.pool = peers.NewPool(nil)
-		d.peerServer = peers.NewServer(nil)
+		d.pool = peers.NewPool(nil, meter)
+		d.peerServer = peers.NewServer(nil, meter)
 		return
 	}
-	d.pool = peers.NewPool(d.peerTLS.MutualClientConfig())
-	d.peerServer = peers.NewServer(d.peerTLS.MutualServerConfig())
+	d.pool = peers.NewPool(d.peerTLS.MutualClientConfig(), meter)
+	d.peerServer = peers.NewServer(d.peerTLS.MutualServerConfig(), meter)
 }
 
 func (d *Daemon) buildDistribution() error {
@@ -89,7 +91,7 @@
 		Platform: d.platform,
 		Peers:    manifestPeers{d: d},
 		Report: func(ctx context.Context, address string) (target.Report, error) {
-			return targetapi.NewClient(address, d.transport).Report(ctx)
+			return targetapi.NewClient(address, d.polling).Report(ctx)
 		},
 		Keys:     []ed25519.PublicKey{key},
 		Holder:   d.versions,
--- a/serving/process/daemon/daemon.go
+++ b/serving/process/daemon/daemon.go
@@ -16,11 +16,13 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	core "carobspoke.example/core/process/budget"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/connection/peers"
 	"carobspoke.example/serving/connection/targetapi"
 	"carobspoke.example/serving/connection/tlskeys"
 	"carobspoke.example/serving/platform"
+	"carobspoke.example/serving/process/budget"
 	"carobspoke.example/serving/process/counters"
 	"carobspoke.example/serving/process/distribution"
 	"carobspoke.example/serving/process/fleet"
@@ -62,12 +64,15 @@
 	callerTLS   *tls.Config
 	peerTLS     *tlskeys.Pair
 
-	counters    *counters.Counters
-	versions    *version.Holder
-	hosts       hostList
-	members     *membership.Membership
-	fleet       *fleet.Fleet
+	counters *counters.Counters
+	versions *version.Holder
+	hosts    hostList
+	members  *membership.Membership
+	fleet    *fleet.Fleet
+	// transport carries requests to targets, polling everything else.
 	transport   http.RoundTripper
+	polling     http.RoundTripper
+	meter       *budget.Meter
 	pool        *peers.Pool
 	quota       *quota.Quota
 	retries     *retries.Retries
@@ -97,9 +102,12 @@
 		counters:    counters.New(),
 		versions:    &version.Holder{},
 		transport:   targetapi.NewTransport(),
+		meter:       &budget.Meter{},
 	}
+	d.polling = &budget.Transport{Next: targetapi.NewTransport(), Meter: d.meter, Mechanism: core.Keeping}
 	if d.platform == nil {
-		d.platform = platform.NewClient(o.Settings.Platform.Address)
+		transport := &budget.Transport{Next: targetapi.NewTransport(), Meter: d.meter, Mechanism: core.Platform}
+		d.platform = platform.NewClient(o.Settings.Platform.Address, transport)
 	}
 	steps := []func() error{d.loadKeys, d.listen, d.build}
 	for _, step := range steps {
--- a/serving/process/daemon/members.go
+++ b/serving/process/daemon/members.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/budget"
 	"carobspoke.example/core/process/crash"
 	"carobspoke.example/core/process/distribution"
 	"carobspoke.example/core/process/gossip"
@@ -39,7 +40,8 @@
 		Deliver:  d.delivered,
 		Log:      d.log,
 		Registry: d.counters.Registry(),
-		Meter:    func(int) {},
+		Meter:    func(bytes int) { d.meter.Spent(budget.Membership, bytes) },
+		Worked:   func(took time.Duration) { d.meter.Worked(budget.Membership, took) },
 	})
 	d.fleet = fleet.New(d.Host(), d.members, d.versions, d.changed)
 	return nil
--- a/serving/process/daemon/status.go
+++ b/serving/process/daemon/status.go
@@ -25,7 +25,7 @@
 		Targets:     []*genadmin.TargetStatus{},
 		Quotas:      d.quotaStatus(),
 		Refusals:    d.counters.Refusals(),
-		Control:     map[string]float64{},
+		Control:     d.meter.Read(),
 	}
 	view := d.versions.Current()
 	if view == nil {
--- a/serving/process/daemon/thin.go
+++ b/serving/process/daemon/thin.go
@@ -84,7 +84,7 @@
 	for i := range v.Version.Manifest.Targets {
 		entry := &v.Version.Manifest.Targets[i]
 		if entry.Service == "" && v.Assignment.Kept(entry.Name) {
-			go d.readReport(ctx, d.dispatcher.Engines.Engine(entry.Address), entry.Name)
+			go d.readReport(ctx, targetapi.NewClient(entry.Address, d.polling), entry.Name)
 		}
 	}
 }
--- a/serving/process/membership/membership.go
+++ b/serving/process/membership/membership.go
@@ -55,6 +55,8 @@
 	// Meter is told the bytes of each datagram sent or received, with the
 	// headers of UDP and IP.
 	Meter func(bytes int)
+	// Worked is told how long the machine took for an event.
+	Worked func(time.Duration)
 }
 
 // Membership is the shell of a machine.
@@ -170,6 +172,7 @@
 		m.perform(action)
 	}
 	m.publish(now)
+	m.config.Worked(time.Since(now))
 }
 
 func (m *Membership) publish(now time.Time) {
--- a/serving/request/calls/calls_test.go
+++ b/serving/request/calls/calls_test.go
@@ -16,6 +16,7 @@
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/connection/peers"
 	"carobspoke.example/serving/peerpb"
+	"carobspoke.example/serving/process/budget"
 	"carobspoke.example/serving/request/failure"
 	"github.com/cockroachdb/datadriven"
 	"google.golang.org/grpc"
@@ -138,7 +139,7 @@
 	peer := &dyingPeer{server: grpc.NewServer()}
 	peerpb.RegisterForwardingServer(peer.server, peer)
 	go peer.server.Serve(listener) //nolint:errcheck // it ends when the peer dies
-	pool := peers.NewPool(nil)
+	pool := peers.NewPool(nil, budget.CallMeter{Meter: &budget.Meter{}})
 	defer pool.Close()
 	client := &GRPCPeers{Conn: pool.Conn}
 	host := names.Host(listener.Addr().String())
--- a/tools/dev/tls_test.go
+++ b/tools/dev/tls_test.go
@@ -11,6 +11,7 @@
 	"carobspoke.example/serving/connection/peers"
 	"carobspoke.example/serving/connection/tlskeys"
 	"carobspoke.example/serving/peerpb"
+	"carobspoke.example/serving/process/budget"
 	"carobspoke.example/tools/standin/fleet"
 	"go.uber.org/zap"
 )
@@ -65,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	pool := peers.NewPool(pair.MutualClientConfig())
+	pool := peers.NewPool(pair.MutualClientConfig(), budget.CallMeter{Meter: &budget.Meter{}})
 	defer pool.Close()
 	conn, err := pool.Conn(d.Daemons()[0].Host())
 	if err != nil {
--- a/tools/standin/platform/platform_test.go
+++ b/tools/standin/platform/platform_test.go
@@ -17,7 +17,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.Close() })
-	return s, platform.NewClient(s.Address())
+	return s, platform.NewClient(s.Address(), nil)
 }
 
 func publish(t *testing.T, s *Server, data string) {
