Let load reports ride on answers

Cause: polling 32 targets 4 times a second costs 120 KB/s of control. Change: an engine may tell its load in a short header of each answer, about 100 bytes; the admission table takes it in like a polled report.

--- /dev/null
+++ b/core/target/reportheader.go
@@ -0,0 +1,58 @@
+package target
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"carobspoke.example/core/names"
+	"github.com/pkg/errors"
+)
+
+// ReportHeader is the header in which an engine may tell its load with an
+// answer. A keeper that is told so need not ask.
+const ReportHeader = "Load-Report"
+
+// reportFields is the number of fields of the header's text.
+const reportFields = 14
+
+// HeaderText returns the report in the short form of ReportHeader: numbers in
+// a fixed order, then model, version and role. The target's name and its
+// adapters are left out.
+func (r *Report) HeaderText() string {
+	loading := 0
+	if r.State.Loading {
+		loading = 1
+	}
+	return fmt.Sprintf("%d %d %d %d %d %d %d %d %.0f %d %d %d %s %s/%s",
+		r.Boot, r.Seq, r.Taken.UnixMilli(), r.QueuedTokens, r.RunningStreams, r.FreeBlocks, r.TotalBlocks,
+		r.BlockTokens, r.PrefillRate, r.StepTime.Microseconds(), r.Fence, loading, r.State.Role, r.State.Model, r.State.Version)
+}
+
+// ParseReportHeader reads the short form.
+func ParseReportHeader(text string) (Report, error) {
+	parts := strings.SplitN(text, " ", reportFields)
+	if len(parts) != reportFields {
+		return Report{}, errors.New("load report: too few fields")
+	}
+	var n [reportFields - 2]int64
+	for i := range n {
+		value, err := strconv.ParseInt(parts[i], 10, 64)
+		if err != nil || value < 0 {
+			return Report{}, errors.Errorf("load report: field %d is not a number", i)
+		}
+		n[i] = value
+	}
+	model, version, ok := strings.Cut(parts[13], "/")
+	if !ok {
+		return Report{}, errors.New("load report: no version")
+	}
+	return Report{
+		Boot: uint64(n[0]), Seq: uint64(n[1]), Taken: time.UnixMilli(n[2]),
+		QueuedTokens: int(n[3]), RunningStreams: int(n[4]), FreeBlocks: int(n[5]), TotalBlocks: int(n[6]),
+		BlockTokens: int(n[7]), PrefillRate: float64(n[8]), StepTime: time.Duration(n[9]) * time.Microsecond,
+		Fence: uint64(n[10]),
+		State: State{Model: names.Model(model), Version: version, Role: Role(parts[12]), Loading: n[11] == 1},
+	}, nil
+}
--- a/serving/connection/targetapi/client.go
+++ b/serving/connection/targetapi/client.go
@@ -185,7 +185,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newFrameReader(response.Body), nil
+	return newFrameReader(response), nil
 }
 
 // send makes one attempt. The request is written to at most one connection:
--- a/serving/connection/targetapi/frames.go
+++ b/serving/connection/targetapi/frames.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"net/http"
 
 	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
@@ -11,14 +12,21 @@
 
 // frameReader reads an answer's frames, a JSON line each.
 type frameReader struct {
-	body  io.ReadCloser
-	lines *bufio.Scanner
+	body   io.ReadCloser
+	lines  *bufio.Scanner
+	report string
 }
 
-func newFrameReader(body io.ReadCloser) *frameReader {
-	lines := bufio.NewScanner(body)
+func newFrameReader(response *http.Response) *frameReader {
+	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(make([]byte, 0, 512), MaxFrameBytes)
-	return &frameReader{body: body, lines: lines}
+	return &frameReader{body: response.Body, lines: lines, report: response.Header.Get(target.ReportHeader)}
+}
+
+// Load implements LoadTeller.
+func (r *frameReader) Load() (target.Report, bool) {
+	report, err := target.ParseReportHeader(r.report)
+	return report, err == nil
 }
 
 // Next implements Stream.
--- a/serving/connection/targetapi/targetapi.go
+++ b/serving/connection/targetapi/targetapi.go
@@ -43,6 +43,13 @@
 	Close() error
 }
 
+// LoadTeller is a Stream whose engine told its load with the answer.
+type LoadTeller interface {
+	// Load returns the report, without the target's name, and whether there
+	// was one.
+	Load() (target.Report, bool)
+}
+
 // Service is a plain service.
 type Service interface {
 	// Call runs a call once: the implementation never sends it again.
--- a/serving/request/dispatch/observe.go
+++ b/serving/request/dispatch/observe.go
@@ -15,6 +15,8 @@
 	targetapi.Engine
 	placed  *placed
 	started func()
+	// told takes in a load report that came with an answer.
+	told func(target.Report)
 }
 
 // Submit implements targetapi.Engine.
@@ -35,6 +37,11 @@
 		o.placed.outcome = outcomeOf(err)
 		return nil, err
 	}
+	if teller, ok := stream.(targetapi.LoadTeller); ok {
+		if report, ok := teller.Load(); ok {
+			o.told(report)
+		}
+	}
 	return &observedStream{Stream: stream, placed: o.placed, started: o.started}, nil
 }
 
--- a/serving/request/dispatch/place.go
+++ b/serving/request/dispatch/place.go
@@ -9,6 +9,7 @@
 	"carobspoke.example/core/process/load"
 	"carobspoke.example/core/request/admission"
 	"carobspoke.example/core/request/facts"
+	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/request/answer"
 )
@@ -70,9 +71,15 @@
 		release()
 		return answer.Placement{}, err
 	}
-	watched := &observed{Engine: engine, placed: state, started: func() {
-		p.d.Admitter.FirstToken(state.request.ID)
-	}}
+	watched := &observed{
+		Engine:  engine,
+		placed:  state,
+		started: func() { p.d.Admitter.FirstToken(state.request.ID) },
+		told: func(report target.Report) {
+			report.Target = action.Decision.Target
+			p.d.Admitter.Report(report)
+		},
+	}
 	return answer.Placement{Target: action.Decision.Target, Engine: watched, Release: release}, nil
 }
 
--- a/tools/standin/engine/routes.go
+++ b/tools/standin/engine/routes.go
@@ -70,6 +70,8 @@
 
 // writeFrames writes a stream's tokens as they come, and its end.
 func (e *Server) writeFrames(w http.ResponseWriter, r *http.Request, s *stream, from int, attempt uint32) {
+	report := e.report(time.Now())
+	w.Header().Set(target.ReportHeader, report.HeaderText())
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
