Add the load tool

Change: load run, schedule, compare, report and plot: an open loop over a schedule, latencies from the scheduled moment in HdrHistograms, callers in the published form with resumes and tickets, a naive direct caller, faults by time, checks of promises against the stand-ins' records, figures and one HTML page.

--- /dev/null
+++ b/tools/load/command.go
@@ -0,0 +1,285 @@
+package load
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"carobspoke.example/core/version/manifest"
+	"carobspoke.example/tools/load/caller"
+	"carobspoke.example/tools/load/measure"
+	"carobspoke.example/tools/load/report"
+	"carobspoke.example/tools/load/workload"
+	"carobspoke.example/tools/standin/fleet"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// defaultSettle is how long engines may take to be empty after a run.
+const defaultSettle = 10 * time.Second
+
+// Command returns the load command of the operators' binary.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "send a workload to a fleet, check its promises, compare and draw results",
+		Commands: []*cli.Command{
+			runCommand(), scheduleCommand(), compareCommand(), reportCommand(), plotCommand(),
+		},
+	}
+}
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "run",
+		Usage:     "send a workload to daemons, or with --direct to bare stand-ins",
+		ArgsUsage: "WORKLOAD.toml",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "daemon", Usage: "base `URL` of a daemon; may be repeated"},
+			&cli.StringFlag{Name: "ca", Usage: "PEM `FILE` of the daemons' certificate authority"},
+			&cli.BoolFlag{Name: "direct", Usage: "start the workload's fleet of stand-ins and call them without daemons"},
+			&cli.StringFlag{Name: "manifest", Usage: "manifest `FILE` that names the stand-ins, for faults and checks"},
+			&cli.StringFlag{Name: "platform", Usage: "`ADDRESS` of the platform stand-in, for faults"},
+			&cli.StringSliceFlag{Name: "without", Usage: "leave a `CLASS` out; may be repeated"},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed in place of the file's"},
+			&cli.DurationFlag{Name: "duration", Usage: "duration in place of the file's"},
+			&cli.FloatFlag{Name: "rate", Usage: "arrivals a second in place of the file's"},
+			&cli.DurationFlag{Name: "settle", Value: defaultSettle, Usage: "time for engines to be empty after the run"},
+			&cli.StringFlag{Name: "label", Usage: "name of the run in comparisons"},
+			&cli.StringFlag{Name: "out", Usage: "result `FILE`, JSON"},
+			&cli.StringFlag{Name: "html", Usage: "report `FILE`, one self-contained page"},
+		},
+		Action: runAction,
+	}
+}
+
+func runAction(ctx context.Context, c *cli.Command) error {
+	w, err := loadWorkload(c)
+	if err != nil {
+		return err
+	}
+	run := Run{
+		Workload: w,
+		Schedule: workload.Without(w.Schedule(), c.StringSlice("without")),
+		Label:    c.String("label"),
+		Settle:   c.Duration("settle"),
+	}
+	stop, err := run.connect(c)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	if run.Standins != nil {
+		if err := run.Standins.Verify(w.Faults); err != nil {
+			return err
+		}
+	}
+	result, err := run.Do(ctx)
+	if err != nil {
+		return err
+	}
+	return writeResult(c, result)
+}
+
+func loadWorkload(c *cli.Command) (*workload.Workload, error) {
+	if c.Args().Len() != 1 {
+		return nil, errors.New("one workload file is needed")
+	}
+	w, err := workload.Load(c.Args().First())
+	if err != nil {
+		return nil, err
+	}
+	if c.IsSet("seed") {
+		w.Seed = c.Uint64("seed")
+	}
+	if c.IsSet("duration") {
+		w.Duration = workload.Duration(c.Duration("duration"))
+	}
+	if c.IsSet("rate") {
+		w.Rate = c.Float("rate")
+	}
+	return w, nil
+}
+
+// connect sets the run's caller and stand-ins. The function that it returns
+// ends what it started.
+func (r *Run) connect(c *cli.Command) (stop func(), err error) {
+	if c.Bool("direct") {
+		return r.connectDirect()
+	}
+	bases := c.StringSlice("daemon")
+	if len(bases) == 0 {
+		return nil, errors.New("--daemon or --direct is needed")
+	}
+	transport, err := daemonTransport(c.String("ca"))
+	if err != nil {
+		return nil, err
+	}
+	r.Caller = caller.NewGateway(bases, r.Workload.Retry, transport)
+	if path := c.String("manifest"); path != "" {
+		if r.Standins, err = readStandins(path, c.String("platform")); err != nil {
+			return nil, err
+		}
+	}
+	return func() {}, nil
+}
+
+func (r *Run) connectDirect() (stop func(), err error) {
+	f, err := fleet.Start(fleet.Config{Size: r.Workload.Fleet, Speedup: r.Workload.Speedup, Seed: r.Workload.Seed})
+	if err != nil {
+		return nil, err
+	}
+	r.Caller = caller.NewDirect(f.Manifest(), r.Workload.Retry)
+	r.Standins = NewStandins(f.Manifest(), f.Platform().Address())
+	return f.Close, nil
+}
+
+func daemonTransport(ca string) (*http.Transport, error) {
+	if ca == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(ca)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, errors.Errorf("%s holds no certificate", ca)
+	}
+	return &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}, nil
+}
+
+func readStandins(path, platform string) (*Standins, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	m, err := manifest.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	return NewStandins(*m, platform), nil
+}
+
+func writeResult(c *cli.Command, result *measure.Result) error {
+	if err := report.Text(c.Root().Writer, result); err != nil {
+		return err
+	}
+	if path := c.String("out"); path != "" {
+		if err := result.Save(path); err != nil {
+			return err
+		}
+	}
+	if path := c.String("html"); path != "" {
+		return writeFile(path, func(w io.Writer) error { return report.HTML(w, []*measure.Result{result}) })
+	}
+	return nil
+}
+
+func writeFile(path string, write func(io.Writer) error) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if err := write(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return errors.WithStack(file.Close())
+}
+
+func scheduleCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "schedule",
+		Usage:     "print the arrivals of a workload without sending them",
+		ArgsUsage: "WORKLOAD.toml",
+		Action: func(_ context.Context, c *cli.Command) error {
+			w, err := loadWorkload(c)
+			if err != nil {
+				return err
+			}
+			for _, r := range w.Schedule() {
+				_, err := fmt.Fprintf(c.Root().Writer, "%d\t%s\t%s\t%s\t%d\t%d\n",
+					r.Index, r.At, r.Class, r.Customer.Name, r.PromptTokens, r.AnswerTokens)
+				if err != nil {
+					return errors.WithStack(err)
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func compareCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "compare",
+		Usage:     "compare two results, group by group",
+		ArgsUsage: "A.json B.json",
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() != 2 {
+				return errors.New("two results are needed")
+			}
+			results, err := readResults(c.Args().Slice())
+			if err != nil {
+				return err
+			}
+			return report.Compare(c.Root().Writer, results[0], results[1])
+		},
+	}
+}
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "report",
+		Usage:     "write one self-contained HTML page of some results",
+		ArgsUsage: "RESULT.json...",
+		Flags:     []cli.Flag{&cli.StringFlag{Name: "out", Required: true, Usage: "HTML `FILE`"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			results, err := readResults(c.Args().Slice())
+			if err != nil {
+				return err
+			}
+			return writeFile(c.String("out"), func(w io.Writer) error { return report.HTML(w, results) })
+		},
+	}
+}
+
+func plotCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "plot",
+		Usage:     "draw one figure of some results, as SVG or PNG",
+		ArgsUsage: "RESULT.json...",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Required: true, Usage: "`FILE`.svg or .png"},
+			&cli.StringFlag{Name: "figure", Value: string(report.FirstToken), Usage: "first-token, inter-token, total or timeline"},
+			&cli.StringFlag{Name: "class", Value: "short", Usage: "the requests' `CLASS`"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			results, err := readResults(c.Args().Slice())
+			if err != nil {
+				return err
+			}
+			return report.SaveFigure(c.String("out"), report.Figure(c.String("figure")), c.String("class"), results)
+		},
+	}
+}
+
+func readResults(paths []string) ([]*measure.Result, error) {
+	if len(paths) == 0 {
+		return nil, errors.New("results are needed")
+	}
+	results := make([]*measure.Result, 0, len(paths))
+	for _, path := range paths {
+		result, err := measure.Read(path)
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, result)
+	}
+	return results, nil
+}
--- /dev/null
+++ b/tools/load/report/compare.go
@@ -0,0 +1,72 @@
+package report
+
+import (
+	"io"
+	"text/tabwriter"
+
+	"carobspoke.example/tools/load/measure"
+	"github.com/pkg/errors"
+)
+
+// metric is a figure of a group.
+type metric struct {
+	name  string
+	value func(measure.Group) float64
+}
+
+var metrics = []metric{
+	{"whole %", func(g measure.Group) float64 { return WholeShare(g) * percent }},
+	{"first token p50 ms", func(g measure.Group) float64 { return g.FirstToken.P50MS }},
+	{"first token p95 ms", func(g measure.Group) float64 { return g.FirstToken.P95MS }},
+	{"first token p99 ms", func(g measure.Group) float64 { return g.FirstToken.P99MS }},
+	{"between tokens p95 ms", func(g measure.Group) float64 { return g.InterToken.P95MS }},
+	{"total p50 ms", func(g measure.Group) float64 { return g.Total.P50MS }},
+	{"total p95 ms", func(g measure.Group) float64 { return g.Total.P95MS }},
+}
+
+// Compare writes the figures of two results side by side. The ratio is that of
+// the second to the first.
+func Compare(w io.Writer, a, b *measure.Result) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	line(table, "phase\tclass\tfigure\t%s\t%s\tratio\t\n", name(a), name(b))
+	for _, group := range a.Groups {
+		other := b.Find(group.Class, group.Phase)
+		if other == nil {
+			continue
+		}
+		for _, m := range metrics {
+			compareMetric(table, group, *other, m)
+		}
+	}
+	compareChecks(table, a.Checks, b.Checks)
+	return errors.WithStack(table.Flush())
+}
+
+func compareMetric(w io.Writer, a, b measure.Group, m metric) {
+	before, after := m.value(a), m.value(b)
+	if before == 0 && after == 0 {
+		return
+	}
+	ratio := "-"
+	if before != 0 {
+		ratio = format(after / before)
+	}
+	line(w, "%s\t%s\t%s\t%s\t%s\t%s\t\n", a.Phase, a.Class, m.name, format(before), format(after), ratio)
+}
+
+func compareChecks(w io.Writer, a, b measure.Checks) {
+	counts := []struct {
+		name string
+		a, b int
+	}{
+		{"wrong tokens", a.WrongTokens, b.WrongTokens},
+		{"overdue", a.Overdue, b.Overdue},
+		{"calls repeated", a.RepeatedCalls, b.RepeatedCalls},
+		{"falsely not run", a.FalseNotRun, b.FalseNotRun},
+		{"falsely answered", a.FalseWhole, b.FalseWhole},
+		{"blocks left", a.LeftBlocks, b.LeftBlocks},
+	}
+	for _, c := range counts {
+		line(w, "check\t\t%s\t%d\t%d\t\t\n", c.name, c.a, c.b)
+	}
+}
