--- a/serving/process/settings/defaults.go
+++ b/serving/process/settings/defaults.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // Defaults of settings that a file may leave out.
@@ -12,35 +10,44 @@
 	DefaultBodyTimeout    = 20 * time.Second
 	DefaultRequestTimeout = 5 * time.Minute
 	DefaultDrainTimeout   = 5 * time.Minute
+	DefaultAloneAfter     = 15 * time.Second
 	DefaultLogLevel       = "info"
 )
 
 // Duration is a time span written as "10s" or "1m30s".
-type Duration time.Duration
+type Duration struct {
+	time.Duration
+	// mistake is what the file says, if that is no time span. Check reports
+	// it with its key.
+	mistake string
+}
 
-// UnmarshalText implements encoding.TextUnmarshaler.
+// UnmarshalText implements encoding.TextUnmarshaler. It takes any text.
 func (d *Duration) UnmarshalText(text []byte) error {
 	parsed, err := time.ParseDuration(string(text))
 	if err != nil || parsed <= 0 {
-		return errors.Errorf("expected a positive time span with a unit, such as \"10s\", not %q", text)
+		d.mistake = string(text)
+		return nil
 	}
-	*d = Duration(parsed)
+	*d = Duration{Duration: parsed}
 	return nil
 }
 
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
+	return []byte(d.String()), nil
 }
 
-func defaults() *Settings {
+// Default returns settings with everything that a file may leave out.
+func Default() *Settings {
 	return &Settings{
 		Caller: Caller{
 			MaxBodyBytes:   DefaultMaxBodyBytes,
-			BodyTimeout:    Duration(DefaultBodyTimeout),
-			DefaultTimeout: Duration(DefaultRequestTimeout),
-			DrainTimeout:   Duration(DefaultDrainTimeout),
+			BodyTimeout:    Duration{Duration: DefaultBodyTimeout},
+			DefaultTimeout: Duration{Duration: DefaultRequestTimeout},
+			DrainTimeout:   Duration{Duration: DefaultDrainTimeout},
 		},
-		Log: Log{Level: DefaultLogLevel},
+		Peer: Peer{AloneAfter: Duration{Duration: DefaultAloneAfter}},
+		Log:  Log{Level: DefaultLogLevel},
 	}
 }
--- a/serving/request/dispatch/dispatch.go
+++ b/serving/request/dispatch/dispatch.go
@@ -15,7 +15,6 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/crash"
 	"carobspoke.example/core/request/facts"
-	"carobspoke.example/core/request/stream"
 	"carobspoke.example/core/request/ticket"
 	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
@@ -43,7 +42,7 @@
 type Quota interface {
 	// Admit takes tokens from the customer's quota, or returns a
 	// *verdict.Error with NotRun and the time to come back.
-	Admit(customer names.Customer, tokens int) error
+	Admit(ctx context.Context, customer names.Customer, tokens int) error
 }
 
 // Relays names daemons that keep targets of a model.
@@ -68,6 +67,8 @@
 	Crashes     *Crashes
 	Tickets     *ticket.Ring
 	Abandoned   *Abandoned
+	// NewStream returns a name for a stream that is wanted until a deadline.
+	NewStream func(deadline time.Time) (target.StreamID, error)
 	// Ready returns nil if the daemon takes new requests.
 	Ready func() error
 }
@@ -96,16 +97,16 @@
 	if err := d.Ready(); err != nil {
 		return err
 	}
-	if err := d.Quota.Admit(g.Facts.Customer, g.Facts.PromptTokens+g.Facts.MaxTokens); err != nil {
+	if err := d.Quota.Admit(ctx, g.Facts.Customer, g.Facts.PromptTokens+g.Facts.MaxTokens); err != nil {
 		return err
 	}
 	d.Retries.Fresh()
-	name, err := stream.New(d.Host, d.Incarnation, g.Facts.Deadline, rand.Reader)
+	name, err := d.NewStream(g.Facts.Deadline)
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.Internal, "no name for the stream")
 	}
-	out := &ticketSink{d: d, sink: sink, request: g.Facts, stream: name.Stream()}
-	r := forward.Request{Facts: g.Facts, Prompt: g.Prompt, Stream: name.Stream(), Version: view.Version()}
+	out := &ticketSink{d: d, sink: sink, request: g.Facts, stream: name}
+	r := forward.Request{Facts: g.Facts, Prompt: g.Prompt, Stream: name, Version: view.Version()}
 	if !d.Relays.Keeps(g.Facts.Model) {
 		return d.relay(ctx, r, out)
 	}
