Wait for isolation without spending retries; equal seeds give equal streams

Cause: the chooser refuses a suspect with crash_suspect, not_run, while the isolation target is busy, which ended an innocent request; waiting by retries spent the budget; streams of one schedule shared one random sequence, so that equal seeds gave different histories. Change: answer.Alone waits up to 30 s for an isolation target; a busy one is no_target; streams are seeded apart, and a test compares histories.

--- a/serving/request/answer/alone.go
+++ b/serving/request/answer/alone.go
@@ -12,9 +12,13 @@
 	"carobspoke.example/serving/connection/targetapi"
 )
 
-// AlonePoll is the longest time between two looks at an isolation target that
-// is in use.
-const AlonePoll = 200 * time.Millisecond
+const (
+	// AlonePoll is the longest time between two looks at isolation targets
+	// that are in use.
+	AlonePoll = 200 * time.Millisecond
+	// AloneWait is how long a suspect waits for one.
+	AloneWait = 30 * time.Second
+)
 
 // Alone keeps suspects apart at isolation targets: within this daemon by a
 // table of those in use, and among daemons by asking the engine what it runs,
@@ -35,7 +39,7 @@
 }
 
 // Wrap returns Targets that place suspects alone and leave other placements to
-// inner. Place then waits for a free target as long as ctx lasts.
+// inner. Place then waits for a free target, for AloneWait at most.
 func (a *Alone) Wrap(inner Targets) Targets {
 	return &aloneTargets{alone: a, inner: inner}
 }
@@ -50,6 +54,8 @@
 	if !want.Isolate {
 		return t.inner.Place(ctx, want)
 	}
+	ctx, cancel := context.WithTimeout(ctx, AloneWait)
+	defer cancel()
 	placement, err := t.claim(ctx, want)
 	if err != nil {
 		return Placement{}, err
@@ -81,27 +87,25 @@
 func (t *aloneTargets) claim(ctx context.Context, want Want) (Placement, error) {
 	for {
 		placement, freed, err := t.try(ctx, want)
-		if err == nil || freed == nil {
+		if err == nil || !inUse(err) {
 			return placement, err
 		}
 		select {
 		case <-freed:
+		case <-time.After(pollWait()):
 		case <-ctx.Done():
 			return Placement{}, busy(ctx.Err())
 		}
 	}
 }
 
-// try claims a target, or returns the error and, if it is worth waiting, what
-// tells that a target was freed.
+// try claims a target, or returns the error and what tells that this daemon
+// has freed one.
 func (t *aloneTargets) try(ctx context.Context, want Want) (Placement, <-chan struct{}, error) {
 	used, freed := t.alone.used()
 	want.Avoid = append(append([]names.Target(nil), want.Avoid...), used...)
 	placement, err := t.inner.Place(ctx, want)
 	if err != nil {
-		if len(used) == 0 {
-			freed = nil
-		}
 		return Placement{}, freed, err
 	}
 	if !t.alone.take(placement.Target) {
@@ -113,9 +117,18 @@
 		release()
 		t.alone.free(placement.Target)
 	})
-	return placement, nil, nil
+	return placement, freed, nil
 }
 
+// inUse reports whether a placement may succeed when a suspect has ended: the
+// chooser says crash_suspect when isolation targets are there but busy.
+func inUse(err error) bool {
+	e := verdict.From(err)
+	return e.Verdict == verdict.NotRun && (e.Reason == verdict.NoTarget || e.Reason == verdict.CrashSuspect)
+}
+
+func pollWait() time.Duration { return AlonePoll/2 + rand.N(AlonePoll/2) }
+
 func (a *Alone) used() ([]names.Target, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -148,7 +161,7 @@
 func waitIdle(ctx context.Context, engine targetapi.Engine) error {
 	for running(ctx, engine) > 0 {
 		select {
-		case <-time.After(AlonePoll/2 + rand.N(AlonePoll/2)):
+		case <-time.After(pollWait()):
 		case <-ctx.Done():
 			return busy(ctx.Err())
 		}
--- a/serving/request/answer/run.go
+++ b/serving/request/answer/run.go
@@ -120,6 +120,9 @@
 	isolate := standing == crash.Suspect
 	want := Want{From: r.checker.Next(), Avoid: r.avoid, Isolate: isolate}
 	placement, err := r.deps.Targets.Place(ctx, want)
+	if err != nil && isolate && inUse(err) {
+		return busy(err)
+	}
 	if err != nil {
 		return err
 	}
--- a/tools/history/streams_test.go
+++ b/tools/history/streams_test.go
@@ -148,6 +148,11 @@
 		}
 	}()
 	tell := func(line frameOrEnd) error {
+		select {
+		case <-dead:
+			return context.Canceled
+		default:
+		}
 		select {
 		case lines <- line:
 			return nil
@@ -192,7 +197,7 @@
 	return answer.Deps{
 		Targets: s.engines,
 		Prompt:  answer.NewCrashes(time.Now).Prompt(digest),
-		Retries: retries.New(retry.Default(), time.Now, rand.New(rand.NewPCG(s.seed, uint64(submit.PromptTokens))), func(retry.Outcome, verdict.Reason) {}),
+		Retries: retries.New(retry.Default(), time.Now, rand.New(rand.NewPCG(s.seed, uint64(draw(1<<62, submit.Stream)))), func(retry.Outcome, verdict.Reason) {}),
 		Stall:   5 * time.Second,
 		Abandon: func(names.Target, targetapi.Engine, target.StreamID) {},
 		Started: func(at names.Target) {
@@ -262,3 +267,14 @@
 		t.Error("the schedules prove nothing")
 	}
 }
+
+// TestSameSeedSameStreams runs schedules twice.
+func TestSameSeedSameStreams(t *testing.T) {
+	for seed := range uint64(50) {
+		ops, _ := streams(t, seed, false)
+		again, _ := streams(t, seed, false)
+		if Fingerprint(DescribeStream, ops) != Fingerprint(DescribeStream, again) {
+			t.Errorf("seed %d: two histories", seed)
+		}
+	}
+}
