--- a/core/process/membership/datagram.go
+++ b/core/process/membership/datagram.go
@@ -1,6 +1,9 @@
 package membership
 
 import (
+	"math/bits"
+	"strings"
+
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/gossip"
 )
@@ -18,9 +21,9 @@
 	PingRequest
 	// Push carries digests that cannot wait for the next probe.
 	Push
-	// SyncRequest asks for a page of the member table.
+	// SyncRequest asks for the members that the sender does not know.
 	SyncRequest
-	// SyncReply is a page of the member table.
+	// SyncReply is a page of these members.
 	SyncReply
 	// Purposes is the number of purposes.
 	Purposes
@@ -56,11 +59,11 @@
 	Payload  []byte
 }
 
-// digestBytes is the size of a digest in a datagram without key and payload.
-const digestBytes = 20
-
 // Bytes bounds the size of the digest in a datagram.
-func (d *Digest) Bytes() int { return digestBytes + len(d.Key) + len(d.Payload) }
+func (d *Digest) Bytes() int {
+	const fixed = 3 + 2 + 2 + 3
+	return fixed + len(d.Key) + numberBytes(d.Sequence) + len(d.Payload)
+}
 
 // Datagram is one message between two daemons.
 type Datagram struct {
@@ -78,20 +81,44 @@
 	// number, by which the receiver learns that the views differ.
 	Table   uint64
 	Counted int
-	// Cursor is the host after which a SyncRequest wants entries. In a
-	// SyncReply it is the last host of the page; empty means the end.
-	Cursor  names.Host
+	// Known is a filter of the sender's counted members, in a SyncRequest.
+	Known []byte
+	// More says that a SyncReply had no room for all that differs.
+	More    bool
 	Updates []Update
 	Digests []Digest
 }
 
-// headerBytes is the size of a datagram without updates, digests and names,
-// sealed, with the headers of UDP and IP.
-const headerBytes = 28 + 28 + 4 + updateBytes + 9 + 9 + 10 + 3 + 2*8
+// Sizes of what every datagram has, in bytes.
+const (
+	// packetBytes are the headers of UDP and IP, and the seal.
+	packetBytes = 28 + 32
+	// fieldBytes are the fields of fixed size and the heads of the others.
+	fieldBytes = 2 + 2 + 9 + 2 + 9 + 3 + 2
+	// numberHead is the size of a number's head in the encoding.
+	numberHead  = 1
+	bitsPerByte = 7
+)
+
+// numberBytes returns the size of a number of variable size.
+func numberBytes(n uint64) int {
+	return numberHead + (bits.Len64(n|1)+bitsPerByte-1)/bitsPerByte
+}
+
+// hostBytes returns the size of a packed IP number and port.
+func hostBytes(h names.Host) int {
+	const version4, version6 = 6, 18
+	if strings.HasPrefix(string(h), "[") {
+		return version6
+	}
+	return version4
+}
 
 // Bytes bounds the size of the datagram on the network.
 func (d *Datagram) Bytes() int {
-	size := headerBytes + len(d.From.DataCentre)
+	from := Update{Member: d.From}
+	size := packetBytes + fieldBytes + from.Bytes() + len(d.Known)
+	size += numberBytes(d.Sequence) + hostBytes(d.About) + numberBytes(uint64(d.Counted))
 	for i := range d.Updates {
 		size += d.Updates[i].Bytes()
 	}
--- a/core/process/membership/machine.go
+++ b/core/process/membership/machine.go
@@ -32,16 +32,16 @@
 	sequence uint64
 	// allowance is how many bytes may be sent now without deferring updates.
 	allowance float64
-	// refill is the next host that anti-entropy sends.
-	refill names.Host
-
-	probe    probe
-	relays   []relay
-	suspects []*entry
-	hints    hints
-	wake     wake
-	sync     syncer
-	actions  []Action
+	probe     probe
+	relays    []relay
+	suspects  []*entry
+	hints     hints
+	wake      wake
+	sync      syncer
+	actions   []Action
+	// pulled is true while a page is taken in: what was pulled is not passed
+	// on, since others pull it too.
+	pulled bool
 }
 
 // New returns the view of a daemon that has just started. The caller draws
@@ -75,6 +75,8 @@
 		m.receive(&e.Datagram)
 	case Seeds:
 		m.hints.set(e.Hosts, m.self.Host)
+	case Regions:
+		m.setRegions(e.Regions)
 	case Publish:
 		m.publish(e.Digest)
 	case Drain:
@@ -147,6 +149,16 @@
 	return names.Region(dc)
 }
 
+// setRegions gives all entries the regions that a manifest tells.
+func (m *Machine) setRegions(regions map[names.DataCentre]names.Region) {
+	m.config.Regions = regions
+	m.self.Region = m.region(m.self.DataCentre)
+	for _, e := range m.table.byHost {
+		e.Region = m.region(e.DataCentre)
+	}
+	m.table.live = nil
+}
+
 // start sets the clocks of a machine that was never ticked.
 func (m *Machine) start(now time.Time) {
 	m.now = now
@@ -196,7 +208,9 @@
 	if digits(counted) != digits(len(m.table.ring)) {
 		m.resize()
 	}
-	m.pass(u.Host)
+	if !m.pulled {
+		m.pass(u.Host)
+	}
 	m.actions = append(m.actions, Changed{Member: u})
 }
 
@@ -216,7 +230,7 @@
 	m.queue.Add(gossip.Entry[payload]{
 		Kind:  gossip.Member,
 		Key:   string(h),
-		Bytes: updateBytes + len(dc),
+		Bytes: updateBound(h, dc),
 		Value: payload{host: h},
 	})
 }
