Add the command that measures slopes

Cause: the capacity page must come from measured slopes that anybody can make again. Change: carobspoke slopes drives membership, keepers and quotas at up to 830 daemons in virtual time and prints Markdown tables with fitted lines.

--- a/core/process/quota/home.go
+++ b/core/process/quota/home.go
@@ -205,6 +205,12 @@
 	return a.leased
 }
 
+// Has reports whether the home knows a customer.
+func (h *Home) Has(customer names.Customer) bool {
+	_, ok := h.accounts[customer]
+	return ok
+}
+
 // Accounts returns how many customers the home knows.
 func (h *Home) Accounts() int { return len(h.accounts) }
 
--- /dev/null
+++ b/tools/slopes/slopes.go
@@ -0,0 +1,154 @@
+// Package slopes measures what each control mechanism costs as the fleet grows,
+// and prints the tables that docs/CAPACITY.md holds.
+//
+// It drives the mechanisms' own pure code in one process and in virtual time:
+// no sockets, no sealing, no other processes. Bytes are those that the code
+// itself accounts for a datagram or message, headers included. Processor time is
+// that of this process, divided among the members; it contains the cost of the
+// virtual network and leaves out system calls, encoding and sealing.
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// Options say how much to measure.
+type Options struct {
+	// Sizes are numbers of daemons.
+	Sizes []int
+	// Targets are numbers of targets, one for each size.
+	Targets []int
+	// Customers are numbers of customers, one for each size.
+	Customers []int
+	// Apart is how long a region is apart, and ApartLarge for fleets above
+	// LargeFleet.
+	Apart      time.Duration
+	ApartLarge time.Duration
+	// Lossy is how long a fleet runs under loss.
+	Lossy time.Duration
+	// Deaths is how many daemons are killed one after the other.
+	Deaths int
+}
+
+// LargeFleet is the size above which regions are apart for a shorter time.
+const LargeFleet = 200
+
+// Full returns the sizes of docs/CAPACITY.md.
+func Full() Options {
+	return Options{
+		Sizes:      []int{9, 50, 200, 400, 830},
+		Targets:    []int{28, 400, 1500, 3000, 6200},
+		Customers:  []int{10, 220, 900, 1700, 3600},
+		Apart:      time.Hour,
+		ApartLarge: 10 * time.Minute,
+		Lossy:      5 * time.Minute,
+		Deaths:     5,
+	}
+}
+
+// Quick returns sizes for a test.
+func Quick() Options {
+	return Options{
+		Sizes:      []int{9, 20, 40},
+		Targets:    []int{28, 150, 300},
+		Customers:  []int{10, 40, 80},
+		Apart:      time.Minute,
+		ApartLarge: time.Minute,
+		Lossy:      time.Minute,
+		Deaths:     1,
+	}
+}
+
+// Command returns the subcommand that measures.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "slopes",
+		Usage: "measure what control costs at several fleet sizes, in virtual time",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Usage: "write the tables to `FILE` instead of standard output"},
+			&cli.BoolFlag{Name: "quick", Usage: "measure small fleets only"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return run(c.String("out"), c.Bool("quick"), c.Root().Writer)
+		},
+	}
+}
+
+func run(out string, quick bool, standard io.Writer) error {
+	o := Full()
+	if quick {
+		o = Quick()
+	}
+	if out == "" {
+		return Measure(o, standard)
+	}
+	file, err := os.Create(out)
+	if err != nil {
+		return errors.Wrap(err, "slopes")
+	}
+	if err := Measure(o, file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return errors.Wrap(file.Close(), "slopes")
+}
+
+// Measure runs all measurements and writes their tables as Markdown.
+func Measure(o Options, w io.Writer) error {
+	p := &printer{w: w}
+	membershipTables(p, o)
+	subsetTables(p, o)
+	quotaTables(p, o)
+	p.line("### Distribution")
+	p.line("")
+	p.line("Not measured by this command.")
+	return errors.Wrap(p.err, "slopes")
+}
+
+// printer writes lines and keeps the first error.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) line(format string, args ...any) {
+	if p.err != nil {
+		return
+	}
+	_, p.err = fmt.Fprintf(p.w, format+"\n", args...)
+}
+
+// row writes a row of a table, and header one with the rule below it.
+func (p *printer) row(cells ...string) {
+	text := "|"
+	for _, c := range cells {
+		text += " " + c + " |"
+	}
+	p.line("%s", text)
+}
+
+func (p *printer) header(cells ...string) {
+	p.row(cells...)
+	rule := "|"
+	for range cells {
+		rule += "---|"
+	}
+	p.line("%s", rule)
+}
+
+// processor returns the processor time that this process has used.
+func processor() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
