Run the whole path from the load tool, with faults of daemons

Cause: experiments need daemons killed, drained and replaced, planned stops and rollouts at set times.

--- a/tools/load/caller/gateway.go
+++ b/tools/load/caller/gateway.go
@@ -25,16 +25,16 @@
 
 // Gateway calls daemons.
 type Gateway struct {
-	// Bases are the daemons' URLs. Each send goes to one by chance, as a
+	// Bases returns the daemons' URLs. Each send goes to one by chance, as a
 	// balancer would have it.
-	Bases []string
+	Bases func() []string
 	Retry workload.Retry
 	HTTP  *http.Client
 	Seen  *Seen
 }
 
 // NewGateway returns a caller of daemons. The transport may be nil.
-func NewGateway(bases []string, retry workload.Retry, transport *http.Transport) *Gateway {
+func NewGateway(bases func() []string, retry workload.Retry, transport *http.Transport) *Gateway {
 	if transport == nil {
 		transport = &http.Transport{}
 	}
@@ -99,7 +99,11 @@
 // send posts a body to a daemon. Its answer is read by read if the status says
 // success.
 func (g *Gateway) send(ctx context.Context, random *rand.Rand, p post, read func(*http.Response) outcome) outcome {
-	request, err := p.request(ctx, g.Bases[random.IntN(len(g.Bases))])
+	bases := g.Bases()
+	if len(bases) == 0 {
+		return failed(verdict.NotRun, CodeUnreachable)
+	}
+	request, err := p.request(ctx, bases[random.IntN(len(bases))])
 	if err != nil {
 		return outcome{verdict: verdict.NotRun, code: CodeUnreadable, final: true}
 	}
--- a/tools/load/caller/gateway_test.go
+++ b/tools/load/caller/gateway_test.go
@@ -77,7 +77,7 @@
 	server := httptest.NewServer(d)
 	defer server.Close()
 	retry := workload.Retry{Attempts: 8, MaxWait: workload.Duration(time.Second)}
-	g := NewGateway([]string{server.URL}, retry, nil)
+	g := NewGateway(func() []string { return []string{server.URL} }, retry, nil)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	r := &workload.Request{Index: 1, PromptTokens: 10, AnswerTokens: answerTokens, Prefix: -1, Call: call}
--- a/tools/load/command.go
+++ b/tools/load/command.go
@@ -2,20 +2,14 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"time"
 
-	"carobspoke.example/core/version/manifest"
-	"carobspoke.example/tools/load/caller"
 	"carobspoke.example/tools/load/measure"
 	"carobspoke.example/tools/load/report"
 	"carobspoke.example/tools/load/workload"
-	"carobspoke.example/tools/standin/fleet"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
@@ -43,6 +37,8 @@
 			&cli.StringSliceFlag{Name: "daemon", Usage: "base `URL` of a daemon; may be repeated"},
 			&cli.StringFlag{Name: "ca", Usage: "PEM `FILE` of the daemons' certificate authority"},
 			&cli.BoolFlag{Name: "direct", Usage: "start the workload's fleet of stand-ins and call them without daemons"},
+			&cli.BoolFlag{Name: "dev", Usage: "start the workload's fleet of stand-ins and daemons in this process"},
+			&cli.IntFlag{Name: "daemons", Usage: "number of daemons of --dev; 0 means as many as the fleet expects"},
 			&cli.StringFlag{Name: "manifest", Usage: "manifest `FILE` that names the stand-ins, for faults and checks"},
 			&cli.StringFlag{Name: "platform", Usage: "`ADDRESS` of the platform stand-in, for faults"},
 			&cli.StringSliceFlag{Name: "without", Usage: "leave a `CLASS` out; may be repeated"},
@@ -69,7 +65,7 @@
 		Label:    c.String("label"),
 		Settle:   c.Duration("settle"),
 	}
-	stop, err := run.connect(c)
+	stop, err := run.connect(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -106,66 +102,6 @@
 	return w, nil
 }
 
-// connect sets the run's caller and stand-ins. The function that it returns
-// ends what it started.
-func (r *Run) connect(c *cli.Command) (stop func(), err error) {
-	if c.Bool("direct") {
-		return r.connectDirect()
-	}
-	bases := c.StringSlice("daemon")
-	if len(bases) == 0 {
-		return nil, errors.New("--daemon or --direct is needed")
-	}
-	transport, err := daemonTransport(c.String("ca"))
-	if err != nil {
-		return nil, err
-	}
-	r.Caller = caller.NewGateway(bases, r.Workload.Retry, transport)
-	if path := c.String("manifest"); path != "" {
-		if r.Standins, err = readStandins(path, c.String("platform")); err != nil {
-			return nil, err
-		}
-	}
-	return func() {}, nil
-}
-
-func (r *Run) connectDirect() (stop func(), err error) {
-	f, err := fleet.Start(fleet.Config{Size: r.Workload.Fleet, Speedup: r.Workload.Speedup, Seed: r.Workload.Seed})
-	if err != nil {
-		return nil, err
-	}
-	r.Caller = caller.NewDirect(f.Manifest(), r.Workload.Retry)
-	r.Standins = NewStandins(f.Manifest(), f.Platform().Address())
-	return f.Close, nil
-}
-
-func daemonTransport(ca string) (*http.Transport, error) {
-	if ca == "" {
-		return nil, nil
-	}
-	text, err := os.ReadFile(ca)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(text) {
-		return nil, errors.Errorf("%s holds no certificate", ca)
-	}
-	return &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}, nil
-}
-
-func readStandins(path, platform string) (*Standins, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	m, err := manifest.Parse(text)
-	if err != nil {
-		return nil, err
-	}
-	return NewStandins(*m, platform), nil
-}
-
 func writeResult(c *cli.Command, result *measure.Result) error {
 	if err := report.Text(c.Root().Writer, result); err != nil {
 		return err
--- a/tools/load/report/text.go
+++ b/tools/load/report/text.go
@@ -27,13 +27,11 @@
 	line(table, "%s: %d requests in %.0f s, seed %d, speedup %g, at most %d in flight\n",
 		name(r), r.Requests, r.Seconds, r.Seed, r.Speedup, r.MaxInFlight)
 	line(table, "the tool sent %.1f ms late at the 99th percentile, %.1f ms at most\n\n", r.Lateness.P99MS, r.Lateness.MaxMS)
-	line(table, "phase\tclass\toffered\twhole %%\tfirst token p50\tp95\tp99\tbetween p50\tp95\tp99\ttotal p50\tp95\tsent again\tresumed\t\n")
+	line(table, "phase\tclass\toffered\twhole %%\tfirst token p50\tp95\tp99\tbetween p50\tp95\tp99\ttotal p50\tp95\tp99\tsent again\tresumed\t\n")
 	for _, g := range r.Groups {
-		line(table, "%s\t%s\t%d\t%.1f\t%.0f ms\t%.0f\t%.0f\t%.1f ms\t%.1f\t%.1f\t%.0f ms\t%.0f\t%d\t%d\t\n",
+		line(table, "%s\t%s\t%d\t%.1f\t%s\t%s\t%s\t%d\t%d\t\n",
 			g.Phase, g.Class, g.Offered, WholeShare(g)*percent,
-			g.FirstToken.P50MS, g.FirstToken.P95MS, g.FirstToken.P99MS,
-			g.InterToken.P50MS, g.InterToken.P95MS, g.InterToken.P99MS,
-			g.Total.P50MS, g.Total.P95MS, g.Sends, g.Resumes)
+			cells(g.FirstToken), cells(g.InterToken), cells(g.Total), g.Sends, g.Resumes)
 	}
 	if err := table.Flush(); err != nil {
 		return errors.WithStack(err)
@@ -41,6 +39,14 @@
 	return notWhole(w, r)
 }
 
+// cells are a distribution's columns.
+func cells(l measure.Latency) string {
+	if l.Count == 0 {
+		return "-\t-\t-"
+	}
+	return fmt.Sprintf("%.1f ms\t%.1f\t%.1f", l.P50MS, l.P95MS, l.P99MS)
+}
+
 // notWhole lists why requests got no whole answer, and the checks.
 func notWhole(w io.Writer, r *measure.Result) error {
 	var text strings.Builder
--- a/tools/load/run.go
+++ b/tools/load/run.go
@@ -1,8 +1,10 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +34,9 @@
 	// Standins are the stand-ins that faults go to and checks read; nil if
 	// they are unknown.
 	Standins *Standins
+	// Cause carries out the faults that stand-ins cannot, and reports whether
+	// it did; it may be nil. It is called by a goroutine of its own.
+	Cause func(ctx context.Context, f workload.Fault) bool
 	// Settle is how long the engines may take to be empty after the run.
 	Settle time.Duration
 }
@@ -53,13 +58,32 @@
 	current := &runner{Run: r, start: time.Now(), recorder: measure.NewRecorder(), calls: &callLog{}}
 	faults, stopFaults := context.WithCancel(ctx)
 	defer stopFaults()
-	if r.Standins != nil {
-		go r.Standins.cause(faults, r.Workload.Faults, current.start)
-	}
+	go current.cause(faults)
 	current.send(ctx)
 	return current.result(ctx)
 }
 
+// cause carries out the workload's faults at their times.
+func (r *runner) cause(ctx context.Context) {
+	faults := slices.Clone(r.Workload.Faults)
+	slices.SortStableFunc(faults, func(a, b workload.Fault) int { return cmp.Compare(a.At, b.At) })
+	for _, f := range faults {
+		if !waitUntil(ctx, r.start.Add(time.Duration(f.At))) {
+			return
+		}
+		go r.causeOne(ctx, f)
+	}
+}
+
+func (r *runner) causeOne(ctx context.Context, f workload.Fault) {
+	if r.Cause != nil && r.Cause(ctx, f) {
+		return
+	}
+	if r.Standins != nil {
+		r.Standins.command(ctx, f)
+	}
+}
+
 // send starts each request at its time and returns when all have ended.
 func (r *runner) send(ctx context.Context) {
 	var sent sync.WaitGroup
--- a/tools/load/standins.go
+++ b/tools/load/standins.go
@@ -5,7 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"slices"
+	"strings"
 	"time"
 
 	"carobspoke.example/core/target"
@@ -49,31 +49,21 @@
 // Verify returns an error if a fault names an unknown stand-in.
 func (s *Standins) Verify(faults []workload.Fault) error {
 	for _, f := range faults {
-		if s.addresses[f.Target] == "" {
+		if s.addresses[f.Target] == "" && !strings.HasPrefix(f.Target, daemonPrefix) {
 			return errors.Errorf("a fault names %q, which is not in the manifest", f.Target)
 		}
 	}
 	return nil
 }
 
-// cause switches faults at their times.
-func (s *Standins) cause(ctx context.Context, faults []workload.Fault, start time.Time) {
-	faults = slices.Clone(faults)
-	slices.SortStableFunc(faults, func(a, b workload.Fault) int { return int(a.At - b.At) })
-	for _, f := range faults {
-		if !waitUntil(ctx, start.Add(time.Duration(f.At))) {
-			return
-		}
-		s.command(ctx, s.addresses[f.Target], f.Command)
-	}
-}
-
-func (s *Standins) command(ctx context.Context, address string, c fault.Command) {
-	body, err := json.Marshal(c)
+// command sends a fault to its stand-in.
+func (s *Standins) command(ctx context.Context, f workload.Fault) {
+	body, err := json.Marshal(f.Command)
 	if err != nil {
 		return
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+fault.ControlPath, bytes.NewReader(body))
+	url := "http://" + s.addresses[f.Target] + fault.ControlPath
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return
 	}
--- a/tools/standin/engine/config.go
+++ b/tools/standin/engine/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/request/facts"
 	"carobspoke.example/core/target"
 )
 
@@ -83,7 +84,7 @@
 		Speedup:        1,
 		Blocks:         28672,
 		BlockTokens:    16,
-		PrefixTokens:   1024,
+		PrefixTokens:   facts.PrefixTokens,
 		MaxBatch:       64,
 		MaxWaiting:     256,
 		MaxAnswer:      256,
