--- a/tools/cmd/carobspoke/main.go
+++ b/tools/cmd/carobspoke/main.go
@@ -12,6 +12,8 @@
 	"carobspoke.example/tools/bench"
 	"carobspoke.example/tools/cmd/carobspoke/manifestcmd"
 	"carobspoke.example/tools/dev"
+	"carobspoke.example/tools/load"
+	"carobspoke.example/tools/slopes"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
@@ -29,7 +31,9 @@
 			adminclient.ExplainCommand(),
 			bench.Command(),
 			dev.Command(),
+			load.Command(),
 			manifestcmd.Command(),
+			slopes.Command(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
