--- a/core/process/quota/quota.go
+++ b/core/process/quota/quota.go
@@ -39,10 +39,11 @@
 	// AskAhead is for how long a daemon asks ahead, by its customers' recent
 	// use.
 	AskAhead = 2 * time.Second
-	// AsksPerSecond bounds the questions of a daemon to homes, and AskBurst
-	// those that it saves up. Without one left it decides by itself.
+	// AsksPerSecond bounds the questions of a daemon to homes. Without one
+	// left it decides by itself.
 	AsksPerSecond = 5
-	AskBurst      = 50
+	// AskBurst is the most questions that a daemon saves up.
+	AskBurst = 50
 	// BurstTime is how long a bucket fills until it is full.
 	BurstTime = 10 * time.Second
 	// MaxCustomers bounds each table. The customer that was idle longest
