Take out the zone for long prompts; experiments as a command

Admitted requests of impatient callers ended late too often.

Change: two zones, the reserve and the rest. Margin of 1.5 on predicted waits. Experiments run as a command that prints tables, for both users' sizes and without each part of the policy.

Conclusion: both changes stay.

--- a/core/request/admission/settings.go
+++ b/core/request/admission/settings.go
@@ -28,7 +28,7 @@
 const (
 	DefaultMaxQueue        = time.Second
 	DefaultQueuePerPrefill = 0.3
-	DefaultMargin          = 1.2
+	DefaultMargin          = 1.5
 	DefaultMaxBytes        = 64 << 20
 	DefaultSpanEngines     = 4
 )
--- a/core/request/choice/choice.go
+++ b/core/request/choice/choice.go
@@ -42,7 +42,7 @@
 	Isolation bool
 	// Rank is the target's place in [0, 1] among those of its model. All
 	// daemons compute the same from one manifest. The lowest ranks are reserved for short
-	// prefills, and the highest alone take long ones.
+	// prefills.
 	Rank float64
 	// Offset is the target's distance, in [0, 1), from this daemon's place
 	// on a ring of all targets. Daemons prefer different targets by it.
--- a/core/request/choice/chooser.go
+++ b/core/request/choice/chooser.go
@@ -74,7 +74,6 @@
 func DefaultSettings() Settings {
 	return Settings{Zones: Zones{
 		ShortReserve: DefaultShortReserve,
-		LongZone:     DefaultLongZone,
 		LendLimit:    DefaultLendLimit,
 		Cost:         DefaultZoneCost,
 	}}
@@ -83,7 +82,6 @@
 // Defaults of Zones.
 const (
 	DefaultShortReserve = 0.33
-	DefaultLongZone     = 0.5
 	DefaultLendLimit    = time.Second
 	DefaultZoneCost     = 100 * time.Millisecond
 )
--- a/core/request/choice/zones.go
+++ b/core/request/choice/zones.go
@@ -7,24 +7,23 @@
 	"carobspoke.example/core/verdict"
 )
 
-// Zones divides a model's targets by rank into three zones, so that a prefill
-// has only shorter ones to compete with in the lower zones:
+// Zones divides a model's targets by rank into two zones: the reserve, of the
+// ranks below ShortReserve, takes only prefills of at most LendLimit; the open
+// zone takes everything.
 //
-//   - the reserve, up to ShortReserve: prefills of at most LendLimit;
-//   - the middle: prefills of the classes Short and Medium;
-//   - the long zone, from 1-LongZone on: everything.
-//
-// Shorter work uses the higher zones whenever they are idle. Longer work is
-// lent a lower zone only as far as it can be had back in time, which is what
-// LendLimit says for the reserve. Since classes split the work into thirds,
-// zones of a third each are in balance when the fleet is full, whatever the
+// Long work never gets a target of the reserve, and what is lent there to
+// others is had back within LendLimit. Short work uses the open zone whenever
+// that is faster by Cost. Since the class Short is the shorter third of the
+// work, a reserve of a third carries it when the fleet is full, whatever the
 // mix is.
 type Zones struct {
+	// ShortReserve is the share of the targets that make up the reserve.
 	ShortReserve float64
-	LongZone     float64
-	LendLimit    time.Duration
-	// Cost is the predicted time that the choice of another zone than that
-	// of the request's class must save for each zone between them.
+	// LendLimit bounds a prefill in the reserve.
+	LendLimit time.Duration
+	// Cost is the predicted time that the other zone than that of the
+	// request's class must save: the reserve is the zone of Short, the open
+	// zone that of all others.
 	Cost time.Duration
 }
 
@@ -36,33 +35,17 @@
 
 // Keep implements Filter.
 func (z Zones) Keep(in *Input, c *Candidate) (bool, string) {
-	switch {
-	case in.Request.Isolate:
-		return true, ""
-	case c.Rank < z.ShortReserve && c.PrefillTime(in.Request) > z.LendLimit:
+	if z.reserved(c) && !in.Request.Isolate && c.PrefillTime(in.Request) > z.LendLimit {
 		return false, "reserved for short prefills"
-	case c.Rank < 1-z.LongZone && in.Request.Class >= target.Long:
-		return false, "not in the zone for long prompts"
-	default:
-		return true, ""
 	}
+	return true, ""
 }
 
-// zone returns 0 for the reserve, 1 for the middle and 2 for the long zone.
-func (z Zones) zone(c *Candidate) int {
-	switch {
-	case c.Rank < z.ShortReserve:
-		return 0
-	case c.Rank < 1-z.LongZone:
-		return 1
-	default:
-		return 2
-	}
-}
+func (z Zones) reserved(c *Candidate) bool { return c.Rank < z.ShortReserve }
 
-// zoneCost keeps each class to its own zone as long as that costs little, so
-// that a longer prefill finds its zone free, and a short one is not caught
-// behind a long prefill that no report has told yet.
+// zoneCost keeps short requests to the reserve and others out of it as long as
+// that costs little, so that a short one is not caught behind a long prefill
+// that no report has told yet.
 type zoneCost struct {
 	zones Zones
 }
@@ -70,6 +53,9 @@
 func (zoneCost) Name() string { return "zone" }
 
 func (s zoneCost) Score(in *Input, c *Candidate) time.Duration {
-	own := min(int(in.Request.Class), int(target.Long))
-	return time.Duration(max(s.zones.zone(c)-own, own-s.zones.zone(c))) * s.zones.Cost
+	short := in.Request.Class == target.Short
+	if short == s.zones.reserved(c) {
+		return 0
+	}
+	return s.zones.Cost
 }
--- /dev/null
+++ b/tools/experiment/command.go
@@ -0,0 +1,63 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// defaultSeeds is the number of seeds that figures are taken over.
+const defaultSeeds = 5
+
+// Command returns the command that runs the experiments on the policy and
+// prints Markdown tables.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "experiment",
+		Usage: "run the policy against naive versions in virtual time, and without each of its parts",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: defaultSeeds},
+			&cli.BoolFlag{Name: "parts", Usage: "also run the policy without each of its parts"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return runAll(c.Root().Writer, c.Int("seeds"), c.Bool("parts"))
+		},
+	}
+}
+
+func runAll(w io.Writer, seedCount int, parts bool) error {
+	if seedCount < 1 {
+		return errors.New("seeds must be positive")
+	}
+	seeds := make([]uint64, seedCount)
+	for i := range seeds {
+		seeds[i] = uint64(i) + 1
+	}
+	for _, s := range sizes() {
+		rows := measureAll(versus(), s, seeds)
+		if err := writeTable(w, s.title(), rows); err != nil {
+			return err
+		}
+	}
+	if !parts {
+		return nil
+	}
+	for _, s := range sizes()[:2] {
+		rows := measureAll(withoutOne(), s, seeds)
+		if err := writeTable(w, "Without one part: "+s.title(), rows); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s size) title() string {
+	kind := "engines that interrupt a prefill for a higher priority"
+	if s.whole {
+		kind = "engines that end a prefill before the next"
+	}
+	return fmt.Sprintf("%s: %d engines, %d daemons; %s", s.name, s.engines, s.daemons, kind)
+}
--- a/tools/experiment/policy.go
+++ b/tools/experiment/policy.go
@@ -102,6 +102,7 @@
 	admission func(*admission.Settings)
 	choice    func(*choice.Settings)
 	policy    func(*choice.Policy)
+	alter     func(*facts.Request, *choice.Candidate)
 	blind     bool
 	flat      bool
 	equal     bool
@@ -123,10 +124,7 @@
 	if c.choice != nil {
 		c.choice(&choiceSettings)
 	}
-	chooser := choice.New(choiceSettings)
-	if c.policy != nil {
-		c.policy(chooser)
-	}
+	chooser := c.chooser(choiceSettings)
 	table := load.New()
 	table.Apply(specs(s, index))
 	random := rand.New(rand.NewPCG(seed, uint64(index)+100))
@@ -134,6 +132,17 @@
 	return &ours{controller: controller, blind: c.blind, flat: c.flat, equal: c.equal}
 }
 
+func (c *change) chooser(s choice.Settings) choice.Chooser {
+	p := choice.New(s)
+	if c.policy != nil {
+		c.policy(p)
+	}
+	if c.alter != nil {
+		return altered{Chooser: p, alter: c.alter}
+	}
+	return p
+}
+
 func specs(s size, index int) []load.Spec {
 	list := make([]load.Spec, s.engines)
 	for i := range list {
--- a/tools/experiment/result.go
+++ b/tools/experiment/result.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"carobspoke.example/core/names"
-	"carobspoke.example/core/verdict"
 )
 
 // tally counts the attempts of one kind of prompts.
@@ -15,7 +14,6 @@
 	started   int // attempts that a target got
 	completed int // jobs answered in time
 	late      int // attempts that were started and ran out of time
-	refused   int // attempts refused
 	waits     []time.Duration
 	// slowdowns are waits in relation to the same prompt's at an idle engine.
 	slowdowns []float64
@@ -26,8 +24,7 @@
 	start     time.Time
 	kinds     [kinds]tally
 	customers map[names.Customer]int // tokens of complete answers and their prompts
-	reasons   map[verdict.Reason]int
-	seconds   map[int]int // tokens completed in each second
+	seconds   map[int]int            // tokens completed in each second
 	refusals  []time.Duration
 }
 
@@ -51,29 +48,41 @@
 	r.seconds[int(now.Sub(r.start).Seconds())] += a.job.tokens()
 }
 
-func (r *result) refused(a *attempt, refusal *verdict.Error, now time.Time) {
-	if r.reasons == nil {
-		r.reasons = make(map[verdict.Reason]int)
-	}
-	r.reasons[refusal.Reason]++
-	r.kinds[a.job.kind].refused++
+func (r *result) refused(a *attempt, now time.Time) {
 	r.refusals = append(r.refusals, now.Sub(a.sent))
 }
 
-// goodput is the tokens a second of answers completed between two seconds.
-func (r *result) goodput(from, to int) float64 {
+// goodput is the tokens a second of answers completed between two times of the
+// run, in whole seconds.
+func (r *result) goodput(from, to time.Duration) float64 {
 	sum := 0
-	for s := from; s < to; s++ {
+	for s := int(from.Seconds()); s < int(to.Seconds()); s++ {
 		sum += r.seconds[s]
 	}
-	return float64(sum) / float64(to-from)
+	return float64(sum) / (to - from).Seconds()
 }
 
 func (r *result) started() int { return r.sum(func(t *tally) int { return t.started }) }
 func (r *result) late() int    { return r.sum(func(t *tally) int { return t.late }) }
-func (r *result) offered() int { return r.sum(func(t *tally) int { return t.offered }) }
 
-func (r *result) completedAll() int { return r.sum(func(t *tally) int { return t.completed }) }
+func (r *result) attempts() int { return r.started() + len(r.refusals) }
+
+// add takes in the counts and waits of another run.
+func (r *result) add(o *result) {
+	for i := range o.kinds {
+		r.kinds[i].add(&o.kinds[i])
+	}
+	r.refusals = append(r.refusals, o.refusals...)
+}
+
+func (t *tally) add(o *tally) {
+	t.offered += o.offered
+	t.started += o.started
+	t.completed += o.completed
+	t.late += o.late
+	t.waits = append(t.waits, o.waits...)
+	t.slowdowns = append(t.slowdowns, o.slowdowns...)
+}
 
 func (r *result) sum(f func(*tally) int) int {
 	sum := 0
--- a/tools/experiment/run.go
+++ b/tools/experiment/run.go
@@ -160,7 +160,7 @@
 
 func (r *run) refused(a *attempt, refusal *verdict.Error) {
 	a.done = true
-	r.result.refused(a, refusal, r.clock.now)
+	r.result.refused(a, r.clock.now)
 	wait := refusal.RetryAfter
 	if wait == 0 {
 		wait = callerBackoff
--- a/tools/experiment/scenarios.go
+++ b/tools/experiment/scenarios.go
@@ -7,15 +7,22 @@
 	"carobspoke.example/core/names"
 )
 
-// sizes are the fleets of both users.
-var sizes = []size{
-	{name: "Sahayatri", engines: 15, daemons: 8},
-	{name: "Tuuraj", engines: 25, daemons: 9},
+// sizes are the fleets of both users, each with both kinds of engines.
+func sizes() []size {
+	sahayatri := size{name: "Sahayatri", engines: 15, daemons: 8}
+	tuuraj := size{name: "Tuuraj", engines: 25, daemons: 9}
+	return []size{sahayatri, sahayatri.withWhole(), tuuraj, tuuraj.withWhole()}
+}
+
+func (s size) withWhole() size {
+	s.whole = true
+	return s
 }
 
 // Lengths of the runs.
 const (
 	steadyTime  = 240 * time.Second
+	crowdTime   = 120 * time.Second
 	warmTime    = 30 * time.Second
 	crestTime   = 120 * time.Second
 	spikeTime   = 10 * time.Second
@@ -92,10 +99,26 @@
 	}, tenTenants())
 }
 
+// Customers of crowd.
+const (
+	smallCustomer names.Customer = "small"
+	largeCustomer names.Customer = "large"
+)
+
 // crowd is a customer within its share beside one that asks for ten times as
 // much; together they are over capacity.
 func crowd(s size, seed uint64) []job {
-	return jobs(seed, []phase{{length: steadyTime / 2, rate: s.jobRate(2.2, seed)}}, []tenant{
-		{name: "small", part: 1}, {name: "large", part: 10},
+	return jobs(seed, []phase{{length: crowdTime, rate: s.jobRate(2.2, seed)}}, []tenant{
+		{name: smallCustomer, part: 1}, {name: largeCustomer, part: 10},
 	})
 }
+
+// impatient is a load a little over capacity whose callers allow little more
+// time than an idle engine takes.
+func impatient(s size, seed uint64) []job {
+	list := jobs(seed, []phase{{length: crowdTime, rate: s.jobRate(1.2, seed)}}, tenTenants())
+	for i := range list {
+		list[i].hurry = true
+	}
+	return list
+}
--- /dev/null
+++ b/tools/experiment/table.go
@@ -0,0 +1,93 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// column is one figure of a table.
+type column struct {
+	title string
+	value func(m *measured) string
+}
+
+func columns() []column {
+	return []column{
+		{"short slowed", func(m *measured) string { return fmt.Sprintf("%.2f", m.shortSlowdown()) }},
+		{"short p95 ms", func(m *measured) string { return ms(quantile(m.steady.kinds[shortPrompt].waits, p95)) }},
+		{"medium slowed", func(m *measured) string { return ratio(&m.steady, mediumPrompt) }},
+		{"long slowed", func(m *measured) string { return ratio(&m.steady, longPrompt) }},
+		{"refused", func(m *measured) string { return percent(len(m.steady.refusals), m.steady.attempts()) }},
+		{"crest goodput", func(m *measured) string { return fmt.Sprintf("%.0f%%", 100*m.crestGoodput) }},
+		{"late", func(m *measured) string { return percent(m.crest.late(), m.crest.started()) }},
+		{"refusal p99 ms", func(m *measured) string { return ms(quantile(m.crest.refusals, p99)) }},
+		{"answered short/medium/long", func(m *measured) string { return answered(&m.crest) }},
+		{"small's goodput", func(m *measured) string { return percent(m.small, m.solo) }},
+		{"recovery s", func(m *measured) string { return fmt.Sprintf("%.0f", m.recovery.Seconds()) }},
+		{"late after spike", func(m *measured) string { return percent(m.spike.late(), m.spike.started()) }},
+		{"late, impatient", func(m *measured) string { return percent(m.impatient.late(), m.impatient.started()) }},
+	}
+}
+
+// Quantiles of the tables.
+const (
+	p95 = 0.95
+	p99 = 0.99
+)
+
+// shortSlowdown is the first token's p95 of short prompts beside the others,
+// divided by the same without them.
+func (m *measured) shortSlowdown() float64 {
+	alone := quantile(m.alone.kinds[shortPrompt].waits, p95)
+	if alone == 0 {
+		return 0
+	}
+	return float64(quantile(m.steady.kinds[shortPrompt].waits, p95)) / float64(alone)
+}
+
+func ratio(r *result, kind int) string {
+	return fmt.Sprintf("%.2f", quantile(r.kinds[kind].slowdowns, p95))
+}
+
+func ms(d time.Duration) string { return fmt.Sprint(d.Milliseconds()) }
+
+func percent(part, whole int) string {
+	if whole == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%%", 100*float64(part)/float64(whole))
+}
+
+// answered is the share of jobs of each kind that got a complete answer in
+// time, in one of the caller's attempts.
+func answered(r *result) string {
+	parts := make([]string, kinds)
+	for i := range r.kinds {
+		parts[i] = fmt.Sprintf("%.0f%%", 100*float64(r.kinds[i].completed)/float64(max(r.kinds[i].offered, 1)))
+	}
+	return strings.Join(parts, " ")
+}
+
+// writeTable prints one row for each policy, in Markdown.
+func writeTable(w io.Writer, title string, rows []*measured) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "### %s\n\n| policy |", title)
+	rule := "|---|"
+	for _, c := range columns() {
+		fmt.Fprintf(&b, " %s |", c.title)
+		rule += "---|"
+	}
+	fmt.Fprintf(&b, "\n%s\n", rule)
+	for _, m := range rows {
+		fmt.Fprintf(&b, "| %s |", m.policy)
+		for _, c := range columns() {
+			fmt.Fprintf(&b, " %s |", c.value(m))
+		}
+		b.WriteString("\n")
+	}
+	b.WriteString("\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
--- /dev/null
+++ b/tools/experiment/variants.go
@@ -0,0 +1,72 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"carobspoke.example/core/request/admission"
+	"carobspoke.example/core/request/choice"
+	"carobspoke.example/core/request/class"
+	"carobspoke.example/core/request/facts"
+	"carobspoke.example/core/target"
+)
+
+// altered is a chooser that sees other facts than the product's.
+type altered struct {
+	choice.Chooser
+	alter func(r *facts.Request, c *choice.Candidate)
+}
+
+// Choose implements choice.Chooser. It changes the candidates in place, so that
+// the controller sees them changed too.
+func (a altered) Choose(
+	r facts.Request, candidates []choice.Candidate, now time.Time, random *rand.Rand, explain bool,
+) choice.Decision {
+	for i := range candidates {
+		a.alter(&r, &candidates[i])
+	}
+	return a.Chooser.Choose(r, candidates, now, random, explain)
+}
+
+// versus are the product and the naive versions that it is measured against.
+func versus() []policy { return []policy{product(), leastRequests(), roundRobin()} }
+
+// withoutOne are the product and, for each single policy, the product without
+// it.
+func withoutOne() []policy {
+	return []policy{
+		product(),
+		changed(change{name: "no zones", choice: func(s *choice.Settings) { s.Zones = choice.Zones{} }}),
+		changed(change{name: "no reserve for short", choice: func(s *choice.Settings) { s.Zones.ShortReserve = 0 }}),
+		changed(change{name: "no cost of other zones", choice: func(s *choice.Settings) { s.Zones.Cost = 0 }}),
+		changed(change{name: "constant class bounds", alter: constantBounds}),
+		changed(change{name: "picker: lowest prediction", policy: picker(choice.Best{})}),
+		changed(change{name: "picker: two choices", policy: picker(choice.TwoChoices{})}),
+		changed(change{name: "own dispatches not counted", alter: forgetOwn}),
+		changed(change{name: "report's age ignored", alter: ignoreAge}),
+		changed(change{name: "no priorities at engines", flat: true}),
+		changed(change{name: "no limit on queues", admission: func(s *admission.Settings) { s.MaxQueue = time.Hour }}),
+		changed(change{name: "deadlines ignored", blind: true}),
+		changed(change{name: "customers not told apart", equal: true}),
+	}
+}
+
+func picker(p choice.Picker) func(*choice.Policy) {
+	return func(policy *choice.Policy) { policy.Picker = p }
+}
+
+func constantBounds(r *facts.Request, _ *choice.Candidate) {
+	bounds := class.Bounds{Short: class.FirstShort, Medium: class.FirstMedium}
+	if r.Class != target.Spanning {
+		r.Class = bounds.Classify(r.PromptTokens, 0)
+	}
+}
+
+func forgetOwn(_ *facts.Request, c *choice.Candidate) {
+	c.OwnTokens, c.OwnStreams, c.OwnBlocks = 0, 0, 0
+}
+
+func ignoreAge(_ *facts.Request, c *choice.Candidate) {
+	c.OwnTokens = max(0, c.Queue()-c.Report.QueuedTokens)
+	c.ReportAge = 0
+}
--- a/tools/experiment/workload.go
+++ b/tools/experiment/workload.go
@@ -10,8 +10,9 @@
 	"carobspoke.example/core/names"
 )
 
-// Kinds of prompts in the workload, by length. They are the measurement's own
-// and do not follow the policy's classes.
+// Kinds of prompts in the workload, by length: 1 k to 8 k, 8 k to 100 k and
+// over 100 k tokens. They are the measurement's own and do not follow the
+// policy's classes.
 const (
 	shortPrompt = iota
 	mediumPrompt
@@ -19,8 +20,6 @@
 	kinds
 )
 
-var kindNames = [kinds]string{"short (1 k to 8 k)", "medium (8 k to 100 k)", "long (over 100 k)"}
-
 // lengths are the bounds of each kind, in tokens; within them prompts are
 // distributed evenly by logarithm. One prompt in fifty is long.
 var (
@@ -38,6 +37,10 @@
 	// besides.
 	basePatience    = 5 * time.Second
 	prefillPatience = 3
+	// The same of an impatient caller.
+	hurryPatience = 500 * time.Millisecond
+	hurryPrefills = 1.2
+	hurryToken    = 62 * time.Millisecond
 )
 
 // job is what a caller wants.
@@ -47,6 +50,8 @@
 	customer names.Customer
 	prompt   int
 	answer   int
+	// hurry makes the caller impatient.
+	hurry bool
 }
 
 func (j *job) tokens() int { return j.prompt + j.answer }
@@ -63,6 +68,9 @@
 
 // patience is the time within which the caller needs the whole answer.
 func (j *job) patience() time.Duration {
+	if j.hurry {
+		return hurryPatience + time.Duration(hurryPrefills*float64(j.unloaded())) + time.Duration(j.answer)*hurryToken
+	}
 	prefill := time.Duration(j.prompt) * prefillTokenTime
 	return basePatience + prefillPatience*prefill + time.Duration(j.answer)*tokenPatience
 }
