Measure the prefix index in the experiments

Cause: the index had to earn its place.

Change: fake engines have a prefix cache with late, lossy events; a workload in which half the prompts begin with a common text.

--- a/core/process/prefix/prefix.go
+++ b/core/process/prefix/prefix.go
@@ -27,11 +27,44 @@
 const (
 	// MaxEntries bounds the entries of one target.
 	MaxEntries = 8192
-	// DigestTokens is the number of prompt tokens that each digest of a
-	// request covers more than the one before it.
-	DigestTokens = 1024
+	// FirstTokens is the number of prompt tokens that a request's first
+	// digest covers. Each further digest covers twice as many as the one
+	// before it, so that ten digests reach over 500,000 tokens.
+	FirstTokens = 1024
+	// MaxDigests bounds the digests of a request that are looked at.
+	MaxDigests = 16
+	// TokenBytes is the length of text that Digests takes for a token.
+	TokenBytes = 4
 )
 
+// Covers returns how many tokens of the prompt the i-th digest of a request
+// stands for.
+func Covers(i int) int { return FirstTokens << i }
+
+// Digests returns the digests of a prompt's prefixes within a scope, shortest
+// first, for facts.Request and target.Submit.
+func Digests(scope, prompt string) []uint64 {
+	h := xxhash.New()
+	writeString(h, scope)
+	writeString(h, "\x00")
+	var digests []uint64
+	done := 0
+	for i := range MaxDigests {
+		end := Covers(i) * TokenBytes
+		if end > len(prompt) {
+			break
+		}
+		writeString(h, prompt[done:end])
+		done = end
+		digests = append(digests, h.Sum64())
+	}
+	return digests
+}
+
+func writeString(h *xxhash.Digest, s string) {
+	_, _ = h.WriteString(s) // it never fails
+}
+
 // Index says which targets may have cached which prefixes.
 type Index struct {
 	targets map[names.Target]*cache
@@ -123,7 +156,7 @@
 		return
 	}
 	scope := x.scope(r.Customer)
-	for _, digest := range r.Prefixes {
+	for _, digest := range r.Prefixes[:min(len(r.Prefixes), MaxDigests)] {
 		c.add(keyOf(scope, digest))
 	}
 }
@@ -136,9 +169,9 @@
 		return 0
 	}
 	scope := x.scope(r.Customer)
-	for i := len(r.Prefixes) - 1; i >= 0; i-- {
+	for i := min(len(r.Prefixes), MaxDigests) - 1; i >= 0; i-- {
 		if _, ok := c.entries[keyOf(scope, r.Prefixes[i])]; ok {
-			return min((i+1)*DigestTokens, r.PromptTokens)
+			return min(Covers(i), r.PromptTokens)
 		}
 	}
 	return 0
--- a/tools/experiment/engine.go
+++ b/tools/experiment/engine.go
@@ -41,6 +41,9 @@
 	running  bool
 	lastStep time.Duration
 	seq      uint64
+	cache    *prefixCache
+	// saved counts the prompt tokens that were in the cache, of total.
+	saved, total int
 }
 
 // stream is a request at an engine.
@@ -48,6 +51,7 @@
 	id       string
 	prompt   int
 	answer   int
+	digests  []uint64
 	priority int
 	left     int // prompt tokens not yet prefilled
 	emitted  int
@@ -57,8 +61,15 @@
 	end      func()
 }
 
+func newEngine(c *clock, name names.Target, whole bool) *engine {
+	return &engine{clock: c, name: name, whole: whole, cache: newPrefixCache()}
+}
+
 func (e *engine) submit(s *stream) {
-	s.left = s.prompt
+	hit := min(e.cache.cached(s.digests), s.prompt-1)
+	e.saved += hit
+	e.total += s.prompt
+	s.left = s.prompt - hit
 	i, _ := slices.BinarySearchFunc(e.queue, s, func(a, b *stream) int {
 		if a.priority >= b.priority {
 			return -1
@@ -174,6 +185,7 @@
 		}
 		e.queue = remove(e.queue, s)
 		e.decoding = append(e.decoding, s)
+		e.cache.add(s.digests)
 		s.first()
 		e.emit(s)
 	}
--- a/tools/experiment/policy.go
+++ b/tools/experiment/policy.go
@@ -7,6 +7,7 @@
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/load"
+	"carobspoke.example/core/process/prefix"
 	"carobspoke.example/core/request/admission"
 	"carobspoke.example/core/request/choice"
 	"carobspoke.example/core/request/facts"
@@ -18,6 +19,8 @@
 type decider interface {
 	arrive(now time.Time, r facts.Request) admission.Action
 	report(now time.Time, r target.Report)
+	newest(t names.Target) uint64
+	events(t names.Target, events []target.CacheEvent)
 	first(now time.Time, id string)
 	finished(now time.Time, id string, at names.Target, outcome load.Outcome, tokens int)
 }
@@ -82,12 +85,15 @@
 	}
 }
 
-func (n *naive) report(time.Time, target.Report) {}
-func (n *naive) first(time.Time, string)         {}
+func (n *naive) report(time.Time, target.Report)          {}
+func (n *naive) newest(names.Target) uint64               { return 0 }
+func (n *naive) events(names.Target, []target.CacheEvent) {}
+func (n *naive) first(time.Time, string)                  {}
 
 // ours runs the product's decisions.
 type ours struct {
 	controller *admission.Controller
+	index      *prefix.Index
 	// blind hides deadlines from the controller, which then refuses nothing.
 	blind bool
 	// flat hides classes from the engines.
@@ -106,6 +112,7 @@
 	blind     bool
 	flat      bool
 	equal     bool
+	noIndex   bool
 }
 
 func product() policy { return changed(change{name: "carobspoke"}) }
@@ -128,8 +135,23 @@
 	table := load.New()
 	table.Apply(specs(s, index))
 	random := rand.New(rand.NewPCG(seed, uint64(index)+100))
-	controller := admission.New(admissionSettings, table, chooser, admission.NoCache{}, random)
-	return &ours{controller: controller, blind: c.blind, flat: c.flat, equal: c.equal}
+	caches := newIndex(s, c.noIndex)
+	controller := admission.New(admissionSettings, table, chooser, caches, random)
+	return &ours{controller: controller, index: caches, blind: c.blind, flat: c.flat, equal: c.equal}
+}
+
+// newIndex returns an index of all engines, or of none.
+func newIndex(s size, none bool) *prefix.Index {
+	index := prefix.New(func(names.Customer) string { return "" })
+	if none {
+		return index
+	}
+	targets := make([]names.Target, s.engines)
+	for i := range targets {
+		targets[i] = targetName(i)
+	}
+	index.Keep(targets)
+	return index
 }
 
 func (c *change) chooser(s choice.Settings) choice.Chooser {
@@ -173,6 +195,14 @@
 
 func (o *ours) report(now time.Time, r target.Report) { o.controller.Report(now, r) }
 
+func (o *ours) newest(t names.Target) uint64 { return o.index.Newest(t) }
+
+func (o *ours) events(t names.Target, events []target.CacheEvent) {
+	for _, e := range events {
+		o.index.Event(t, e)
+	}
+}
+
 func (o *ours) first(now time.Time, id string) { o.controller.FirstToken(now, id) }
 
 func (o *ours) finished(now time.Time, id string, _ names.Target, outcome load.Outcome, tokens int) {
--- a/tools/experiment/result.go
+++ b/tools/experiment/result.go
@@ -26,6 +26,8 @@
 	customers map[names.Customer]int // tokens of complete answers and their prompts
 	seconds   map[int]int            // tokens completed in each second
 	refusals  []time.Duration
+	// saved are the prompt tokens found in prefix caches, of all prompts.
+	saved, prompts int
 }
 
 func (r *result) first(a *attempt, now time.Time) {
@@ -73,6 +75,8 @@
 		r.kinds[i].add(&o.kinds[i])
 	}
 	r.refusals = append(r.refusals, o.refusals...)
+	r.saved += o.saved
+	r.prompts += o.prompts
 }
 
 func (t *tally) add(o *tally) {
--- a/tools/experiment/run.go
+++ b/tools/experiment/run.go
@@ -8,6 +8,7 @@
 	"carobspoke.example/core/process/load"
 	"carobspoke.example/core/request/admission"
 	"carobspoke.example/core/request/facts"
+	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
 )
 
@@ -62,7 +63,7 @@
 		random: rand.New(rand.NewPCG(seed, 2)),
 	}
 	for i := range s.engines {
-		r.engines = append(r.engines, &engine{clock: r.clock, name: targetName(i), whole: s.whole})
+		r.engines = append(r.engines, newEngine(r.clock, targetName(i), s.whole))
 	}
 	for i := range s.daemons {
 		r.daemons = append(r.daemons, p.make(s, i, seed))
@@ -81,6 +82,10 @@
 		end = end.Add(list[len(list)-1].at)
 	}
 	r.clock.run(end.Add(2 * time.Minute))
+	for _, e := range r.engines {
+		r.result.saved += e.saved
+		r.result.prompts += e.total
+	}
 	return &r.result
 }
 
@@ -92,11 +97,28 @@
 		r.clock.every(phase, pollInterval, func() {
 			report := e.report()
 			lag := reportLagMin + time.Duration(r.random.Int64N(int64(reportLagRange)))
-			r.clock.after(lag, func() { d.report(r.clock.now, report) })
+			events := r.lossy(e.cache.since(d.newest(e.name)))
+			r.clock.after(lag, func() {
+				d.report(r.clock.now, report)
+				d.events(e.name, events)
+			})
 		})
 	}
 }
 
+// eventLoss is the share of cache events that never come.
+const eventLoss = 0.01
+
+func (r *run) lossy(events []target.CacheEvent) []target.CacheEvent {
+	var kept []target.CacheEvent
+	for _, e := range events {
+		if r.random.Float64() >= eventLoss {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
 func (r *run) send(j *job, retries int) {
 	r.ids++
 	id := strconv.Itoa(r.ids)
@@ -104,7 +126,7 @@
 	a := &attempt{job: j, sent: r.clock.now, daemon: daemon, retries: retries}
 	a.request = facts.Request{
 		ID: id, Customer: j.customer, Model: model,
-		PromptTokens: j.prompt, MaxTokens: j.answer,
+		PromptTokens: j.prompt, MaxTokens: j.answer, Prefixes: j.digests,
 		Deadline: r.clock.now.Add(j.patience()),
 	}
 	r.clock.at(a.request.Deadline, func() { r.timeout(a) })
@@ -119,7 +141,7 @@
 func (r *run) start(a *attempt, action admission.Action) {
 	e := r.engineOf(action)
 	d := r.daemons[a.daemon]
-	s := &stream{id: a.request.ID, prompt: a.job.prompt, answer: a.job.answer, priority: action.Priority}
+	s := &stream{id: a.request.ID, prompt: a.job.prompt, answer: a.job.answer, priority: action.Priority, digests: a.job.digests}
 	s.first = func() {
 		r.clock.after(oneWay, func() {
 			r.result.first(a, r.clock.now)
--- a/tools/experiment/scenarios.go
+++ b/tools/experiment/scenarios.go
@@ -1,10 +1,15 @@
 package experiment
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/prefix"
 )
 
 // sizes are the fleets of both users, each with both kinds of engines.
@@ -49,7 +54,7 @@
 func capacity(seed uint64) (tokens, perSecond float64) {
 	list := jobs(seed, []phase{{length: time.Second, rate: 400}}, tenTenants())
 	c := newClock()
-	e := &engine{clock: c}
+	e := newEngine(c, "", false)
 	done, sum := 0, 0
 	var last time.Time
 	for i := range list {
@@ -122,3 +127,34 @@
 	}
 	return list
 }
+
+// repeating is a load just under capacity in which half the prompts begin with
+// one of two texts of their customer, for up to all of their length.
+func repeating(s size, seed uint64) []job {
+	list := jobs(seed, []phase{{length: steadyTime, rate: s.jobRate(repeatLoad, seed)}}, tenTenants())
+	random := rand.New(rand.NewPCG(seed, 3))
+	for i := range list {
+		text := uint64(i) + textsPerCustomer
+		if random.IntN(2) == 0 {
+			text = random.Uint64N(textsPerCustomer)
+		}
+		list[i].digests = digestsOf(&list[i], text)
+	}
+	return list
+}
+
+// Shape of repeating.
+const (
+	repeatLoad       = 0.9
+	textsPerCustomer = 2
+)
+
+// digestsOf returns the digests of a prompt that begins with a text.
+func digestsOf(j *job, text uint64) []uint64 {
+	var digests []uint64
+	for i := 0; prefix.Covers(i) <= j.prompt; i++ {
+		name := fmt.Sprint(j.customer, "/", text, "/", i)
+		digests = append(digests, xxhash.Sum64String(name))
+	}
+	return digests
+}
--- a/tools/experiment/variants.go
+++ b/tools/experiment/variants.go
@@ -70,3 +70,8 @@
 	c.OwnTokens = max(0, c.Queue()-c.Report.QueuedTokens)
 	c.ReportAge = 0
 }
+
+// withIndex are the product with and without the prefix index.
+func withIndex() []policy {
+	return []policy{product(), changed(change{name: "no prefix index", noIndex: true}), leastRequests()}
+}
--- a/tools/experiment/workload.go
+++ b/tools/experiment/workload.go
@@ -52,6 +52,8 @@
 	answer   int
 	// hurry makes the caller impatient.
 	hurry bool
+	// digests are those of the prompt's prefixes.
+	digests []uint64
 }
 
 func (j *job) tokens() int { return j.prompt + j.answer }
