--- a/core/request/ticket/ring.go
+++ b/core/request/ticket/ring.go
@@ -8,6 +8,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"io"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -85,6 +86,9 @@
 	if len(text) > MaxSealedBytes {
 		return nil, errors.New("ticket: too long")
 	}
+	if strings.ContainsAny(text, "\r\n") { // which the decoder would skip
+		return nil, errors.New("ticket: encoding")
+	}
 	sealed, err := base64.RawURLEncoding.Strict().DecodeString(text)
 	if err != nil {
 		return nil, errors.Wrap(err, "ticket: encoding")
--- a/serving/request/answer/answer_test.go
+++ b/serving/request/answer/answer_test.go
@@ -206,3 +206,41 @@
 		}
 	})
 }
+
+// cutter is an engine whose every answer is cut before its first token.
+type cutter struct {
+	engine
+	opened int
+}
+
+func (c *cutter) Submit(ctx context.Context, _ target.Submit) (targetapi.Stream, error) {
+	c.opened++
+	return &frames{ctx: ctx, engine: &c.engine, ended: true}, nil
+}
+
+func (c *cutter) Resume(ctx context.Context, _ target.StreamID, _ uint32, _ int) (targetapi.Stream, error) {
+	return c.Submit(ctx, target.Submit{})
+}
+
+func (c *cutter) Place(context.Context, Want) (Placement, error) {
+	return Placement{Target: "c", Engine: c, Release: func() {}}, nil
+}
+
+// TestRetriesEnd gives a request an engine that cuts each answer: the request
+// ends by its attempts, or, if its time is short, before its deadline.
+func TestRetriesEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, timeout := range []time.Duration{time.Hour, time.Second} {
+			c := &cutter{}
+			deps := newDeps(newFleet(1, 0), NewCrashes(time.Now))
+			deps.Targets = c
+			submit := request()
+			submit.Deadline = time.Now().Add(timeout)
+			_, err := collect(func(sink Sink) error { return Run(t.Context(), deps, submit, sink) })
+			e := verdict.From(err)
+			if err == nil || e.Verdict != verdict.Ran || c.opened > retry.Default().MaxAttemptsBegun || time.Now().After(submit.Deadline) {
+				t.Errorf("%s: %v after %d attempts", timeout, err, c.opened)
+			}
+		}
+	})
+}
--- a/serving/request/calls/api.go
+++ b/serving/request/calls/api.go
@@ -40,6 +40,9 @@
 }
 
 func (s *Server) mint(customer names.Customer, service names.Service, key string) (string, time.Duration, error) {
+	if err := s.ready(); err != nil {
+		return "", 0, err
+	}
 	id, err := ticket.NewID(s.deps.Random)
 	if err != nil {
 		return "", 0, verdict.Wrap(err, verdict.NotRun, verdict.Internal, "no ticket can be minted")
@@ -61,6 +64,13 @@
 	return text, life, nil
 }
 
+func (s *Server) ready() error {
+	if s.deps.Ready == nil {
+		return nil
+	}
+	return s.deps.Ready()
+}
+
 // Call implements goa's calls service. Errors are *verdict.Error, or
 // *failure.Ticketed if they offer a ticket.
 func (s *Server) Call(ctx context.Context, in *gencalls.CallPayload, body io.ReadCloser) (*gencalls.CallResult, io.ReadCloser, error) {
--- a/serving/request/calls/calls.go
+++ b/serving/request/calls/calls.go
@@ -108,6 +108,9 @@
 	Picker       Picker
 	Peers        Peers
 	Retries      *retries.Retries
+	// Ready returns nil if the daemon mints tickets: one that is about to leave
+	// would take the calls' answers with it. Nil means that it always does.
+	Ready func() error
 	// Choose is the choice function of homes of keys.
 	Choose keys.Choose
 	// Count is told the reason of each failure that a caller is given.
