Run prompts over one engine's memory on several engines

Cause: the machine of spans had no shell, and engines no way to set memory aside before the parts that a prefill depends on exist. Change: Reserve at the seam to targets and in the stand-in; serving/request/ spans; the dispatcher plans a span where admission asks for one; streams and handles are named by owner and deadline.

--- a/core/target/target.go
+++ b/core/target/target.go
@@ -69,6 +69,9 @@
 	// Handle is a KV handle of this engine with the first tokens of the
 	// prompt, from an import.
 	Handle HandleID `json:"handle,omitempty"`
+	// Reservation is memory that Reserve has set aside at this engine; the
+	// stream takes it over and the reservation is gone.
+	Reservation HandleID `json:"reservation,omitempty"`
 	// Hold makes this a prefill without tokens: the KV blocks stay pinned
 	// under this handle, and the stream is a single end frame.
 	Hold HandleID `json:"hold,omitempty"`
@@ -163,6 +166,14 @@
 	Tokens int      `json:"tokens"`
 }
 
+// Reservation asks an engine to set memory aside under a handle.
+type Reservation struct {
+	Handle HandleID `json:"handle"`
+	Scope  string   `json:"scope"`
+	// Tokens is how many tokens there must be room for.
+	Tokens int `json:"tokens"`
+}
+
 // StreamInfo describes a stream that an engine holds.
 type StreamInfo struct {
 	ID     StreamID `json:"id"`
--- a/serving/connection/targetapi/client.go
+++ b/serving/connection/targetapi/client.go
@@ -44,6 +44,7 @@
 //	GET    /v1/report                       target.Report
 //	GET    /v1/events?after=N               list of target.CacheEvent
 //	GET    /v1/holdings                     target.Holdings
+//	POST   /v1/handles                      target.Reservation
 //	DELETE /v1/handles/ID
 //	POST   /v1/exports                      Export; answers target.Handle
 //	POST   /v1/imports                      Import; answers target.Handle
@@ -123,6 +124,11 @@
 	return h, err
 }
 
+// Reserve implements Engine.
+func (c *Client) Reserve(ctx context.Context, r target.Reservation) error {
+	return c.control(ctx, http.MethodPost, "/v1/handles", r, nil)
+}
+
 // Free implements Engine.
 func (c *Client) Free(ctx context.Context, id target.HandleID) error {
 	return c.control(ctx, http.MethodDelete, "/v1/handles/"+url.PathEscape(string(id)), nil, nil)
--- a/serving/connection/targetapi/targetapi.go
+++ b/serving/connection/targetapi/targetapi.go
@@ -27,6 +27,9 @@
 	Events(ctx context.Context, after uint64) ([]target.CacheEvent, error)
 	// Holdings lists pinned handles and streams.
 	Holdings(ctx context.Context) (target.Holdings, error)
+	// Reserve sets memory aside under a handle, at once or not at all: an
+	// engine without the memory refuses with NotRun.
+	Reserve(ctx context.Context, r target.Reservation) error
 	// Free releases a handle. Freeing an unknown handle succeeds.
 	Free(ctx context.Context, id target.HandleID) error
 	// Export pins the KV blocks of a stream under a handle.
--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -6,7 +6,6 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -150,18 +149,20 @@
 	d.admitter = dispatch.NewAdmitter(controller)
 	d.retries = retries.New(retry.Default(), time.Now, newRandom(), d.countRetry)
 	d.dispatcher = &dispatch.Dispatcher{
-		Versions:  d.versions,
-		Admitter:  d.admitter,
-		Engines:   engines{transport: d.transport},
-		Quota:     d.quota,
-		Relays:    d.fleet,
-		Forward:   &forward.Client{Peers: d.pool},
-		Retries:   d.retries,
-		Crashes:   dispatch.NewCrashes(d.tellCrashes),
-		Tickets:   ring,
-		Abandoned: dispatch.NewAbandoned(func() { d.counters.Add("abandon_queue_full", 1) }),
-		NewStream: d.newStream,
-		Ready:     d.ready,
+		Host:        d.Host(),
+		Incarnation: d.incarnation,
+		Versions:    d.versions,
+		Admitter:    d.admitter,
+		Engines:     engines{transport: d.transport},
+		Quota:       d.quota,
+		Relays:      d.fleet,
+		Forward:     &forward.Client{Peers: d.pool},
+		Retries:     d.retries,
+		Crashes:     dispatch.NewCrashes(d.tellCrashes),
+		Tickets:     ring,
+		Abandoned:   dispatch.NewAbandoned(func() { d.counters.Add("abandon_queue_full", 1) }),
+		Spans:       dispatch.Spans{Zones: chosen.Zones, MaxEngines: admission.DefaultSpanEngines},
+		Ready:       d.ready,
 	}
 }
 
@@ -273,8 +274,3 @@
 	_, _ = crand.Read(seed[:]) // it never fails
 	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
 }
-
-func (d *Daemon) newStream(deadline time.Time) (target.StreamID, error) {
-	text := fmt.Sprintf("%s~%x~%x~%s", d.Host(), uint64(d.incarnation), deadline.UnixMilli(), newRequestID())
-	return target.StreamID(text), nil
-}
--- a/serving/request/dispatch/dispatch.go
+++ b/serving/request/dispatch/dispatch.go
@@ -10,10 +10,12 @@
 import (
 	"context"
 	"crypto/rand"
+	mathrand "math/rand/v2"
 	"time"
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/crash"
+	"carobspoke.example/core/process/keeping"
 	"carobspoke.example/core/request/facts"
 	"carobspoke.example/core/request/ticket"
 	"carobspoke.example/core/target"
@@ -67,8 +69,8 @@
 	Crashes     *Crashes
 	Tickets     *ticket.Ring
 	Abandoned   *Abandoned
-	// NewStream returns a name for a stream that is wanted until a deadline.
-	NewStream func(deadline time.Time) (target.StreamID, error)
+	// Spans says how prompts over one engine's memory are run.
+	Spans Spans
 	// Ready returns nil if the daemon takes new requests.
 	Ready func() error
 }
@@ -101,10 +103,7 @@
 		return err
 	}
 	d.Retries.Fresh()
-	name, err := d.NewStream(g.Facts.Deadline)
-	if err != nil {
-		return verdict.Wrap(err, verdict.NotRun, verdict.Internal, "no name for the stream")
-	}
+	name := d.newStream(g.Facts.Customer, g.Facts.Deadline)
 	out := &ticketSink{d: d, sink: sink, request: g.Facts, stream: name}
 	r := forward.Request{Facts: g.Facts, Prompt: g.Prompt, Stream: name, Version: view.Version()}
 	if !d.Relays.Keeps(g.Facts.Model) {
@@ -132,7 +131,7 @@
 	}
 	r := forward.Request{Facts: request, Stream: held.Stream, Target: held.Target}
 	out.At(held.Target)
-	return answer.Resume(ctx, d.deps(view, r, out), placement, d.submit(r), frames(out))
+	return answer.Resume(ctx, d.deps(d.placing(view, r), r, out), placement, d.submit(r), frames(out))
 }
 
 // Cancel implements gateway.Runner.
@@ -168,18 +167,32 @@
 	if err != nil {
 		return err
 	}
-	return answer.Resume(ctx, d.deps(view, r, sink), placement, d.submit(r), frames(sink))
+	return answer.Resume(ctx, d.deps(d.placing(view, r), r, sink), placement, d.submit(r), frames(sink))
 }
 
 // local runs a generation at targets that this daemon keeps.
 func (d *Dispatcher) local(ctx context.Context, view *View, r forward.Request, sink forward.Sink) error {
-	return answer.Run(ctx, d.deps(view, r, sink), d.submit(r), frames(sink))
+	placing := d.placing(view, r)
+	err := answer.Run(ctx, d.deps(placing, r, sink), d.submit(r), frames(sink))
+	if placing.spanning {
+		return d.span(ctx, view, r, sink)
+	}
+	return err
+}
+
+// newStream names a stream that is wanted until a deadline.
+func (d *Dispatcher) newStream(c names.Customer, deadline time.Time) target.StreamID {
+	return keeping.NewStreamID(string(c), d.Host, d.Incarnation, deadline, mathrand.Uint64())
+}
+
+func (d *Dispatcher) placing(view *View, r forward.Request) *placing {
+	return &placing{d: d, view: view, request: r.Facts, bytes: len(r.Prompt), share: share(view, r.Facts.Customer)}
 }
 
-func (d *Dispatcher) deps(view *View, r forward.Request, sink forward.Sink) answer.Deps {
+func (d *Dispatcher) deps(targets answer.Targets, r forward.Request, sink forward.Sink) answer.Deps {
 	digest := crash.Of(r.Facts.Customer, r.Facts.Model, r.Facts.Adapter, r.Prompt)
 	return answer.Deps{
-		Targets: &placing{d: d, view: view, request: r.Facts, bytes: len(r.Prompt), share: share(view, r.Facts.Customer)},
+		Targets: targets,
 		Prompt:  prompt{crashes: d.Crashes, digest: digest},
 		Retries: d.Retries,
 		Stall:   StallLimit,
@@ -256,6 +269,9 @@
 	}
 }
 
+// moved implements streamMover.
+func (s *ticketSink) moved(id target.StreamID) { s.stream = id }
+
 // Token implements forward.Sink.
 func (s *ticketSink) Token(offset int, text string) error {
 	s.next = offset + 1
--- a/serving/request/dispatch/place.go
+++ b/serving/request/dispatch/place.go
@@ -32,6 +32,9 @@
 	bytes   int
 	share   float64
 	made    int
+	// spanning is set once admission has said that the prompt needs several
+	// engines.
+	spanning bool
 }
 
 var _ answer.Targets = (*placing)(nil)
@@ -43,14 +46,16 @@
 	case admission.Start:
 		return p.start(action)
 	case admission.Span:
+		p.spanning = true
 		return answer.Placement{}, errSpan
 	default:
 		return answer.Placement{}, action.Refusal
 	}
 }
 
-// errSpan says that a prompt needs a span. It never reaches a caller.
-var errSpan = verdict.New(verdict.NotRun, verdict.SpanUnavailable, "the prompt needs several engines")
+// errSpan ends the attempts at single engines. Its reason is one that is not
+// retried; it never reaches a caller.
+var errSpan = verdict.New(verdict.NotRun, verdict.PromptTooLong, "the prompt needs several engines")
 
 func (p *placing) arrival(want answer.Want) admission.Arrival {
 	request := p.request
--- a/tools/dev/calls_test.go
+++ b/tools/dev/calls_test.go
@@ -160,3 +160,15 @@
 	}
 	m.Targets = kept
 }
+
+// choiceText returns the text of a completion's only choice.
+func choiceText(t *testing.T, body []byte) string {
+	t.Helper()
+	var document struct {
+		Choices []struct{ Text string }
+	}
+	if err := json.Unmarshal(body, &document); err != nil || len(document.Choices) != 1 {
+		t.Fatalf("%v: %s", err, body)
+	}
+	return document.Choices[0].Text
+}
--- a/tools/standin/engine/batch.go
+++ b/tools/standin/engine/batch.go
@@ -85,6 +85,10 @@
 // reserveLocked takes the stream's memory: what is not cached and not in its
 // handle of the prompt, and the whole answer.
 func (e *Server) reserveLocked(s *stream) bool {
+	if s.ownsMemory {
+		s.toPrefill = s.prompt + s.submit.From
+		return true
+	}
 	var entries []*entry
 	if s.cacheable() {
 		entries = e.memory.match(s.submit.Scope, s.submit.Prefixes)
--- a/tools/standin/engine/handle.go
+++ b/tools/standin/engine/handle.go
@@ -13,6 +13,8 @@
 	info  target.Handle
 	users int
 	freed bool
+	// reserved marks memory that was set aside and holds nothing yet.
+	reserved bool
 }
 
 var (
@@ -29,6 +31,35 @@
 	e.finishLocked(s)
 }
 
+// reserve sets memory aside under a handle. Asking again for the same is a
+// repeat of one question.
+func (e *Server) reserve(r target.Reservation) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if held, taken := e.handles[r.Handle]; taken {
+		if held.reserved && held.info.Scope == r.Scope {
+			return nil
+		}
+		return errTaken
+	}
+	blocks := e.config.blocksFor(r.Tokens)
+	if !e.memory.reserve(blocks) {
+		return errFull
+	}
+	e.handles[r.Handle] = &handle{info: target.Handle{ID: r.Handle, Scope: r.Scope, Blocks: blocks}, reserved: true}
+	return nil
+}
+
+// reservationLocked returns the reservation that a stream names, if it has
+// room for the stream.
+func (e *Server) reservationLocked(s *stream) (*handle, bool) {
+	held, ok := e.handles[s.submit.Reservation]
+	if !ok || !held.reserved || held.info.Scope != s.submit.Scope {
+		return nil, false
+	}
+	return held, e.config.blocksFor(s.prompt+s.end) <= held.info.Blocks
+}
+
 // export pins a copy of a running stream's blocks under a handle. The stream
 // goes on with its own.
 func (e *Server) export(id target.StreamID, as target.HandleID) (target.Handle, error) {
--- a/tools/standin/engine/routes.go
+++ b/tools/standin/engine/routes.go
@@ -23,6 +23,7 @@
 	mux.HandleFunc("GET /v1/report", e.getReport)
 	mux.HandleFunc("GET /v1/events", e.getEvents)
 	mux.HandleFunc("GET /v1/holdings", e.getHoldings)
+	mux.HandleFunc("POST /v1/handles", e.postHandle)
 	mux.HandleFunc("DELETE /v1/handles/{id}", e.deleteHandle)
 	mux.HandleFunc("GET /v1/parts/{id}", e.getPart)
 	mux.HandleFunc("POST /v1/exports", e.postExport)
@@ -151,6 +152,18 @@
 	answer(w, e.holdings())
 }
 
+func (e *Server) postHandle(w http.ResponseWriter, r *http.Request) {
+	var request target.Reservation
+	if !decode(w, r, &request) {
+		return
+	}
+	if err := e.reserve(request); err != nil {
+		refuse(w, http.StatusInsufficientStorage, err.Error())
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (e *Server) deleteHandle(w http.ResponseWriter, r *http.Request) {
 	e.free(target.HandleID(r.PathValue("id")))
 	w.WriteHeader(http.StatusNoContent)
--- a/tools/standin/engine/stream.go
+++ b/tools/standin/engine/stream.go
@@ -39,10 +39,12 @@
 	next int
 	end  int
 	// own is how many blocks the stream owns.
-	own     int
-	entries []*entry
-	handle  *handle
-	changed chan struct{} // closed at each change
+	own int
+	// ownsMemory is set if own came from a reservation.
+	ownsMemory bool
+	entries    []*entry
+	handle     *handle
+	changed    chan struct{} // closed at each change
 }
 
 // active reports whether the stream is in the batch.
@@ -54,7 +56,7 @@
 // cacheable reports whether the stream reads and fills the prefix cache. A
 // prompt that starts elsewhere does not, nor does one that is pinned whole.
 func (s *stream) cacheable() bool {
-	return s.submit.Handle == "" && len(s.submit.Parts) == 0 && s.submit.Hold == ""
+	return s.submit.Handle == "" && len(s.submit.Parts) == 0 && s.submit.Hold == "" && s.submit.Reservation == ""
 }
 
 // context is the number of tokens that a decode step reads.
--- a/tools/standin/engine/submit.go
+++ b/tools/standin/engine/submit.go
@@ -78,6 +78,12 @@
 // refuseMemoryLocked refuses what cannot fit beside the pinned handles, which
 // the engine never frees by itself.
 func (e *Server) refuseMemoryLocked(s *stream) *refusal {
+	if s.submit.Reservation != "" {
+		if _, ok := e.reservationLocked(s); !ok {
+			return &refusal{http.StatusConflict, "no such reservation"}
+		}
+		return nil
+	}
 	tokens := s.prompt + s.end
 	if s.submit.Handle != "" {
 		held, ok := e.handles[s.submit.Handle]
@@ -100,6 +106,11 @@
 		s.handle = e.handles[s.submit.Handle]
 		s.handle.users++
 	}
+	if held, ok := e.reservationLocked(s); ok {
+		delete(e.handles, s.submit.Reservation)
+		s.own = held.info.Blocks
+		s.ownsMemory = true
+	}
 	s.readyAt = e.adapterReadyLocked(s.submit.Adapter, now)
 	e.streams[s.submit.Stream] = s
 	if len(e.submits) >= maxSubmits {
