Look after the engines that a daemon keeps

Cause: reports, cache events, orders and leftovers of engines need a loop that an engine which hangs cannot hold up.

--- /dev/null
+++ b/serving/process/keeper/worker.go
@@ -0,0 +1,208 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/keeping"
+	"carobspoke.example/core/target"
+	"carobspoke.example/core/version/manifest"
+	"carobspoke.example/core/version/orders"
+	"carobspoke.example/serving/connection/targetapi"
+	"carobspoke.example/serving/version"
+	"go.uber.org/zap"
+)
+
+// worker looks after one engine.
+type worker struct {
+	k       *Keeper
+	name    names.Target
+	address string
+	engine  targetapi.Engine
+	stop    context.CancelFunc
+
+	// mutex guards lease and pace, which Keeper.observe writes.
+	mutex sync.Mutex
+	lease keeping.Lease
+	pace  time.Duration
+
+	// The rest is only used by the worker's goroutine.
+	boot     uint64
+	after    uint64
+	events   time.Time
+	holdings time.Time
+	sweeper  keeping.Sweeper
+	memory   orders.Memory
+	quiet    bool
+}
+
+// observed notes whether this daemon is the engine's first keeper.
+func (w *worker) observed(now time.Time, first bool, pace time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.lease.Observe(now, first)
+	w.pace = pace
+}
+
+func (w *worker) leased() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.lease.Holds(w.k.config.Now())
+}
+
+func (w *worker) wait() time.Duration {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.pace
+}
+
+func (w *worker) run(ctx context.Context) {
+	defer w.setQuiet(false)
+	for {
+		w.poll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(w.wait()):
+		}
+	}
+}
+
+// poll does what is due.
+func (w *worker) poll(ctx context.Context) {
+	report, err := w.engine.Report(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		w.k.counts.add("report_failed")
+		w.k.config.Sink.Unreachable(w.name, err)
+		w.order(ctx, target.Report{}, false)
+		return
+	}
+	w.reported(report)
+	w.order(ctx, report, true)
+	now := w.k.config.Now()
+	if now.Sub(w.events) >= EventsEvery {
+		w.events = now
+		w.readEvents(ctx)
+	}
+	if now.Sub(w.holdings) >= HoldingsEvery {
+		w.holdings = now
+		w.sweep(ctx, now)
+	}
+}
+
+func (w *worker) reported(r target.Report) {
+	r.Target = w.name
+	if r.Boot != w.boot {
+		w.boot, w.after = r.Boot, 0
+	}
+	w.k.config.Sink.Report(r)
+	if v := names.Version(r.Fence); v > 0 && v <= manifest.MaxVersion {
+		w.k.config.Sink.Fence(v)
+	}
+}
+
+func (w *worker) readEvents(ctx context.Context) {
+	events, err := w.engine.Events(ctx, w.after)
+	if err != nil || len(events) == 0 {
+		return
+	}
+	w.after = events[len(events)-1].Seq
+	w.k.config.Sink.Events(w.name, w.boot, events)
+}
+
+// sweep frees what nobody wants any more.
+func (w *worker) sweep(ctx context.Context, now time.Time) {
+	holdings, err := w.engine.Holdings(ctx)
+	if err != nil {
+		w.k.counts.add("holdings_failed")
+		return
+	}
+	left := w.sweeper.Sweep(holdings, now, w.k.config.Place.Running)
+	for _, handle := range left.Handles {
+		w.freed("handle", string(handle.ID), handle.Cause, w.engine.Free(ctx, handle.ID))
+	}
+	for _, stream := range left.Streams {
+		w.freed("stream", string(stream.ID), stream.Cause, w.engine.Cancel(ctx, stream.ID))
+	}
+}
+
+func (w *worker) freed(kind, id string, cause keeping.Cause, err error) {
+	if err != nil {
+		w.k.counts.add("free_failed")
+		return
+	}
+	w.k.counts.add("freed_" + kind + "_" + string(cause))
+	w.k.config.Logger.Info("freed what nobody wants", zap.String("target", string(w.name)),
+		zap.String("kind", kind), zap.String("id", id), zap.String("cause", string(cause)))
+}
+
+// order decides what the engine is to serve, and orders it if this daemon is
+// the one to do so.
+func (w *worker) order(ctx context.Context, report target.Report, known bool) {
+	state := w.k.config.Versions.Current()
+	t, found := state.Index.Target(w.name)
+	if !found {
+		return
+	}
+	_, leaving := state.Index.Departure(w.name)
+	in := orders.Input{
+		Version: state.Version(), Target: t, Leaving: leaving,
+		Known: known, Report: report, Memory: w.memory,
+	}
+	if known && !leaving && !orders.Agrees(t.Want, report.State) {
+		in.Ahead = w.ahead(ctx, state, t)
+	}
+	decision, memory := orders.Decide(in, w.k.config.Now())
+	w.k.counts.add("decision_" + string(decision.Reason))
+	w.setQuiet(decision.Quiet)
+	if decision.Send && !w.send(ctx, state, decision) {
+		memory.Sent, memory.Times = w.memory.Sent, w.memory.Times
+	}
+	w.memory = memory
+}
+
+// ahead reads the reports of the engines before this one in its lane.
+func (w *worker) ahead(ctx context.Context, state *version.State, t *manifest.Target) []orders.Ahead {
+	engines := state.Index.EnginesOf(t.Want.Model)
+	lanes := w.k.config.Limits.Lanes(len(engines), orders.Weight(state.Index, t))
+	before := orders.Before(engines, t, lanes)
+	list := make([]orders.Ahead, 0, len(before))
+	for _, other := range before {
+		report, err := w.k.config.Engine(other.Address).Report(ctx)
+		list = append(list, orders.Ahead{Known: err == nil, Agrees: err == nil && orders.Agrees(other.Want, report.State)})
+	}
+	return list
+}
+
+// send sends an order if this daemon still holds the lease and the version is
+// still the one in force, and reports whether it did.
+func (w *worker) send(ctx context.Context, state *version.State, d orders.Decision) bool {
+	if !w.leased() || w.k.config.Versions.Current() != state {
+		return false
+	}
+	err := w.engine.Order(ctx, d.Order)
+	fields := []zap.Field{
+		zap.String("target", string(w.name)), zap.Uint64("version", d.Order.Fence),
+		zap.String("model", string(d.Order.Want.Model)), zap.String("weights", d.Order.Want.Version),
+	}
+	if err != nil {
+		w.k.counts.add("order_failed")
+		w.k.config.Logger.Warn("order failed", append(fields, zap.Error(err))...)
+		return true
+	}
+	w.k.counts.add("order_sent")
+	w.k.config.Logger.Info("order sent", append(fields, zap.String("reason", string(d.Reason)))...)
+	return true
+}
+
+func (w *worker) setQuiet(quiet bool) {
+	if w.quiet != quiet {
+		w.quiet = quiet
+		w.k.config.Sink.Quiet(w.name, quiet)
+	}
+}
