--- a/core/request/choice/choice.go
+++ b/core/request/choice/choice.go
@@ -40,10 +40,13 @@
 	CachedTokens int
 	// Isolation marks a target that only runs suspected requests.
 	Isolation bool
-	// Rank is the target's place in [0, 1) among those of its model. All
-	// daemons compute the same from one manifest; the lowest ranks make up
-	// the part of the fleet that is reserved for short prefills.
+	// Rank is the target's place in [0, 1] among those of its model. All
+	// daemons compute the same from one manifest. The lowest ranks are reserved for short
+	// prefills.
 	Rank float64
+	// Offset is the target's distance, in [0, 1), from this daemon's place
+	// on a ring of all targets. Daemons prefer different targets by it.
+	Offset float64
 }
 
 // ReportedQueue is what is left now of the queue in the report, in tokens.
--- a/serving/process/daemon/daemon.go
+++ b/serving/process/daemon/daemon.go
@@ -16,13 +16,22 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	core "carobspoke.example/core/process/budget"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/connection/peers"
+	"carobspoke.example/serving/connection/targetapi"
 	"carobspoke.example/serving/connection/tlskeys"
 	"carobspoke.example/serving/platform"
+	"carobspoke.example/serving/process/budget"
 	"carobspoke.example/serving/process/counters"
+	"carobspoke.example/serving/process/distribution"
+	"carobspoke.example/serving/process/fleet"
+	"carobspoke.example/serving/process/membership"
+	"carobspoke.example/serving/process/quota"
 	"carobspoke.example/serving/process/settings"
+	"carobspoke.example/serving/request/calls"
 	"carobspoke.example/serving/request/dispatch"
+	"carobspoke.example/serving/request/retries"
 	"carobspoke.example/serving/version"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -55,11 +64,22 @@
 	callerTLS   *tls.Config
 	peerTLS     *tlskeys.Pair
 
-	counters   *counters.Counters
-	versions   *version.Holder
-	pool       *peers.Pool
-	admitter   *dispatch.Admitter
-	dispatcher *dispatch.Dispatcher
+	counters *counters.Counters
+	versions *version.Holder
+	hosts    hostList
+	members  *membership.Membership
+	fleet    *fleet.Fleet
+	// transport carries requests to targets, polling everything else.
+	transport   http.RoundTripper
+	polling     http.RoundTripper
+	meter       *budget.Meter
+	pool        *peers.Pool
+	quota       *quota.Quota
+	retries     *retries.Retries
+	calls       *calls.Server
+	distributor *distribution.Distributor
+	admitter    *dispatch.Admitter
+	dispatcher  *dispatch.Dispatcher
 
 	callerServer *http.Server
 	adminServer  *http.Server
@@ -81,9 +101,13 @@
 		platform:    o.Platform,
 		counters:    counters.New(),
 		versions:    &version.Holder{},
+		transport:   targetapi.NewTransport(),
+		meter:       &budget.Meter{},
 	}
+	d.polling = &budget.Transport{Next: targetapi.NewTransport(), Meter: d.meter, Mechanism: core.Keeping}
 	if d.platform == nil {
-		d.platform = platform.NewClient(o.Settings.Platform.Address)
+		transport := &budget.Transport{Next: targetapi.NewTransport(), Meter: d.meter, Mechanism: core.Platform}
+		d.platform = platform.NewClient(o.Settings.Platform.Address, transport)
 	}
 	steps := []func() error{d.loadKeys, d.listen, d.build}
 	for _, step := range steps {
@@ -144,6 +168,12 @@
 // Ready returns nil if the daemon takes new requests.
 func (d *Daemon) Ready() error { return d.ready() }
 
+// Members returns how many live members this daemon sees, itself included.
+func (d *Daemon) Members() int { return len(d.fleet.View().Members) }
+
+// Keeps reports whether this daemon keeps an engine of a model.
+func (d *Daemon) Keeps(model names.Model) bool { return d.fleet.Keeps(model) }
+
 // CallerAddress returns the address of the caller interface.
 func (d *Daemon) CallerAddress() string { return d.listeners.Caller.Addr().String() }
 
@@ -200,6 +230,9 @@
 	if d.versions.Current() == nil {
 		return verdict.New(verdict.NotRun, verdict.NotReady, "no manifest is in force yet").WithRetryAfter(time.Second)
 	}
+	if !d.members.Awake() {
+		return verdict.New(verdict.NotRun, verdict.NotReady, "the daemon has not heard from its peers since its start or a pause").WithRetryAfter(time.Second)
+	}
 	return nil
 }
 
@@ -210,6 +243,7 @@
 // the context ends. Health checks of the balancer fail from now on.
 func (d *Daemon) Drain(ctx context.Context) error {
 	d.draining.Store(true)
+	d.members.Drain()
 	d.log.Info("draining", zap.Int64("in_flight", d.active.Load()))
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
@@ -227,6 +261,7 @@
 
 // Close ends the daemon at once.
 func (d *Daemon) Close() {
+	d.members.Leave()
 	d.cancel()
 	_ = d.callerServer.Close() // its connections are of no use any more
 	_ = d.adminServer.Close()  // the same
@@ -260,4 +295,3 @@
 	}
 	d.counters.Ended(err)
 }
-
--- a/serving/process/daemon/status.go
+++ b/serving/process/daemon/status.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"carobspoke.example/core/process/membership"
 	"carobspoke.example/core/request/choice"
 	"carobspoke.example/core/request/facts"
 	"carobspoke.example/core/version/manifest"
@@ -20,11 +21,11 @@
 		Incarnation: uint64(d.incarnation),
 		Ready:       d.ready() == nil,
 		Draining:    d.draining.Load(),
-		Members:     []*genadmin.MemberStatus{},
+		Members:     memberStatus(d.fleet.View().Members),
 		Targets:     []*genadmin.TargetStatus{},
-		Quotas:      []*genadmin.QuotaStatus{},
+		Quotas:      d.quotaStatus(),
 		Refusals:    d.counters.Refusals(),
-		Control:     map[string]float64{},
+		Control:     d.meter.Read(),
 	}
 	view := d.versions.Current()
 	if view == nil {
@@ -36,6 +37,33 @@
 	return result
 }
 
+func (d *Daemon) quotaStatus() []*genadmin.QuotaStatus {
+	list := []*genadmin.QuotaStatus{}
+	view := d.versions.Current()
+	for _, use := range d.quota.Uses() {
+		status := &genadmin.QuotaStatus{Customer: string(use.Customer), UsedTokensPerSecond: use.TokensPerSecond}
+		if entry, ok := view.Index.Customer(use.Customer); ok {
+			status.GrantedTokensPerSecond = entry.TokensPerSecond
+		}
+		list = append(list, status)
+	}
+	return list
+}
+
+func memberStatus(members []membership.Member) []*genadmin.MemberStatus {
+	list := make([]*genadmin.MemberStatus, 0, len(members))
+	for i := range members {
+		list = append(list, &genadmin.MemberStatus{
+			Host:        string(members[i].Host),
+			DataCentre:  string(members[i].DataCentre),
+			Incarnation: uint64(members[i].Incarnation),
+			State:       members[i].State.String(),
+			Version:     uint64(members[i].Version),
+		})
+	}
+	return list
+}
+
 func (d *Daemon) targetStatus(view *version.State) []*genadmin.TargetStatus {
 	var list []*genadmin.TargetStatus
 	for i := range view.Manifest.Models {
@@ -87,6 +115,7 @@
 	settings := choice.DefaultSettings()
 	settings.Region = d.regionOf
 	r.DataCentre = d.settings.DataCentre
+	r.Class = d.admitter.ClassOf(r.Model, r.PromptTokens)
 	candidates := d.admitter.Candidates(r.Model)
 	decision := choice.New(settings).Choose(r, candidates, time.Now(), rand.New(rand.NewPCG(1, 1)), true)
 	return admin.Explanation{Class: r.Class.String(), Decision: decision}
--- a/serving/process/settings/defaults.go
+++ b/serving/process/settings/defaults.go
@@ -2,7 +2,6 @@
 
 import (
 	"time"
-
 )
 
 // Defaults of settings that a file may leave out.
@@ -11,6 +10,7 @@
 	DefaultBodyTimeout    = 20 * time.Second
 	DefaultRequestTimeout = 5 * time.Minute
 	DefaultDrainTimeout   = 5 * time.Minute
+	DefaultAloneAfter     = 15 * time.Second
 	DefaultLogLevel       = "info"
 )
 
@@ -47,6 +47,7 @@
 			DefaultTimeout: Duration{Duration: DefaultRequestTimeout},
 			DrainTimeout:   Duration{Duration: DefaultDrainTimeout},
 		},
-		Log: Log{Level: DefaultLogLevel},
+		Peer: Peer{AloneAfter: Duration{Duration: DefaultAloneAfter}},
+		Log:  Log{Level: DefaultLogLevel},
 	}
 }
--- a/serving/request/calls/calls.go
+++ b/serving/request/calls/calls.go
@@ -24,6 +24,7 @@
 package calls
 
 import (
+	"context"
 	"io"
 	"sync"
 	"time"
@@ -34,7 +35,6 @@
 	"carobspoke.example/core/request/ticket"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/connection/targetapi"
-	"carobspoke.example/serving/request/failure"
 	"carobspoke.example/serving/request/retries"
 )
 
@@ -108,6 +108,9 @@
 	Picker       Picker
 	Peers        Peers
 	Retries      *retries.Retries
+	// Ready returns nil if the daemon mints tickets: one that is about to leave
+	// would take the calls' answers with it. Nil means that it always does.
+	Ready func() error
 	// Choose is the choice function of homes of keys.
 	Choose keys.Choose
 	// Count is told the reason of each failure that a caller is given.
@@ -131,7 +134,7 @@
 	return &Server{
 		deps:  deps,
 		owner: newOwner(deps.Limits.Owned),
-		homes: keys.New(deps.Self.Host, keys.Window, deps.Choose),
+		homes: keys.New(deps.Self.Host, keys.SettleAfter, deps.Choose),
 	}
 }
 
@@ -144,6 +147,31 @@
 	s.homes.Observe(members, s.age())
 }
 
+// tickEvery is the time between two ticks of Run.
+const tickEvery = time.Second
+
+// Run ticks until the context ends. A server that does not run settles no key.
+func (s *Server) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.Tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Tick tells that the process runs. It is to be called about once a second;
+// by its absence the server knows that the process was paused.
+func (s *Server) Tick() {
+	s.homesMu.Lock()
+	defer s.homesMu.Unlock()
+	s.homes.Alive(s.age())
+}
+
 // Owned returns how many calls the daemon remembers, and the size of their
 // answers in bytes.
 func (s *Server) Owned() (calls, answerBytes int) { return s.owner.size() }
@@ -158,7 +186,3 @@
 func (s *Server) age() time.Duration {
 	return s.deps.Clock().Sub(s.deps.Self.Started)
 }
-
-// Failure is an error with a ticket for the caller to go on with, if it knows
-// that it never sent the call.
-type Failure = failure.Ticketed
--- a/serving/request/dispatch/place.go
+++ b/serving/request/dispatch/place.go
@@ -9,6 +9,7 @@
 	"carobspoke.example/core/process/load"
 	"carobspoke.example/core/request/admission"
 	"carobspoke.example/core/request/facts"
+	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/request/answer"
 )
@@ -36,11 +37,8 @@
 var _ answer.Targets = (*placing)(nil)
 
 // Place implements answer.Targets.
-func (p *placing) Place(ctx context.Context, want answer.Want) (answer.Placement, error) {
-	action, err := p.d.Admitter.Admit(ctx, p.arrival(want))
-	if err != nil {
-		return answer.Placement{}, err
-	}
+func (p *placing) Place(_ context.Context, want answer.Want) (answer.Placement, error) {
+	action := p.d.Admitter.Arrive(p.arrival(want))
 	switch action.Kind {
 	case admission.Start:
 		return p.start(action)
@@ -66,16 +64,22 @@
 func (p *placing) start(action admission.Action) (answer.Placement, error) {
 	state := &placed{request: action.Request, priority: action.Priority, outcome: load.Neutral}
 	release := sync.OnceFunc(func() {
-		p.d.Admitter.Finished(&state.request, state.outcome, state.answerTokens)
+		p.d.Admitter.Finished(state.request.ID, state.outcome, state.answerTokens)
 	})
 	engine, err := p.d.engine(p.view, action.Decision.Target)
 	if err != nil {
 		release()
 		return answer.Placement{}, err
 	}
-	watched := &observed{Engine: engine, placed: state, started: func() {
-		p.d.Admitter.FirstToken(state.request.ID)
-	}}
+	watched := &observed{
+		Engine:  engine,
+		placed:  state,
+		started: func() { p.d.Admitter.FirstToken(state.request.ID) },
+		told: func(report target.Report) {
+			report.Target = action.Decision.Target
+			p.d.Admitter.Report(report)
+		},
+	}
 	return answer.Placement{Target: action.Decision.Target, Engine: watched, Release: release}, nil
 }
 
--- a/tools/cmd/carobspoke/main.go
+++ b/tools/cmd/carobspoke/main.go
@@ -8,7 +8,12 @@
 	"fmt"
 	"os"
 
+	"carobspoke.example/tools/adminclient"
+	"carobspoke.example/tools/bench"
+	"carobspoke.example/tools/cmd/carobspoke/manifestcmd"
 	"carobspoke.example/tools/dev"
+	"carobspoke.example/tools/load"
+	"carobspoke.example/tools/slopes"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
@@ -22,7 +27,13 @@
 		Description:           "Exit codes: 0 for success, 1 for a failure, 2 for wrong arguments or input.",
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
+			adminclient.StatusCommand(),
+			adminclient.ExplainCommand(),
+			bench.Command(),
 			dev.Command(),
+			load.Command(),
+			manifestcmd.Command(),
+			slopes.Command(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
