Ask members that are ahead

Cause: after a partition a side that missed all announcements of a version learnt it only by its next read of the root. Change: the member list carries versions, and a daemon that is behind asks a member that is ahead; a claim that waits makes it ask others. The test fails without the members' versions. Conclusion: the shell's Peers.Live should fill Member.Version.

--- a/core/process/distribution/claims.go
+++ b/core/process/distribution/claims.go
@@ -88,6 +88,11 @@
 	return c.list[:i]
 }
 
+// waiting reports whether the highest claim has waited for longer than a while.
+func (c *claims) waiting(now time.Time, while time.Duration) bool {
+	return len(c.list) > 0 && now.Sub(c.list[0].since) > while
+}
+
 // drop forgets all claims up to a version.
 func (c *claims) drop(upTo names.Version) {
 	c.list = slices.DeleteFunc(c.list, func(k *claim) bool { return k.held.Version <= upTo })
--- a/core/process/distribution/distribution.go
+++ b/core/process/distribution/distribution.go
@@ -39,6 +39,9 @@
 type Member struct {
 	Host       names.Host
 	DataCentre names.DataCentre
+	// Version is the highest version that the member is known to have had
+	// in force, or zero.
+	Version names.Version
 }
 
 // Config holds the settings of a Machine.
@@ -73,6 +76,9 @@
 	// AskPeers how many are asked each time.
 	AskEvery time.Duration
 	AskPeers int
+	// AskBehind is the mean time between questions to peers by a daemon that
+	// seems to be behind.
+	AskBehind time.Duration
 	// BootAnswers is how many peers must answer a starting daemon, one of
 	// them with a version, if so many are live; BootWait is after how long
 	// a single answer with a version will do.
@@ -100,6 +106,7 @@
 		ClaimKept:         30 * time.Second,
 		AskEvery:          250 * time.Millisecond,
 		AskPeers:          16,
+		AskBehind:         time.Second,
 		BootAnswers:       5,
 		BootWait:          3 * time.Second,
 		TargetsEvery:      2 * time.Second,
--- a/core/process/distribution/driver.go
+++ b/core/process/distribution/driver.go
@@ -27,7 +27,9 @@
 	engines   names.Version
 	// cut reports whether two hosts cannot talk; liar, whether a peer gives
 	// bytes that do not have their digests.
-	cut      func(a, b int) bool
+	cut func(a, b int) bool
+	// sees reports whether a daemon reads from a stale replica.
+	sees     func(a int) bool
 	liar     func(a int) bool
 	build    func(self Member, random *rand.Rand) stepper
 	onAction func(d *daemon, a Action)
@@ -89,6 +91,7 @@
 		config: config, start: start, now: start,
 		random: rand.New(rand.NewPCG(config.Seed, 1)),
 		cut:    func(int, int) bool { return false },
+		sees:   func(int) bool { return true },
 		liar:   func(int) bool { return false },
 		calls:  map[int64]int{},
 		byHost: map[names.Host]*daemon{},
@@ -129,12 +132,21 @@
 	m := Members{Listed: len(d.daemons)}
 	for _, other := range d.daemons {
 		if other != x && !d.cut(x.index, other.index) {
-			m.Live = append(m.Live, other.member)
+			m.Live = append(m.Live, other.withVersion())
 		}
 	}
 	return m
 }
 
+// withVersion returns the member as others know it.
+func (x *daemon) withVersion() Member {
+	member := x.member
+	if x.machine != nil {
+		member.Version = x.machine.InForce().Version
+	}
+	return member
+}
+
 func (d *driver) tick(x *daemon, boot int) {
 	d.after(d.config.Tick, func() {
 		if x.boot == boot {
@@ -251,15 +263,15 @@
 	d.total += n
 }
 
-func (d *driver) serviceHas() Held {
-	if d.stale.Version != 0 {
+func (d *driver) serviceHas(x *daemon) Held {
+	if d.stale.Version != 0 && d.sees(x.index) {
 		return d.stale
 	}
 	return d.published
 }
 
 func (d *driver) answerRoot(x *daemon, watched bool) {
-	h := d.serviceHas()
+	h := d.serviceHas(x)
 	x.messages++
 	x.bytesIn += d.config.RootBytes
 	missing := d.missing(x, h)
@@ -268,7 +280,7 @@
 
 // answerWatch answers a watch once the service has a newer root.
 func (d *driver) answerWatch(x *daemon) {
-	if uint64(d.serviceHas().Version) > x.watchedAt {
+	if uint64(d.serviceHas(x).Version) > x.watchedAt {
 		d.answerRoot(x, true)
 		return
 	}
--- a/core/process/distribution/machine.go
+++ b/core/process/distribution/machine.go
@@ -224,23 +224,45 @@
 	return len(list) > 0
 }
 
-// askPeers asks a few peers what they have in force: often while starting, and
-// once in a while when a target has seen a newer version than is in force.
+// askPeers asks peers what they have in force: a few at a time while starting,
+// and one at a time as long as a newer version seems to exist than is in force.
 func (m *Machine) askPeers(now time.Time) {
-	starting := m.inForce.Version == 0
-	behind := m.fence > m.inForce.Version
-	if now.Before(m.nextAsk) || len(m.live) == 0 || !starting && !behind {
+	if now.Before(m.nextAsk) || len(m.live) == 0 {
 		return
 	}
-	m.nextAsk = now.Add(m.config.AskEvery)
-	if !starting {
-		m.nextAsk = now.Add(m.jitter(m.config.PeerPatience))
-		m.act(Ask{Host: m.live[m.random.IntN(len(m.live))].Host})
+	if m.inForce.Version == 0 {
+		m.nextAsk = now.Add(m.config.AskEvery)
+		for _, host := range m.unheard() {
+			m.act(Ask{Host: host})
+		}
+		return
+	}
+	ahead := m.membersAhead()
+	late := m.claims.waiting(now, m.config.AskBehind)
+	if len(ahead) == 0 && m.fence <= m.inForce.Version && !late {
 		return
 	}
-	for _, host := range m.unheard() {
-		m.act(Ask{Host: host})
+	if len(ahead) == 0 {
+		ahead = m.live
+	}
+	m.nextAsk = now.Add(m.jitter(m.config.AskBehind))
+	m.act(Ask{Host: ahead[m.random.IntN(len(ahead))].Host})
+}
+
+// membersAhead returns the members that are known to have had a newer version
+// than is in force or being fetched.
+func (m *Machine) membersAhead() []Member {
+	known := m.inForce.Version
+	if len(m.claims.list) > 0 {
+		known = max(known, m.claims.list[0].held.Version)
+	}
+	var ahead []Member
+	for _, peer := range m.live {
+		if peer.Version > known {
+			ahead = append(ahead, peer)
+		}
 	}
+	return ahead
 }
 
 // unheard picks peers to ask, at random: those that have not answered yet
--- a/core/process/distribution/machine_test.go
+++ b/core/process/distribution/machine_test.go
@@ -155,9 +155,7 @@
 	d.runFor(10 * time.Second)
 	apart := func(a, b int) bool { return (a < 3) != (b < 3) }
 	d.cut = apart
-	for _, x := range d.daemons {
-		d.step(x, d.membersOf(x))
-	}
+	d.tellMembers()
 	// The smaller side restarts whole: nobody there remembers anything, and
 	// the service shows it an old version.
 	d.stale = held(2)
@@ -176,15 +174,44 @@
 		t.Fatalf("the larger side took %v", h)
 	}
 	d.cut = func(int, int) bool { return false }
+	d.tellMembers()
+	d.runFor(10 * time.Second)
+	if !d.allHave(3) {
+		t.Fatal("the sides do not agree afterwards")
+	}
+}
+
+// TestAfterAPartition has one side hear of nothing while the other takes a
+// version, long enough for all announcements to have ended.
+func TestAfterAPartition(t *testing.T) {
+	d := newTestDriver(9, false)
+	d.published = held(3)
+	d.bootAll()
+	d.runFor(10 * time.Second)
+	d.cut = func(a, b int) bool { return (a < 3) != (b < 3) }
+	d.stale, d.sees = held(3), func(a int) bool { return a < 3 }
+	d.tellMembers()
+	d.published = held(4)
+	d.runFor(time.Hour)
 	for _, x := range d.daemons {
-		d.step(x, d.membersOf(x))
+		if got := x.machine.InForce().Version; (got == 4) != (x.index >= 3) {
+			t.Fatalf("daemon %d has version %d", x.index, got)
+		}
 	}
+	d.cut = func(int, int) bool { return false }
+	d.tellMembers()
 	d.runFor(10 * time.Second)
-	if !d.allHave(3) {
+	if !d.allHave(4) {
 		t.Fatal("the sides do not agree afterwards")
 	}
 }
 
+func (d *driver) tellMembers() {
+	for _, x := range d.daemons {
+		d.step(x, d.membersOf(x))
+	}
+}
+
 func TestLyingPeersAreLeftOut(t *testing.T) {
 	d := newTestDriver(9, false)
 	d.published = held(1)
--- a/core/process/distribution/measure_test.go
+++ b/core/process/distribution/measure_test.go
@@ -1,10 +1,29 @@
 package distribution
 
 import (
+	"flag"
 	"testing"
 	"time"
 )
 
+// members and changes make TestMeasure run a larger fleet for longer.
+var (
+	members = flag.Int("measure.members", 20, "number of daemons of TestMeasure")
+	changes = flag.Int("measure.changes", 20, "number of versions of TestMeasure")
+)
+
+// TestMeasure prints one measurement, of a size given on the command line.
+func TestMeasure(t *testing.T) {
+	config := DefaultMeasureConfig(*members)
+	config.Changes = *changes
+	began := time.Now()
+	m := Measure(config)
+	t.Logf("%+v, ran %s", m, time.Since(began))
+	if m.BehindLast > inForceWithin {
+		t.Fatalf("in force after %s", m.BehindLast)
+	}
+}
+
 // Limits that the users state.
 const (
 	serviceCallsPerSecond = 2000
