Check calls over real sockets

Cause: the schedules stop short of what HTTP and gRPC clients do by themselves. Change: daemons that forward over gRPC through proxies which cut connections, before a service that closes connections before and after it acts; a plain client against the same service.

--- /dev/null
+++ b/tools/history/sockets_test.go
@@ -0,0 +1,311 @@
+package history
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/request/retry"
+	"carobspoke.example/core/request/ticket"
+	"carobspoke.example/core/target"
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/serving/connection/peers"
+	"carobspoke.example/serving/connection/targetapi"
+	gencalls "carobspoke.example/serving/gen/calls"
+	"carobspoke.example/serving/peerpb"
+	"carobspoke.example/serving/request/calls"
+	"carobspoke.example/serving/request/retries"
+)
+
+// cruelService is a plain service over HTTP that sometimes refuses, closes
+// before or after it acts, or answers with a 502 after it acted.
+type cruelService struct {
+	recorder *Recorder
+	mu       sync.Mutex
+	random   *rand.Rand
+	acts     int
+}
+
+func (s *cruelService) draw(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.IntN(n)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *cruelService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var call target.Call
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	what := s.draw(10)
+	switch what {
+	case 0:
+		panic(http.ErrAbortHandler) // closes the connection
+	case 1:
+		w.Header().Set(targetapi.RefusedHeader, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	answer := s.act(string(call.Body))
+	switch what {
+	case 2, 3:
+		panic(http.ErrAbortHandler)
+	case 4:
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	reply := target.Reply{ID: call.ID, Attempt: call.Attempt, Status: http.StatusOK, Body: []byte(answer)}
+	_ = json.NewEncoder(w).Encode(reply) // the client sees a cut answer
+}
+
+func (s *cruelService) act(call string) string {
+	s.mu.Lock()
+	s.acts++
+	answer := strconv.Itoa(s.acts)
+	s.mu.Unlock()
+	s.recorder.Point(0, CallInput{Call: call, Act: true}, CallOutput{Answer: answer})
+	return answer
+}
+
+// cutter passes connections on and closes them all now and then.
+type cutter struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+}
+
+func newCutter(t *testing.T, to string) *cutter {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cutter{listener: listener, conns: map[net.Conn]bool{}}
+	t.Cleanup(func() { _ = listener.Close(); c.cut() })
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			c.mu.Lock()
+			c.conns[in], c.conns[out] = true, true
+			c.mu.Unlock()
+			go func() { _, _ = io.Copy(in, out); _ = in.Close() }()
+			go func() { _, _ = io.Copy(out, in); _ = out.Close() }()
+		}
+	}()
+	return c
+}
+
+func (c *cutter) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, conn)
+	}
+}
+
+// socketFleet is daemons that forward over real gRPC and call over real HTTP.
+type socketFleet struct {
+	recorder *Recorder
+	service  string
+	servers  []*calls.Server
+	cutters  []*cutter
+}
+
+func newSocketFleet(t *testing.T, daemons int) *socketFleet {
+	t.Helper()
+	f := &socketFleet{recorder: &Recorder{}}
+	service := httptest.NewServer(&cruelService{recorder: f.recorder, random: rand.New(rand.NewPCG(1, 1))})
+	service.Config.ErrorLog = nil
+	t.Cleanup(service.Close)
+	f.service = strings.TrimPrefix(service.URL, "http://")
+	ring, err := ticket.NewRing([]byte(strings.Repeat("k", ticket.SecretBytes)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range daemons {
+		f.add(t, i, ring)
+	}
+	return f
+}
+
+func (f *socketFleet) add(t *testing.T, i int, ring *ticket.Ring) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := newCutter(t, listener.Addr().String())
+	pool := peers.NewPool(nil, nil)
+	t.Cleanup(pool.Close)
+	transport := targetapi.NewTransport()
+	t.Cleanup(transport.CloseIdleConnections)
+	server := calls.New(calls.Deps{
+		Self:         calls.Self{Host: names.Host(front.listener.Addr().String()), Incarnation: 1, Started: time.Now()},
+		Limits:       calls.DefaultLimits(),
+		Clock:        time.Now,
+		Random:       &lockedReader{source: rand.NewChaCha8([32]byte{byte(i)})},
+		Ring:         func() *ticket.Ring { return ring },
+		Authenticate: func(a string) (names.Customer, error) { return names.Customer(a), nil },
+		Directory:    anyService{},
+		Picker:       &onePicker{service: targetapi.NewClient(f.service, transport)},
+		Peers:        &calls.GRPCPeers{Conn: pool.Conn, Known: func(names.Host) names.Incarnation { return 1 }},
+		Retries:      retries.New(retry.Default(), time.Now, rand.New(rand.NewPCG(1, uint64(i))), func(retry.Outcome, verdict.Reason) {}),
+		Choose:       rendezvous,
+		Count:        func(verdict.Reason) {},
+		RequestID:    func() string { return "r" },
+	})
+	grpcServer := peers.NewServer(nil, nil)
+	peerpb.RegisterForwardingServer(grpcServer, &forwarding{server: server})
+	go grpcServer.Serve(listener) //nolint:errcheck // it ends with the test
+	t.Cleanup(grpcServer.Stop)
+	f.servers = append(f.servers, server)
+	f.cutters = append(f.cutters, front)
+}
+
+type forwarding struct {
+	peerpb.UnimplementedForwardingServer
+	server *calls.Server
+}
+
+// Call implements peerpb.ForwardingServer.
+func (f *forwarding) Call(ctx context.Context, in *peerpb.CallRequest) (*peerpb.CallReply, error) {
+	return f.server.Forwarded(ctx, in)
+}
+
+type anyService struct{}
+
+// Service implements calls.Directory.
+func (anyService) Service(names.Customer, names.Service) (calls.Service, error) {
+	return calls.Service{}, nil
+}
+
+type onePicker struct{ service targetapi.Service }
+
+// Pick implements calls.Picker.
+func (p *onePicker) Pick(names.Service, []names.Target) (names.Target, targetapi.Service, error) {
+	return "s", p.service, nil
+}
+
+// TestAtMostOnceOverSockets sends calls through daemons whose connections to
+// each other are cut and whose service closes connections before and after it
+// acts. It is not bound to a seed: whatever the sockets do, the promise holds.
+func TestAtMostOnceOverSockets(t *testing.T) {
+	const callers, callsEach = 8, 25
+	f := newSocketFleet(t, 3)
+	stop := make(chan struct{})
+	go func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(7 * time.Millisecond):
+				f.cutters[i%len(f.cutters)].cut()
+			}
+		}
+	}()
+	var wait sync.WaitGroup
+	for client := range callers {
+		wait.Go(func() {
+			for n := range callsEach {
+				f.call(t, client, fmt.Sprintf("call-%d-%d", client, n))
+			}
+		})
+	}
+	wait.Wait()
+	close(stop)
+	var seen tally
+	if !seen.add(t, f.recorder.Operations()) {
+		show(t, f.recorder.Operations())
+		t.Error("the promise is broken")
+	}
+	t.Logf("%+v", seen)
+	if seen.acts < callers*callsEach/2 {
+		t.Error("too few calls acted")
+	}
+}
+
+// call sends a call up to four times, through each daemon in turn.
+func (f *socketFleet) call(t *testing.T, client int, call string) {
+	customer, timeout := "a", int64(3000)
+	minted, err := f.servers[client%len(f.servers)].Ticket(t.Context(), &gencalls.TicketPayload{Authorization: &customer, Service: "file"})
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	for i := range 4 {
+		end := f.recorder.Begin(client+1, CallInput{Call: call})
+		payload := &gencalls.CallPayload{Authorization: &customer, Service: "file", TimeoutMs: &timeout, Ticket: &minted.Ticket}
+		_, body, err := f.servers[(client+i+1)%len(f.servers)].Call(t.Context(), payload, io.NopCloser(strings.NewReader(call)))
+		if err != nil {
+			end(CallOutput{Failed: true, Verdict: verdict.From(err).Verdict})
+			continue
+		}
+		answer, err := io.ReadAll(body)
+		if err != nil {
+			t.Error(err)
+		}
+		end(CallOutput{Answer: string(answer)})
+		if i > 0 {
+			return // a first answer is asked for once more
+		}
+	}
+}
+
+// TestNaiveCallerOverSockets sends the same kind of calls with a plain client
+// that resends on errors, straight to the service: calls act twice.
+func TestNaiveCallerOverSockets(t *testing.T) {
+	f := newSocketFleet(t, 0)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for n := range 100 {
+		call := fmt.Sprintf("call-%d", n)
+		encoded, err := json.Marshal(target.Call{ID: call, Attempt: 1, Body: []byte(call)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 3 {
+			request, err := http.NewRequest(http.MethodPost, "http://"+f.service+"/v1/calls", bytes.NewReader(encoded))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set("Idempotency-Key", call)
+			response, err := client.Do(request)
+			if err != nil {
+				continue
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				break
+			}
+		}
+	}
+	var seen tally
+	seen.add(t, f.recorder.Operations())
+	t.Logf("%+v", seen)
+	if seen.broken == 0 {
+		t.Error("the service is not cruel enough")
+	}
+}
