--- /dev/null
+++ b/tools/experiment/command.go
@@ -0,0 +1,69 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// defaultSeeds is the number of seeds that figures are taken over.
+const defaultSeeds = 3
+
+// Command returns the command that runs the experiments on the policy and
+// prints Markdown tables.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "experiment",
+		Usage: "run the policy against naive versions in virtual time, and without each of its parts",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: defaultSeeds},
+			&cli.BoolFlag{Name: "parts", Usage: "also run the policy without each of its parts"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return runAll(c.Root().Writer, c.Int("seeds"), c.Bool("parts"))
+		},
+	}
+}
+
+func runAll(w io.Writer, seedCount int, parts bool) error {
+	if seedCount < 1 {
+		return errors.New("seeds must be positive")
+	}
+	seeds := make([]uint64, seedCount)
+	for i := range seeds {
+		seeds[i] = uint64(i) + 1
+	}
+	for _, s := range sizes() {
+		if err := writeTable(w, s.title(), columns(), measureAll(measure, versus(), s, seeds)); err != nil {
+			return err
+		}
+	}
+	if !parts {
+		return nil
+	}
+	return runParts(w, seeds)
+}
+
+// runParts runs the product without each of its parts at the smaller size.
+func runParts(w io.Writer, seeds []uint64) error {
+	for _, s := range sizes()[:2] {
+		rows := measureAll(measure, withoutOne(), s, seeds)
+		if err := writeTable(w, "Without one part: "+s.title(), columns(), rows); err != nil {
+			return err
+		}
+	}
+	s := sizes()[0]
+	rows := measureAll(measureRepeating, withIndex(), s, seeds)
+	return writeTable(w, "Prompts with common beginnings: "+s.title(), repeatingColumns(), rows)
+}
+
+func (s size) title() string {
+	kind := "engines that interrupt a prefill for a higher priority"
+	if s.whole {
+		kind = "engines that end a prefill before the next"
+	}
+	return fmt.Sprintf("%s: %d engines, %d daemons; %s", s.name, s.engines, s.daemons, kind)
+}
--- a/tools/experiment/scenarios.go
+++ b/tools/experiment/scenarios.go
@@ -1,21 +1,33 @@
 package experiment
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/prefix"
 )
 
-// sizes are the fleets of both users.
-var sizes = []size{
-	{name: "Sahayatri", engines: 15, daemons: 8},
-	{name: "Tuuraj", engines: 25, daemons: 9},
+// sizes are the fleets of both users, each with both kinds of engines.
+func sizes() []size {
+	sahayatri := size{name: "Sahayatri", engines: 15, daemons: 8}
+	tuuraj := size{name: "Tuuraj", engines: 25, daemons: 9}
+	return []size{sahayatri, sahayatri.withWhole(), tuuraj, tuuraj.withWhole()}
+}
+
+func (s size) withWhole() size {
+	s.whole = true
+	return s
 }
 
 // Lengths of the runs.
 const (
 	steadyTime  = 240 * time.Second
+	crowdTime   = 120 * time.Second
 	warmTime    = 30 * time.Second
 	crestTime   = 120 * time.Second
 	spikeTime   = 10 * time.Second
@@ -42,7 +54,7 @@
 func capacity(seed uint64) (tokens, perSecond float64) {
 	list := jobs(seed, []phase{{length: time.Second, rate: 400}}, tenTenants())
 	c := newClock()
-	e := &engine{clock: c}
+	e := newEngine(c, "", false)
 	done, sum := 0, 0
 	var last time.Time
 	for i := range list {
@@ -92,10 +104,57 @@
 	}, tenTenants())
 }
 
+// Customers of crowd.
+const (
+	smallCustomer names.Customer = "small"
+	largeCustomer names.Customer = "large"
+)
+
 // crowd is a customer within its share beside one that asks for ten times as
 // much; together they are over capacity.
 func crowd(s size, seed uint64) []job {
-	return jobs(seed, []phase{{length: steadyTime / 2, rate: s.jobRate(2.2, seed)}}, []tenant{
-		{name: "small", part: 1}, {name: "large", part: 10},
+	return jobs(seed, []phase{{length: crowdTime, rate: s.jobRate(2.2, seed)}}, []tenant{
+		{name: smallCustomer, part: 1}, {name: largeCustomer, part: 10},
 	})
 }
+
+// impatient is a load a little over capacity whose callers allow little more
+// time than an idle engine takes.
+func impatient(s size, seed uint64) []job {
+	list := jobs(seed, []phase{{length: crowdTime, rate: s.jobRate(1.2, seed)}}, tenTenants())
+	for i := range list {
+		list[i].hurry = true
+	}
+	return list
+}
+
+// repeating is a load just under capacity in which half the prompts begin with
+// one of two texts of their customer, for up to all of their length.
+func repeating(s size, seed uint64) []job {
+	list := jobs(seed, []phase{{length: steadyTime, rate: s.jobRate(repeatLoad, seed)}}, tenTenants())
+	random := rand.New(rand.NewPCG(seed, 3))
+	for i := range list {
+		text := uint64(i) + textsPerCustomer
+		if random.IntN(2) == 0 {
+			text = random.Uint64N(textsPerCustomer)
+		}
+		list[i].digests = digestsOf(&list[i], text)
+	}
+	return list
+}
+
+// Shape of repeating.
+const (
+	repeatLoad       = 0.9
+	textsPerCustomer = 2
+)
+
+// digestsOf returns the digests of a prompt that begins with a text.
+func digestsOf(j *job, text uint64) []uint64 {
+	var digests []uint64
+	for i := 0; prefix.Covers(i) <= j.prompt; i++ {
+		name := fmt.Sprint(j.customer, "/", text, "/", i)
+		digests = append(digests, xxhash.Sum64String(name))
+	}
+	return digests
+}
