--- a/serving/request/answer/answer_test.go
+++ b/serving/request/answer/answer_test.go
@@ -108,7 +108,7 @@
 			}
 		})
 	}
-	t.Logf("%d schedules: %d whole, %d failed honestly, %d wrong; naive: %d wrong", schedules, ok, failed, wrong, naiveWrong)
+	t.Logf("%d schedules: %d whole, %d failed with a verdict, %d wrong; naive: %d wrong", schedules, ok, failed, wrong, naiveWrong)
 	if wrong > 0 || naiveWrong == 0 || ok < schedules/2 {
 		t.Fatal("answers were wrong, or the faults prove nothing")
 	}
@@ -125,13 +125,13 @@
 	return b.String(), err
 }
 
-// TestDeadlyPrompt sends a prompt that crashes targets 50 times: the first
+// TestCrashingPrompt sends a prompt that crashes targets 50 times: the first
 // send costs one shared and one isolation target, the others none.
-func TestDeadlyPrompt(t *testing.T) {
+func TestCrashingPrompt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(1, 0)
 		for _, e := range f.engines {
-			e.deadly = true
+			e.crashing = true
 		}
 		deps := newDeps(f, NewCrashes(time.Now))
 		for i := range 50 {
@@ -147,9 +147,9 @@
 	})
 }
 
-// TestNeighbourOfADeadlyPrompt crashes the engine under an innocent prompt: it
+// TestNeighbourOfACrashingPrompt crashes the engine under an innocent prompt: it
 // is answered whole, from an isolation target, and is cleared.
-func TestNeighbourOfADeadlyPrompt(t *testing.T) {
+func TestNeighbourOfACrashingPrompt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(1, 0)
 		crashes := NewCrashes(time.Now)
@@ -158,7 +158,7 @@
 			return Run(t.Context(), deps, request(), func(frame target.Frame) error {
 				if frame.Offset == 4 && f.crashes() == 0 {
 					f.engines[0].crash()
-					f.engines[0].deadly = true
+					f.engines[0].crashing = true
 				}
 				return sink(frame)
 			})
--- a/serving/request/answer/fake_test.go
+++ b/serving/request/answer/fake_test.go
@@ -22,8 +22,8 @@
 	random *rand.Rand
 	// faulty is the chance of a fault at each frame, in percent.
 	faulty int
-	// deadly prompts kill the engine at the first frame.
-	deadly  bool
+	// crashing prompts kill the engine at the first frame.
+	crashing  bool
 	held    bool
 	crashes int
 	submits int
@@ -69,7 +69,7 @@
 	if f.ended {
 		return target.Frame{}, cut
 	}
-	if f.engine.deadly {
+	if f.engine.crashing {
 		f.engine.crash()
 		return target.Frame{}, cut
 	}
--- a/tools/history/crash_test.go
+++ b/tools/history/crash_test.go
@@ -24,15 +24,15 @@
 	crashDaemons = 9
 	crashEngines = 12
 	isolations   = 2
-	deadlySends  = 50
+	crashingSends  = 50
 	innocents    = 120
-	deadly       = "deadly"
+	crashing       = "crashing"
 	// gossip is the time between two rounds in which each daemon tells its
 	// digests to one other.
 	gossip = 100 * time.Millisecond
 )
 
-// fragile is an engine that dies of the deadly prompt and restarts empty.
+// fragile is an engine that dies of the crashing prompt and restarts empty.
 type fragile struct {
 	targetapi.Engine
 	name names.Target
@@ -96,7 +96,7 @@
 
 func (s *fragileStream) Close() error { return nil }
 
-// Next sends a token about every 100 ms. The deadly prompt kills the engine in its
+// Next sends a token about every 100 ms. The crashing prompt kills the engine in its
 // third step.
 func (s *fragileStream) Next() (target.Frame, error) {
 	const answerLength = 10
@@ -108,7 +108,7 @@
 	if e.boot != s.boot || !e.streams[s.submit.Stream] || s.ctx.Err() != nil {
 		return target.Frame{}, verdict.New(verdict.Ran, verdict.AnswerCut, "cut")
 	}
-	if s.submit.Prompt == deadly && s.next == 2 {
+	if s.submit.Prompt == crashing && s.next == 2 {
 		e.crash()
 		return target.Frame{}, verdict.New(verdict.Ran, verdict.AnswerCut, "cut")
 	}
@@ -159,7 +159,7 @@
 func (unsuspecting) Ended()                      {}
 func (unsuspecting) Refusal() *verdict.Error     { return nil }
 
-// crashOutcome is what a run of the deadly prompt cost.
+// crashOutcome is what a run of the crashing prompt cost.
 type crashOutcome struct {
 	lost, lostIsolated int
 	// Innocent prompts: answered, refused before they ran, and cut.
@@ -178,9 +178,9 @@
 	}
 }
 
-// deadlyRun sends the deadly prompt 50 times, at once or one after the other,
+// crashingRun sends the crashing prompt 50 times, at once or one after the other,
 // while innocent prompts run.
-func deadlyRun(t *testing.T, atOnce, naive bool) (out crashOutcome) {
+func crashingRun(t *testing.T, atOnce, naive bool) (out crashOutcome) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &crashFleet{naive: naive}
@@ -204,7 +204,7 @@
 				out.add(err)
 			})
 		}
-		wait.Go(func() { sendDeadly(t, daemons, atOnce) })
+		wait.Go(func() { sendCrashing(t, daemons, atOnce) })
 		wait.Wait()
 		close(stop)
 		for i, e := range f.engines {
@@ -217,13 +217,13 @@
 	return out
 }
 
-func sendDeadly(t *testing.T, daemons []*crashDaemon, atOnce bool) {
+func sendCrashing(t *testing.T, daemons []*crashDaemon, atOnce bool) {
 	t.Helper()
 	var wait sync.WaitGroup
-	for i := range deadlySends {
+	for i := range crashingSends {
 		send := func() {
-			if daemons[i%crashDaemons].send(deadly) == nil {
-				t.Error("the deadly prompt was answered")
+			if daemons[i%crashDaemons].send(crashing) == nil {
+				t.Error("the crashing prompt was answered")
 			}
 		}
 		if atOnce {
@@ -296,20 +296,20 @@
 	})
 }
 
-// TestDeadlyPromptThroughNineDaemons holds the bound on targets lost. When the
+// TestCrashingPromptThroughNineDaemons holds the bound on targets lost. When the
 // sends come at once they take every engine before the first crash is known;
 // what ran then is still answered.
-func TestDeadlyPromptThroughNineDaemons(t *testing.T) {
-	inTurn := deadlyRun(t, false, false)
-	atOnce := deadlyRun(t, true, false)
-	naiveInTurn := deadlyRun(t, false, true)
-	naiveAtOnce := deadlyRun(t, true, true)
+func TestCrashingPromptThroughNineDaemons(t *testing.T) {
+	inTurn := crashingRun(t, false, false)
+	atOnce := crashingRun(t, true, false)
+	naiveInTurn := crashingRun(t, false, true)
+	naiveAtOnce := crashingRun(t, true, true)
 	t.Logf("one after the other: ours %+v, naive %+v", inTurn, naiveInTurn)
 	t.Logf("all at once:         ours %+v, naive %+v", atOnce, naiveAtOnce)
 	if inTurn.lost > 2 || inTurn.answered != innocents {
 		t.Errorf("one after the other: %+v", inTurn)
 	}
-	if atOnce.lost-atOnce.lostIsolated > deadlySends || atOnce.lostIsolated > crashDaemons || atOnce.cut > 0 {
+	if atOnce.lost-atOnce.lostIsolated > crashingSends || atOnce.lostIsolated > crashDaemons || atOnce.cut > 0 {
 		t.Errorf("all at once: %+v", atOnce)
 	}
 	if naiveInTurn.lost <= 10*inTurn.lost {
--- a/tools/history/models_test.go
+++ b/tools/history/models_test.go
@@ -7,8 +7,8 @@
 	"carobspoke.example/core/verdict"
 )
 
-// TestCallModelTellsLies gives the model histories with one fault each.
-func TestCallModelTellsLies(t *testing.T) {
+// TestCallModelRefusesFaults gives the model histories with one fault each.
+func TestCallModelRefusesFaults(t *testing.T) {
 	act := func(r *Recorder, answer string) {
 		r.Point(0, CallInput{Call: "c", Act: true}, CallOutput{Answer: answer})
 	}
--- a/tools/history/sockets_test.go
+++ b/tools/history/sockets_test.go
@@ -29,23 +29,23 @@
 	"carobspoke.example/serving/request/retries"
 )
 
-// cruelService is a plain service over HTTP that sometimes refuses, closes
+// faultyService is a plain service over HTTP that sometimes refuses, closes
 // before or after it acts, or answers with a 502 after it acted.
-type cruelService struct {
+type faultyService struct {
 	recorder *Recorder
 	mu       sync.Mutex
 	random   *rand.Rand
 	acts     int
 }
 
-func (s *cruelService) draw(n int) int {
+func (s *faultyService) draw(n int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.random.IntN(n)
 }
 
 // ServeHTTP implements http.Handler.
-func (s *cruelService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *faultyService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var call target.Call
 	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
 		panic(http.ErrAbortHandler)
@@ -71,7 +71,7 @@
 	_ = json.NewEncoder(w).Encode(reply) // the client sees a cut answer
 }
 
-func (s *cruelService) act(call string) string {
+func (s *faultyService) act(call string) string {
 	s.mu.Lock()
 	s.acts++
 	answer := strconv.Itoa(s.acts)
@@ -136,7 +136,7 @@
 func newSocketFleet(t *testing.T, daemons int) *socketFleet {
 	t.Helper()
 	f := &socketFleet{recorder: &Recorder{}}
-	service := httptest.NewServer(&cruelService{recorder: f.recorder, random: rand.New(rand.NewPCG(1, 1))})
+	service := httptest.NewServer(&faultyService{recorder: f.recorder, random: rand.New(rand.NewPCG(1, 1))})
 	service.Config.ErrorLog = nil
 	t.Cleanup(service.Close)
 	f.service = strings.TrimPrefix(service.URL, "http://")
@@ -306,6 +306,6 @@
 	seen.add(t, f.recorder.Operations())
 	t.Logf("%+v", seen)
 	if seen.broken == 0 {
-		t.Error("the service is not cruel enough")
+		t.Error("the service is has too few faults")
 	}
 }
--- a/tools/history/streams_test.go
+++ b/tools/history/streams_test.go
@@ -115,7 +115,7 @@
 			case line.ticket != "":
 				where = line.ticket
 			case line.err != nil:
-				return // an honest failure
+				return // a failure with a verdict
 			case line.frame.End:
 				s.recorder.Point(i, StreamInput{Stream: id, End: true}, StreamOutput{Tokens: line.frame.Offset})
 				s.mu.Lock()
