--- a/serving/request/calls/calls.go
+++ b/serving/request/calls/calls.go
@@ -108,6 +108,9 @@
 	Picker       Picker
 	Peers        Peers
 	Retries      *retries.Retries
+	// Ready returns nil if the daemon mints tickets: one that is about to leave
+	// would take the calls' answers with it. Nil means that it always does.
+	Ready func() error
 	// Choose is the choice function of homes of keys.
 	Choose keys.Choose
 	// Count is told the reason of each failure that a caller is given.
@@ -131,7 +134,7 @@
 	return &Server{
 		deps:  deps,
 		owner: newOwner(deps.Limits.Owned),
-		homes: keys.New(deps.Self.Host, keys.Window, deps.Choose),
+		homes: keys.New(deps.Self.Host, keys.SettleAfter, deps.Choose),
 	}
 }
 
