--- a/tools/load/workload/file.go
+++ b/tools/load/workload/file.go
@@ -60,6 +60,8 @@
 	// Timeout is the time until the answer must be complete.
 	Timeout  Duration `toml:"timeout"`
 	Priority int      `toml:"priority"`
+	// Crash marks prompts that crash each engine which runs them.
+	Crash bool `toml:"crash"`
 }
 
 // Customer is a customer and its weight among customers.
--- a/tools/load/workload/schedule.go
+++ b/tools/load/workload/schedule.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/tools/standin/engine"
 )
 
 // bytesPerToken is how much text a daemon takes for a token.
@@ -47,6 +48,7 @@
 	seed         uint64
 	textTokens   int
 	prefixTokens int
+	crash        bool
 }
 
 // Schedule returns the arrivals of a run, in order.
@@ -138,6 +140,7 @@
 	r.Class = c.Name
 	r.Timeout = time.Duration(c.Timeout)
 	r.Priority = c.Priority
+	r.crash = c.Crash
 	r.PromptTokens = between(random, c.MinTokens, c.MaxTokens)
 	r.AnswerTokens = between(random, c.MinAnswer, c.MaxAnswer)
 }
@@ -196,6 +199,9 @@
 		fill(&text, head, min(size, r.prefixTokens*bytesPerToken))
 	}
 	text.WriteString("\nRequest " + r.Name() + ". ")
+	if r.crash {
+		text.WriteString(engine.CrashMark)
+	}
 	fill(&text, "Please consider this. ", size)
 	return text.String()
 }
--- a/tools/load/workload/workload_test.go
+++ b/tools/load/workload/workload_test.go
@@ -55,8 +55,11 @@
 // TestTheFilesHaveTheMixThatTheyAreFor counts long prompts, crests and
 // customers over a long schedule.
 func TestTheFilesHaveTheMixThatTheyAreFor(t *testing.T) {
-	for _, name := range []string{"sahayatri", "tuuraj", "small"} {
+	for _, name := range []string{"sahayatri", "tuuraj", "small", "faults"} {
 		w := mustLoad(t, name)
+		if len(w.Swings) == 0 {
+			continue
+		}
 		calm, crest := crestRates(w)
 		if crest < 1.5*calm {
 			t.Errorf("%s: %.1f arrivals a second at the crest, %.1f else", name, crest, calm)
