--- /dev/null
+++ b/serving/process/distribution/size_test.go
@@ -0,0 +1,62 @@
+package distribution
+
+import (
+	"fmt"
+	"testing"
+
+	"carobspoke.example/core/names"
+	core "carobspoke.example/core/process/distribution"
+	"carobspoke.example/core/version/manifest"
+	"carobspoke.example/core/version/pages"
+	"carobspoke.example/serving/peerpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// TestAChangeBetweenDaemonsIsSmall measures the messages for one changed
+// customer of a manifest of full size, and holds them against what
+// core.DefaultMeasureConfig assumes.
+func TestAChangeBetweenDaemonsIsSmall(t *testing.T) {
+	old := sized(1, 3600, 6200)
+	next := sized(2, 3600, 6200)
+	next.Customers[1800].TokensPerSecond = 1e6
+	d := &Distributor{store: pages.NewStore(HistoryBytes)}
+	var digests []names.Digest
+	for _, m := range []*manifest.Manifest{old, next} {
+		p, err := pages.Pack(m, testKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.store.AddRoot(p.Root)
+		for _, page := range p.Pages {
+			d.store.AddPage(page.Ref, page.Data)
+		}
+		d.store.Commit(p.Root)
+		digests = append(digests, p.Root.Digest)
+	}
+	request := &peerpb.RootRequest{Format: format, Digest: string(digests[1]), Have: string(digests[0])}
+	reply := d.rootReply(digests[1], digests[0])
+	bytes := proto.Size(request) + proto.Size(reply)
+	t.Logf("request %d bytes, reply %d bytes", proto.Size(request), proto.Size(reply))
+	if assumed := core.DefaultMeasureConfig(1).ChangeBytes; bytes > assumed || len(reply.GetPages()) != 1 {
+		t.Fatalf("%d bytes, %d assumed; %d pages", bytes, assumed, len(reply.GetPages()))
+	}
+}
+
+func sized(v names.Version, customers, engines int) *manifest.Manifest {
+	m := sample(v)
+	engine := m.Targets[0]
+	m.Targets = nil
+	for i := range customers {
+		m.Customers = append(m.Customers, manifest.Customer{
+			Name:       names.Customer(fmt.Sprintf("customer-%05d", i)),
+			KeyDigests: []names.Digest{pages.DigestOf(fmt.Append(nil, i))}, Models: []names.Model{"draft"},
+		})
+	}
+	for i := range engines {
+		t := engine
+		t.Name = names.Target(fmt.Sprintf("engine-%05d", i))
+		t.Address = fmt.Sprintf("10.1.%d.%d:80", i/250, i%250)
+		m.Targets = append(m.Targets, t)
+	}
+	return m
+}
