Wire isolation, settling keys and one table of crashes

Cause: the calls server was not run, so that no caller's key settled; suspects did not run alone; a resumed stream had no prompt to hold a crash against; redirects were followed as a second request; unreadable resends were said to be not run. Change: each of these, as their packages ask for it.

--- a/serving/connection/targetapi/client.go
+++ b/serving/connection/targetapi/client.go
@@ -79,9 +79,13 @@
 
 // NewClient returns a client of the target at address, "IP:port".
 func NewClient(address string, transport http.RoundTripper) *Client {
-	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 }
 
+// noRedirect makes a redirect an answer like any other: to follow it would be
+// a second request, of another method.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Submit implements Engine.
 func (c *Client) Submit(ctx context.Context, s target.Submit) (Stream, error) {
 	return c.stream(ctx, http.MethodPost, "/v1/streams", s)
--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -34,6 +34,7 @@
 	"carobspoke.example/serving/process/budget"
 	"carobspoke.example/serving/process/counters"
 	"carobspoke.example/serving/process/distribution"
+	"carobspoke.example/serving/request/answer"
 	"carobspoke.example/serving/request/calls"
 	"carobspoke.example/serving/request/directory"
 	"carobspoke.example/serving/request/dispatch"
@@ -123,6 +124,7 @@
 		},
 		Retries:   d.retries,
 		Choose:    homeOf,
+		Ready:     d.ready,
 		Count:     d.countReason,
 		RequestID: newRequestID,
 	})
@@ -154,11 +156,12 @@
 		Versions:    d.versions,
 		Admitter:    d.admitter,
 		Engines:     engines{transport: d.transport},
+		Alone:       answer.NewAlone(),
 		Quota:       d.quota,
 		Relays:      d.fleet,
 		Forward:     &forward.Client{Peers: d.pool},
 		Retries:     d.retries,
-		Crashes:     dispatch.NewCrashes(d.tellCrashes),
+		Crashes:     answer.NewCrashes(time.Now, d.tellCrashes),
 		Tickets:     ring,
 		Abandoned:   dispatch.NewAbandoned(func() { d.counters.Add("abandon_queue_full", 1) }),
 		Spans:       dispatch.Spans{Zones: chosen.Zones, MaxEngines: admission.DefaultSpanEngines},
@@ -223,6 +226,7 @@
 		d.dispatcher.Abandoned.Run,
 		d.dispatcher.RunDrains,
 		d.members.Run,
+		d.calls.Run,
 		d.fleet.Run,
 		func(ctx context.Context) { _ = d.distributor.Run(ctx) }, // it ends with the context
 		func(ctx context.Context) {
--- a/serving/request/answer/answer_test.go
+++ b/serving/request/answer/answer_test.go
@@ -88,7 +88,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(seed, int(seed%40))
 			got, err := collect(func(sink Sink) error {
-				return Run(t.Context(), newDeps(f, NewCrashes(time.Now)), request(), sink)
+				return Run(t.Context(), newDeps(f, NewCrashes(time.Now, nil)), request(), sink)
 			})
 			switch {
 			case err == nil && got == whole():
@@ -133,7 +133,7 @@
 		for _, e := range f.engines {
 			e.crashing = true
 		}
-		deps := newDeps(f, NewCrashes(time.Now))
+		deps := newDeps(f, NewCrashes(time.Now, nil))
 		for i := range 50 {
 			_, err := collect(func(sink Sink) error { return Run(t.Context(), deps, request(), sink) })
 			e := verdict.From(err)
@@ -152,7 +152,7 @@
 func TestNeighbourOfACrashingPrompt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(1, 0)
-		crashes := NewCrashes(time.Now)
+		crashes := NewCrashes(time.Now, nil)
 		deps := newDeps(f, crashes)
 		got, err := collect(func(sink Sink) error {
 			return Run(t.Context(), deps, request(), func(frame target.Frame) error {
@@ -182,14 +182,14 @@
 		submit := request()
 		submit.Prompt, submit.From = "", 5
 		got, err := collect(func(sink Sink) error {
-			return Resume(t.Context(), newDeps(f, NewCrashes(time.Now)), at, submit, sink)
+			return Resume(t.Context(), newDeps(f, NewCrashes(time.Now, nil)), at, submit, sink)
 		})
 		if err != nil || text(0)+text(1)+text(2)+text(3)+text(4)+got != whole() {
 			t.Fatalf("%q, %v", got, err)
 		}
 		f.engines[2].crash()
 		_, err = collect(func(sink Sink) error {
-			return Resume(t.Context(), newDeps(f, NewCrashes(time.Now)), at, submit, sink)
+			return Resume(t.Context(), newDeps(f, NewCrashes(time.Now, nil)), at, submit, sink)
 		})
 		if e := verdict.From(err); e.Verdict != verdict.Ran || f.engines[2].submits != 0 {
 			t.Fatalf("%v", e)
@@ -200,7 +200,7 @@
 func TestCallerGoneEndsTheRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(1, 0)
-		err := Run(t.Context(), newDeps(f, NewCrashes(time.Now)), request(), func(target.Frame) error { return errors.New("closed") })
+		err := Run(t.Context(), newDeps(f, NewCrashes(time.Now, nil)), request(), func(target.Frame) error { return errors.New("closed") })
 		if e := verdict.From(err); e.Reason != verdict.CallerGone || f.used != 0 || f.next != 1 {
 			t.Fatalf("%v, %d placements", e, f.next)
 		}
@@ -232,7 +232,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		for _, timeout := range []time.Duration{time.Hour, time.Second} {
 			c := &cutter{}
-			deps := newDeps(newFleet(1, 0), NewCrashes(time.Now))
+			deps := newDeps(newFleet(1, 0), NewCrashes(time.Now, nil))
 			deps.Targets = c
 			submit := request()
 			submit.Deadline = time.Now().Add(timeout)
--- a/serving/request/answer/crashes.go
+++ b/serving/request/answer/crashes.go
@@ -12,14 +12,19 @@
 // is safe for concurrent use.
 type Crashes struct {
 	clock func() time.Time
+	tell  func([]crash.Entry)
 
 	mu    sync.Mutex
 	table *crash.Table
 }
 
-// NewCrashes returns an empty table.
-func NewCrashes(clock func() time.Time) *Crashes {
-	return &Crashes{clock: clock, table: crash.New()}
+// NewCrashes returns an empty table. tell is given all digests after each
+// crash, to pass them on to other daemons; it may be nil.
+func NewCrashes(clock func() time.Time, tell func([]crash.Entry)) *Crashes {
+	if tell == nil {
+		tell = func([]crash.Entry) {}
+	}
+	return &Crashes{clock: clock, tell: tell, table: crash.New()}
 }
 
 // Digests returns what to tell other daemons.
@@ -55,9 +60,15 @@
 
 // Crashed implements Prompt.
 func (p *prompt) Crashed(alone bool) crash.Standing {
-	p.crashes.mu.Lock()
-	defer p.crashes.mu.Unlock()
-	return p.crashes.table.Crashed(p.digest, alone, p.crashes.clock())
+	standing := p.crashes.crashed(p.digest, alone)
+	p.crashes.tell(p.crashes.Digests())
+	return standing
+}
+
+func (c *Crashes) crashed(digest crash.Digest, alone bool) crash.Standing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Crashed(digest, alone, c.clock())
 }
 
 // Ended implements Prompt.
--- a/serving/request/answer/fake_test.go
+++ b/serving/request/answer/fake_test.go
@@ -23,10 +23,10 @@
 	// faulty is the chance of a fault at each frame, in percent.
 	faulty int
 	// crashing prompts kill the engine at the first frame.
-	crashing  bool
-	held    bool
-	crashes int
-	submits int
+	crashing bool
+	held     bool
+	crashes  int
+	submits  int
 }
 
 func (e *engine) Submit(ctx context.Context, s target.Submit) (targetapi.Stream, error) {
--- a/serving/request/dispatch/dispatch.go
+++ b/serving/request/dispatch/dispatch.go
@@ -66,9 +66,11 @@
 	Relays      Relays
 	Forward     *forward.Client
 	Retries     *retries.Retries
-	Crashes     *Crashes
-	Tickets     *ticket.Ring
-	Abandoned   *Abandoned
+	Crashes     *answer.Crashes
+	// Alone keeps suspects apart at isolation targets.
+	Alone     *answer.Alone
+	Tickets   *ticket.Ring
+	Abandoned *Abandoned
 	// Spans says how prompts over one engine's memory are run.
 	Spans Spans
 	// Ready returns nil if the daemon takes new requests.
@@ -107,7 +109,11 @@
 	d.Retries.Fresh()
 	name := d.newStream(g.Facts.Customer, g.Facts.Deadline)
 	out := &ticketSink{d: d, sink: sink, request: g.Facts, stream: name}
-	r := forward.Request{Facts: g.Facts, Prompt: g.Prompt, Stream: name, Version: view.Version()}
+	r := forward.Request{
+		Facts: g.Facts, Prompt: g.Prompt, Stream: name, Version: view.Version(),
+		Digest: crash.Of(g.Facts.Customer, g.Facts.Model, g.Facts.Adapter, g.Prompt),
+	}
+	out.digest = r.Digest
 	if !d.Relays.Keeps(g.Facts.Model) {
 		return d.relay(ctx, r, out)
 	}
@@ -126,12 +132,16 @@
 	if held.Deadline.Before(request.Deadline) {
 		request.Deadline = held.Deadline
 	}
-	out := &ticketSink{d: d, sink: sink, request: request, stream: held.Stream}
+	digest, err := crash.ParseDigest(string(held.Prompt))
+	if err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.TicketInvalid, "the ticket is not valid")
+	}
+	out := &ticketSink{d: d, sink: sink, request: request, stream: held.Stream, digest: digest}
 	placement, err := d.held(view, held.Target)
 	if err != nil {
 		return err
 	}
-	r := forward.Request{Facts: request, Stream: held.Stream, Target: held.Target}
+	r := forward.Request{Facts: request, Stream: held.Stream, Target: held.Target, Digest: digest}
 	out.At(held.Target)
 	return answer.Resume(ctx, d.deps(d.placing(view, r), r, out), placement, d.submit(r), frames(out))
 }
@@ -192,10 +202,9 @@
 }
 
 func (d *Dispatcher) deps(targets answer.Targets, r forward.Request, sink forward.Sink) answer.Deps {
-	digest := crash.Of(r.Facts.Customer, r.Facts.Model, r.Facts.Adapter, r.Prompt)
 	return answer.Deps{
-		Targets: targets,
-		Prompt:  prompt{crashes: d.Crashes, digest: digest},
+		Targets: d.Alone.Wrap(targets),
+		Prompt:  d.Crashes.Prompt(r.Digest),
 		Retries: d.Retries,
 		Stall:   StallLimit,
 		Abandon: d.Abandoned.Add,
@@ -251,6 +260,7 @@
 	sink    gateway.Sink
 	request facts.Request
 	stream  target.StreamID
+	digest  crash.Digest
 	// next is the number of the next token, and at the newest target.
 	next int
 	at   names.Target
@@ -265,6 +275,7 @@
 		Target:   t,
 		Stream:   s.stream,
 		Deadline: s.request.Deadline,
+		Prompt:   names.Digest(s.digest.String()),
 	}, rand.Reader)
 	if err == nil {
 		s.sink.Started(sealed)
--- a/serving/request/dispatch/relay.go
+++ b/serving/request/dispatch/relay.go
@@ -42,7 +42,7 @@
 // targets were already repeated by the relay.
 func betweenDaemons(reason verdict.Reason) bool {
 	switch reason {
-	case verdict.PeerUnreachable, verdict.PeerFailed, verdict.DaemonDraining, verdict.NotReady, verdict.AnswerCut:
+	case verdict.PeerUnreachable, verdict.PeerFailed, verdict.DaemonDraining, verdict.NotReady:
 		return true
 	default:
 		return false
--- a/serving/request/failure/failure.go
+++ b/serving/request/failure/failure.go
@@ -75,6 +75,9 @@
 // an error on the response that the context carries.
 func Formatter(ctx context.Context, err error) goahttp.Statuser {
 	body := From(err)
+	if resent, _ := ctx.Value(resentKey{}).(bool); resent && body.Error.Verdict == verdict.NotRun.String() && undecoded(err) {
+		body.Error.Verdict = verdict.MayHaveRun.String()
+	}
 	if header, ok := ctx.Value(headerKey{}).(http.Header); ok {
 		setHeaders(header, body)
 	}
@@ -83,6 +86,20 @@
 
 type headerKey struct{}
 
+type resentKey struct{}
+
+// WithResent returns a context for a send that may be a repeat, since it
+// brings a ticket or key. If it cannot be read, an earlier one may have run.
+func WithResent(ctx context.Context) context.Context {
+	return context.WithValue(ctx, resentKey{}, true)
+}
+
+// undecoded reports whether a request was refused before it was understood.
+func undecoded(err error) bool {
+	var service *goa.ServiceError
+	return errors.As(err, &service)
+}
+
 // WithHeader returns a context from which Formatter takes the response's
 // headers.
 func WithHeader(ctx context.Context, header http.Header) context.Context {
--- a/serving/request/forward/client.go
+++ b/serving/request/forward/client.go
@@ -75,7 +75,7 @@
 // open the stream is NotRun.
 func callError(ctx context.Context, err error, v verdict.Verdict) error {
 	if errors.Is(err, io.EOF) {
-		return verdict.Wrap(err, verdict.Ran, verdict.AnswerCut, "the answer ended early")
+		return verdict.Wrap(err, verdict.Ran, verdict.PeerFailed, "a daemon ended the answer early")
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return verdict.Wrap(err, v, verdict.DeadlineExceeded, "the answer did not come in time")
--- a/serving/request/forward/convert.go
+++ b/serving/request/forward/convert.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/crash"
 	"carobspoke.example/core/request/facts"
 	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
@@ -24,6 +25,8 @@
 type Request struct {
 	Facts  facts.Request
 	Prompt string
+	// Digest names the prompt among those that crashed targets.
+	Digest crash.Digest
 	Stream target.StreamID
 	// Version is the manifest version under which it was admitted.
 	Version names.Version
@@ -60,6 +63,7 @@
 func fromMessage(m *peerpb.GenerateRequest, here names.DataCentre, now time.Time) Request {
 	return Request{
 		Prompt:  m.GetPrompt(),
+		Digest:  crash.Of(names.Customer(m.GetCustomer()), names.Model(m.GetModel()), names.Adapter(m.GetAdapter()), m.GetPrompt()),
 		Stream:  target.StreamID(m.GetStream()),
 		Version: names.Version(m.GetVersion()),
 		Target:  names.Target(m.GetTarget()),
--- a/serving/request/gateway/http.go
+++ b/serving/request/gateway/http.go
@@ -24,6 +24,12 @@
 	IdleTimeout = 2 * time.Minute
 )
 
+// Headers by which a call is known again.
+const (
+	TicketHeader = "Carobspoke-Ticket"
+	KeyHeader    = "Idempotency-Key"
+)
+
 // NewServer returns an HTTP server with the limits of the caller interface.
 func NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
@@ -43,6 +49,9 @@
 		r.Body = &timedBody{ReadCloser: http.MaxBytesReader(w, r.Body, maxBody), controller: controller}
 		late := &lateWriter{ResponseWriter: w}
 		ctx := failure.WithHeader(r.Context(), w.Header())
+		if r.Header.Get(TicketHeader) != "" || r.Header.Get(KeyHeader) != "" {
+			ctx = failure.WithResent(ctx)
+		}
 		next.ServeHTTP(late, r.WithContext(ctx))
 		late.commit()
 	})
--- a/tools/dev/calls_test.go
+++ b/tools/dev/calls_test.go
@@ -172,3 +172,19 @@
 	}
 	return document.Choices[0].Text
 }
+
+func TestUnreadableResendMayHaveRun(t *testing.T) {
+	d := startDev(t)
+	header := map[string]string{"Carobspoke-Timeout-Ms": "soon"}
+	fresh := post(t, d, 0, "/v1/services/orders/call", `{}`, header)
+	header["Carobspoke-Ticket"] = "x"
+	resent := post(t, d, 0, "/v1/services/orders/call", `{}`, header)
+	for _, got := range []struct {
+		reply
+		verdict string
+	}{{fresh, "not_run"}, {resent, "may_have_run"}} {
+		if got.status != http.StatusBadRequest || field(t, got.body, "error", "verdict") != got.verdict {
+			t.Fatalf("%d %s, want %s", got.status, got.body, got.verdict)
+		}
+	}
+}
--- a/tools/history/crash_test.go
+++ b/tools/history/crash_test.go
@@ -265,7 +265,7 @@
 	count := func(retry.Outcome, verdict.Reason) {}
 	return &crashDaemon{
 		fleet: f, name: i, targets: answer.NewAlone().Wrap(f),
-		crashes: answer.NewCrashes(time.Now),
+		crashes: answer.NewCrashes(time.Now, nil),
 		retries: retries.New(retry.Default(), time.Now, rand.New(rand.NewPCG(1, uint64(i))), count),
 	}
 }
--- a/tools/history/streams_test.go
+++ b/tools/history/streams_test.go
@@ -196,7 +196,7 @@
 	digest := crash.Of("a", "m", "", submit.Prompt)
 	return answer.Deps{
 		Targets: s.engines,
-		Prompt:  answer.NewCrashes(time.Now).Prompt(digest),
+		Prompt:  answer.NewCrashes(time.Now, nil).Prompt(digest),
 		Retries: retries.New(retry.Default(), time.Now, rand.New(rand.NewPCG(s.seed, uint64(draw(1<<62, submit.Stream)))), func(retry.Outcome, verdict.Reason) {}),
 		Stall:   5 * time.Second,
 		Abandon: func(names.Target, targetapi.Engine, target.StreamID) {},
