--- a/core/process/assignment/assignment.go
+++ b/core/process/assignment/assignment.go
@@ -30,6 +30,7 @@
 	self   names.Host
 	count  int
 	kept   map[names.Target]bool
+	first  map[names.Target]bool
 	models map[names.Model]bool
 	relays map[names.Model][]Relay
 	total  map[names.Model]int
@@ -45,6 +46,7 @@
 		self:   self,
 		count:  keepers,
 		kept:   make(map[names.Target]bool),
+		first:  make(map[names.Target]bool),
 		models: make(map[names.Model]bool),
 		relays: make(map[names.Model][]Relay),
 		total:  make(map[names.Model]int),
@@ -60,9 +62,10 @@
 }
 
 func (r *Assignment) assign(t *manifest.Target, a *subset.Assigner, loads map[names.Model]map[names.Host]int) {
-	for _, keeper := range a.Keepers(t.Name, t.DataCentre, r.count) {
+	for i, keeper := range a.Keepers(t.Name, t.DataCentre, r.count) {
 		if keeper.Host == r.self {
 			r.kept[t.Name] = true
+			r.first[t.Name] = i == 0
 		}
 		if t.Service != "" || t.Isolation {
 			continue
@@ -94,6 +97,10 @@
 // Kept reports whether this daemon keeps a target.
 func (r *Assignment) Kept(t names.Target) bool { return r.kept[t] }
 
+// First reports whether this daemon is the first of a target's keepers, which
+// gives it orders.
+func (r *Assignment) First(t names.Target) bool { return r.first[t] }
+
 // KeepsModel reports whether this daemon keeps an engine that should serve a
 // model, other than one for isolation.
 func (r *Assignment) KeepsModel(m names.Model) bool { return r.models[m] }
--- a/core/process/prefix/prefix.go
+++ b/core/process/prefix/prefix.go
@@ -41,6 +41,12 @@
 // stands for.
 func Covers(i int) int { return FirstTokens << i }
 
+// Scope returns the scope of digests of a customer's prompts for a model and
+// adapter.
+func Scope(c names.Customer, m names.Model, a names.Adapter) string {
+	return string(c) + "\x00" + string(m) + "\x00" + string(a)
+}
+
 // Digests returns the digests of a prompt's prefixes within a scope, shortest
 // first, for facts.Request and target.Submit.
 func Digests(scope, prompt string) []uint64 {
--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -62,6 +62,8 @@
 		return err
 	}
 	d.buildQuota()
+	d.keeping = newKeeping(d)
+	d.buildKeeper()
 	d.buildDispatcher(ring)
 	d.buildCalls(ring)
 	d.buildPeerServer()
@@ -147,7 +149,7 @@
 func (d *Daemon) buildDispatcher(ring *ticket.Ring) {
 	chosen := choice.DefaultSettings()
 	chosen.Region = d.regionOf
-	controller := admission.New(admission.DefaultSettings(), load.New(), choice.New(chosen), admission.NoCache{}, newRandom())
+	controller := admission.New(admission.DefaultSettings(), load.New(), choice.New(chosen), d.keeping, newRandom())
 	d.admitter = dispatch.NewAdmitter(controller)
 	d.retries = retries.New(retry.Default(), time.Now, newRandom(), d.countRetry)
 	d.dispatcher = &dispatch.Dispatcher{
@@ -232,7 +234,7 @@
 		func(ctx context.Context) {
 			every(ctx, hostsPoll, d.readHosts)
 		},
-		func(ctx context.Context) { every(ctx, reportPoll, d.readReports) },
+		d.keeper.Run,
 	}
 }
 
--- a/serving/process/daemon/daemon.go
+++ b/serving/process/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"carobspoke.example/serving/process/counters"
 	"carobspoke.example/serving/process/distribution"
 	"carobspoke.example/serving/process/fleet"
+	"carobspoke.example/serving/process/keeper"
 	"carobspoke.example/serving/process/membership"
 	"carobspoke.example/serving/process/quota"
 	"carobspoke.example/serving/process/settings"
@@ -75,6 +76,8 @@
 	meter       *budget.Meter
 	pool        *peers.Pool
 	quota       *quota.Quota
+	keeping     *keeping
+	keeper      *keeper.Keeper
 	retries     *retries.Retries
 	calls       *calls.Server
 	distributor *distribution.Distributor
--- a/serving/process/daemon/thin.go
+++ b/serving/process/daemon/thin.go
@@ -10,16 +10,12 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/load"
 	"carobspoke.example/core/process/membership"
-	"carobspoke.example/serving/connection/targetapi"
 	"carobspoke.example/serving/platform"
 	"carobspoke.example/serving/process/fleet"
 	"carobspoke.example/serving/version"
 )
 
-const (
-	hostsPoll  = time.Second
-	reportPoll = 250 * time.Millisecond
-)
+const hostsPoll = time.Second
 
 // every calls f at an interval until the context ends.
 func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
@@ -72,37 +68,29 @@
 	}
 	d.members.Regions(regions)
 	d.calls.Observe(hosts, v.Version.Manifest.Fleet.ExpectedDaemons)
-	d.admitter.Keep(specs(v, d.Host()))
+	d.retries.SetShare(v.Version.Manifest.Policy.RetryBudget)
+	d.keepTargets(v)
 }
 
-// readReports asks every kept engine for its load.
-func (d *Daemon) readReports(ctx context.Context) {
-	v := d.fleet.View()
+// keepTargets tells the tables of load and of prefixes which engines this
+// daemon keeps.
+func (d *Daemon) keepTargets(v *fleet.View) {
 	if v.Version == nil {
 		return
 	}
-	for i := range v.Version.Manifest.Targets {
-		entry := &v.Version.Manifest.Targets[i]
-		if entry.Service == "" && v.Assignment.Kept(entry.Name) {
-			go d.readReport(ctx, targetapi.NewClient(entry.Address, d.polling), entry.Name)
-		}
-	}
-}
-
-func (d *Daemon) readReport(ctx context.Context, engine targetapi.Engine, name names.Target) {
-	report, err := engine.Report(ctx)
-	if err != nil {
-		return
+	list := d.specs(v)
+	kept := make([]names.Target, 0, len(list))
+	for _, spec := range list {
+		kept = append(kept, spec.Name)
 	}
-	report.Target = name
-	d.distributor.FenceSeen(names.Version(report.Fence))
-	d.admitter.Report(report)
+	d.keeping.keep(kept)
+	d.admitter.Keep(list)
 }
 
 // specs returns what the load table is told of the engines that this daemon
 // keeps.
-func specs(v *fleet.View, self names.Host) []load.Spec {
-	index, _ := slices.BinarySearchFunc(v.Members, self, func(m membership.Member, h names.Host) int {
+func (d *Daemon) specs(v *fleet.View) []load.Spec {
+	index, _ := slices.BinarySearchFunc(v.Members, d.Host(), func(m membership.Member, h names.Host) int {
 		return cmp.Compare(m.Host, h)
 	})
 	places := load.Places(v.Version.Manifest, index, len(v.Members))
@@ -122,7 +110,7 @@
 			PrefillRate:  entry.PrefillRate,
 			Isolation:    entry.Isolation,
 			LeavesAt:     at,
-			Leaving:      leaves,
+			Leaving:      leaves || d.keeping.isQuiet(entry.Name),
 			Place:        places[entry.Name],
 		})
 	}
--- a/serving/process/keeper/keeper.go
+++ b/serving/process/keeper/keeper.go
@@ -81,9 +81,9 @@
 	Registry metrics.Registry
 	// Limits bound rollouts; nil means the defaults.
 	Limits *orders.Limits
-	// PollRate bounds the polls of reports, in bytes a second; zero means
-	// that each engine is polled every ReportEvery.
-	PollRate float64
+	// PollRate bounds the polls of reports, in bytes a second; nil or zero
+	// means that each engine is polled every ReportEvery.
+	PollRate func() float64
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -141,7 +141,7 @@
 			delete(k.watched, name)
 		}
 	}
-	pace := keeping.Pace(len(kept), PollBytes, k.config.PollRate, ReportEvery, LongestPoll)
+	pace := keeping.Pace(len(kept), PollBytes, k.pollRate(), ReportEvery, LongestPoll)
 	now, awake := k.config.Now(), k.config.Place.Awake()
 	for name, t := range kept {
 		if k.watched[name] == nil {
@@ -152,6 +152,13 @@
 	k.counts.gauge("kept", int64(len(kept)))
 }
 
+func (k *Keeper) pollRate() float64 {
+	if k.config.PollRate == nil {
+		return 0
+	}
+	return k.config.PollRate()
+}
+
 func (k *Keeper) kept(state *version.State) map[names.Target]*manifest.Target {
 	kept := map[names.Target]*manifest.Target{}
 	for i := range state.Manifest.Targets {
--- a/serving/request/forward/convert.go
+++ b/serving/request/forward/convert.go
@@ -11,6 +11,7 @@
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/crash"
+	"carobspoke.example/core/process/prefix"
 	"carobspoke.example/core/request/facts"
 	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
@@ -87,7 +88,8 @@
 
 // prefixes computes the digests anew, which is cheaper than sending them.
 func prefixes(m *peerpb.GenerateRequest) []uint64 {
-	return facts.Prefixes(names.Customer(m.GetCustomer()), names.Model(m.GetModel()), names.Adapter(m.GetAdapter()), m.GetPrompt())
+	scope := prefix.Scope(names.Customer(m.GetCustomer()), names.Model(m.GetModel()), names.Adapter(m.GetAdapter()))
+	return prefix.Digests(scope, m.GetPrompt())
 }
 
 // ToFailure encodes an error for a peer.
--- a/serving/request/gateway/input.go
+++ b/serving/request/gateway/input.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/prefix"
 	"carobspoke.example/core/request/facts"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/gen/completions"
@@ -77,7 +78,7 @@
 		MaxTokens:    orDefault(in.maxTokens, DefaultMaxTokens),
 		Priority:     priority(in.priority, customer.MaxPriority),
 		Deadline:     s.deadline(in.header),
-		Prefixes:     facts.Prefixes(customer.Name, model, adapter, in.prompt),
+		Prefixes:     prefix.Digests(prefix.Scope(customer.Name, model, adapter), in.prompt),
 		DataCentre:   s.DataCentre,
 	}}, nil
 }
--- a/tools/dev/span_test.go
+++ b/tools/dev/span_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -136,3 +137,40 @@
 	t.Fatal("no engine is busy")
 	return 0
 }
+
+// TestRolloutKeepsServing gives all engines new weights while requests go on.
+func TestRolloutKeepsServing(t *testing.T) {
+	d := startDev(t)
+	m := d.Manifest()
+	m.Version++
+	m.Targets = slices.Clone(m.Targets)
+	for i := range m.Targets {
+		if m.Targets[i].Service == "" {
+			m.Targets[i].Want.Version = fleet.SecondVersion
+		}
+	}
+	if err := d.Publish(m); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(40 * time.Second)
+	for !serves(d, fleet.SecondVersion) {
+		got := post(t, d, 1, "/v1/completions", `{"model":"draft","prompt":"x","max_tokens":2}`, nil)
+		if got.status != http.StatusOK {
+			t.Fatalf("in the middle of the rollout: %d %s", got.status, got.body)
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the rollout does not end")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// serves reports whether all engines serve a version of the weights.
+func serves(d *Dev, version string) bool {
+	for _, e := range d.Fleet.Engines() {
+		if state := e.Measure().State; state.Version != version || state.Loading {
+			return false
+		}
+	}
+	return true
+}
--- a/tools/standin/engine/config.go
+++ b/tools/standin/engine/config.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
-	"carobspoke.example/core/request/facts"
+	"carobspoke.example/core/process/prefix"
 	"carobspoke.example/core/target"
 )
 
@@ -24,8 +24,8 @@
 	// Blocks is the memory, in blocks of BlockTokens tokens.
 	Blocks      int
 	BlockTokens int
-	// PrefixTokens is how many more tokens each digest of Submit.Prefixes
-	// covers than the one before.
+	// PrefixTokens is how many tokens the first digest of Submit.Prefixes
+	// covers. Each further one covers twice as many as the one before.
 	PrefixTokens int
 	// MaxBatch is the most streams of one decode step.
 	MaxBatch int
@@ -84,7 +84,7 @@
 		Speedup:        1,
 		Blocks:         28672,
 		BlockTokens:    16,
-		PrefixTokens:   facts.PrefixTokens,
+		PrefixTokens:   prefix.FirstTokens,
 		MaxBatch:       64,
 		MaxWaiting:     256,
 		MaxAnswer:      256,
@@ -108,6 +108,14 @@
 	}
 }
 
+// covers returns how many tokens the first n digests of a prompt cover.
+func (c Config) covers(n int) int {
+	if n == 0 {
+		return 0
+	}
+	return c.PrefixTokens << (n - 1)
+}
+
 func (c Config) withDefaults() Config {
 	d := Default()
 	setDefault(&c.Speedup, d.Speedup)
