Let suspects use the only isolation engine again

Cause: a suspect avoided the isolation engine that had been down for a moment; with no other one it waited 30 s and was refused. Change: an engine that failed the request is taken if there is no other. Conclusion: ruled out were the breaker and the engine's list of streams.

--- a/serving/request/answer/alone.go
+++ b/serving/request/answer/alone.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,8 +104,7 @@
 // has freed one.
 func (t *aloneTargets) try(ctx context.Context, want Want) (Placement, <-chan struct{}, error) {
 	used, freed := t.alone.used()
-	want.Avoid = append(append([]names.Target(nil), want.Avoid...), used...)
-	placement, err := t.inner.Place(ctx, want)
+	placement, err := t.place(ctx, want, used)
 	if err != nil {
 		return Placement{}, freed, err
 	}
@@ -120,6 +120,20 @@
 	return placement, freed, nil
 }
 
+// place prefers an isolation target that has not failed the request. Better one
+// that was down a moment ago than none: a prompt that crashes it is refused by
+// its digest, not by avoiding targets.
+func (t *aloneTargets) place(ctx context.Context, want Want, used []names.Target) (Placement, error) {
+	failed := want.Avoid
+	want.Avoid = slices.Concat(failed, used)
+	placement, err := t.inner.Place(ctx, want)
+	if err == nil || len(failed) == 0 || !inUse(err) {
+		return placement, err
+	}
+	want.Avoid = used
+	return t.inner.Place(ctx, want)
+}
+
 // inUse reports whether a placement may succeed when a suspect has ended: the
 // chooser says crash_suspect when isolation targets are there but busy.
 func inUse(err error) bool {
--- a/tools/dev/dev_test.go
+++ b/tools/dev/dev_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/serving/process/daemon"
 	"carobspoke.example/tools/standin/engine"
 	"carobspoke.example/tools/standin/fleet"
 	"github.com/openai/openai-go/v3"
@@ -29,9 +30,19 @@
 	return d
 }
 
-func client(d *Dev, daemon int, customer names.Customer) openai.Client {
+func client(d *Dev, number int, customer names.Customer) openai.Client {
+	return clientOf(d.Daemons()[number], customer)
+}
+
+// refusedNotRun reports whether an error proves that nothing ran.
+func refusedNotRun(err error) bool {
+	var refused *openai.Error
+	return errors.As(err, &refused) && strings.Contains(refused.RawJSON(), `"verdict":"not_run"`)
+}
+
+func clientOf(at *daemon.Daemon, customer names.Customer) openai.Client {
 	return openai.NewClient(
-		option.WithBaseURL("http://"+d.Daemons()[daemon].CallerAddress()+"/v1"),
+		option.WithBaseURL("http://"+at.CallerAddress()+"/v1"),
 		option.WithAPIKey(fleet.Key(customer)),
 		option.WithMaxRetries(0),
 	)
--- a/tools/standin/engine/engine.go
+++ b/tools/standin/engine/engine.go
@@ -33,18 +33,20 @@
 	stopOnce sync.Once
 	work     chan struct{} // has room for one wake-up of the batch
 
-	mu       sync.Mutex
-	boot     uint64
-	arrivals uint64
-	memory   *memory
-	streams  map[target.StreamID]*stream
-	handles  map[target.HandleID]*handle
-	adapters map[names.Adapter]*adapter
-	serves   serving
-	events   eventLog
-	reports  reportLog
-	submits  []target.Submit
-	stepTime time.Duration // of the last step, modelled
+	mu   sync.Mutex
+	boot uint64
+	// killedTimes counts the boots after the first.
+	killedTimes int
+	arrivals    uint64
+	memory      *memory
+	streams     map[target.StreamID]*stream
+	handles     map[target.HandleID]*handle
+	adapters    map[names.Adapter]*adapter
+	serves      serving
+	events      eventLog
+	reports     reportLog
+	submits     []target.Submit
+	stepTime    time.Duration // of the last step, modelled
 }
 
 // Start serves an engine at address, "IP:port".
@@ -106,10 +108,18 @@
 	}
 	e.clearLocked()
 	e.boot++
+	e.killedTimes++
 	e.reports = reportLog{}
 	e.restartServingLocked()
 }
 
+// Crashes returns how often the engine was killed or crashed.
+func (e *Server) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.killedTimes
+}
+
 // run is the batch.
 func (e *Server) run() {
 	var due time.Time
