Push refutations, lengthen calm leases, and measure with sockets

Change: a refutation is pushed at once while few updates wait; a home gives long leases while demand is low and met; only rises that the lease does not cover are reported early; three reports a second for each daemon; the command also measures a few dozen daemons with sockets.

--- a/core/process/membership/machine.go
+++ b/core/process/membership/machine.go
@@ -198,6 +198,7 @@
 	}
 	if !m.pulled {
 		m.pass(u.Host)
+		m.hurry(before == Suspect && u.State == Alive)
 	}
 	m.actions = append(m.actions, Changed{Member: u})
 }
@@ -223,6 +224,20 @@
 	})
 }
 
+// hurry pushes a refutation to some members at once, so that it overtakes the
+// suspicion. When many members change, each waits for its turn in the queue.
+func (m *Machine) hurry(refutation bool) {
+	if !refutation || m.queue.Len(gossip.Member) > hurryBelow {
+		return
+	}
+	for _, e := range m.sample(m.config.Fanout) {
+		m.send(e.Host, Datagram{Purpose: Push})
+	}
+}
+
+// hurryBelow is the number of queued member updates above which none is pushed.
+const hurryBelow = 8
+
 // announce passes on this daemon's own entry.
 func (m *Machine) announce() {
 	m.table.live = nil
--- a/core/process/membership/receive.go
+++ b/core/process/membership/receive.go
@@ -136,6 +136,7 @@
 	m.self.Refutation = u.Refutation + 1
 	m.counters.Refutations++
 	m.announce()
+	m.hurry(true)
 }
 
 // keep returns how long a dead member of a data centre is kept.
--- a/core/process/quota/home.go
+++ b/core/process/quota/home.go
@@ -117,25 +117,30 @@
 	}
 	c.demand = max(0, d.Rate)
 	c.expires = now.Add(h.config.Lease)
-	a.compute(now, h.config.Renew/2)
+	a.compute(now, h.config.Lease/4)
 	free := max(0, a.capacity-(a.leased-c.rate))
-	rate := min(free, a.target(c))
+	rate := min(free, a.target(c, h.config.Headroom))
 	if now.Sub(a.since) < h.config.Lease {
 		rate = min(free, part*a.capacity)
 		h.counters.Cautious++
 	}
+	lease := h.config.Lease
+	if rate >= c.demand && a.demand <= h.config.Calm*a.capacity {
+		lease = h.config.LongLease
+	}
+	c.expires = now.Add(lease)
 	a.leased += rate - c.rate
 	c.rate = rate
 	h.counters.Grants++
-	return Grant{Customer: d.Customer, Rate: rate, Lease: h.config.Lease, Fraction: c.demand / max(a.demand, c.demand, 1e-9)}, true
+	return Grant{Customer: d.Customer, Rate: rate, Lease: lease, Fraction: c.demand / max(a.demand, c.demand, 1e-9)}, true
 }
 
-// target is a claim's max-min part, with an equal part of what nobody wants.
-func (a *account) target(c *claim) float64 {
+// target is a claim's max-min part, with headroom as far as there is enough.
+func (a *account) target(c *claim, headroom float64) float64 {
 	if a.short {
 		return min(c.demand, a.level)
 	}
-	return c.demand + max(0, a.capacity-a.demand)/float64(len(a.claims))
+	return c.demand * min(headroom, a.capacity/max(a.demand, 1e-9))
 }
 
 // compute drops expired claims and finds the level anew, unless that was done
--- a/core/process/quota/local.go
+++ b/core/process/quota/local.go
@@ -18,7 +18,8 @@
 	filled  time.Time
 	rate    float64
 	expires time.Time
-	granted time.Time
+	// renew is when the lease must be renewed.
+	renew time.Time
 	// cut is true while the home does not answer.
 	cut bool
 	// demand is the average of what callers asked for, in tokens a second,
@@ -128,8 +129,9 @@
 	b.averaged = now
 }
 
-// Due returns the demands to report now, those that need it most first: new and
-// changed ones, and those whose lease must be renewed.
+// Due returns the demands to report now, those that need it most first: new ones
+// and those that outgrew their lease, and those whose lease must be renewed. A
+// lease that is hardly used any more is left to expire.
 func (l *Local) Due(now time.Time) []Demand {
 	type due struct {
 		Demand
@@ -157,13 +159,13 @@
 func (l *Local) needs(b *bucket, now time.Time) bool {
 	small := b.quota / float64(l.members) * (1 - l.config.Leased)
 	leased := now.Before(b.expires)
-	if b.demand <= small && !leased {
+	if b.demand <= small {
 		return false
 	}
-	if !leased || now.Sub(b.granted) >= l.config.Renew {
+	if !leased || !now.Before(b.renew) {
 		return true
 	}
-	return b.demand > b.reported*(1+l.config.Change) || b.demand < b.reported*(1-l.config.Change)
+	return b.demand > b.rate && b.demand > b.reported*(1+l.config.Change)
 }
 
 // Granted takes in grants. now is when the report was sent, so that a slow
@@ -176,7 +178,7 @@
 		}
 		l.fill(b, now)
 		b.rate = max(0, g.Rate)
-		b.granted = now
+		b.renew = now.Add(g.Lease / 2)
 		b.expires = now.Add(g.Lease)
 		b.reported = b.demand
 		b.fraction = g.Fraction
--- a/core/process/quota/quota.go
+++ b/core/process/quota/quota.go
@@ -3,10 +3,10 @@
 //
 // The home of a customer, a daemon found by rendezvous hashing, leases rates to
 // the daemons that report demand, by weighted max-min: nobody gets more than it
-// asks for while another one wants more than it has, and what nobody asks for
-// is spread over those that report. A rate that is leased is not leased again
+// asks for while another one wants more than it has. While there is enough, each
+// gets some headroom, and the rest stays free for whoever asks next. A rate that is leased is not leased again
 // until it expires or its holder renews it for less, so that the leases of one
-// home never exceed the quota.
+// home never exceed the quota. Holders renew at half the lease.
 //
 // The quota is kept in two parts. Leased is what the home divides. The rest
 // belongs to daemons that have no lease, each an equal part of it. A daemon
@@ -34,11 +34,17 @@
 type Config struct {
 	// Lease is how long a grant lasts.
 	Lease time.Duration
-	// Renew is the age at which a holder renews its grant.
-	Renew time.Duration
+	// Calm is the share of the capacity up to which demand counts as calm:
+	// grants then last LongLease, since nobody is short of anything.
+	Calm      float64
+	LongLease time.Duration
+	// Headroom is how much more than its demand a claim gets while there is
+	// enough for all, as a factor.
+	Headroom float64
 	// Leased is the share of a quota that a home divides.
 	Leased float64
-	// Change is the relative change of demand that is reported at once.
+	// Change is the relative rise of demand above what was reported that is
+	// reported at once, if the grant does not cover it.
 	Change float64
 	// Burst is how much of its rate a daemon's bucket holds.
 	Burst time.Duration
@@ -60,12 +66,14 @@
 // DefaultConfig returns the settings of this release.
 func DefaultConfig() Config {
 	return Config{
-		Lease:  6 * time.Second,
-		Renew:  3 * time.Second,
-		Leased: 0.9,
-		Change: 0.25,
-		Burst:  2 * time.Second,
-		Window: 2 * time.Second,
+		Lease:     6 * time.Second,
+		Calm:      0.8,
+		LongLease: 24 * time.Second,
+		Headroom:  1.25,
+		Leased:    0.9,
+		Change:    0.25,
+		Burst:     2 * time.Second,
+		Window:    2 * time.Second,
 	}
 }
 
--- a/core/process/quota/route.go
+++ b/core/process/quota/route.go
@@ -11,11 +11,11 @@
 const (
 	// MessagesPerSecond bounds the reports that one daemon sends for its own
 	// callers.
-	MessagesPerSecond = 5
-	// largeLease and largeRenew are the times of leases where homes form a
-	// tree, so that the messages of many daemons stay within the budget.
-	largeLease = 12 * time.Second
-	largeRenew = 6 * time.Second
+	MessagesPerSecond = 3
+	// largeLease and largeLongLease are the times of leases where homes form
+	// a tree, so that many daemons send fewer messages.
+	largeLease     = 12 * time.Second
+	largeLongLease = 48 * time.Second
 )
 
 // ConfigFor returns the settings of a fleet of a size.
@@ -23,7 +23,7 @@
 	c := DefaultConfig()
 	if daemons > DirectDaemons {
 		c.Lease = largeLease
-		c.Renew = largeRenew
+		c.LongLease = largeLongLease
 	}
 	return c
 }
--- a/serving/process/budget/budget.go
+++ b/serving/process/budget/budget.go
@@ -100,3 +100,10 @@
 	}
 	return sample[0].Value.Uint64()
 }
+
+// Total returns what was spent on a mechanism since the start.
+func (m *Meter) Total(mechanism budget.Mechanism) budget.Spending {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.meter.Total(mechanism)
+}
--- a/serving/process/quota/quota.go
+++ b/serving/process/quota/quota.go
@@ -81,8 +81,8 @@
 
 // sent is a report of a data centre's home.
 type sent struct {
-	at   time.Time
-	rate float64
+	renew time.Time
+	rate  float64
 }
 
 // counts are the Service's metrics.
--- a/serving/process/quota/report.go
+++ b/serving/process/quota/report.go
@@ -47,7 +47,7 @@
 	var sums []quota.Demand
 	for _, d := range s.site.Demands(now) {
 		if s.changed(d, now) {
-			s.sent[d.Customer] = sent{at: now, rate: d.Rate}
+			s.sent[d.Customer] = sent{renew: now.Add(s.options.Config.Lease / 2), rate: d.Rate}
 			sums = append(sums, d)
 		}
 	}
@@ -58,7 +58,7 @@
 // changed reports whether a data centre's demand must be reported now.
 func (s *Service) changed(d quota.Demand, now time.Time) bool {
 	last, ok := s.sent[d.Customer]
-	if !ok || now.Sub(last.at) >= s.options.Config.Renew {
+	if !ok || !now.Before(last.renew) {
 		return true
 	}
 	return d.Rate > last.rate*(1+s.options.Config.Change)
@@ -117,6 +117,7 @@
 	}
 	for _, g := range grants {
 		s.site.SetCapacity(at, quota.Quota{Customer: g.Customer, Rate: g.Rate})
+		s.sent[g.Customer] = sent{renew: at.Add(g.Lease / 2), rate: s.sent[g.Customer].rate}
 	}
 }
 
--- a/tools/slopes/quota.go
+++ b/tools/slopes/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -21,7 +22,12 @@
 	requestsEach  = 60
 	requestTokens = 380
 	quotaRun      = 60
-	hot           = names.Customer("hot")
+	// zipfPower and zipfShift are the law of customers' loads, and quotaMargin
+	// is each customer's quota as a multiple of its mean load.
+	zipfPower   = 1.2
+	zipfShift   = 8
+	quotaMargin = 1.5
+	hot         = names.Customer("hot")
 )
 
 // quotaFleet runs the quotas of a fleet in virtual time, a second at a time.
@@ -33,11 +39,12 @@
 	// sites and tops are each daemon's homes of the two levels.
 	sites, tops []*quota.Home
 	index       map[names.Host]int
-	reported    map[string]time.Time
-	quotas      map[names.Customer]float64
-	now         time.Time
-	messages    []uint64
-	bytes       []uint64
+	// renew is when a data centre's home reports a customer again.
+	renew    map[string]time.Time
+	quotas   map[names.Customer]float64
+	now      time.Time
+	messages []uint64
+	bytes    []uint64
 }
 
 func newQuotaFleet(n, customers int) *quotaFleet {
@@ -45,7 +52,7 @@
 		config:   quota.ConfigFor(n),
 		members:  members(n),
 		index:    make(map[names.Host]int),
-		reported: make(map[string]time.Time),
+		renew:    make(map[string]time.Time),
 		quotas:   make(map[names.Customer]float64),
 		now:      time.Unix(1_700_000_000, 0),
 		messages: make([]uint64, n),
@@ -54,8 +61,10 @@
 	f.routes = quota.NewRoutes(f.members)
 	list := make([]quota.Quota, 0, customers+1)
 	list = append(list, quota.Quota{Customer: hot, Rate: 1000 * float64(n)})
-	for i := range customers {
-		list = append(list, quota.Quota{Customer: names.Customer(fmt.Sprint("c", i)), Rate: 2000})
+	weights, sum := zipfWeights(customers)
+	for i, w := range weights {
+		rate := quotaMargin * w / sum * float64(n*requestsEach*requestTokens)
+		list = append(list, quota.Quota{Customer: names.Customer(fmt.Sprint("c", i)), Rate: rate})
 	}
 	for _, q := range list {
 		f.quotas[q.Customer] = q.Rate
@@ -72,6 +81,16 @@
 	return f
 }
 
+// zipfWeights returns the relative loads of customers and their sum.
+func zipfWeights(customers int) (weights []float64, sum float64) {
+	for i := range customers {
+		w := math.Pow(zipfShift+float64(i), -zipfPower)
+		weights = append(weights, w)
+		sum += w
+	}
+	return weights, sum
+}
+
 // second lets a second pass after offer has been called for each daemon.
 func (f *quotaFleet) second(offer func(i int)) {
 	for i := range f.locals {
@@ -144,10 +163,9 @@
 	batches := make(map[int][]quota.Demand)
 	for _, d := range f.sites[i].Demands(f.now) {
 		key := fmt.Sprint(i, "/", d.Customer)
-		if f.now.Sub(f.reported[key]) < f.config.Renew {
+		if f.now.Before(f.renew[key]) {
 			continue
 		}
-		f.reported[key] = f.now
 		home, _ := f.routes.Top(d.Customer)
 		h := f.index[home.Host]
 		batches[h] = append(batches[h], d)
@@ -161,6 +179,7 @@
 		grants := f.tops[h].Report(f.now, string(f.members[i].DataCentre), 1.0/dataCentres, demands)
 		for _, g := range grants {
 			f.sites[i].SetCapacity(f.now, quota.Quota{Customer: g.Customer, Rate: g.Rate})
+			f.renew[fmt.Sprint(i, "/", g.Customer)] = f.now.Add(g.Lease / 2)
 		}
 		f.count(i, h, len(demands), len(grants))
 	}
@@ -181,7 +200,7 @@
 func quotaTables(p *printer, o Options) {
 	p.line("### Quotas")
 	p.line("")
-	p.line("Each daemon admits %d requests a second of %d tokens, customers by a Zipf law. A message is taken for %d bytes and an item for %d. Sent and received together.",
+	p.line("Each daemon admits %d requests a second of %d tokens, customers by a Zipf law, with quotas of 1.5 times their mean load. A message is taken for %d bytes and an item for %d. Sent and received together.",
 		requestsEach, requestTokens, messageBytes, itemBytes)
 	p.line("")
 	p.header("daemons", "customers", "levels", "mean B/s", "largest B/s", "mean msg/s", "largest msg/s", "CPU/s of one", "leases known to one home, mean", "hot customer moves to one data centre: 85% of quota after", "admitted of its quota, most in 10 s")
@@ -215,7 +234,7 @@
 // in a second.
 func (f *quotaFleet) steady(customers int) time.Duration {
 	random := rand.New(rand.NewPCG(1, 1))
-	zipf := rand.NewZipf(random, 1.2, 8, uint64(customers-1))
+	zipf := rand.NewZipf(random, zipfPower, zipfShift, uint64(customers-1))
 	start := processor()
 	for range quotaRun {
 		f.second(func(i int) {
--- a/tools/slopes/slopes.go
+++ b/tools/slopes/slopes.go
@@ -5,7 +5,8 @@
 // no sockets, no sealing, no other processes. Bytes are those that the code
 // itself accounts for a datagram or message, headers included. Processor time is
 // that of this process, divided among the members; it contains the cost of the
-// virtual network and leaves out system calls, encoding and sealing.
+// virtual network and leaves out system calls, encoding and sealing. Only the
+// part "loopback" uses sockets and real time, with a few dozen daemons.
 package slopes
 
 import (
@@ -34,6 +35,12 @@
 	ApartLarge time.Duration
 	// Lossy is how long a fleet runs under loss.
 	Lossy time.Duration
+	// Loopback are numbers of daemons with sockets, and LoopbackTime how long
+	// each fleet of them is measured.
+	Loopback     []int
+	LoopbackTime time.Duration
+	// Part restricts the run to one measurement; empty means all.
+	Part string
 	// Deaths is how many daemons are killed one after the other.
 	Deaths int
 }
@@ -51,6 +58,9 @@
 		ApartLarge: 10 * time.Minute,
 		Lossy:      5 * time.Minute,
 		Deaths:     5,
+
+		Loopback:     []int{9, 25, 50},
+		LoopbackTime: 10 * time.Second,
 	}
 }
 
@@ -64,6 +74,9 @@
 		ApartLarge: time.Minute,
 		Lossy:      time.Minute,
 		Deaths:     1,
+
+		Loopback:     []int{3, 5},
+		LoopbackTime: time.Second,
 	}
 }
 
@@ -75,18 +88,20 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "out", Usage: "write the tables to `FILE` instead of standard output"},
 			&cli.BoolFlag{Name: "quick", Usage: "measure small fleets only"},
+			&cli.StringFlag{Name: "part", Usage: "measure one `PART`: membership, loopback, keepers, quotas or distribution"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			return run(c.String("out"), c.Bool("quick"), c.Root().Writer)
+			o := Full()
+			if c.Bool("quick") {
+				o = Quick()
+			}
+			o.Part = c.String("part")
+			return run(o, c.String("out"), c.Root().Writer)
 		},
 	}
 }
 
-func run(out string, quick bool, standard io.Writer) error {
-	o := Full()
-	if quick {
-		o = Quick()
-	}
+func run(o Options, out string, standard io.Writer) error {
 	if out == "" {
 		return Measure(o, standard)
 	}
@@ -101,15 +116,33 @@
 	return errors.Wrap(file.Close(), "slopes")
 }
 
-// Measure runs all measurements and writes their tables as Markdown.
-func Measure(o Options, w io.Writer) error {
-	p := &printer{w: w}
-	membershipTables(p, o)
-	subsetTables(p, o)
-	quotaTables(p, o)
+// parts are the measurements by name, in their order.
+var parts = []struct {
+	name   string
+	tables func(p *printer, o Options)
+}{
+	{"membership", membershipTables},
+	{"loopback", loopbackTables},
+	{"keepers", subsetTables},
+	{"quotas", quotaTables},
+	{"distribution", distributionTables},
+}
+
+// distributionTables holds the place of the manifest's distribution.
+func distributionTables(p *printer, _ Options) {
 	p.line("### Distribution")
 	p.line("")
 	p.line("Not measured by this command.")
+}
+
+// Measure runs all measurements and writes their tables as Markdown.
+func Measure(o Options, w io.Writer) error {
+	p := &printer{w: w}
+	for _, part := range parts {
+		if o.Part == "" || o.Part == part.name {
+			part.tables(p, o)
+		}
+	}
 	return errors.Wrap(p.err, "slopes")
 }
 
