Take regions from the manifest while running

Cause: a daemon starts before any manifest is in force, and so does not know which data centres lie in its region. Change: an event that sets the regions of all entries.

--- a/core/process/membership/event.go
+++ b/core/process/membership/event.go
@@ -15,6 +15,12 @@
 // host becomes a member only when it answers.
 type Seeds struct{ Hosts []names.Host }
 
+// Regions says in which region each data centre lies, from the manifest in
+// force.
+type Regions struct {
+	Of map[names.DataCentre]names.Region
+}
+
 // Publish passes on a digest of this daemon's own. Version digests also set
 // the version that the daemon reports, to their sequence.
 type Publish struct{ Digest Digest }
@@ -28,6 +34,7 @@
 func (Tick) event()    {}
 func (Receive) event() {}
 func (Seeds) event()   {}
+func (Regions) event() {}
 func (Publish) event() {}
 func (Drain) event()   {}
 func (Leave) event()   {}
--- a/core/process/membership/machine.go
+++ b/core/process/membership/machine.go
@@ -75,6 +75,8 @@
 		m.receive(&e.Datagram)
 	case Seeds:
 		m.hints.set(e.Hosts, m.self.Host)
+	case Regions:
+		m.setRegions(e.Of)
 	case Publish:
 		m.publish(e.Digest)
 	case Drain:
@@ -147,6 +149,15 @@
 	return names.Region(dc)
 }
 
+func (m *Machine) setRegions(of map[names.DataCentre]names.Region) {
+	m.config.Regions = of
+	m.self.Region = m.region(m.self.DataCentre)
+	for _, e := range m.table.all() {
+		e.Region = m.region(e.DataCentre)
+	}
+	m.table.live = nil
+}
+
 // start sets the clocks of a machine that was never ticked.
 func (m *Machine) start(now time.Time) {
 	m.now = now
--- a/core/process/membership/machine_test.go
+++ b/core/process/membership/machine_test.go
@@ -254,6 +254,16 @@
 	return heard
 }
 
+func TestRegionsMayBecomeKnownLater(t *testing.T) {
+	n := settled(t, 6, fakenet.Options{Seed: 14, Config: membership.DefaultConfig()})
+	n.Step(n.Nodes[0], membership.Regions{Of: twoRegions().Regions})
+	for _, m := range n.Nodes[0].Machine.Live() {
+		if want := twoRegions().Regions[m.DataCentre]; m.Region != want {
+			t.Errorf("%s is in region %s, want %s", m.Host, m.Region, want)
+		}
+	}
+}
+
 func TestDrainingAndLeavingTakeNoNewWork(t *testing.T) {
 	n := settled(t, 9, fakenet.Options{Seed: 11, Config: twoRegions()})
 	n.Step(n.Nodes[0], membership.Drain{})
--- a/serving/process/membership/service.go
+++ b/serving/process/membership/service.go
@@ -140,6 +140,11 @@
 // SetSeeds replaces the hosts that the platform lists.
 func (s *Service) SetSeeds(hosts []names.Host) { s.step(membership.Seeds{Hosts: hosts}) }
 
+// SetRegions says in which region each data centre lies.
+func (s *Service) SetRegions(of map[names.DataCentre]names.Region) {
+	s.step(membership.Regions{Of: of})
+}
+
 // Publish passes on a digest of this daemon's own.
 func (s *Service) Publish(d membership.Digest) { s.step(membership.Publish{Digest: d}) }
 
@@ -195,7 +200,8 @@
 	sends, delivers, changed := split(s.machine.Step(now, e))
 	before := s.view.Load()
 	awake := s.machine.Awake(now)
-	changed = changed || before.awake != awake || before.self != s.machine.Self()
+	_, regions := e.(membership.Regions)
+	changed = changed || regions || before.awake != awake || before.self != s.machine.Self()
 	s.snapshot(now, awake, changed)
 	if now.Sub(s.counted) >= countPeriod {
 		s.counted = now
