Measure replacements, a lost data centre and the heap of quotas

Change: the slopes command kills and restarts a data centre, counts the bytes of replacements, and measures the heap of quotas.

--- a/tools/slopes/membership.go
+++ b/tools/slopes/membership.go
@@ -44,7 +44,17 @@
 	apartRates         rates
 	merged             time.Duration
 	mergePeak          uint64
-	complete           bool
+	// replacement is what one death and rejoining costs each member beyond
+	// the quiet rate, in bytes.
+	replacement []float64
+	outage      outageCosts
+	complete    bool
+}
+
+// outageCosts are those of a data centre that dies at once and starts again.
+type outageCosts struct {
+	known, back time.Duration
+	peak        uint64
 }
 
 // rates are for each member and second.
@@ -98,6 +108,7 @@
 	for i := range o.Deaths {
 		c.kill(net, n, (i*7+3)%n)
 	}
+	c.outage = c.loseDataCentre(net, n)
 	c.split(net, n, o)
 	c.lossy(n, o)
 	return c
@@ -231,6 +242,7 @@
 	victim := net.Nodes[i]
 	victim.Down = true
 	start := net.Now
+	sent := sentBytes(net) - victim.Bytes
 	var first, last, back time.Duration
 	c.wait(net, &last, func() bool {
 		if first == 0 && anyone(net, victim.Host) {
@@ -244,6 +256,42 @@
 	c.detected = append(c.detected, first)
 	c.known = append(c.known, last)
 	c.rejoined = append(c.rejoined, back)
+	net.Run(settleTime)
+	extra := float64(2*(sentBytes(net)-sent))/float64(n) - c.quiet.bytes*net.Now.Sub(start).Seconds()
+	c.replacement = append(c.replacement, extra)
+}
+
+// sentBytes returns what all nodes together have sent.
+func sentBytes(net *fakenet.Net) uint64 {
+	var sum uint64
+	for _, v := range net.Nodes {
+		sum += v.Bytes
+	}
+	return sum
+}
+
+// loseDataCentre stops all nodes of a data centre, waits until all others know,
+// and starts them anew.
+func (c *fleetCosts) loseDataCentre(net *fakenet.Net, n int) outageCosts {
+	const lost = names.DataCentre("dc5")
+	var o outageCosts
+	var hosts []names.Host
+	takePeak(net)
+	for _, v := range net.Nodes {
+		if v.Machine.Self().DataCentre == lost {
+			v.Down = true
+			hosts = append(hosts, v.Host)
+		}
+	}
+	c.wait(net, &o.known, func() bool { return all(net, n-len(hosts)) })
+	seeds := slices.Concat(hosts, []names.Host{net.Nodes[0].Host, net.Nodes[1].Host})
+	for _, h := range hosts {
+		net.Start(h, lost, seeds)
+	}
+	c.wait(net, &o.back, func() bool { return all(net, n) })
+	o.peak = takePeak(net)
+	net.Run(settleTime)
+	return o
 }
 
 // anyone reports whether some node holds a host for dead.
--- a/tools/slopes/membership_table.go
+++ b/tools/slopes/membership_table.go
@@ -13,6 +13,7 @@
 	}
 	rateTable(p, o, costs)
 	timeTable(p, o, costs)
+	failureTable(p, o, costs)
 	fitTable(p, o, costs)
 }
 
@@ -46,6 +47,24 @@
 	p.line("")
 }
 
+func failureTable(p *printer, o Options, costs []fleetCosts) {
+	p.line("### Membership: what failures cost each daemon")
+	p.line("")
+	p.header("daemons", "one daemon replaced: B beyond the quiet rate, mean", "data centre lost: all know", "data centre back: all know", "highest second of it, B sent")
+	for i, c := range costs {
+		p.row(fmt.Sprint(o.Sizes[i]), number(mean(c.replacement)), seconds(c.outage.known), seconds(c.outage.back), fmt.Sprint(c.outage.peak))
+	}
+	p.line("")
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
+
 func fitTable(p *printer, o Options, costs []fleetCosts) {
 	p.line("### Membership: fits over the number of daemons n")
 	p.line("")
@@ -62,6 +81,8 @@
 		{"heap, bytes", func(c fleetCosts) float64 { return c.state }},
 		{"views complete after a common start, s", func(c fleetCosts) float64 { return c.formed.Seconds() }},
 		{"death known by all, s", func(c fleetCosts) float64 { return median(c.known).Seconds() }},
+		{"one daemon replaced, B", func(c fleetCosts) float64 { return mean(c.replacement) }},
+		{"data centre lost, known by all, s", func(c fleetCosts) float64 { return c.outage.known.Seconds() }},
 		{"merged, s", func(c fleetCosts) float64 { return c.merged.Seconds() }},
 	}
 	x := floats(o.Sizes)
--- a/tools/slopes/quota.go
+++ b/tools/slopes/quota.go
@@ -200,15 +200,17 @@
 func quotaTables(p *printer, o Options) {
 	p.line("### Quotas")
 	p.line("")
-	p.line("Each daemon admits %d requests a second of %d tokens, customers by a Zipf law, with quotas of 1.5 times their mean load. A message is taken for %d bytes and an item for %d. Sent and received together.",
+	p.line("Each daemon admits %d requests a second of %d tokens, customers by a Zipf law, with quotas of 1.5 times their mean load. A message is taken for %d bytes and an item for %d. Sent and received together. CPU contains the making of the load.",
 		requestsEach, requestTokens, messageBytes, itemBytes)
 	p.line("")
-	p.header("daemons", "customers", "levels", "mean B/s", "largest B/s", "mean msg/s", "largest msg/s", "CPU/s of one", "leases known to one home, mean", "hot customer moves to one data centre: 85% of quota after", "admitted of its quota, most in 10 s")
+	p.header("daemons", "customers", "levels", "mean B/s", "largest B/s", "mean msg/s", "largest msg/s", "CPU/s of one", "heap of one", "customers known to one home, mean", "hot customer moves to one data centre: 85% of quota after", "admitted of its quota, most in 10 s")
 	bytes := make([]float64, 0, len(o.Sizes))
 	cpu := make([]float64, 0, len(o.Sizes))
 	for i, n := range o.Sizes {
+		before := heap()
 		f := newQuotaFleet(n, o.Customers[i])
 		used := f.steady(o.Customers[i])
+		state := (heap() - before) / float64(n)
 		mean := average(f.bytes) / quotaRun
 		bytes = append(bytes, mean)
 		cpu = append(cpu, used.Seconds())
@@ -221,7 +223,7 @@
 			fmt.Sprint(n), fmt.Sprint(o.Customers[i]), fmt.Sprint(f.routes.Levels()),
 			number(mean), number(float64(slices.Max(f.bytes))/quotaRun),
 			number(average(f.messages)/quotaRun), number(float64(slices.Max(f.messages))/quotaRun),
-			used.String(), number(float64(accounts)/float64(n)),
+			used.String(), kilobytes(state), number(float64(accounts)/float64(n)),
 			took, fmt.Sprintf("%.2f", most),
 		)
 	}
