Let news overtake a backlog of gossip, and ask suspects once more

Cause: at 830 members under 5% loss a refutation waited behind the updates of the common start, and members that had missed it declared the living dead. Change: the newest of the least sent updates goes first; a suspect whose time is over is pinged once more while few are suspect.

--- a/core/process/gossip/gossip.go
+++ b/core/process/gossip/gossip.go
@@ -4,7 +4,8 @@
 // Each update is sent a limited number of times, so that the work for one
 // update is bounded by the logarithm of the fleet's size. Kinds have a fixed
 // order of priority: when a datagram is too small for all that waits, the
-// lower kinds wait. Within a kind the update that was sent least goes first. A
+// lower kinds wait. Within a kind the update that was sent least goes first, and
+// among these the newest. A
 // kind holds at most Limits.Entries updates; beyond that the update that was
 // sent most often is evicted, since most peers have it already.
 //
--- a/core/process/gossip/queue.go
+++ b/core/process/gossip/queue.go
@@ -109,17 +109,20 @@
 	return taken, bytes
 }
 
-// takeLevel takes from the front of a level until an update does not fit.
+// takeLevel takes the newest of a level first, until an update does not fit, so
+// that news overtakes a backlog.
 func (l *lane[T]) takeLevel(n int, taken []Entry[T], sent []*slot[T], bytes int) ([]Entry[T], []*slot[T], int, bool) {
 	level := l.levels[n]
 	for len(level) > 0 {
-		s := level[0]
+		last := len(level) - 1
+		s := level[last]
 		if !s.removed && s.entry.Bytes > bytes {
 			l.counters.Deferred++
 			l.levels[n] = level
 			return taken, sent, bytes, true
 		}
-		level = level[1:]
+		level[last] = nil
+		level = level[:last]
 		if s.removed {
 			continue
 		}
@@ -128,7 +131,7 @@
 		taken = append(taken, s.entry)
 		sent = append(sent, s)
 	}
-	l.levels[n] = nil
+	l.levels[n] = level
 	return taken, sent, bytes, false
 }
 
--- a/core/process/gossip/queue_test.go
+++ b/core/process/gossip/queue_test.go
@@ -71,6 +71,18 @@
 	}
 }
 
+func TestNewsOvertakesABacklog(t *testing.T) {
+	q := New[int](limits(100, 3))
+	for n := range 50 {
+		q.Add(entry(Member, fmt.Sprint(n)))
+	}
+	q.Take(1000)
+	q.Add(entry(Member, "news"))
+	if got := q.Take(100); len(got) != 1 || got[0].Key != "news" {
+		t.Fatalf("took %v", got)
+	}
+}
+
 func TestANewerUpdateReplacesTheOlder(t *testing.T) {
 	q := New[int](limits(3, 2))
 	q.Add(Entry[int]{Kind: Member, Key: "a", Bytes: 1, Value: 1})
--- a/core/process/membership/probe.go
+++ b/core/process/membership/probe.go
@@ -166,6 +166,7 @@
 // suspected starts the time in which a member may refute.
 func (m *Machine) suspected(e *entry) {
 	e.deadline = m.now.Add(m.suspicionTime())
+	e.asked = false
 	for _, s := range m.suspects {
 		if s == e {
 			return
@@ -183,11 +184,15 @@
 func (m *Machine) tickSuspects() {
 	kept := m.suspects[:0]
 	var dead []*entry
+	ask := len(m.suspects) <= lastChances
 	for _, e := range m.suspects {
 		switch {
 		case e.State != Suspect:
 		case m.now.Before(e.deadline):
 			kept = append(kept, e)
+		case ask && !e.asked:
+			m.lastChance(e)
+			kept = append(kept, e)
 		default:
 			dead = append(dead, e)
 		}
@@ -201,6 +206,18 @@
 	}
 }
 
+// lastChance pings a suspect whose time is over, since its refutation may have
+// been lost. Its answer carries the refutation.
+func (m *Machine) lastChance(e *entry) {
+	e.asked = true
+	e.deadline = m.now.Add(m.config.Period)
+	m.ping(e.Host)
+}
+
+// lastChances is the number of suspects above which none is asked: then many
+// died together, and asking all of them would cost too much.
+const lastChances = 4
+
 // postpone gives suspects more time while this daemon can't hear them refute.
 func (m *Machine) postpone(d time.Duration) {
 	for _, e := range m.suspects {
--- a/core/process/membership/table.go
+++ b/core/process/membership/table.go
@@ -20,6 +20,8 @@
 	place int
 	// deadline is when a suspicion becomes a death.
 	deadline time.Time
+	// asked is true once a suspect was pinged at the end of its time.
+	asked bool
 	// diedAt is when the member died or left.
 	diedAt time.Time
 	// hash is the entry's part of the table's digest, if it is counted.
