Measure polls of targets and the state of a daemon

Cause: the capacity page needs the lines of keepers and the memory of tables. Change: the slopes command polls a stand-in over loopback with the daemon's own client, and fills the tables that have bounds.

--- a/tools/slopes/membership.go
+++ b/tools/slopes/membership.go
@@ -115,6 +115,7 @@
 }
 
 func heap() float64 {
+	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/tools/slopes/slopes.go
+++ b/tools/slopes/slopes.go
@@ -6,7 +6,8 @@
 // itself accounts for a datagram or message, headers included. Processor time is
 // that of this process, divided among the members; it contains the cost of the
 // virtual network and leaves out system calls, encoding and sealing. Only the
-// part "loopback" uses sockets and real time, with a few dozen daemons.
+// parts "loopback" and "polls" use sockets and real time, with a few dozen
+// daemons and one stand-in of a target.
 package slopes
 
 import (
@@ -88,7 +89,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "out", Usage: "write the tables to `FILE` instead of standard output"},
 			&cli.BoolFlag{Name: "quick", Usage: "measure small fleets only"},
-			&cli.StringFlag{Name: "part", Usage: "measure one `PART`: membership, loopback, keepers, quotas or distribution"},
+			&cli.StringFlag{Name: "part", Usage: "measure one `PART`: membership, loopback, keepers, quotas, distribution, polls or state"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			o := Full()
@@ -126,6 +127,8 @@
 	{"keepers", subsetTables},
 	{"quotas", quotaTables},
 	{"distribution", distributionTables},
+	{"polls", pollTables},
+	{"state", stateTables},
 }
 
 // Measure runs all measurements and writes their tables as Markdown.
