Keep what is measured alive while the heap is read

Cause: the collector freed the inputs of an assignment while its heap was measured, so that the difference was below zero. Change: the inputs are kept alive. Conclusion: the table shows the assignment's own heap.

--- a/tools/slopes/state.go
+++ b/tools/slopes/state.go
@@ -37,6 +37,8 @@
 		assignment.Compute(fakeSelf(n), m.Targets, a, 0)
 		cpu := processor() - start
 		assigned := heapOf(func() any { return assignment.Compute(fakeSelf(n), m.Targets, a, 0) })
+		runtime.KeepAlive(m)
+		runtime.KeepAlive(a)
 		buckets := heapOf(func() any { return quotaBuckets(o.Customers[i], n) })
 		sizes = append(sizes, size)
 		p.row(fmt.Sprint(n), fmt.Sprint(o.Targets[i]), fmt.Sprint(o.Customers[i]),
