Let a fleet settle for two minutes before its rates are taken

Cause: at 830 members the rate was taken while the backlog of the start was still being passed on, so that replacements seemed to cost less than nothing. Change: two minutes in place of 30 seconds.

--- a/tools/slopes/membership.go
+++ b/tools/slopes/membership.go
@@ -17,7 +17,7 @@
 	regions     = 3
 	// settleTime is how long a formed fleet is left alone before rates are
 	// taken, over measureTime.
-	settleTime  = 30 * time.Second
+	settleTime  = 2 * time.Minute
 	measureTime = 30 * time.Second
 	// patience bounds each wait for convergence.
 	patience = 5 * time.Minute
