Work out polls of targets from the daemon's own pace

Cause: daemons now bound the polls of reports by a rate. Change: the polls' part of the slopes command uses that pace.

--- a/tools/slopes/polls.go
+++ b/tools/slopes/polls.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"carobspoke.example/core/process/keeping"
 	"carobspoke.example/core/process/subset"
 	"carobspoke.example/core/target"
 	"carobspoke.example/serving/connection/targetapi"
@@ -50,34 +51,59 @@
 	processor time.Duration
 }
 
+// Rates in bytes a second by which a daemon bounds its polls of reports, in a
+// fleet of up to subset.FewDaemons and in a larger one.
+const (
+	pollRateOfFew  = 40 << 10
+	pollRateOfMany = 3 << 10
+)
+
 func pollTables(p *printer, o Options) {
 	p.line("### Polls of targets")
 	p.line("")
 	p.line("Over HTTP on loopback, by the daemon's own client; %d bytes for headers of TCP and IP added. CPU is of client and stand-in server together.", pollHeaderBytes)
 	p.line("")
-	p.header("poll", "every", "B, both ways", "CPU")
-	var rate, cpu float64
-	for _, kind := range pollKinds() {
+	p.header("poll", "at most every", "B, both ways", "CPU")
+	kinds := pollKinds()
+	costs := make([]pollCosts, 0, len(kinds))
+	for _, kind := range kinds {
 		c, err := measurePoll(kind.call)
 		if err != nil {
 			p.err = err
 			return
 		}
-		rate += c.bytes / kind.every.Seconds()
-		cpu += c.processor.Seconds() / kind.every.Seconds()
+		costs = append(costs, c)
 		p.row(kind.name, kind.every.String(), number(c.bytes), c.processor.String())
 	}
 	p.line("")
-	p.line("Of one target, with the daemon's usual times: %.0f B/s, %.5f of a core.", rate, cpu)
+	p.line("Of one daemon, worked out from these costs and the pace of its polls:")
 	p.line("")
-	p.header("daemons", "targets", "kept by one, mean", "B/s", "CPU, fraction of a core")
+	p.header("daemons", "targets", "kept by one, mean", "pace", "B/s", "of it holdings", "CPU, fraction of a core")
 	for i, n := range o.Sizes {
 		kept := float64(subset.KeeperCount(n, o.Targets[i])*o.Targets[i]) / float64(n)
-		p.row(fmt.Sprint(n), fmt.Sprint(o.Targets[i]), number(kept), number(kept*rate), fmt.Sprintf("%.4f", kept*cpu))
+		pace := pollPace(n, int(kept))
+		var bytes, cpu, last float64
+		for j, kind := range kinds {
+			each := max(pace, kind.every).Seconds()
+			last = kept * costs[j].bytes / each
+			bytes += last
+			cpu += kept * costs[j].processor.Seconds() / each
+		}
+		p.row(fmt.Sprint(n), fmt.Sprint(o.Targets[i]), number(kept), pace.Round(time.Millisecond).String(),
+			number(bytes), number(last), fmt.Sprintf("%.4f", cpu))
 	}
 	p.line("")
 }
 
+// pollPace is the time between two polls of a target in a fleet of n.
+func pollPace(n, kept int) time.Duration {
+	rate := float64(pollRateOfMany)
+	if n <= subset.FewDaemons {
+		rate = pollRateOfFew
+	}
+	return keeping.Pace(kept, keeper.PollBytes, rate, keeper.ReportEvery, keeper.LongestPoll)
+}
+
 // pollKind is a kind of poll and how often the keeper makes it.
 type pollKind struct {
 	name  string
