Rank only a data centre's daemons where they suffice

Change: if a target's data centre has enough members, only these are ranked; the assignment is the same, as they go first anyway.

--- a/core/process/subset/subset.go
+++ b/core/process/subset/subset.go
@@ -67,6 +67,9 @@
 	members []membership.Member
 	hashes  []uint64
 	regions map[names.DataCentre]names.Region
+	// all are the indices of members, and local those of each data centre.
+	all   []int
+	local map[names.DataCentre][]int
 }
 
 // New returns an Assigner of members, which must be sorted by host, as
@@ -76,10 +79,14 @@
 		members: members,
 		hashes:  make([]uint64, len(members)),
 		regions: make(map[names.DataCentre]names.Region),
+		all:     make([]int, len(members)),
+		local:   make(map[names.DataCentre][]int),
 	}
 	for i := range members {
 		a.hashes[i] = xxhash.Sum64String(string(members[i].Host))
 		a.regions[members[i].DataCentre] = members[i].Region
+		a.all[i] = i
+		a.local[members[i].DataCentre] = append(a.local[members[i].DataCentre], i)
 	}
 	return a
 }
@@ -90,8 +97,11 @@
 // Keepers returns the first k members of the target's order, its data centre's
 // first.
 func (a *Assigner) Keepers(t names.Target, dc names.DataCentre, k int) []membership.Member {
+	if near := a.local[dc]; len(near) >= k {
+		return a.first("t/"+string(t), k, near, func(*membership.Member) int { return 0 })
+	}
 	region, known := a.regions[dc]
-	return a.first("t/"+string(t), k, func(m *membership.Member) int {
+	return a.first("t/"+string(t), k, a.all, func(m *membership.Member) int {
 		switch {
 		case m.DataCentre == dc:
 			return 0
@@ -115,7 +125,7 @@
 
 // First returns the first n members of a key's order, wherever they are.
 func (a *Assigner) First(n int, key string) []membership.Member {
-	return a.first("k/"+key, n, func(*membership.Member) int { return 0 })
+	return a.first("k/"+key, n, a.all, func(*membership.Member) int { return 0 })
 }
 
 // Home returns the first member of a key's order; false without members.
@@ -142,15 +152,16 @@
 	return New(members).First(n, key)
 }
 
-// first keeps the best n candidates in order while it looks at each member.
-func (a *Assigner) first(key string, n int, tier func(*membership.Member) int) []membership.Member {
-	n = min(n, len(a.members))
+// first keeps the best n candidates in order while it looks at each of the
+// members with the given indices.
+func (a *Assigner) first(key string, n int, among []int, tier func(*membership.Member) int) []membership.Member {
+	n = min(n, len(among))
 	if n <= 0 {
 		return nil
 	}
 	hash := xxhash.Sum64String(key)
 	best := make([]candidate, 0, n+1)
-	for i := range a.members {
+	for _, i := range among {
 		c := candidate{index: i, tier: tier(&a.members[i]), score: mix(a.hashes[i], hash)}
 		if len(best) == n && !c.before(best[n-1]) {
 			continue
