--- a/serving/process/keeper/keeper.go
+++ b/serving/process/keeper/keeper.go
@@ -27,8 +27,10 @@
 
 // Times of the polls.
 const (
-	// ObserveEvery is the time between two looks at the assignment.
+	// ObserveEvery is the time between two renewals of the leases, and
+	// AssignEvery between two looks at which engines are kept.
 	ObserveEvery = 250 * time.Millisecond
+	AssignEvery  = time.Second
 	// ReportEvery is the time between two polls of an engine's report, and
 	// LongestPoll its bound when a rate limits the polls.
 	ReportEvery = 250 * time.Millisecond
@@ -93,8 +95,12 @@
 	config Config
 	counts counts
 	work   sync.WaitGroup
-	// watched is only used by Run's goroutine.
-	watched map[names.Target]*worker
+	// The rest is only used by Run's goroutine. Assigned are the engines that
+	// this daemon kept by a version, at a time.
+	watched    map[names.Target]*worker
+	assigned   map[names.Target]*manifest.Target
+	assignedBy *version.State
+	assignedAt time.Time
 }
 
 // New returns a Keeper that does nothing until Run.
@@ -134,7 +140,11 @@
 	if state == nil {
 		return
 	}
-	kept := k.kept(state)
+	now := k.config.Now()
+	if state != k.assignedBy || now.Sub(k.assignedAt) >= AssignEvery {
+		k.assigned, k.assignedBy, k.assignedAt = k.kept(state), state, now
+	}
+	kept := k.assigned
 	for name, w := range k.watched {
 		if kept[name] == nil || kept[name].Address != w.address {
 			w.stop()
@@ -142,7 +152,7 @@
 		}
 	}
 	pace := keeping.Pace(len(kept), PollBytes, k.config.PollRate, ReportEvery, LongestPoll)
-	now, awake := k.config.Now(), k.config.Place.Awake()
+	awake := k.config.Place.Awake()
 	for name, t := range kept {
 		if k.watched[name] == nil {
 			k.watch(ctx, t)
--- /dev/null
+++ b/serving/process/keeper/poll_test.go
@@ -0,0 +1,68 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"carobspoke.example/core/target"
+	"carobspoke.example/serving/connection/targetapi"
+)
+
+// countingConn counts bytes both ways.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// TestAPollIsNotLargerThanAssumed measures a poll of a report over HTTP.
+func TestAPollIsNotLargerThanAssumed(t *testing.T) {
+	report := target.Report{
+		Target: "drafting-0001", Boot: 1 << 60, Seq: 1 << 30, Taken: time.Unix(1800000000, 123456789),
+		QueuedTokens: 1000000, RunningStreams: 64, FreeBlocks: 20000, TotalBlocks: 28672, BlockTokens: 16,
+		PrefillRate: 20000.5, StepTime: 15 * time.Millisecond, Fence: 1 << 40,
+		State: target.State{Model: "drafting-model", Version: "2026-01", Role: target.Mixed},
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(report) //nolint:errcheck // the client's test fails then
+	}))
+	defer server.Close()
+	var bytes atomic.Int64
+	transport := targetapi.NewTransport()
+	defer transport.CloseIdleConnections()
+	transport.DialContext = func(_ context.Context, network, address string) (net.Conn, error) {
+		conn, err := net.Dial(network, address)
+		return countingConn{Conn: conn, bytes: &bytes}, err
+	}
+	client := targetapi.NewClient(strings.TrimPrefix(server.URL, "http://"), transport)
+	const polls = 20
+	for range polls {
+		if _, err := client.Report(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	each := bytes.Load() / polls
+	t.Logf("%d bytes a poll, without the headers of TCP and IP", each)
+	if each > PollBytes {
+		t.Fatalf("a poll has %d bytes, %d assumed", each, PollBytes)
+	}
+}
