Keep the bound of a rollout when versions change in its middle

An engine that leaves would have held its lane up for ever. Conclusion: at most as many engines as lanes are out of service.

--- a/core/version/orders/lanes.go
+++ b/core/version/orders/lanes.go
@@ -37,21 +37,24 @@
 	return max(lanes, 1)
 }
 
-// Before returns the engines before t in its lane, in the order of the lane.
-// The order depends on names alone, so that a lane stays the same from version
-// to version. Engines are all of the model, t among them.
-func Before(engines []*manifest.Target, t *manifest.Target, lanes int) []*manifest.Target {
+// Lane returns the engines before and after t in its lane, in the order of the
+// lane. The order depends on names alone, so that a lane stays the same from
+// version to version. Engines are all of the model, t among them.
+func Lane(engines []*manifest.Target, t *manifest.Target, lanes int) (before, after []*manifest.Target) {
 	order := slices.Clone(engines)
 	slices.SortFunc(order, func(a, b *manifest.Target) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name, b.Name))
 	})
 	place := slices.IndexFunc(order, func(e *manifest.Target) bool { return e.Name == t.Name })
-	var before []*manifest.Target
-	for i := place - lanes; i >= 0; i -= lanes {
-		before = append(before, order[i])
+	for i := place % lanes; i < len(order); i += lanes {
+		switch {
+		case i < place:
+			before = append(before, order[i])
+		case i > place:
+			after = append(after, order[i])
+		}
 	}
-	slices.Reverse(before)
-	return before
+	return before, after
 }
 
 func rank(t *manifest.Target) uint64 { return xxhash.Sum64String(string(t.Name)) }
--- a/core/version/orders/orders.go
+++ b/core/version/orders/orders.go
@@ -10,8 +10,9 @@
 // Reading weights takes an engine out of service, so a rollout goes in waves
 // without anybody in charge of it. The engines of a model are dealt into
 // lanes, as many as may be out of service at once. An engine's turn comes when
-// all that are before it in its lane serve what is wanted; a lane has few
-// engines, so whoever orders one of them can read the others' reports itself.
+// all that are before it in its lane serve what is wanted and none after it is
+// loading; a lane has few engines, so whoever orders one of them can read the
+// others' reports itself.
 // An engine whose turn has come gets no new work, and is ordered once it is
 // idle, since new weights would cut what it runs. A rollback in the middle is
 // the next version: engines that have not loaded are right already.
@@ -103,11 +104,17 @@
 	Refreshed Reason = "refreshed"
 )
 
-// Ahead is an engine before another one in its lane.
-type Ahead struct {
+// Other is another engine of the same lane.
+type Other struct {
 	// Known is false if the engine did not answer.
-	Known  bool
-	Agrees bool
+	Known   bool
+	Agrees  bool
+	Loading bool
+}
+
+// Look returns what an engine's report says to the others of its lane.
+func Look(want target.State, r target.Report) Other {
+	return Other{Known: true, Agrees: Agrees(want, r.State), Loading: r.State.Loading}
 }
 
 // Memory is what a daemon remembers of an engine that it orders.
@@ -129,8 +136,9 @@
 	// Known says that Report is fresh.
 	Known  bool
 	Report target.Report
-	// Ahead are the engines before it in its lane.
-	Ahead  []Ahead
+	// Before and After are the engines before and after it in its lane.
+	Before []Other
+	After  []Other
 	Memory Memory
 }
 
@@ -184,7 +192,7 @@
 		return Decision{Reason: Loading}, m
 	}
 	outOfService := have.Loading || have.Model == ""
-	if !outOfService && !turn(in.Ahead) {
+	if !outOfService && !turn(in) {
 		m.QuietSince = time.Time{}
 		return Decision{Reason: Waiting}, m
 	}
@@ -203,9 +211,16 @@
 	return Decision{Reason: Ordered, Send: true, Order: order, Quiet: cuts}, m
 }
 
-func turn(ahead []Ahead) bool {
-	for _, a := range ahead {
-		if a.Known && !a.Agrees {
+// turn reports whether an engine may be taken out of service. An engine after
+// it that is loading was ordered by an earlier version.
+func turn(in Input) bool {
+	for _, other := range in.Before {
+		if other.Known && !other.Agrees {
+			return false
+		}
+	}
+	for _, other := range in.After {
+		if other.Known && other.Loading {
 			return false
 		}
 	}
--- a/core/version/orders/orders_test.go
+++ b/core/version/orders/orders_test.go
@@ -86,10 +86,8 @@
 	for _, t := range m.list {
 		e := m.engines[t.Name]
 		in := Input{Version: m.version, Target: t, Known: true, Report: e.report(m.now), Memory: m.memory[t.Name]}
-		for _, before := range Before(m.list, t, lanes) {
-			r := m.engines[before.Name].report(m.now)
-			in.Ahead = append(in.Ahead, Ahead{Known: true, Agrees: Agrees(before.Want, r.State)})
-		}
+		before, after := Lane(m.list, t, lanes)
+		in.Before, in.After = m.look(before), m.look(after)
 		d, memory := Decide(in, m.now)
 		m.memory[t.Name] = memory
 		if d.Send {
@@ -105,6 +103,14 @@
 	m.now = m.now.Add(time.Second)
 }
 
+func (m *model) look(list []*manifest.Target) []Other {
+	others := make([]Other, 0, len(list))
+	for _, t := range list {
+		others = append(others, Look(t.Want, m.engines[t.Name].report(m.now)))
+	}
+	return others
+}
+
 func (m *model) serving(weights string) (n int) {
 	for _, t := range m.list {
 		r := m.engines[t.Name].report(m.now)
@@ -162,7 +168,7 @@
 		m.step()
 		least = min(least, m.serving(""))
 	}
-	if m.serving("v1") < 15 || m.cuts() > 0 || least < 15-2*3 {
+	if m.serving("v1") < 15 || m.cuts() > 0 || least < 15-3 {
 		t.Fatalf("%d at v1, %d cut, least %d in service", m.serving("v1"), m.cuts(), least)
 	}
 }
@@ -220,11 +226,11 @@
 func TestALaneWithBadWeightsStops(t *testing.T) {
 	entry := &manifest.Target{Name: "e", Want: target.State{Model: "draft", Version: "v2"}}
 	in := Input{Version: 2, Target: entry, Known: true, Report: target.Report{State: target.State{Model: "draft", Version: "v1"}}}
-	in.Ahead = []Ahead{{Known: false}, {Known: true, Agrees: false}}
+	in.Before = []Other{{Known: false}, {Known: true, Agrees: false}}
 	if d, _ := Decide(in, time.Unix(0, 0)); d.Reason != Waiting || d.Quiet {
 		t.Fatalf("behind an engine that does not load: %+v", d)
 	}
-	in.Ahead = []Ahead{{Known: false}, {Known: true, Agrees: true}}
+	in.Before = []Other{{Known: false}, {Known: true, Agrees: true}}
 	if d, _ := Decide(in, time.Unix(0, 0)); d.Reason != Emptying || !d.Quiet {
 		t.Fatalf("behind an engine that cannot be reached: %+v", d)
 	}
--- a/serving/process/keeper/keeper_test.go
+++ b/serving/process/keeper/keeper_test.go
@@ -194,8 +194,8 @@
 			}}
 		}
 		before := manifest.NewIndex(m(1, "v0")).EnginesOf("m")
-		if ahead := orders.Before(before, before[0], 1); len(ahead) != 1 || ahead[0].Name != lateName {
-			t.Fatalf("lane: %v", ahead)
+		if first, _ := orders.Lane(before, before[0], 1); len(first) != 1 || first[0].Name != lateName {
+			t.Fatalf("lane: %v", first)
 		}
 		d.holder.Install(m(1, "v0"), "")
 		time.Sleep(30 * time.Second)
@@ -210,6 +210,33 @@
 	})
 }
 
+// TestALeavingEngineHoldsNobodyUp has the engine before another one in its lane
+// leave without what is wanted.
+func TestALeavingEngineHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		e := &engine{state: target.State{Model: "m", Version: "v1", Role: target.Mixed}}
+		leaving := &engine{state: e.state}
+		byAddress := map[string]*engine{"10.0.0.1:80": e, "10.0.0.2:80": leaving}
+		d := startWith(ctx, func(address string) targetapi.Engine { return byAddress[address] })
+		want := target.State{Model: "m", Version: "v2"}
+		m := &manifest.Manifest{Version: 1, Targets: []manifest.Target{
+			{Name: "e", Address: "10.0.0.1:80", Want: want}, {Name: lateName, Address: "10.0.0.2:80", Want: want},
+		}}
+		m.Departures = []manifest.Departure{{Target: lateName, At: time.Now().Add(time.Hour)}}
+		d.holder.Install(m, "")
+		time.Sleep(time.Minute)
+		if v, _ := e.serves(); v != "v2" {
+			t.Errorf("serves %s", v)
+		}
+		if v, orders := leaving.serves(); v != "v1" || len(orders) != 0 {
+			t.Errorf("the leaving engine serves %s after orders %v", v, orders)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestAnEngineIsQuietBeforeItReadsWeights(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/serving/process/keeper/worker.go
+++ b/serving/process/keeper/worker.go
@@ -155,7 +155,7 @@
 		Known: known, Report: report, Memory: w.memory,
 	}
 	if known && !leaving && !orders.Agrees(t.Want, report.State) {
-		in.Ahead = w.ahead(ctx, state, t)
+		in.Before, in.After = w.lane(ctx, state, t)
 	}
 	decision, memory := orders.Decide(in, w.k.config.Now())
 	w.k.counts.add("decision_" + string(decision.Reason))
@@ -166,15 +166,28 @@
 	w.memory = memory
 }
 
-// ahead reads the reports of the engines before this one in its lane.
-func (w *worker) ahead(ctx context.Context, state *version.State, t *manifest.Target) []orders.Ahead {
+// lane reads the reports of the other engines of this one's lane.
+func (w *worker) lane(ctx context.Context, state *version.State, t *manifest.Target) (before, after []orders.Other) {
 	engines := state.Index.EnginesOf(t.Want.Model)
 	lanes := w.k.config.Limits.Lanes(len(engines), orders.Weight(state.Index, t))
-	before := orders.Before(engines, t, lanes)
-	list := make([]orders.Ahead, 0, len(before))
-	for _, other := range before {
+	first, last := orders.Lane(engines, t, lanes)
+	return w.look(ctx, state, first), w.look(ctx, state, last)
+}
+
+// look reads engines' reports. Those that leave are not ordered any more, and
+// count as ones that cannot be reached.
+func (w *worker) look(ctx context.Context, state *version.State, engines []*manifest.Target) []orders.Other {
+	list := make([]orders.Other, 0, len(engines))
+	for _, other := range engines {
+		if _, leaving := state.Index.Departure(other.Name); leaving {
+			continue
+		}
 		report, err := w.k.config.Engine(other.Address).Report(ctx)
-		list = append(list, orders.Ahead{Known: err == nil, Agrees: err == nil && orders.Agrees(other.Want, report.State)})
+		if err != nil {
+			list = append(list, orders.Other{})
+			continue
+		}
+		list = append(list, orders.Look(other.Want, report))
 	}
 	return list
 }
