--- a/core/process/distribution/driver.go
+++ b/core/process/distribution/driver.go
@@ -131,7 +131,8 @@
 func (d *driver) membersOf(x *daemon) Members {
 	m := Members{Listed: len(d.daemons)}
 	for _, other := range d.daemons {
-		if other != x && !d.cut(x.index, other.index) {
+		down := other.machine == nil && other.boot > 0
+		if other != x && !down && !d.cut(x.index, other.index) {
 			m.Live = append(m.Live, other.withVersion())
 		}
 	}
--- a/core/process/distribution/machine_test.go
+++ b/core/process/distribution/machine_test.go
@@ -208,7 +208,9 @@
 
 func (d *driver) tellMembers() {
 	for _, x := range d.daemons {
-		d.step(x, d.membersOf(x))
+		if x.machine != nil {
+			d.step(x, d.membersOf(x))
+		}
 	}
 }
 
