--- a/tools/dev/span_test.go
+++ b/tools/dev/span_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
+	"carobspoke.example/core/version/manifest"
 	"carobspoke.example/tools/standin/engine"
 	"carobspoke.example/tools/standin/fleet"
 	"go.uber.org/zap"
@@ -66,3 +69,108 @@
 		t.Fatalf("%d %s", got.status, got.body)
 	}
 }
+
+// TestLeavingEngineGetsNothingNewAndCutsNothing lets an engine leave before
+// the answers that it runs can end.
+func TestLeavingEngineGetsNothingNewAndCutsNothing(t *testing.T) {
+	const tokens = 2000
+	d, err := Start(t.Context(), Config{Fleet: fleet.Config{Size: fleet.Dev, Speedup: 10}, Log: zap.NewNop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	type result struct {
+		tokens int
+		err    error
+	}
+	results := make(chan result, 12)
+	c := client(d, 0, "customer-a")
+	for i := range cap(results) {
+		go func() {
+			stream := c.Chat.Completions.NewStreaming(t.Context(), chat("book "+strconv.Itoa(i), tokens))
+			got := 0
+			for stream.Next() {
+				if stream.Current().Choices[0].Delta.Content != "" {
+					got++
+				}
+			}
+			results <- result{got, stream.Err()}
+		}()
+	}
+	leaving := busyEngine(t, d)
+	m := d.Manifest()
+	m.Version++
+	departure := time.Now().Add(2500 * time.Millisecond)
+	m.Departures = []manifest.Departure{{Target: m.Targets[leaving].Name, At: departure}}
+	if err := d.Publish(m); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.WaitReady(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	before := len(d.Fleet.Engines()[leaving].Submits())
+	time.Sleep(time.Until(departure))
+	if n := d.Fleet.Engines()[leaving].Measure().RunningStreams; n != 0 {
+		t.Fatalf("%d streams run at the engine when it leaves", n)
+	}
+	for range cap(results) {
+		if got := <-results; got.err != nil || got.tokens != tokens {
+			t.Fatalf("%d tokens, %v", got.tokens, got.err)
+		}
+	}
+	if after := len(d.Fleet.Engines()[leaving].Submits()); after != before {
+		t.Fatalf("%d new streams at the leaving engine", after-before)
+	}
+}
+
+// busyEngine waits for an engine that runs streams.
+func busyEngine(t *testing.T, d *Dev) int {
+	t.Helper()
+	for range 1000 {
+		for i, e := range d.Fleet.Engines() {
+			if e.Measure().RunningStreams > 0 {
+				return i
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("no engine is busy")
+	return 0
+}
+
+// TestRolloutKeepsServing gives all engines new weights while requests go on.
+func TestRolloutKeepsServing(t *testing.T) {
+	d := startDev(t)
+	m := d.Manifest()
+	m.Version++
+	m.Targets = slices.Clone(m.Targets)
+	for i := range m.Targets {
+		if m.Targets[i].Service == "" {
+			m.Targets[i].Want.Version = fleet.SecondVersion
+		}
+	}
+	if err := d.Publish(m); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(40 * time.Second)
+	for !serves(d, fleet.SecondVersion) {
+		got := post(t, d, 1, "/v1/completions", `{"model":"draft","prompt":"x","max_tokens":2}`, nil)
+		if got.status != http.StatusOK {
+			t.Fatalf("in the middle of the rollout: %d %s", got.status, got.body)
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the rollout does not end")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// serves reports whether all engines serve a version of the weights.
+func serves(d *Dev, version string) bool {
+	for _, e := range d.Fleet.Engines() {
+		if state := e.Measure().State; state.Version != version || state.Loading {
+			return false
+		}
+	}
+	return true
+}
--- a/tools/history/streams_test.go
+++ b/tools/history/streams_test.go
@@ -115,7 +115,7 @@
 			case line.ticket != "":
 				where = line.ticket
 			case line.err != nil:
-				return // an honest failure
+				return // a failure with a verdict
 			case line.frame.End:
 				s.recorder.Point(i, StreamInput{Stream: id, End: true}, StreamOutput{Tokens: line.frame.Offset})
 				s.mu.Lock()
@@ -196,7 +196,7 @@
 	digest := crash.Of("a", "m", "", submit.Prompt)
 	return answer.Deps{
 		Targets: s.engines,
-		Prompt:  answer.NewCrashes(time.Now).Prompt(digest),
+		Prompt:  answer.NewCrashes(time.Now, nil).Prompt(digest),
 		Retries: retries.New(retry.Default(), time.Now, rand.New(rand.NewPCG(s.seed, uint64(draw(1<<62, submit.Stream)))), func(retry.Outcome, verdict.Reason) {}),
 		Stall:   5 * time.Second,
 		Abandon: func(names.Target, targetapi.Engine, target.StreamID) {},
