Measure the memory of a version in force

Cause: CAPACITY.md needs the state of the manifest's role. Change: a test that measures it. Conclusion: none.

--- a/serving/process/distribution/size_test.go
+++ b/serving/process/distribution/size_test.go
@@ -1,7 +1,9 @@
 package distribution
 
 import (
+	"bytes"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"carobspoke.example/core/names"
@@ -35,10 +37,10 @@
 	}
 	request := &peerpb.RootRequest{Format: format, Digest: string(digests[1]), Have: string(digests[0])}
 	reply := d.rootReply(digests[1], digests[0])
-	bytes := proto.Size(request) + proto.Size(reply)
+	size := proto.Size(request) + proto.Size(reply)
 	t.Logf("request %d bytes, reply %d bytes", proto.Size(request), proto.Size(reply))
-	if assumed := core.DefaultMeasureConfig(1).ChangeBytes; bytes > assumed || len(reply.GetPages()) != 1 {
-		t.Fatalf("%d bytes, %d assumed; %d pages", bytes, assumed, len(reply.GetPages()))
+	if assumed := core.DefaultMeasureConfig(1).ChangeBytes; size > assumed || len(reply.GetPages()) != 1 {
+		t.Fatalf("%d bytes, %d assumed; %d pages", size, assumed, len(reply.GetPages()))
 	}
 }
 
@@ -60,3 +62,42 @@
 	}
 	return m
 }
+
+// TestStateOfAVersion measures the memory of a version of full size in force:
+// its pages, its decoded form and its index.
+func TestStateOfAVersion(t *testing.T) {
+	p, err := pages.Pack(sized(1, 3600, 6200), testKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := heap()
+	store := pages.NewStore(HistoryBytes)
+	store.AddRoot(p.Root)
+	for _, page := range p.Pages {
+		store.AddPage(page.Ref, bytes.Clone(page.Data))
+	}
+	store.Commit(p.Root)
+	var assembler pages.Assembler
+	m, err := assembler.Assemble(p.Root, store.Page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	index := manifest.NewIndex(m)
+	after := heap()
+	runtime.KeepAlive(store)
+	runtime.KeepAlive(index)
+	runtime.KeepAlive(&assembler)
+	used := int64(after) - int64(before) //nolint:gosec // sizes of a heap
+	t.Logf("%d bytes of heap", used)
+	if used > 32<<20 {
+		t.Fatalf("%d bytes of heap", used)
+	}
+}
+
+func heap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
