Refuse wrong arguments of carobspoke manifest with exit code 2

Cause: tried by hand as a new user, a missing flag ended with 1, an unknown command with 3, and a wrong key left a directory behind that the next try refused. Change: all wrong arguments end with 2 as documented; the key is read before anything is written.

--- a/tools/cmd/carobspoke/manifestcmd/manifestcmd.go
+++ b/tools/cmd/carobspoke/manifestcmd/manifestcmd.go
@@ -24,12 +24,29 @@
 
 // Command returns the command "manifest".
 func Command() *cli.Command {
-	return &cli.Command{
+	command := &cli.Command{
 		Name:        "manifest",
 		Usage:       "check, compare, pack and sign manifests",
 		Description: "What a pipeline calls before it publishes a manifest.\n\n" + exitCodes,
 		Commands:    []*cli.Command{checkCommand(), diffCommand(), packCommand(), signCommand(), keygenCommand()},
+		Action:      noCommand,
+	}
+	for _, sub := range command.Commands {
+		sub.OnUsageError = usageError
+	}
+	return command
+}
+
+// noCommand shows the help, or refuses a command that does not exist.
+func noCommand(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return refuse("%s: no command %q", c.FullName(), c.Args().First())
 	}
+	return cli.ShowSubcommandHelp(c)
+}
+
+func usageError(_ context.Context, c *cli.Command, err error, _ bool) error {
+	return refuse("%s: %v", c.FullName(), err)
 }
 
 func checkCommand() *cli.Command {
@@ -116,6 +133,15 @@
 	return nil, refuse("%s: %d problems", path, len(problems))
 }
 
+// required returns a flag that must be given.
+func required(c *cli.Command, flag string) (string, error) {
+	value := c.String(flag)
+	if value == "" {
+		return "", refuse("%s: --%s is required", c.FullName(), flag)
+	}
+	return value, nil
+}
+
 func arguments(c *cli.Command, n int) ([]string, error) {
 	if c.Args().Len() != n {
 		return nil, refuse("%s: expected %d arguments (%s), got %d", c.FullName(), n, c.ArgsUsage, c.Args().Len())
--- a/tools/cmd/carobspoke/manifestcmd/pack.go
+++ b/tools/cmd/carobspoke/manifestcmd/pack.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/ed25519"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -40,7 +41,7 @@
 
 ` + exitCodes,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "out", Usage: "directory to write, which must not exist", Required: true},
+			&cli.StringFlag{Name: "out", Usage: "`DIRECTORY` to write, which must not exist; required"},
 			&cli.StringFlag{Name: "previous", Usage: "manifest `FILE` that was published before this one"},
 			&cli.StringFlag{Name: "key", Usage: "private key `FILE` of manifest keygen"},
 		},
@@ -61,17 +62,32 @@
 	if err != nil {
 		return err
 	}
-	out := c.String("out")
+	key, err := keyIfGiven(c)
+	if err != nil {
+		return err
+	}
+	out, err := required(c, "out")
+	if err != nil {
+		return err
+	}
 	if err := os.Mkdir(out, directoryMode); err != nil {
 		return errors.Wrap(err, "output directory")
 	}
 	if err := writePages(out, previous, next); err != nil {
 		return err
 	}
-	if c.String("key") == "" {
+	if key == nil {
 		return say(c, "%s: version %d, unsigned: run manifest sign\n", out, next.Root.Version)
 	}
-	return sign(c, out)
+	return sign(c, out, key)
+}
+
+// keyIfGiven reads the private key before anything is written.
+func keyIfGiven(c *cli.Command) (ed25519.PrivateKey, error) {
+	if c.String("key") == "" {
+		return nil, nil
+	}
+	return readPrivateKey(c.String("key"))
 }
 
 func cutFile(c *cli.Command, path string) (*pages.Packed, error) {
@@ -134,23 +150,27 @@
 
 ` + exitCodes,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "key", Usage: "private key `FILE` of manifest keygen", Required: true},
+			&cli.StringFlag{Name: "key", Usage: "private key `FILE` of manifest keygen; required"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			paths, err := arguments(c, 1)
 			if err != nil {
 				return err
 			}
-			return sign(c, paths[0])
+			path, err := required(c, "key")
+			if err != nil {
+				return err
+			}
+			key, err := readPrivateKey(path)
+			if err != nil {
+				return err
+			}
+			return sign(c, paths[0], key)
 		},
 	}
 }
 
-func sign(c *cli.Command, directory string) error {
-	key, err := readPrivateKey(c.String("key"))
-	if err != nil {
-		return err
-	}
+func sign(c *cli.Command, directory string, key ed25519.PrivateKey) error {
 	encoded, err := os.ReadFile(filepath.Join(directory, unsignedFile))
 	if err != nil {
 		return errors.Wrap(err, "unsigned root")
