Wait for versions in a test instead of for a notice that may come before

Cause: the test could miss the notice if the restart was faster than its subscription. Change: it waits for the version and checks that it was the first.

--- a/serving/process/distribution/distribution_test.go
+++ b/serving/process/distribution/distribution_test.go
@@ -278,11 +278,9 @@
 	// A daemon restarts and only reaches a stale replica of the service.
 	daemons[4].stop()
 	daemons[4] = f.start(t, "h4", stale)
-	changes, cancel := daemons[4].holder.Subscribe()
-	defer cancel()
-	<-changes
-	if v := daemons[4].holder.Current().Version(); v != 6 {
-		t.Fatalf("restarted with version %d in force", v)
+	waitFor(t, "version 6 after a restart", everywhere(6, daemons[4]))
+	if n := daemons[4].d.Status().Counters.Installed; n != 1 {
+		t.Fatalf("restarted with another version in force before: %d installed", n)
 	}
 	for _, r := range daemons {
 		r.stop()
