Let the reserve follow the mix of prompts

Cause: with a reserve of fixed size, a mix with few short prompts wasted a third of the fleet.

Change: the reserve is as large as the work that may use it, at most a third; class bounds start from a prior that counts like observed work, so that a new daemon learns from its first requests.

--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -158,6 +158,7 @@
 	m := c.model(a.Request.Model)
 	m.mix.Observe(a.Request.PromptTokens)
 	candidates := c.candidates(&a, now)
+	c.setReserve(m, candidates)
 	a.Request.Class = classify(m, &a.Request, largestEngine(candidates))
 	if !c.hasRoom(&a) {
 		return refuse(&a, c.retryLater(verdict.QueueFull, "too much is in flight", 0))
@@ -284,6 +285,24 @@
 	return kept
 }
 
+// setReserve marks the targets of the reserve. Its size follows the share of
+// the work that may use it, so that it is never larger than short work can
+// fill, and at least one target where there are several.
+func (c *Controller) setReserve(m *modelState, candidates []choice.Candidate) {
+	if c.settings.MaxReserve <= 0 || len(candidates) == 0 {
+		return
+	}
+	limit := int(c.settings.LendLimit.Seconds() * candidates[0].PrefillRate())
+	work := m.mix.WorkBelow(min(limit, m.mix.Bounds().Short))
+	share := min(c.settings.MaxReserve, max(work*c.settings.ReserveHeadroom, smallestReserve))
+	for i := range candidates {
+		candidates[i].Reserved = candidates[i].Rank < share
+	}
+}
+
+// smallestReserve is a share that only the first of several targets is below.
+const smallestReserve = 1e-6
+
 // classify returns the class of a request. Its answer needs memory too.
 func classify(m *modelState, r *facts.Request, engineTokens int) target.Class {
 	if engineTokens > 0 && r.PromptTokens+r.MaxTokens > engineTokens {
--- a/core/request/admission/settings.go
+++ b/core/request/admission/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"carobspoke.example/core/request/choice"
 	"carobspoke.example/core/request/facts"
 )
 
@@ -16,6 +17,13 @@
 	// Margin is what a predicted time to first token is multiplied with
 	// before the end is compared with the deadline.
 	Margin float64
+	// LendLimit is the longest prefill that the reserve takes.
+	LendLimit time.Duration
+	// MaxReserve bounds the share of the targets in the reserve; zero
+	// switches it off. ReserveHeadroom is the reserve's size in relation to
+	// the share of the work that it is for.
+	MaxReserve      float64
+	ReserveHeadroom float64
 	// MaxBytes bounds what the requests in flight take of the daemon's
 	// memory.
 	MaxBytes int
@@ -29,6 +37,8 @@
 	DefaultMaxQueue        = time.Second
 	DefaultQueuePerPrefill = 0.3
 	DefaultMargin          = 1.5
+	DefaultMaxReserve      = 0.33
+	DefaultReserveHeadroom = 1.8
 	DefaultMaxBytes        = 64 << 20
 	DefaultSpanEngines     = 4
 )
@@ -39,6 +49,9 @@
 		MaxQueue:        DefaultMaxQueue,
 		QueuePerPrefill: DefaultQueuePerPrefill,
 		Margin:          DefaultMargin,
+		LendLimit:       choice.DefaultLendLimit,
+		MaxReserve:      DefaultMaxReserve,
+		ReserveHeadroom: DefaultReserveHeadroom,
 		MaxBytes:        DefaultMaxBytes,
 		SpanEngines:     DefaultSpanEngines,
 	}
--- a/core/request/choice/choice.go
+++ b/core/request/choice/choice.go
@@ -41,9 +41,10 @@
 	// Isolation marks a target that only runs suspected requests.
 	Isolation bool
 	// Rank is the target's place in [0, 1] among those of its model. All
-	// daemons compute the same from one manifest. The lowest ranks are reserved for short
-	// prefills.
+	// daemons compute the same from one manifest. The lowest ranks make up the reserve.
 	Rank float64
+	// Reserved says that the target is in the reserve for short prefills.
+	Reserved bool
 	// Offset is the target's distance, in [0, 1), from this daemon's place
 	// on a ring of all targets. Daemons prefer different targets by it.
 	Offset float64
--- a/core/request/choice/chooser.go
+++ b/core/request/choice/chooser.go
@@ -64,7 +64,8 @@
 
 // Settings parametrise the policy of New.
 type Settings struct {
-	// Zones divides the targets; its zero value lets all take everything.
+	// Zones governs the reserve; its zero value lets all targets take
+	// everything.
 	Zones Zones
 	// Region returns the region of a data centre; nil puts all in one.
 	Region func(names.DataCentre) names.Region
@@ -73,17 +74,15 @@
 // DefaultSettings returns the settings of this release.
 func DefaultSettings() Settings {
 	return Settings{Zones: Zones{
-		ShortReserve: DefaultShortReserve,
-		LendLimit:    DefaultLendLimit,
-		Cost:         DefaultZoneCost,
+		LendLimit: DefaultLendLimit,
+		Cost:      DefaultZoneCost,
 	}}
 }
 
 // Defaults of Zones.
 const (
-	DefaultShortReserve = 0.33
-	DefaultLendLimit    = time.Second
-	DefaultZoneCost     = 100 * time.Millisecond
+	DefaultLendLimit = time.Second
+	DefaultZoneCost  = 100 * time.Millisecond
 )
 
 // New returns the policy of this release.
@@ -103,7 +102,7 @@
 	}
 	if s.Zones != (Zones{}) {
 		p.Preferences = []Filter{s.Zones}
-		p.Scorers = append(p.Scorers, zoneCost{zones: s.Zones})
+		p.Scorers = append(p.Scorers, zoneCost{cost: s.Zones.Cost})
 	}
 	return p
 }
--- a/core/request/class/class.go
+++ b/core/request/class/class.go
@@ -21,18 +21,17 @@
 	// that lie below the upper bounds of Short and of Medium.
 	ShortShare  = 1.0 / 3
 	MediumShare = 2.0 / 3
-	// Warmup is the number of observations before which the first bounds
-	// hold.
-	Warmup = 200
 	// Refresh is the number of observations between two computations of the
 	// bounds.
-	Refresh = 64
+	Refresh = 8
 )
 
-// Bounds of the classes before Warmup, in tokens.
+// What a new daemon assumes: the same work in prompts of each of some lengths,
+// each twice the one before. It counts like observed work and fades like it.
 const (
-	FirstShort  = 8000
-	FirstMedium = 64000
+	PriorLengths = 9
+	PriorFirst   = 1000
+	PriorTokens  = 400_000
 )
 
 // Bounds are the largest prompts of the classes Short and Medium, in tokens.
@@ -66,11 +65,26 @@
 
 // Observe takes in a prompt's length in tokens.
 func (m *Mix) Observe(promptTokens int) {
+	m.assume()
 	m.sketch.add(promptTokens, float64(promptTokens))
 	m.seen++
-	if m.seen < Warmup || m.seen%Refresh != 0 {
+	if m.seen%Refresh == 0 {
+		m.refresh()
+	}
+}
+
+// assume puts in what a new daemon assumes.
+func (m *Mix) assume() {
+	if m.bounds != (Bounds{}) {
 		return
 	}
+	for i := range PriorLengths {
+		m.sketch.add(PriorFirst<<i, PriorTokens/PriorLengths)
+	}
+	m.refresh()
+}
+
+func (m *Mix) refresh() {
 	m.bounds = Bounds{
 		Short:  m.sketch.quantile(ShortShare),
 		Medium: m.sketch.quantile(MediumShare),
@@ -79,12 +93,17 @@
 
 // Bounds returns the bounds that hold now.
 func (m *Mix) Bounds() Bounds {
-	if m.bounds == (Bounds{}) {
-		return Bounds{Short: FirstShort, Medium: FirstMedium}
-	}
+	m.assume()
 	return m.bounds
 }
 
+// WorkBelow returns the share of prefill work, in tokens, that lies in prompts
+// of at most so many tokens.
+func (m *Mix) WorkBelow(promptTokens int) float64 {
+	m.assume()
+	return m.sketch.below(promptTokens)
+}
+
 // Answers is the mix of answer lengths and speeds that a daemon has seen of late. The
 // zero value is ready for use. It is not safe for concurrent use.
 type Answers struct {
--- a/core/request/class/sketch.go
+++ b/core/request/class/sketch.go
@@ -11,7 +11,7 @@
 	buckets = 176
 	// memory is the number of additions after which an old one has faded to
 	// a third.
-	memory = 4096
+	memory = 1024
 )
 
 // sketch is a histogram with logarithmic buckets and fading weights.
@@ -60,6 +60,22 @@
 	return upperBound(buckets - 1)
 }
 
+// below returns the share of all weight in the buckets up to that of a value.
+func (s *sketch) below(value int) float64 {
+	var total, sum float64
+	last := bucketOf(value)
+	for i, w := range s.weights {
+		total += w
+		if i <= last {
+			sum += w
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return sum / total
+}
+
 func bucketOf(value int) int {
 	if value <= 1 {
 		return 0
--- a/core/request/span/plan.go
+++ b/core/request/span/plan.go
@@ -47,15 +47,13 @@
 }
 
 // Engines returns the engines among candidates that may hold a part of a
-// request, those with the shortest queue first. Targets that are reserved for
-// short prefills are left out.
-func Engines(
-	r *facts.Request, candidates []choice.Candidate, zones choice.Zones, address func(names.Target) string,
-) []Engine {
+// request, those with the shortest queue first. Targets of the reserve are left
+// out.
+func Engines(r *facts.Request, candidates []choice.Candidate, address func(names.Target) string) []Engine {
 	var engines []Engine
 	for i := range candidates {
 		c := &candidates[i]
-		if !mayHold(r, c) || c.Rank < zones.ShortReserve {
+		if !mayHold(r, c) || c.Reserved {
 			continue
 		}
 		memory := float64(c.Report.TotalBlocks*c.Report.BlockTokens) * UsableMemory
--- a/tools/experiment/run.go
+++ b/tools/experiment/run.go
@@ -32,6 +32,7 @@
 	daemons int
 	// whole selects engines that never interrupt a prefill.
 	whole bool
+	mix   mix
 }
 
 // run is one run of a policy over a workload.
