--- a/tools/load/measure/recorder.go
+++ b/tools/load/measure/recorder.go
@@ -12,6 +12,9 @@
 
 // Sample is what became of one request.
 type Sample struct {
+	// Request names the request, Limit is its time.
+	Request string
+	Limit   time.Duration
 	// At is when it should have been sent, from the start of the run.
 	At    time.Duration
 	Class string
@@ -46,6 +49,7 @@
 	timeline []Second
 	requests int
 	checks   Checks
+	broken   []Broken
 }
 
 type groupKey struct {
@@ -92,8 +96,20 @@
 	if s.Overdue {
 		r.checks.Overdue++
 	}
+	if (s.Wrong || s.Overdue) && len(r.broken) < MaxBroken {
+		r.broken = append(r.broken, s.asBroken())
+	}
 }
 
+func (s Sample) asBroken() Broken {
+	return Broken{
+		Request: s.Request, Class: s.Class, Wrong: s.Wrong, Verdict: s.Verdict.String(), Code: s.Code,
+		AtMS: asMillis(s.At), TotalMS: asMillis(s.Total), LimitMS: asMillis(s.Limit),
+	}
+}
+
+func asMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // Fill puts what was recorded into a result.
 func (r *Recorder) Fill(result *Result) error {
 	r.mu.Lock()
@@ -104,6 +120,7 @@
 	}
 	result.Requests = r.requests
 	result.Timeline = slices.Clone(r.timeline)
+	result.Broken = slices.Clone(r.broken)
 	result.Checks.WrongTokens = r.checks.WrongTokens
 	result.Checks.Overdue = r.checks.Overdue
 	for key, c := range r.groups {
@@ -187,6 +204,6 @@
 		entry.Failed++
 	}
 	if s.Short {
-		entry.WorstFirstTokenMS = max(entry.WorstFirstTokenMS, float64(s.FirstToken)/float64(time.Millisecond))
+		entry.WorstFirstTokenMS = max(entry.WorstFirstTokenMS, asMillis(s.FirstToken))
 	}
 }
--- a/tools/load/measure/result.go
+++ b/tools/load/measure/result.go
@@ -24,6 +24,24 @@
 	// Timeline is the run by second of arrival.
 	Timeline []Second `json:"timeline"`
 	Checks   Checks   `json:"checks"`
+	// Broken are the requests with wrong tokens or an end after their time,
+	// up to MaxBroken.
+	Broken []Broken `json:"broken"`
+}
+
+// MaxBroken bounds Result.Broken.
+const MaxBroken = 100
+
+// Broken is a request whose promise was broken.
+type Broken struct {
+	Request string  `json:"request"`
+	Class   string  `json:"class"`
+	AtMS    float64 `json:"at_ms"`
+	TotalMS float64 `json:"total_ms"`
+	LimitMS float64 `json:"limit_ms"`
+	Wrong   bool    `json:"wrong"`
+	Verdict string  `json:"verdict"`
+	Code    string  `json:"code"`
 }
 
 // Phases of a group.
--- a/tools/load/report/text.go
+++ b/tools/load/report/text.go
@@ -10,6 +10,9 @@
 	"github.com/pkg/errors"
 )
 
+// maxBrokenLines bounds how many broken requests a text lists.
+const maxBrokenLines = 10
+
 // percent is a share in a hundred.
 const percent = 100
 
@@ -61,6 +64,10 @@
 			}
 		}
 	}
+	for _, b := range r.Broken[:min(len(r.Broken), maxBrokenLines)] {
+		fmt.Fprintf(&text, "\nbroken: %s (%s) at %.0f ms took %.0f of %.0f ms, wrong tokens %t, %s %s",
+			b.Request, b.Class, b.AtMS, b.TotalMS, b.LimitMS, b.Wrong, b.Verdict, b.Code)
+	}
 	c := r.Checks
 	fmt.Fprintf(&text, "\n\nwrong tokens %d, overdue %d\n", c.WrongTokens, c.Overdue)
 	if c.Ran {
--- a/tools/load/run.go
+++ b/tools/load/run.go
@@ -133,6 +133,8 @@
 func (r *runner) sample(request *workload.Request, due, sent time.Time, answer caller.Answer) measure.Sample {
 	ended := time.Since(due)
 	s := measure.Sample{
+		Request: request.Name(),
+		Limit:   request.Timeout,
 		At:      request.At,
 		Class:   request.Class,
 		Crest:   request.Crest,
