--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -300,6 +300,15 @@
 	}
 }
 
+// SetMaxReserve bounds the share of the targets in the reserve from now on.
+// Zero means the default.
+func (c *Controller) SetMaxReserve(share float64) {
+	if share <= 0 {
+		share = DefaultMaxReserve
+	}
+	c.settings.MaxReserve = share
+}
+
 // smallestReserve is a share that only the first of several targets is below.
 const smallestReserve = 1e-6
 
--- a/core/version/manifest/manifest.go
+++ b/core/version/manifest/manifest.go
@@ -51,8 +51,8 @@
 type Policy struct {
 	// RetryBudget is the share of fresh requests that may be retries.
 	RetryBudget float64 `toml:"retry_budget" json:"retry_budget"`
-	// ShortReserve is the share of each engine's capacity that only short
-	// prompts may use.
+	// ShortReserve bounds the share of a model's engines that are reserved
+	// for short prefills; the reserve itself follows the mix of prompts.
 	ShortReserve float64 `toml:"short_reserve" json:"short_reserve"`
 	// Keepers is the number of daemons that watch each target and pass
 	// requests to it; zero leaves it to the fleet's size.
--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -166,7 +166,7 @@
 		Crashes:     answer.NewCrashes(time.Now, d.tellCrashes),
 		Tickets:     ring,
 		Abandoned:   dispatch.NewAbandoned(func() { d.counters.Add("abandon_queue_full", 1) }),
-		Spans:       dispatch.Spans{Zones: chosen.Zones, MaxEngines: admission.DefaultSpanEngines},
+		Spans:       dispatch.Spans{MaxEngines: admission.DefaultSpanEngines},
 		Ready:       d.ready,
 	}
 }
--- a/serving/process/daemon/thin.go
+++ b/serving/process/daemon/view.go
@@ -69,6 +69,7 @@
 	d.members.Regions(regions)
 	d.calls.Observe(hosts, v.Version.Manifest.Fleet.ExpectedDaemons)
 	d.retries.SetShare(v.Version.Manifest.Policy.RetryBudget)
+	d.admitter.SetMaxReserve(v.Version.Manifest.Policy.ShortReserve)
 	d.keepTargets(v)
 }
 
--- a/serving/request/dispatch/admitter.go
+++ b/serving/request/dispatch/admitter.go
@@ -66,6 +66,14 @@
 	a.controller.Report(time.Now(), r)
 }
 
+// SetMaxReserve bounds the share of targets that are reserved for short
+// prefills; zero means the default.
+func (a *Admitter) SetMaxReserve(share float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.SetMaxReserve(share)
+}
+
 // Keep sets the targets that this daemon keeps.
 func (a *Admitter) Keep(specs []load.Spec) {
 	a.mu.Lock()
--- a/serving/request/dispatch/span.go
+++ b/serving/request/dispatch/span.go
@@ -9,7 +9,6 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/keeping"
 	"carobspoke.example/core/process/load"
-	"carobspoke.example/core/request/choice"
 	"carobspoke.example/core/request/span"
 	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
@@ -20,8 +19,6 @@
 
 // Spans says how prompts over one engine's memory are run.
 type Spans struct {
-	// Zones are those of the choice of single engines.
-	Zones choice.Zones
 	// MaxEngines is the most engines that one prompt may use.
 	MaxEngines int
 }
@@ -46,7 +43,7 @@
 		}
 		return ""
 	}
-	engines := span.Engines(&r.Facts, d.Admitter.Candidates(r.Facts.Model), d.Spans.Zones, address)
+	engines := span.Engines(&r.Facts, d.Admitter.Candidates(r.Facts.Model), address)
 	return span.Make(&r.Facts, engines, d.Spans.MaxEngines, time.Now())
 }
 
