Flush an engine's header before its first token

Cause: TestResumeNeitherLosesNorRepeatsATokenAfterACut failed once: tokens that were there already were written with the header, and a cut took both away, so that the submit itself failed. Change: the stand-in flushes the header, which bears the load report, at once. Conclusion: the stand-in tells that it has accepted a stream before it runs.

--- a/tools/history/crash_test.go
+++ b/tools/history/crash_test.go
@@ -21,12 +21,12 @@
 )
 
 const (
-	crashDaemons = 9
-	crashEngines = 12
-	isolations   = 2
-	crashingSends  = 50
-	innocents    = 120
-	crashing       = "crashing"
+	crashDaemons  = 9
+	crashEngines  = 12
+	isolations    = 2
+	crashingSends = 50
+	innocents     = 120
+	crashing      = "crashing"
 	// gossip is the time between two rounds in which each daemon tells its
 	// digests to one other.
 	gossip = 100 * time.Millisecond
--- a/tools/standin/engine/routes.go
+++ b/tools/standin/engine/routes.go
@@ -76,6 +76,9 @@
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
+	if controller.Flush() != nil {
+		return
+	}
 	encoder := json.NewEncoder(w)
 	for {
 		next, end, changed := e.look(s)
