Draw distributions with more points

Cause: curves of eight points hide the shape. Change: ten points for each halving of the rest; the timeline's legend on the left.

--- a/tools/load/measure/latency.go
+++ b/tools/load/measure/latency.go
@@ -8,11 +8,14 @@
 	"github.com/pkg/errors"
 )
 
-// Range and precision of histograms, in microseconds.
+// Range of histograms in microseconds, and their precision.
 const (
 	lowest  = 1
 	highest = int64(time.Hour / time.Microsecond)
 	figures = 3
+	// ticksPerHalf is the number of points of a cumulative distribution in
+	// each halving of what is left to 100%.
+	ticksPerHalf = 10
 )
 
 // Latency is a distribution of durations, in milliseconds.
@@ -45,7 +48,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "histogram")
 	}
-	brackets := h.CumulativeDistribution()
+	brackets := h.CumulativeDistributionWithTicks(ticksPerHalf)
 	points := make([]Point, 0, len(brackets))
 	for _, b := range brackets {
 		points = append(points, Point{Percentile: b.Quantile, MS: millis(b.ValueAt)})
--- a/tools/load/report/figure.go
+++ b/tools/load/report/figure.go
@@ -130,6 +130,7 @@
 	p.Y.Label.Text = "requests a second"
 	p.Y.Min = 0
 	p.Legend.Top = true
+	p.Legend.Left = true
 	for i, r := range results {
 		offered := make(plotter.XYs, len(r.Timeline))
 		whole := make(plotter.XYs, len(r.Timeline))
