Check that closed engines leave no goroutine

Cause: a closed stand-in that restarts itself after a crash would outlive its test. Change: a restart and a close exclude each other under one lock; the engine's tests fail on goroutines left behind. Conclusion: the engine's tests pass with the check.

--- a/tools/standin/engine/seed_test.go
+++ b/tools/standin/engine/main_test.go
@@ -1,6 +1,11 @@
 package engine
 
-import "flag"
+import (
+	"flag"
+	"testing"
+
+	"go.uber.org/goleak"
+)
 
 // The seed of property tests is fixed unless the command line gives another.
 func init() {
@@ -8,3 +13,6 @@
 		panic(err)
 	}
 }
+
+// TestMain fails if an engine that was closed leaves a goroutine behind.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/tools/standin/fault/server.go
+++ b/tools/standin/fault/server.go
@@ -82,13 +82,9 @@
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	refused := s.closed || s.server != nil
-	s.mu.Unlock()
-	if refused {
+	if !s.serve(listener) {
 		return errors.Wrap(listener.Close(), "close")
 	}
-	s.serve(listener)
 	return nil
 }
 
@@ -112,12 +108,17 @@
 	return nil, errors.Wrap(last, "listen again")
 }
 
-func (s *Server) serve(listener net.Listener) {
-	server := &http.Server{Handler: s}
+// serve reports false if the server is closed or listens already.
+func (s *Server) serve(listener net.Listener) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.server != nil {
+		return false
+	}
+	server := &http.Server{Handler: s}
 	s.server = server
-	s.mu.Unlock()
 	go server.Serve(listener) //nolint:errcheck // it ends with ErrServerClosed
+	return true
 }
 
 // ServeHTTP applies the faults around the stand-in's handler.
