Ask engines for two priorities, not one for each class

Cause: with a priority for each class a long prefill waited for one medium prefill after the other.

Change: Short above all other classes.

--- a/core/request/admission/settings.go
+++ b/core/request/admission/settings.go
@@ -5,6 +5,7 @@
 
 	"carobspoke.example/core/request/choice"
 	"carobspoke.example/core/request/facts"
+	"carobspoke.example/core/target"
 )
 
 // Settings parametrise a controller.
@@ -63,10 +64,15 @@
 
 // classPriorities is the number of engine priorities that each caller's
 // priority is split into.
-const classPriorities = 4
+const classPriorities = 2
 
 // Priority returns the priority to ask of an engine: that of the caller first,
-// and within it shorter classes above longer ones.
+// and within it Short above all other classes. Medium above Long would keep a
+// long prefill waiting for one medium prefill after the other.
 func Priority(r *facts.Request) int {
-	return classPriorities*r.Priority + classPriorities - 1 - int(r.Class)
+	priority := classPriorities * r.Priority
+	if r.Class == target.Short {
+		priority++
+	}
+	return priority
 }
--- a/tools/experiment/result.go
+++ b/tools/experiment/result.go
@@ -17,6 +17,8 @@
 	waits     []time.Duration
 	// slowdowns are waits in relation to the same prompt's at an idle engine.
 	slowdowns []float64
+	// timely counts first tokens within firstTokenBound.
+	timely int
 }
 
 // result is what a run measured.
@@ -38,6 +40,9 @@
 	wait := now.Sub(a.sent)
 	t.waits = append(t.waits, wait)
 	t.slowdowns = append(t.slowdowns, float64(wait)/float64(a.job.unloaded()))
+	if wait <= a.job.firstTokenBound() {
+		t.timely++
+	}
 }
 
 func (r *result) completed(a *attempt, now time.Time) {
@@ -84,6 +89,7 @@
 	t.started += o.started
 	t.completed += o.completed
 	t.late += o.late
+	t.timely += o.timely
 	t.waits = append(t.waits, o.waits...)
 	t.slowdowns = append(t.slowdowns, o.slowdowns...)
 }
--- a/tools/experiment/table.go
+++ b/tools/experiment/table.go
@@ -19,6 +19,7 @@
 		{"short p95 ms", func(m *measured) string { return ms(quantile(m.steady.kinds[shortPrompt].waits, p95)) }},
 		{"medium slowed", func(m *measured) string { return ratio(&m.steady, mediumPrompt) }},
 		{"long slowed", func(m *measured) string { return ratio(&m.steady, longPrompt) }},
+		{"in bound short/medium/long", func(m *measured) string { return timely(&m.steady) }},
 		{"refused", func(m *measured) string { return percent(len(m.steady.refusals), m.steady.attempts()) }},
 		{"crest goodput", func(m *measured) string { return fmt.Sprintf("%.0f%%", 100*m.crestGoodput) }},
 		{"late", func(m *measured) string { return percent(m.crest.late(), m.crest.started()) }},
@@ -83,6 +84,16 @@
 	return strings.Join(parts, " ")
 }
 
+// timely is the share of first tokens of each kind that came in bound.
+func timely(r *result) string {
+	parts := make([]string, kinds)
+	for i := range r.kinds {
+		t := &r.kinds[i]
+		parts[i] = fmt.Sprintf("%.0f%%", 100*float64(t.timely)/float64(max(len(t.waits), 1)))
+	}
+	return strings.Join(parts, " ")
+}
+
 // writeTable prints one row for each policy, in Markdown.
 func writeTable(w io.Writer, title string, columns []column, rows []*measured) error {
 	var b strings.Builder
--- a/tools/experiment/workload.go
+++ b/tools/experiment/workload.go
@@ -88,6 +88,18 @@
 	return t
 }
 
+// Bounds on the time to the first token.
+const (
+	firstTokenTime  = 1900 * time.Millisecond
+	firstTokenRatio = 1.3
+)
+
+// firstTokenBound is the time within which the first token should come: a
+// constant, or in relation to an idle engine if that alone takes long.
+func (j *job) firstTokenBound() time.Duration {
+	return max(firstTokenTime, time.Duration(firstTokenRatio*float64(j.unloaded())))
+}
+
 // patience is the time within which the caller needs the whole answer.
 func (j *job) patience() time.Duration {
 	if j.hurry {
