--- a/serving/process/membership/membership.go
+++ b/serving/process/membership/membership.go
@@ -68,6 +68,8 @@
 	all     atomic.Pointer[[]core.Member]
 	awake   atomic.Bool
 	stamp   atomic.Int64
+	// exported is when the gauges were last updated.
+	exported time.Time
 }
 
 // headerBytes are the headers of UDP and IPv4.
@@ -172,6 +174,7 @@
 		m.perform(action)
 	}
 	m.publish(now)
+	m.export(now)
 	m.config.Worked(time.Since(now))
 }
 
