--- a/core/process/membership/machine.go
+++ b/core/process/membership/machine.go
@@ -106,6 +106,9 @@
 // the order of their hosts. They may be serving on the other side of a
 // partition.
 func (m *Machine) Unreachable() []Member {
+	if len(m.table.ring) == len(m.table.byHost) {
+		return nil
+	}
 	return m.collect(func(e *entry) bool { return e.State == Dead && e.Region != m.self.Region })
 }
 
--- a/tools/slopes/membership.go
+++ b/tools/slopes/membership.go
@@ -47,11 +47,15 @@
 	// replacement is what one death and rejoining costs each member beyond
 	// the quiet rate, in bytes.
 	replacement []float64
+	rack        outageCosts
 	outage      outageCosts
 	complete    bool
 }
 
-// outageCosts are those of a data centre that dies at once and starts again.
+// rackHosts is the number of daemons in a rack.
+const rackHosts = 20
+
+// outageCosts are those of daemons that die at once and start again.
 type outageCosts struct {
 	known, back time.Duration
 	peak        uint64
@@ -108,7 +112,8 @@
 	for i := range o.Deaths {
 		c.kill(net, n, (i*7+3)%n)
 	}
-	c.outage = c.loseDataCentre(net, n)
+	c.rack = c.lose(net, n, "dc4", rackHosts)
+	c.outage = c.lose(net, n, "dc5", n)
 	c.split(net, n, o)
 	c.lossy(n, o)
 	return c
@@ -271,15 +276,14 @@
 	return sum
 }
 
-// loseDataCentre stops all nodes of a data centre, waits until all others know,
-// and starts them anew.
-func (c *fleetCosts) loseDataCentre(net *fakenet.Net, n int) outageCosts {
-	const lost = names.DataCentre("dc5")
+// lose stops up to most nodes of a data centre, waits until all others know, and
+// starts them anew.
+func (c *fleetCosts) lose(net *fakenet.Net, n int, lost names.DataCentre, most int) outageCosts {
 	var o outageCosts
 	var hosts []names.Host
 	takePeak(net)
 	for _, v := range net.Nodes {
-		if v.Machine.Self().DataCentre == lost {
+		if v.Machine.Self().DataCentre == lost && len(hosts) < most {
 			v.Down = true
 			hosts = append(hosts, v.Host)
 		}
--- a/tools/slopes/membership_table.go
+++ b/tools/slopes/membership_table.go
@@ -50,9 +50,10 @@
 func failureTable(p *printer, o Options, costs []fleetCosts) {
 	p.line("### Membership: what failures cost each daemon")
 	p.line("")
-	p.header("daemons", "one daemon replaced: B beyond the quiet rate, mean", "data centre lost: all know", "data centre back: all know", "highest second of it, B sent")
+	p.header("daemons", "one daemon replaced: B beyond the quiet rate, mean", "rack of 20 lost: all know", "rack back: all know", "data centre lost: all know", "data centre back: all know", "highest second of a data centre, B sent")
 	for i, c := range costs {
-		p.row(fmt.Sprint(o.Sizes[i]), number(mean(c.replacement)), seconds(c.outage.known), seconds(c.outage.back), fmt.Sprint(c.outage.peak))
+		p.row(fmt.Sprint(o.Sizes[i]), number(mean(c.replacement)),
+			seconds(c.rack.known), seconds(c.rack.back), seconds(c.outage.known), seconds(c.outage.back), fmt.Sprint(c.outage.peak))
 	}
 	p.line("")
 }
