--- a/tools/dev/dev.go
+++ b/tools/dev/dev.go
@@ -199,12 +199,18 @@
 	s.Admin.Listen = listeners.Admin.Addr().String()
 	s.Admin.KeyDigests = []names.Digest{names.Digest(hex.EncodeToString(adminDigest[:]))}
 	s.Peer.FleetKeys = []string{d.fleetKey}
+	if d.manifest.Fleet.ExpectedDaemons == 1 {
+		s.Peer.AloneAfter = settings.Duration{Duration: loneStart}
+	}
 	d.secure(s)
 	s.Platform.Address = d.Fleet.Platform().Address()
 	s.Manifest.PublicKey = hex.EncodeToString(d.key.Public().(ed25519.PublicKey)) //nolint:forcetypeassert // an Ed25519 key has no other public key
 	return s, listeners, s.Check()
 }
 
+// loneStart is how long the only daemon of a fleet waits for peers.
+const loneStart = 500 * time.Millisecond
+
 // secure switches TLS on if there is an authority.
 func (d *Dev) secure(s *settings.Settings) {
 	a := d.config.Authority
