Explain with the controller's own decision

Cause: carobspoke explain chose without the reserve, deadlines and fair shares. Change: the controller says what it would answer, and changes nothing. Conclusion: an explanation is the decision.

--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -169,23 +169,46 @@
 	return c.place(now, m, &a, candidates)
 }
 
-// place chooses a target, and refuses if it cannot serve the request in time.
+// Explain says what Arrive would answer, with all steps, and changes nothing
+// but the random numbers to come.
+func (c *Controller) Explain(now time.Time, a Arrival) Action {
+	a.Explain = true
+	m := c.model(a.Request.Model)
+	candidates := c.candidates(&a, now)
+	c.setReserve(m, candidates)
+	a.Request.Class = classify(m, &a.Request, largestEngine(candidates))
+	if a.Request.Class == target.Spanning {
+		return Action{Kind: Span, Request: a.Request}
+	}
+	action, _ := c.decide(now, m, &a, candidates)
+	return action
+}
+
+// place starts a request at the target that is chosen for it, or refuses it.
 func (c *Controller) place(now time.Time, m *modelState, a *Arrival, candidates []choice.Candidate) Action {
+	action, chosen := c.decide(now, m, a, candidates)
+	if action.Kind == Start {
+		c.start(now, a, chosen)
+	}
+	return action
+}
+
+// decide chooses a target, and refuses if it cannot serve the request in time.
+func (c *Controller) decide(now time.Time, m *modelState, a *Arrival, candidates []choice.Candidate) (Action, *choice.Candidate) {
 	d := c.chooser.Choose(a.Request, candidates, now, c.random, a.Explain)
 	if d.Refusal != nil {
-		return refusePlaced(a, d, c.withRetryAfter(d.Refusal, 0))
+		return refusePlaced(a, d, c.withRetryAfter(d.Refusal, 0)), nil
 	}
 	chosen := find(candidates, d.Target)
 	end := c.end(now, m, a, d, chosen)
 	if late := end.Sub(a.Request.Deadline); late > 0 && !a.Request.Deadline.IsZero() {
-		return refusePlaced(a, d, c.late(now, m, a, chosen, late))
+		return refusePlaced(a, d, c.late(now, m, a, chosen, late)), nil
 	}
 	limit := fairness.Limit(c.settings.limit(chosen.PrefillTime(&a.Request)), c.usage.Ratio(now, a.Request.Customer))
 	if over := chosen.QueueTime() - limit; over > 0 {
-		return refusePlaced(a, d, c.retryLater(verdict.Overloaded, "too much is waiting", over))
+		return refusePlaced(a, d, c.retryLater(verdict.Overloaded, "too much is waiting", over)), nil
 	}
-	c.start(now, a, chosen)
-	return Action{Kind: Start, Request: a.Request, Decision: d, Priority: Priority(&a.Request)}
+	return Action{Kind: Start, Request: a.Request, Decision: d, Priority: Priority(&a.Request)}, chosen
 }
 
 func (c *Controller) start(now time.Time, a *Arrival, chosen *choice.Candidate) {
--- a/serving/process/daemon/status.go
+++ b/serving/process/daemon/status.go
@@ -1,12 +1,13 @@
 package daemon
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"carobspoke.example/core/process/membership"
+	"carobspoke.example/core/request/admission"
 	"carobspoke.example/core/request/choice"
 	"carobspoke.example/core/request/facts"
+	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/manifest"
 	genadmin "carobspoke.example/serving/gen/admin"
 	"carobspoke.example/serving/process/admin"
@@ -109,14 +110,16 @@
 	}
 }
 
-// explain decides on a request without sending it. Its random numbers are
-// fixed, so that two explanations of one state are the same.
+// explain decides on a request without sending it.
 func (d *Daemon) explain(r facts.Request) admin.Explanation {
-	settings := choice.DefaultSettings()
-	settings.Region = d.regionOf
 	r.DataCentre = d.settings.DataCentre
-	r.Class = d.admitter.ClassOf(r.Model, r.PromptTokens)
-	candidates := d.admitter.Candidates(r.Model)
-	decision := choice.New(settings).Choose(r, candidates, time.Now(), rand.New(rand.NewPCG(1, 1)), true)
-	return admin.Explanation{Class: r.Class.String(), Decision: decision}
+	action := d.admitter.Explain(admission.Arrival{Request: r, Share: 1})
+	decision := action.Decision
+	if action.Kind == admission.Refuse {
+		decision.Refusal = action.Refusal
+	}
+	if action.Kind == admission.Span {
+		decision.Refusal = verdict.New(verdict.NotRun, verdict.SpanUnavailable, "the prompt would run on several engines")
+	}
+	return admin.Explanation{Class: action.Request.Class.String(), Decision: decision}
 }
--- a/serving/request/dispatch/admitter.go
+++ b/serving/request/dispatch/admitter.go
@@ -30,6 +30,13 @@
 	return a.controller.Arrive(time.Now(), arrival)
 }
 
+// Explain says what Arrive would answer.
+func (a *Admitter) Explain(arrival admission.Arrival) admission.Action {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.Explain(time.Now(), arrival)
+}
+
 // FirstToken tells that a started request's first token came.
 func (a *Admitter) FirstToken(id string) {
 	a.mu.Lock()
@@ -94,10 +101,3 @@
 	defer a.mu.Unlock()
 	return a.controller.Held()
 }
-
-// ClassOf returns the class that a prompt of a model has at present.
-func (a *Admitter) ClassOf(model names.Model, promptTokens int) target.Class {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.controller.Bounds(model).Classify(promptTokens, 0)
-}
