Let a bench replace the daemon's networks; tell members' versions

Cause: partitions could not be caused with whole daemons; a side that missed a version in a partition learned it by polling only. Change: options for the datagrams' network and the dialling of peers; the distribution sees the version that each member reports.

--- a/serving/connection/peers/peers.go
+++ b/serving/connection/peers/peers.go
@@ -8,7 +8,9 @@
 package peers
 
 import (
+	"context"
 	"crypto/tls"
+	"net"
 	"sync"
 	"time"
 
@@ -34,6 +36,9 @@
 	IdleTimeout = 5 * time.Minute
 )
 
+// Dialer connects to an address, "IP:port".
+type Dialer = func(ctx context.Context, address string) (net.Conn, error)
+
 // Pool holds the connections of a process. Its methods are safe for
 // concurrent use.
 type Pool struct {
@@ -44,13 +49,13 @@
 }
 
 // NewPool returns an empty pool. config is nil for plain TCP; meter counts
-// calls.
-func NewPool(config *tls.Config, meter stats.Handler) *Pool {
+// calls; dial connects to an address, and is nil for TCP.
+func NewPool(config *tls.Config, meter stats.Handler, dial Dialer) *Pool {
 	creds := insecure.NewCredentials()
 	if config != nil {
 		creds = credentials.NewTLS(config)
 	}
-	return &Pool{
+	p := &Pool{
 		conns: make(map[names.Host]*grpc.ClientConn),
 		options: []grpc.DialOption{
 			grpc.WithTransportCredentials(creds),
@@ -65,6 +70,10 @@
 			),
 		},
 	}
+	if dial != nil {
+		p.options = append(p.options, grpc.WithContextDialer(dial))
+	}
+	return p
 }
 
 // Conn returns the connection to a peer, which may still be connecting.
--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -75,11 +75,11 @@
 func (d *Daemon) buildPeers() {
 	meter := budget.CallMeter{Meter: d.meter}
 	if d.peerTLS == nil {
-		d.pool = peers.NewPool(nil, meter)
+		d.pool = peers.NewPool(nil, meter, d.dial)
 		d.peerServer = peers.NewServer(nil, meter)
 		return
 	}
-	d.pool = peers.NewPool(d.peerTLS.MutualClientConfig(), meter)
+	d.pool = peers.NewPool(d.peerTLS.MutualClientConfig(), meter, d.dial)
 	d.peerServer = peers.NewServer(d.peerTLS.MutualServerConfig(), meter)
 }
 
--- a/serving/process/daemon/daemon.go
+++ b/serving/process/daemon/daemon.go
@@ -53,6 +53,11 @@
 	Listeners Listeners
 	// Platform replaces the HTTP client of the platform, for another bench.
 	Platform platform.Platform
+	// Network opens the socket for datagrams between daemons, and Dial
+	// connects to a peer; nil means UDP and TCP. A test may lose, delay or
+	// cut what goes through them.
+	Network func(host names.Host) (membership.Network, error)
+	Dial    func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Daemon is one incarnation.
@@ -62,6 +67,8 @@
 	incarnation names.Incarnation
 	listeners   Listeners
 	platform    platform.Platform
+	network     func(host names.Host) (membership.Network, error)
+	dial        func(ctx context.Context, address string) (net.Conn, error)
 	callerTLS   *tls.Config
 	peerTLS     *tlskeys.Pair
 
@@ -102,12 +109,20 @@
 		incarnation: names.Incarnation(time.Now().UnixNano()),
 		listeners:   o.Listeners,
 		platform:    o.Platform,
+		network:     o.Network,
+		dial:        o.Dial,
 		counters:    counters.New(),
 		versions:    &version.Holder{},
 		transport:   targetapi.NewTransport(),
 		meter:       &budget.Meter{},
 	}
 	d.polling = &budget.Transport{Next: targetapi.NewTransport(), Meter: d.meter, Mechanism: core.Keeping}
+	if d.network == nil {
+		d.network = membership.ListenUDP
+	}
+	if d.dial == nil {
+		d.dial = dialTCP
+	}
 	if d.platform == nil {
 		transport := &budget.Transport{Next: targetapi.NewTransport(), Meter: d.meter, Mechanism: core.Platform}
 		d.platform = platform.NewClient(o.Settings.Platform.Address, transport)
@@ -122,6 +137,11 @@
 	return d, nil
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 func (d *Daemon) loadKeys() error {
 	if caller := d.settings.Caller; caller.CertFile != "" {
 		pair, err := tlskeys.Load(caller.CertFile, caller.KeyFile, "")
--- a/serving/process/daemon/members.go
+++ b/serving/process/daemon/members.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	network, err := membership.ListenUDP(d.Host())
+	network, err := d.network(d.Host())
 	if err != nil {
 		return err
 	}
--- a/serving/process/daemon/peers.go
+++ b/serving/process/daemon/peers.go
@@ -20,7 +20,9 @@
 	list := make([]distribution.Member, 0, len(members))
 	for i := range members {
 		if members[i].Host != p.d.Host() {
-			list = append(list, distribution.Member{Host: members[i].Host, DataCentre: members[i].DataCentre})
+			list = append(list, distribution.Member{
+				Host: members[i].Host, DataCentre: members[i].DataCentre, Version: members[i].Version,
+			})
 		}
 	}
 	return list
--- a/serving/request/calls/calls_test.go
+++ b/serving/request/calls/calls_test.go
@@ -141,7 +141,7 @@
 	peer := &dyingPeer{server: grpc.NewServer()}
 	peerpb.RegisterForwardingServer(peer.server, peer)
 	go peer.server.Serve(listener) //nolint:errcheck // it ends when the peer dies
-	pool := peers.NewPool(nil, budget.CallMeter{Meter: &budget.Meter{}})
+	pool := peers.NewPool(nil, budget.CallMeter{Meter: &budget.Meter{}}, nil)
 	defer pool.Close()
 	client := &GRPCPeers{Conn: pool.Conn}
 	host := names.Host(listener.Addr().String())
--- a/tools/dev/dev.go
+++ b/tools/dev/dev.go
@@ -48,6 +48,8 @@
 	// Adjust changes the first manifest before it is published, if set.
 	Adjust func(*manifest.Manifest)
 	Log    *zap.Logger
+	// Options changes what each daemon is made of, if set.
+	Options func(*daemon.Options)
 }
 
 // Dev is a running fleet.
@@ -144,11 +146,15 @@
 	if err != nil {
 		return nil, err
 	}
-	added, err := daemon.New(daemon.Options{
+	options := daemon.Options{
 		Settings:  s,
 		Log:       d.config.Log.With(zap.String("host", string(s.Host))),
 		Listeners: listeners,
-	})
+	}
+	if d.config.Options != nil {
+		d.config.Options(&options)
+	}
+	added, err := daemon.New(options)
 	if err != nil {
 		return nil, err
 	}
--- a/tools/history/sockets_test.go
+++ b/tools/history/sockets_test.go
@@ -25,6 +25,7 @@
 	"carobspoke.example/serving/connection/targetapi"
 	gencalls "carobspoke.example/serving/gen/calls"
 	"carobspoke.example/serving/peerpb"
+	"carobspoke.example/serving/process/budget"
 	"carobspoke.example/serving/request/calls"
 	"carobspoke.example/serving/request/retries"
 )
@@ -157,7 +158,7 @@
 		t.Fatal(err)
 	}
 	front := newCutter(t, listener.Addr().String())
-	pool := peers.NewPool(nil, nil)
+	pool := peers.NewPool(nil, budget.CallMeter{Meter: &budget.Meter{}}, nil)
 	t.Cleanup(pool.Close)
 	transport := targetapi.NewTransport()
 	t.Cleanup(transport.CloseIdleConnections)
