Lease daemons a larger part of a busy customer's quota

Cause: at 830 daemons a daemon's bucket was smaller than a request, and each request of a busy customer needed a question to its home. Change: the home leases a larger static part with each answer and takes it out of the pool's rate; buckets of large fleets hold 60 s.

--- a/core/process/quota/local.go
+++ b/core/process/quota/local.go
@@ -32,6 +32,8 @@
 // account is a customer's state at one daemon.
 type account struct {
 	bucket
+	// leasedUntil is until when the daemon has the larger static part.
+	leasedUntil time.Time
 	// deniedUntil is until when the home need not be asked.
 	deniedUntil time.Time
 	// used and usedAt measure the rate of use, for status.
@@ -83,6 +85,7 @@
 // Granted takes in the home's answer for a request of so many tokens.
 func (l *Local) Granted(c names.Customer, quota, tokens float64, g Grant, fleet Fleet, now time.Time) Decision {
 	a := l.account(c, quota, fleet, now)
+	a.leasedUntil = now.Add(g.Lease)
 	if g.Tokens <= 0 {
 		a.deniedUntil = now.Add(min(g.RetryAfter, DenialKept))
 		return Decision{Outcome: Refused, RetryAfter: g.RetryAfter}
@@ -99,7 +102,7 @@
 		a.take(tokens, now)
 		return Decision{Outcome: Admitted}
 	}
-	return Decision{Outcome: Refused, RetryAfter: a.wait(1, fleet.static(quota))}
+	return Decision{Outcome: Refused, RetryAfter: a.wait(1, fleet.static(quota, a.leased(now)))}
 }
 
 // Use is a customer's rate of use at this daemon.
@@ -125,17 +128,21 @@
 }
 
 func (l *Local) account(c names.Customer, quota float64, fleet Fleet, now time.Time) *account {
-	rate := fleet.static(quota)
 	a, ok := l.accounts[c]
 	if !ok {
 		evict(l.accounts, func(a *account) time.Time { return a.at })
-		a = &account{bucket: bucket{level: rate * BurstTime.Seconds(), at: now}, usedAt: now}
+		level := fleet.static(quota, false) * fleet.burst().Seconds()
+		a = &account{bucket: bucket{level: level, at: now}, usedAt: now}
 		l.accounts[c] = a
 	}
-	a.fill(rate, now)
+	a.fill(fleet.static(quota, a.leased(now)), fleet.burst(), now)
 	return a
 }
 
+// leased reports whether the daemon has the larger static part. A lease counts
+// only if it covered all of the time since the bucket was last filled.
+func (a *account) leased(now time.Time) bool { return now.Before(a.leasedUntil) }
+
 func (a *account) take(tokens float64, now time.Time) {
 	a.level -= tokens
 	a.decay(now)
--- a/core/process/quota/quota.go
+++ b/core/process/quota/quota.go
@@ -9,6 +9,11 @@
 // quota therefore cost no messages, and a burst at one daemon is known to all
 // through one bucket.
 //
+// With each grant a home leases the daemon a larger static part, so that a
+// customer which is busy at many daemons soon needs no questions: the pool gives
+// up exactly what its leases add. Leases end at the daemon before they do at the
+// home.
+//
 // A daemon asks AsksPerSecond times a second at most, so that control stays
 // within its budget when many customers are near their quotas; beyond that it
 // admits from its own bucket only.
@@ -17,7 +22,8 @@
 // that cannot be reached keep their proportional part: the static part is
 // divided by all known daemons and the pool is scaled by the reachable ones,
 // so that two sides of a partition hand out one quota between them. A home
-// that starts, or takes over, begins with an empty pool.
+// that starts, or takes over, begins with an empty pool, and fills it for the
+// length of a lease as if every daemon had one.
 //
 // What is not promised: a request larger than all that is there is admitted
 // when the pool is above zero, which then goes below; while views differ two
@@ -44,8 +50,21 @@
 	AsksPerSecond = 5
 	// AskBurst is the most questions that a daemon saves up.
 	AskBurst = 50
-	// BurstTime is how long a bucket fills until it is full.
-	BurstTime = 10 * time.Second
+	// LeasedShare is the part of a quota that is divided evenly at daemons
+	// that hold a lease.
+	LeasedShare = 0.95
+	// LeaseTime is how long a lease lasts at a daemon of a fleet of up to
+	// ManyDaemons, ManyLeaseTime above, and LeaseMargin how much longer it
+	// lasts at the home.
+	LeaseTime     = 10 * time.Second
+	ManyLeaseTime = 5 * time.Minute
+	LeaseMargin   = 5 * time.Second
+	// BurstTime is how long a bucket fills until it is full. Daemons of a
+	// fleet above ManyDaemons see each customer rarely: theirs hold what
+	// comes in in ManyBurstTime.
+	BurstTime     = 10 * time.Second
+	ManyBurstTime = 60 * time.Second
+	ManyDaemons   = 12
 	// MaxCustomers bounds each table. The customer that was idle longest
 	// makes room.
 	MaxCustomers = 8192
@@ -61,10 +80,11 @@
 	at    time.Time
 }
 
-// fill lets time pass at a rate in tokens a second.
-func (b *bucket) fill(rate float64, now time.Time) {
+// fill lets time pass at a rate in tokens a second, up to what comes in in a
+// burst time.
+func (b *bucket) fill(rate float64, burst time.Duration, now time.Time) {
 	elapsed := max(now.Sub(b.at), 0).Seconds()
-	b.level = min(b.level+rate*elapsed, max(rate*BurstTime.Seconds(), b.level))
+	b.level = min(b.level+rate*elapsed, max(rate*burst.Seconds(), b.level))
 	b.at = now
 }
 
@@ -89,11 +109,35 @@
 func (f Fleet) known() float64 { return float64(max(f.Live+f.Unreachable, 1)) }
 
 // static returns the rate of one daemon's own bucket.
-func (f Fleet) static(quota float64) float64 { return quota * StaticShare / f.known() }
+func (f Fleet) static(quota float64, leased bool) float64 {
+	if leased {
+		return quota * LeasedShare / f.known()
+	}
+	return quota * StaticShare / f.known()
+}
+
+// lease returns how long a lease lasts.
+func (f Fleet) lease() time.Duration {
+	if f.Live+f.Unreachable > ManyDaemons {
+		return ManyLeaseTime
+	}
+	return LeaseTime
+}
+
+// burst returns the burst time of a daemon's own buckets.
+func (f Fleet) burst() time.Duration {
+	if f.Live+f.Unreachable > ManyDaemons {
+		return ManyBurstTime
+	}
+	return BurstTime
+}
 
-// pool returns the rate of the pool on this side.
-func (f Fleet) pool(quota float64) float64 {
-	return quota * (1 - StaticShare) * float64(max(f.Live, 1)) / f.known()
+// pool returns the rate of the pool on this side, when so many daemons hold
+// leases.
+func (f Fleet) pool(quota float64, leases int) float64 {
+	live := float64(max(f.Live, 1))
+	added := (LeasedShare - StaticShare) * min(float64(leases), live)
+	return quota * ((1-StaticShare)*live - added) / f.known()
 }
 
 // evict makes room for one more customer in a full table.
--- a/serving/process/quota/quota.go
+++ b/serving/process/quota/quota.go
@@ -116,7 +116,7 @@
 		return core.Grant{}, false
 	}
 	if host == q.config.Self {
-		return q.grant(c, limit, missing, fleet), true
+		return q.grant(q.config.Self, c, limit, missing, fleet), true
 	}
 	conn, err := q.config.Conn(host)
 	if err != nil {
@@ -124,17 +124,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, AskTimeout)
 	defer cancel()
-	reply, err := peerpb.NewQuotasClient(conn).Ask(ctx, &peerpb.QuotaRequest{Customer: string(c), Tokens: missing})
+	reply, err := peerpb.NewQuotasClient(conn).Ask(ctx, &peerpb.QuotaRequest{Customer: string(c), Tokens: missing, From: string(q.config.Self)})
 	if err != nil {
 		return core.Grant{}, false
 	}
-	return core.Grant{Tokens: reply.GetTokens(), RetryAfter: time.Duration(reply.GetRetryAfterMs()) * time.Millisecond}, true
+	return core.Grant{
+		Tokens:     reply.GetTokens(),
+		RetryAfter: time.Duration(reply.GetRetryAfterMs()) * time.Millisecond,
+		Lease:      time.Duration(reply.GetLeaseMs()) * time.Millisecond,
+	}, true
 }
 
-func (q *Quota) grant(c names.Customer, limit, tokens float64, fleet core.Fleet) core.Grant {
+func (q *Quota) grant(from names.Host, c names.Customer, limit, tokens float64, fleet core.Fleet) core.Grant {
 	q.homeMu.Lock()
 	defer q.homeMu.Unlock()
-	return q.home.Ask(c, limit, tokens, fleet, time.Now())
+	return q.home.Ask(from, c, limit, tokens, fleet, time.Now())
 }
 
 // Ask implements peerpb.QuotasServer.
@@ -145,11 +149,13 @@
 	if limit <= 0 || m.GetTokens() < 0 {
 		return &peerpb.QuotaReply{RetryAfterMs: core.DenialKept.Milliseconds()}, nil
 	}
-	grant := q.grant(customer, limit, m.GetTokens(), q.config.Fleet())
+	grant := q.grant(names.Host(m.GetFrom()), customer, limit, m.GetTokens(), q.config.Fleet())
 	if grant.Tokens > 0 {
 		q.count(CounterGranted)
 	}
-	return &peerpb.QuotaReply{Tokens: grant.Tokens, RetryAfterMs: grant.RetryAfter.Milliseconds()}, nil
+	return &peerpb.QuotaReply{
+		Tokens: grant.Tokens, RetryAfterMs: grant.RetryAfter.Milliseconds(), LeaseMs: grant.Lease.Milliseconds(),
+	}, nil
 }
 
 // Uses returns the rates of use at this daemon, by customer.
--- a/tools/slopes/quota.go
+++ b/tools/slopes/quota.go
@@ -62,7 +62,7 @@
 			f.messages[i] += 2
 			f.messages[h] += 2
 		}
-		grant := f.homes[h].Ask(c, rate, d.Tokens, f.fleet, f.now)
+		grant := f.homes[h].Ask(f.assigner.Members()[i].Host, c, rate, d.Tokens, f.fleet, f.now)
 		d = f.locals[i].Granted(c, rate, tokens, grant, f.fleet, f.now)
 	}
 	if d.Outcome == quota.Admitted {
