--- a/core/process/membership/machine.go
+++ b/core/process/membership/machine.go
@@ -106,6 +106,9 @@
 // the order of their hosts. They may be serving on the other side of a
 // partition.
 func (m *Machine) Unreachable() []Member {
+	if len(m.table.ring) == len(m.table.byHost) {
+		return nil
+	}
 	return m.collect(func(e *entry) bool { return e.State == Dead && e.Region != m.self.Region })
 }
 
@@ -153,7 +156,7 @@
 func (m *Machine) setRegions(regions map[names.DataCentre]names.Region) {
 	m.config.Regions = regions
 	m.self.Region = m.region(m.self.DataCentre)
-	for _, e := range m.table.byHost {
+	for _, e := range m.table.all() {
 		e.Region = m.region(e.DataCentre)
 	}
 	m.table.live = nil
@@ -210,6 +213,7 @@
 	}
 	if !m.pulled {
 		m.pass(u.Host)
+		m.hurry(before == Suspect && u.State == Alive)
 	}
 	m.actions = append(m.actions, Changed{Member: u})
 }
@@ -235,6 +239,20 @@
 	})
 }
 
+// hurry pushes a refutation to some members at once, so that it overtakes the
+// suspicion. When many members change, each waits for its turn in the queue.
+func (m *Machine) hurry(refutation bool) {
+	if !refutation || m.queue.Len(gossip.Member) > hurryBelow {
+		return
+	}
+	for _, e := range m.sample(m.config.Fanout) {
+		m.send(e.Host, Datagram{Purpose: Push})
+	}
+}
+
+// hurryBelow is the number of queued member updates above which none is pushed.
+const hurryBelow = 8
+
 // announce passes on this daemon's own entry.
 func (m *Machine) announce() {
 	m.table.live = nil
--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -158,6 +158,7 @@
 	m := c.model(a.Request.Model)
 	m.mix.Observe(a.Request.PromptTokens)
 	candidates := c.candidates(&a, now)
+	c.setReserve(m, candidates)
 	a.Request.Class = classify(m, &a.Request, largestEngine(candidates))
 	if !c.hasRoom(&a) {
 		return refuse(&a, c.retryLater(verdict.QueueFull, "too much is in flight", 0))
@@ -168,23 +169,46 @@
 	return c.place(now, m, &a, candidates)
 }
 
-// place chooses a target, and refuses if it cannot serve the request in time.
+// Explain says what Arrive would answer, with all steps, and changes nothing
+// but the random numbers to come.
+func (c *Controller) Explain(now time.Time, a Arrival) Action {
+	a.Explain = true
+	m := c.model(a.Request.Model)
+	candidates := c.candidates(&a, now)
+	c.setReserve(m, candidates)
+	a.Request.Class = classify(m, &a.Request, largestEngine(candidates))
+	if a.Request.Class == target.Spanning {
+		return Action{Kind: Span, Request: a.Request}
+	}
+	action, _ := c.decide(now, m, &a, candidates)
+	return action
+}
+
+// place starts a request at the target that is chosen for it, or refuses it.
 func (c *Controller) place(now time.Time, m *modelState, a *Arrival, candidates []choice.Candidate) Action {
+	action, chosen := c.decide(now, m, a, candidates)
+	if action.Kind == Start {
+		c.start(now, a, chosen)
+	}
+	return action
+}
+
+// decide chooses a target, and refuses if it cannot serve the request in time.
+func (c *Controller) decide(now time.Time, m *modelState, a *Arrival, candidates []choice.Candidate) (Action, *choice.Candidate) {
 	d := c.chooser.Choose(a.Request, candidates, now, c.random, a.Explain)
 	if d.Refusal != nil {
-		return refusePlaced(a, d, c.withRetryAfter(d.Refusal, 0))
+		return refusePlaced(a, d, c.withRetryAfter(d.Refusal, 0)), nil
 	}
 	chosen := find(candidates, d.Target)
 	end := c.end(now, m, a, d, chosen)
 	if late := end.Sub(a.Request.Deadline); late > 0 && !a.Request.Deadline.IsZero() {
-		return refusePlaced(a, d, c.late(now, m, a, chosen, late))
+		return refusePlaced(a, d, c.late(now, m, a, chosen, late)), nil
 	}
 	limit := fairness.Limit(c.settings.limit(chosen.PrefillTime(&a.Request)), c.usage.Ratio(now, a.Request.Customer))
 	if over := chosen.QueueTime() - limit; over > 0 {
-		return refusePlaced(a, d, c.retryLater(verdict.Overloaded, "too much is waiting", over))
+		return refusePlaced(a, d, c.retryLater(verdict.Overloaded, "too much is waiting", over)), nil
 	}
-	c.start(now, a, chosen)
-	return Action{Kind: Start, Request: a.Request, Decision: d, Priority: Priority(&a.Request)}
+	return Action{Kind: Start, Request: a.Request, Decision: d, Priority: Priority(&a.Request)}, chosen
 }
 
 func (c *Controller) start(now time.Time, a *Arrival, chosen *choice.Candidate) {
@@ -284,6 +308,33 @@
 	return kept
 }
 
+// setReserve marks the targets of the reserve. Its size follows the share of
+// the work that may use it, so that it is never larger than short work can
+// fill, and at least one target where there are several.
+func (c *Controller) setReserve(m *modelState, candidates []choice.Candidate) {
+	if c.settings.MaxReserve <= 0 || len(candidates) == 0 {
+		return
+	}
+	limit := int(c.settings.LendLimit.Seconds() * candidates[0].PrefillRate())
+	work := m.mix.WorkBelow(min(limit, m.mix.Bounds().Short))
+	share := min(c.settings.MaxReserve, max(work*c.settings.ReserveHeadroom, smallestReserve))
+	for i := range candidates {
+		candidates[i].Reserved = candidates[i].Rank < share
+	}
+}
+
+// SetMaxReserve bounds the share of the targets in the reserve from now on.
+// Zero means the default.
+func (c *Controller) SetMaxReserve(share float64) {
+	if share <= 0 {
+		share = DefaultMaxReserve
+	}
+	c.settings.MaxReserve = share
+}
+
+// smallestReserve is a share that only the first of several targets is below.
+const smallestReserve = 1e-6
+
 // classify returns the class of a request. Its answer needs memory too.
 func classify(m *modelState, r *facts.Request, engineTokens int) target.Class {
 	if engineTokens > 0 && r.PromptTokens+r.MaxTokens > engineTokens {
--- a/serving/process/keeper/keeper.go
+++ b/serving/process/keeper/keeper.go
@@ -27,8 +27,10 @@
 
 // Times of the polls.
 const (
-	// ObserveEvery is the time between two looks at the assignment.
+	// ObserveEvery is the time between two renewals of the leases, and
+	// AssignEvery between two looks at which engines are kept.
 	ObserveEvery = 250 * time.Millisecond
+	AssignEvery  = time.Second
 	// ReportEvery is the time between two polls of an engine's report, and
 	// LongestPoll its bound when a rate limits the polls.
 	ReportEvery = 250 * time.Millisecond
@@ -81,9 +83,9 @@
 	Registry metrics.Registry
 	// Limits bound rollouts; nil means the defaults.
 	Limits *orders.Limits
-	// PollRate bounds the polls of reports, in bytes a second; zero means
-	// that each engine is polled every ReportEvery.
-	PollRate float64
+	// PollRate bounds the polls of reports, in bytes a second; nil or zero
+	// means that each engine is polled every ReportEvery.
+	PollRate func() float64
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -93,8 +95,12 @@
 	config Config
 	counts counts
 	work   sync.WaitGroup
-	// watched is only used by Run's goroutine.
-	watched map[names.Target]*worker
+	// The rest is only used by Run's goroutine. Assigned are the engines that
+	// this daemon kept by a version, at a time.
+	watched    map[names.Target]*worker
+	assigned   map[names.Target]*manifest.Target
+	assignedBy *version.State
+	assignedAt time.Time
 }
 
 // New returns a Keeper that does nothing until Run.
@@ -134,15 +140,19 @@
 	if state == nil {
 		return
 	}
-	kept := k.kept(state)
+	now := k.config.Now()
+	if state != k.assignedBy || now.Sub(k.assignedAt) >= AssignEvery {
+		k.assigned, k.assignedBy, k.assignedAt = k.kept(state), state, now
+	}
+	kept := k.assigned
 	for name, w := range k.watched {
 		if kept[name] == nil || kept[name].Address != w.address {
 			w.stop()
 			delete(k.watched, name)
 		}
 	}
-	pace := keeping.Pace(len(kept), PollBytes, k.config.PollRate, ReportEvery, LongestPoll)
-	now, awake := k.config.Now(), k.config.Place.Awake()
+	pace := keeping.Pace(len(kept), PollBytes, k.pollRate(), ReportEvery, LongestPoll)
+	awake := k.config.Place.Awake()
 	for name, t := range kept {
 		if k.watched[name] == nil {
 			k.watch(ctx, t)
@@ -152,6 +162,13 @@
 	k.counts.gauge("kept", int64(len(kept)))
 }
 
+func (k *Keeper) pollRate() float64 {
+	if k.config.PollRate == nil {
+		return 0
+	}
+	return k.config.PollRate()
+}
+
 func (k *Keeper) kept(state *version.State) map[names.Target]*manifest.Target {
 	kept := map[names.Target]*manifest.Target{}
 	for i := range state.Manifest.Targets {
