--- a/tools/load/connect.go
+++ b/tools/load/connect.go
@@ -22,12 +22,14 @@
 	switch {
 	case c.Bool("direct"):
 		return r.connectDirect()
+	case c.String("separate") != "":
+		return r.connectSeparate(ctx, c.Int("daemons"), c.String("separate"), c.Root().Writer)
 	case c.Bool("dev"):
 		return r.connectDev(ctx, c.Int("daemons"))
 	}
 	bases := c.StringSlice("daemon")
 	if len(bases) == 0 {
-		return nil, errors.New("--daemon, --dev or --direct is needed")
+		return nil, errors.New("--daemon, --dev, --separate or --direct is needed")
 	}
 	transport, err := daemonTransport(c.String("ca"))
 	if err != nil {
