Measure spans under engine deaths; ask free engines first

Cause: spans were planned over engines whose memory was taken, and waited for it in vain.

Change: engines that are mostly free are asked first. A span counts in its customer's use. The controller gives candidates with the reserve marked, to plan spans. The driver has engines that hold parts and die.

--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -164,7 +164,7 @@
 		return refuse(&a, c.retryLater(verdict.QueueFull, "too much is in flight", 0))
 	}
 	if a.Request.Class == target.Spanning {
-		return c.span(&a, candidates)
+		return c.span(now, &a, candidates)
 	}
 	return c.place(now, m, &a, candidates)
 }
@@ -202,11 +202,12 @@
 
 // span admits a prompt that is over the memory of each engine, or refuses it if
 // it is also over that of several.
-func (c *Controller) span(a *Arrival, candidates []choice.Candidate) Action {
+func (c *Controller) span(now time.Time, a *Arrival, candidates []choice.Candidate) Action {
 	if !fitsSpan(a, candidates, c.settings.SpanEngines) {
 		return refuse(a, verdict.Newf(verdict.NotRun, verdict.PromptTooLong,
 			"%d tokens are more than the engines that one prompt may use can hold", a.Request.PromptTokens))
 	}
+	c.usage.Add(now, a.Request.Customer, a.Share, a.Request.PromptTokens)
 	c.hold(a)
 	return Action{Kind: Span, Request: a.Request, Priority: Priority(&a.Request)}
 }
@@ -285,6 +286,14 @@
 	return kept
 }
 
+// Candidates returns the targets of a model with the reserve marked, for
+// planning a span.
+func (c *Controller) Candidates(model names.Model, now time.Time) []choice.Candidate {
+	candidates := c.table.Candidates(model, now)
+	c.setReserve(c.model(model), candidates)
+	return candidates
+}
+
 // setReserve marks the targets of the reserve. Its size follows the share of
 // the work that may use it, so that it is never larger than short work can
 // fill, and at least one target where there are several.
--- a/core/request/span/plan.go
+++ b/core/request/span/plan.go
@@ -14,6 +14,10 @@
 // UsableMemory is the share of an engine's memory that a span may take.
 const UsableMemory = 0.95
 
+// MostlyFree is the free share of an engine's usable memory from which it is
+// asked before others.
+const MostlyFree = 0.8
+
 // Engine is an engine that may hold a part.
 type Engine struct {
 	Target names.Target
@@ -21,6 +25,8 @@
 	Address string
 	// Tokens is the memory that a part may take.
 	Tokens int
+	// Free is how much of it the engine's report says is free.
+	Free int
 	// Queue is the time until the prefill work ahead is done, and
 	// PrefillRate is in tokens a second.
 	Queue       time.Duration
@@ -47,8 +53,8 @@
 }
 
 // Engines returns the engines among candidates that may hold a part of a
-// request, those with the shortest queue first. Targets of the reserve are left
-// out.
+// request: those that are mostly free first, and then those with the shortest
+// queue. Targets of the reserve are left out.
 func Engines(r *facts.Request, candidates []choice.Candidate, address func(names.Target) string) []Engine {
 	var engines []Engine
 	for i := range candidates {
@@ -61,16 +67,30 @@
 			Target:      c.Target,
 			Address:     address(c.Target),
 			Tokens:      int(memory),
+			Free:        (c.Report.FreeBlocks - c.OwnBlocks) * c.Report.BlockTokens,
 			Queue:       c.QueueTime(),
 			PrefillRate: c.PrefillRate(),
 		})
 	}
 	slices.SortFunc(engines, func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(a.Queue, b.Queue), cmp.Compare(a.Target, b.Target))
+		return cmp.Or(
+			cmp.Compare(a.taken(), b.taken()),
+			cmp.Compare(a.Queue, b.Queue),
+			cmp.Compare(a.Target, b.Target),
+		)
 	})
 	return engines
 }
 
+// taken returns 0 for an engine that probably has the memory for a part now,
+// and 1 for any other.
+func (e Engine) taken() int {
+	if float64(e.Free) >= MostlyFree*float64(e.Tokens) {
+		return 0
+	}
+	return 1
+}
+
 func mayHold(r *facts.Request, c *choice.Candidate) bool {
 	state := c.Report.State
 	switch {
--- a/core/request/span/span_test.go
+++ b/core/request/span/span_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/request/choice"
 	"carobspoke.example/core/request/facts"
 	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
@@ -58,6 +59,32 @@
 	}
 }
 
+func TestEnginesAreThoseThatMayHoldAPart(t *testing.T) {
+	engine := func(name names.Target, change func(*choice.Candidate)) choice.Candidate {
+		c := choice.Candidate{Target: name, Report: target.Report{
+			State: target.State{Model: "m"}, TotalBlocks: 1000, FreeBlocks: 1000, BlockTokens: 100, PrefillRate: 1000,
+		}}
+		change(&c)
+		return c
+	}
+	candidates := []choice.Candidate{
+		engine("full", func(c *choice.Candidate) { c.Report.FreeBlocks = 10 }),
+		engine("queue", func(c *choice.Candidate) { c.OwnTokens = 5000 }),
+		engine("idle", func(*choice.Candidate) {}),
+		engine("reserved", func(c *choice.Candidate) { c.Reserved = true }),
+		engine("leaving", func(c *choice.Candidate) { c.LeavesAt = epoch.Add(time.Minute) }),
+		engine("open", func(c *choice.Candidate) { c.BreakerOpen = true }),
+		engine("loading", func(c *choice.Candidate) { c.Report.State.Loading = true }),
+	}
+	var got []names.Target
+	for _, e := range Engines(longRequest(), candidates, func(t names.Target) string { return string(t) }) {
+		got = append(got, e.Target)
+	}
+	if want := []names.Target{"idle", "queue", "full"}; !slices.Equal(got, want) {
+		t.Fatalf("engines %v, want %v", got, want)
+	}
+}
+
 // fleet is a set of fake engines that several runs use at the same time. Each
 // step handles one pending event, drawn at random.
 type fleet struct {
--- a/tools/experiment/command.go
+++ b/tools/experiment/command.go
@@ -44,6 +44,25 @@
 			return err
 		}
 	}
+	return runSpans(w, seeds)
+}
+
+// runSpans runs prompts over one engine's memory, without and with deaths of
+// engines.
+func runSpans(w io.Writer, seeds []uint64) error {
+	for _, s := range sizes() {
+		if s.whole {
+			continue
+		}
+		rows := measureAll(measureSpanning, []policy{product()}, s, seeds)
+		s.killEvery = killInterval
+		rows = append(rows, measureAll(measureSpanning, []policy{product()}, s, seeds)...)
+		rows[1].policy += ", an engine killed each minute"
+		title := "Prompts of 2.2 engines' memory: " + s.title()
+		if err := writeTable(w, title, spanningColumns(), rows); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/tools/experiment/engine.go
+++ b/tools/experiment/engine.go
@@ -42,6 +42,9 @@
 	lastStep time.Duration
 	seq      uint64
 	cache    *prefixCache
+	pins     map[target.HandleID]int // tokens held for spans
+	dead     bool
+	boot     uint64
 	// saved counts the prompt tokens that were in the cache, of total.
 	saved, total int
 }
@@ -59,13 +62,23 @@
 	dropped  bool
 	first    func()
 	end      func()
+	// fail is called when the engine dies.
+	fail func()
+	// hold makes this a prefill into memory that is pinned already.
+	hold bool
 }
 
 func newEngine(c *clock, name names.Target, whole bool) *engine {
-	return &engine{clock: c, name: name, whole: whole, cache: newPrefixCache()}
+	return &engine{clock: c, name: name, whole: whole, cache: newPrefixCache(), pins: make(map[target.HandleID]int), boot: 1}
 }
 
 func (e *engine) submit(s *stream) {
+	if e.dead {
+		s.dropped = true
+		s.fail()
+		return
+	}
+	s.begun = s.hold
 	hit := min(e.cache.cached(s.digests), s.prompt-1)
 	e.saved += hit
 	e.total += s.prompt
@@ -88,7 +101,7 @@
 	s.dropped = true
 	e.queue = remove(e.queue, s)
 	e.decoding = remove(e.decoding, s)
-	if s.begun {
+	if s.begun && !s.hold {
 		e.used -= s.prompt + s.answer
 	}
 }
@@ -184,6 +197,11 @@
 			continue
 		}
 		e.queue = remove(e.queue, s)
+		if s.hold {
+			s.dropped = true
+			s.end()
+			continue
+		}
 		e.decoding = append(e.decoding, s)
 		e.cache.add(s.digests)
 		s.first()
@@ -215,7 +233,7 @@
 		step = stepTime(0, 1)
 	}
 	return target.Report{
-		Target: e.name, Boot: 1, Seq: e.seq, Taken: e.clock.now,
+		Target: e.name, Boot: e.boot, Seq: e.seq, Taken: e.clock.now,
 		QueuedTokens: queued, RunningStreams: len(e.decoding),
 		FreeBlocks:  (engineTokens - e.used) / blockTokens,
 		TotalBlocks: engineTokens / blockTokens, BlockTokens: blockTokens,
@@ -223,3 +241,37 @@
 		State: target.State{Model: model, Version: "1", Role: target.Mixed},
 	}
 }
+
+// pin sets memory aside, or reports false if there is too little.
+func (e *engine) pin(h target.HandleID, tokens int) bool {
+	if e.used+tokens > engineTokens {
+		return false
+	}
+	e.pins[h] = tokens
+	e.used += tokens
+	return true
+}
+
+func (e *engine) unpin(h target.HandleID) {
+	e.used -= e.pins[h]
+	delete(e.pins, h)
+}
+
+// kill ends all streams and forgets all memory. The engine stays down for a
+// time.
+func (e *engine) kill(down time.Duration) {
+	lost := append(slices.Clone(e.queue), e.decoding...)
+	for _, s := range lost {
+		s.dropped = true
+	}
+	e.queue, e.decoding, e.used = nil, nil, 0
+	clear(e.pins)
+	e.cache = newPrefixCache()
+	e.dead = true
+	e.boot++
+	e.seq = 0
+	for _, s := range lost {
+		s.fail()
+	}
+	e.clock.after(down, func() { e.dead = false })
+}
--- a/tools/experiment/experiment_test.go
+++ b/tools/experiment/experiment_test.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// An engine dies twice a minute, and a span lasts for one.
+func TestSpansOutliveTheirEngines(t *testing.T) {
+	s := sizes()[0]
+	s.killEvery = killInterval / 2
+	k := measureSpanning(product(), s, []uint64{1}).spanning.kinds[spanPrompt]
+	if k.started == 0 || k.completed*100 < k.started*99 {
+		t.Fatalf("%d of %d completed", k.completed, k.started)
+	}
+}
+
 func TestRunsRepeatExactly(t *testing.T) {
 	s := sizes()[0]
 	list := spike(s, 7)
--- a/tools/experiment/measure.go
+++ b/tools/experiment/measure.go
@@ -10,7 +10,7 @@
 	policy string
 	// steady is the run at steadyLoad, alone its short prompts without the
 	// others.
-	steady, alone, crest, crowd, impatient, spike, repeating result
+	steady, alone, crest, crowd, impatient, spike, repeating, spanning result
 	// crestGoodput is the throughput of complete answers at the crest, as a
 	// share of capacity.
 	crestGoodput float64
@@ -92,6 +92,15 @@
 	return m
 }
 
+// measureSpanning runs one policy with prompts over one engine's memory.
+func measureSpanning(p policy, s size, seeds []uint64) *measured {
+	m := &measured{policy: p.name}
+	for _, seed := range seeds {
+		m.spanning.add(simulate(p, s, spanning(s, seed), seed))
+	}
+	return m
+}
+
 // measurement runs one policy through some scenarios.
 type measurement func(p policy, s size, seeds []uint64) *measured
 
--- a/tools/experiment/result.go
+++ b/tools/experiment/result.go
@@ -14,6 +14,7 @@
 	started   int // attempts that a target got
 	completed int // jobs answered in time
 	late      int // attempts that were started and ran out of time
+	broken    int // spans that were started and ended without an answer
 	waits     []time.Duration
 	// slowdowns are waits in relation to the same prompt's at an idle engine.
 	slowdowns []float64
@@ -89,6 +90,7 @@
 	t.started += o.started
 	t.completed += o.completed
 	t.late += o.late
+	t.broken += o.broken
 	t.timely += o.timely
 	t.waits = append(t.waits, o.waits...)
 	t.slowdowns = append(t.slowdowns, o.slowdowns...)
--- a/tools/experiment/run.go
+++ b/tools/experiment/run.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/load"
 	"carobspoke.example/core/request/admission"
 	"carobspoke.example/core/request/facts"
@@ -33,6 +34,8 @@
 	// whole selects engines that never interrupt a prefill.
 	whole bool
 	mix   mix
+	// killEvery is the time between two deaths of an engine; zero for none.
+	killEvery time.Duration
 }
 
 // run is one run of a policy over a workload.
@@ -54,6 +57,7 @@
 	retries int
 	engine  *engine
 	stream  *stream
+	span    *spanRun
 	done    bool
 }
 
@@ -71,6 +75,9 @@
 		r.watch(i)
 	}
 	r.result.start = r.clock.now
+	if s.killEvery > 0 {
+		r.clock.every(s.killEvery, s.killEvery, r.killOne)
+	}
 	for i := range list {
 		j := &list[i]
 		r.clock.at(r.clock.now.Add(j.at), func() {
@@ -90,12 +97,25 @@
 	return &r.result
 }
 
+// downTime is how long a dead engine is away.
+const downTime = 20 * time.Second
+
+func (r *run) killOne() {
+	e := r.engines[r.random.IntN(len(r.engines))]
+	if !e.dead {
+		e.kill(downTime)
+	}
+}
+
 // watch polls every engine for a daemon.
 func (r *run) watch(daemon int) {
 	d := r.daemons[daemon]
 	for _, e := range r.engines {
 		phase := time.Duration(r.random.Int64N(int64(pollInterval)))
 		r.clock.every(phase, pollInterval, func() {
+			if e.dead {
+				return
+			}
 			report := e.report()
 			lag := reportLagMin + time.Duration(r.random.Int64N(int64(reportLagRange)))
 			events := r.lossy(e.cache.since(d.newest(e.name)))
@@ -132,15 +152,20 @@
 	}
 	r.clock.at(a.request.Deadline, func() { r.timeout(a) })
 	action := r.daemons[daemon].arrive(r.clock.now, a.request)
-	if action.Kind == admission.Start {
+	switch action.Kind {
+	case admission.Start:
 		r.start(a, action)
 		return
+	case admission.Span:
+		r.startSpan(a)
+		return
+	default:
 	}
 	r.refused(a, action.Refusal)
 }
 
 func (r *run) start(a *attempt, action admission.Action) {
-	e := r.engineOf(action)
+	e := r.engineNamed(action.Decision.Target)
 	d := r.daemons[a.daemon]
 	s := &stream{id: a.request.ID, prompt: a.job.prompt, answer: a.job.answer, priority: action.Priority, digests: a.job.digests}
 	s.first = func() {
@@ -154,6 +179,7 @@
 			r.completed(a, e)
 		})
 	}
+	s.fail = func() { r.clock.after(oneWay, func() { r.lost(a, e) }) }
 	a.engine, a.stream = e, s
 	r.result.kinds[a.job.kind].started++
 	r.clock.after(oneWay, func() {
@@ -163,13 +189,13 @@
 	})
 }
 
-func (r *run) engineOf(action admission.Action) *engine {
+func (r *run) engineNamed(name names.Target) *engine {
 	for _, e := range r.engines {
-		if e.name == action.Decision.Target {
+		if e.name == name {
 			return e
 		}
 	}
-	panic("no such engine: " + string(action.Decision.Target))
+	panic("no such engine: " + string(name))
 }
 
 func (r *run) completed(a *attempt, e *engine) {
@@ -198,6 +224,16 @@
 	r.clock.after(wait, func() { r.send(a.job, a.retries-1) })
 }
 
+// lost ends an attempt whose engine died; the caller tries again.
+func (r *run) lost(a *attempt, e *engine) {
+	if a.done {
+		return
+	}
+	a.done = true
+	r.daemons[a.daemon].finished(r.clock.now, a.request.ID, e.name, load.Fault, 0)
+	r.again(a, callerBackoff)
+}
+
 // timeout is the caller's end of patience.
 func (r *run) timeout(a *attempt) {
 	if a.done {
@@ -205,6 +241,10 @@
 	}
 	a.done = true
 	r.result.kinds[a.job.kind].late++
+	if a.span != nil {
+		a.span.cancel()
+		return
+	}
 	a.engine.cancel(a.stream)
 	r.daemons[a.daemon].finished(r.clock.now, a.request.ID, a.engine.name, load.Neutral, 0)
 	r.again(a, callerBackoff)
--- a/tools/experiment/scenarios.go
+++ b/tools/experiment/scenarios.go
@@ -1,8 +1,10 @@
 package experiment
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -163,3 +165,27 @@
 	}
 	return digests
 }
+
+// Shape of spanning.
+const (
+	spanLoad     = 0.4
+	spanInterval = 45 * time.Second
+	spanTime     = 10 * time.Minute
+	// spanTokens is a prompt of 2.2 engines' memory.
+	spanTokens   = engineTokens * 22 / 10
+	spanPatience = 4 * time.Minute
+	killInterval = time.Minute
+)
+
+// spanning is a moderate load with a prompt over two engines' memory now and
+// then.
+func spanning(s size, seed uint64) []job {
+	list := jobs(s.mix, seed, []phase{{length: spanTime, rate: s.jobRate(spanLoad, seed)}}, tenTenants())
+	for at := spanInterval; at < spanTime; at += spanInterval {
+		list = append(list, job{
+			at: at, kind: spanPrompt, customer: tenTenants()[0].name, prompt: spanTokens, answer: answerMax,
+		})
+	}
+	slices.SortStableFunc(list, func(a, b job) int { return cmp.Compare(a.at, b.at) })
+	return list
+}
--- a/tools/experiment/table.go
+++ b/tools/experiment/table.go
@@ -44,6 +44,22 @@
 	}
 }
 
+func spanningColumns() []column {
+	return []column{
+		{"spans asked for", func(m *measured) string { return fmt.Sprint(m.spanning.kinds[spanPrompt].offered) }},
+		{"started", func(m *measured) string { return fmt.Sprint(m.spanning.kinds[spanPrompt].started) }},
+		{"completed", func(m *measured) string { return fmt.Sprint(m.spanning.kinds[spanPrompt].completed) }},
+		{"broken off", func(m *measured) string { return fmt.Sprint(m.spanning.kinds[spanPrompt].broken) }},
+		{"late", func(m *measured) string { return fmt.Sprint(m.spanning.kinds[spanPrompt].late) }},
+		{"first token p50 s", func(m *measured) string { return seconds(quantile(m.spanning.kinds[spanPrompt].waits, p50)) }},
+		{"first token p95 s", func(m *measured) string { return seconds(quantile(m.spanning.kinds[spanPrompt].waits, p95)) }},
+		{"refused of all attempts", func(m *measured) string { return percent(len(m.spanning.refusals), m.spanning.attempts()) }},
+		{"late of all", func(m *measured) string { return percent(m.spanning.late(), m.spanning.started()) }},
+	}
+}
+
+func seconds(d time.Duration) string { return fmt.Sprintf("%.0f", d.Seconds()) }
+
 // Quantiles of the tables.
 const (
 	p50 = 0.50
@@ -77,8 +93,8 @@
 // answered is the share of jobs of each kind that got a complete answer in
 // time, in one of the caller's attempts.
 func answered(r *result) string {
-	parts := make([]string, kinds)
-	for i := range r.kinds {
+	parts := make([]string, spanPrompt)
+	for i := range spanPrompt {
 		parts[i] = fmt.Sprintf("%.0f%%", 100*float64(r.kinds[i].completed)/float64(max(r.kinds[i].offered, 1)))
 	}
 	return strings.Join(parts, " ")
@@ -86,8 +102,8 @@
 
 // timely is the share of first tokens of each kind that came in bound.
 func timely(r *result) string {
-	parts := make([]string, kinds)
-	for i := range r.kinds {
+	parts := make([]string, spanPrompt)
+	for i := range spanPrompt {
 		t := &r.kinds[i]
 		parts[i] = fmt.Sprintf("%.0f%%", 100*float64(t.timely)/float64(max(len(t.waits), 1)))
 	}
--- a/tools/experiment/workload.go
+++ b/tools/experiment/workload.go
@@ -17,6 +17,7 @@
 	shortPrompt = iota
 	mediumPrompt
 	longPrompt
+	spanPrompt // over one engine's memory; not in any mix
 	kinds
 )
 
@@ -25,17 +26,17 @@
 	name string
 	// lengths are the bounds of each kind, in tokens; within them prompts
 	// are distributed evenly by logarithm.
-	lengths [kinds][2]float64
+	lengths [spanPrompt][2]float64
 	// share is each kind's part of the prompts.
-	share [kinds]float64
+	share [spanPrompt]float64
 }
 
 // usual is the mix of the users: one prompt in fifty is long.
 func usual() mix {
 	return mix{
 		name:    "usual mix",
-		lengths: [kinds][2]float64{{1000, 8000}, {8000, 100_000}, {100_000, 440_000}},
-		share:   [kinds]float64{0.80, 0.18, 0.02},
+		lengths: [spanPrompt][2]float64{{1000, 8000}, {8000, 100_000}, {100_000, 440_000}},
+		share:   [spanPrompt]float64{0.80, 0.18, 0.02},
 	}
 }
 
@@ -43,7 +44,7 @@
 func heavy() mix {
 	m := usual()
 	m.name = "one short prompt in ten"
-	m.share = [kinds]float64{0.10, 0.70, 0.20}
+	m.share = [spanPrompt]float64{0.10, 0.70, 0.20}
 	return m
 }
 
@@ -102,6 +103,9 @@
 
 // patience is the time within which the caller needs the whole answer.
 func (j *job) patience() time.Duration {
+	if j.kind == spanPrompt {
+		return spanPatience
+	}
 	if j.hurry {
 		return hurryPatience + time.Duration(hurryPrefills*float64(j.unloaded())) + time.Duration(j.answer)*hurryToken
 	}
