Pace polls of targets; push urgent news whatever the rate

Cause: polls of targets cost 21 KB/s at full size; crash digests waited behind the byte rate for seconds, so that each daemon lost engines of its own to one prompt. Change: events and holdings are polled as much more slowly as reports, holdings by the first keeper only, reports not at all where answers tell them; urgent digests are pushed together, at most every 20 ms, with room of their own; a crash tells its own prompt only, under a sequence that grows. Conclusion: two daemons can still meet at the isolation engine; next.

--- a/core/process/crash/crash.go
+++ b/core/process/crash/crash.go
@@ -115,6 +115,11 @@
 	return e.standing
 }
 
+// Entry returns what to tell other daemons of a prompt.
+func (t *Table) Entry(d Digest, now time.Time) Entry {
+	return Entry{Digest: d, Standing: t.Check(d, now), Left: max(0, t.entries[d].until.Sub(now))}
+}
+
 // Refusal returns the error for a refused prompt, whose standing lasts for
 // some time more. Its verdict is Ran: its attempts crashed targets.
 func (t *Table) Refusal(d Digest, now time.Time) *verdict.Error {
--- a/core/process/membership/config.go
+++ b/core/process/membership/config.go
@@ -52,6 +52,8 @@
 	BytesPerSecond int
 	// Fanout is how many members an urgent digest is pushed to at once.
 	Fanout int
+	// PushGap is the least time between two pushes of urgent digests.
+	PushGap time.Duration
 	// Regions says in which region each data centre lies. A data centre
 	// that is missing forms a region of its own.
 	Regions map[names.DataCentre]names.Region
@@ -92,6 +94,7 @@
 		DatagramBytes:    1100,
 		BytesPerSecond:   2000,
 		Fanout:           3,
+		PushGap:          20 * time.Millisecond,
 	}
 }
 
--- a/core/process/membership/digest.go
+++ b/core/process/membership/digest.go
@@ -72,12 +72,24 @@
 	m.actions = append(m.actions, Deliver{Digest: *d, From: from})
 }
 
-// relayDigest queues a digest, and pushes it at once if it is urgent.
+// relayDigest queues a digest, and pushes it if it is urgent: at once, or
+// together with others that come within PushGap of the last push.
 func (m *Machine) relayDigest(d Digest) {
 	m.queue.Add(gossip.Entry[payload]{Kind: d.Kind, Key: d.Key, Bytes: d.Bytes(), Value: payload{digest: d}})
 	if d.Kind == gossip.Load {
 		return
 	}
+	m.pushDue = true
+	m.push()
+}
+
+// push sends what is queued to some members, if something urgent is.
+func (m *Machine) push() {
+	if !m.pushDue || m.now.Sub(m.pushed) < m.config.PushGap {
+		return
+	}
+	m.pushDue = false
+	m.pushed = m.now
 	for _, e := range m.sample(m.config.Fanout) {
 		m.send(e.Host, Datagram{Purpose: Push})
 	}
--- a/core/process/membership/machine.go
+++ b/core/process/membership/machine.go
@@ -30,6 +30,10 @@
 	now      time.Time
 	lastTick time.Time
 	sequence uint64
+	// pushDue is set while an urgent digest waits, and pushed is when the
+	// last push was.
+	pushDue bool
+	pushed  time.Time
 	// allowance is how many bytes may be sent now without deferring updates.
 	allowance float64
 	probe     probe
@@ -184,6 +188,7 @@
 		m.paused(gap)
 	}
 	m.allowance = min(m.allowance+gap.Seconds()*float64(m.config.BytesPerSecond), float64(m.config.BytesPerSecond))
+	m.push()
 	if m.cutOff() {
 		m.postpone(gap)
 	}
--- a/core/process/membership/send.go
+++ b/core/process/membership/send.go
@@ -24,10 +24,17 @@
 	m.actions = append(m.actions, Send{To: to, Datagram: d})
 }
 
+// pushRoom is what a push may add whatever the rate, in bytes: urgent news is
+// rare, and worth nothing late.
+const pushRoom = 400
+
 // load adds updates and digests as far as the datagram and the rate allow.
 func (m *Machine) load(d *Datagram) {
 	size := d.Bytes()
 	room := min(m.config.DatagramBytes, int(m.allowance)) - size
+	if d.Purpose == Push {
+		room = max(room, pushRoom)
+	}
 	if room <= 0 {
 		return
 	}
--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -63,8 +63,8 @@
 	}
 	d.buildQuota()
 	d.keeping = newKeeping(d)
-	d.buildKeeper()
 	d.buildDispatcher(ring)
+	d.buildKeeper()
 	d.buildCalls(ring)
 	d.buildPeerServer()
 	d.buildCallerServer()
@@ -163,7 +163,7 @@
 		Relays:      d.fleet,
 		Forward:     &forward.Client{Peers: d.pool},
 		Retries:     d.retries,
-		Crashes:     answer.NewCrashes(time.Now, d.tellCrashes),
+		Crashes:     answer.NewCrashes(time.Now, d.tellCrash),
 		Tickets:     ring,
 		Abandoned:   dispatch.NewAbandoned(func() { d.counters.Add("abandon_queue_full", 1) }),
 		Spans:       dispatch.Spans{MaxEngines: admission.DefaultSpanEngines},
--- a/serving/process/daemon/keeping.go
+++ b/serving/process/daemon/keeping.go
@@ -5,20 +5,12 @@
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/prefix"
-	"carobspoke.example/core/process/subset"
 	"carobspoke.example/core/request/facts"
 	"carobspoke.example/core/target"
 	"carobspoke.example/serving/connection/targetapi"
 	"carobspoke.example/serving/process/keeper"
 )
 
-// Rates of the polls of all kept engines together, in bytes a second. A large
-// fleet sends enough requests to each engine that reports come with answers.
-const (
-	pollRateOfFew  = 40 << 10
-	pollRateOfMany = 3 << 10
-)
-
 // keeping connects the keeper of engines with the tables that it feeds. It
 // implements keeper.Place and keeper.Sink, and admission.Cache by its index.
 type keeping struct {
@@ -44,15 +36,11 @@
 		Logger:   d.log,
 		Registry: d.counters.Registry(),
 		PollRate: d.pollRate,
+		Fresh:    d.admitter.Fresh,
 	})
 }
 
-func (d *Daemon) pollRate() float64 {
-	if len(d.members.Live()) <= subset.FewDaemons {
-		return pollRateOfFew
-	}
-	return pollRateOfMany
-}
+func (d *Daemon) pollRate() float64 { return keeper.PollRate(len(d.members.Live())) }
 
 // Keeps implements keeper.Place.
 func (k *keeping) Keeps(t names.Target) bool { return k.d.fleet.View().Assignment.Kept(t) }
--- a/serving/process/daemon/members.go
+++ b/serving/process/daemon/members.go
@@ -90,14 +90,19 @@
 	}
 }
 
-// tellCrashes passes standings of prompts on to the other daemons. The
-// sequence grows with the standing, so that a refusal replaces a suspicion.
-func (d *Daemon) tellCrashes(entries []crash.Entry) {
-	for _, entry := range entries {
-		d.members.Publish(core.Digest{
-			Kind: gossip.Crash, Key: string(entry.Digest[:]), Sequence: uint64(entry.Standing), Payload: encodeCrash(entry),
-		})
-	}
+// tellCrash passes a prompt's standing on to the other daemons.
+func (d *Daemon) tellCrash(entry crash.Entry) {
+	d.members.Publish(core.Digest{
+		Kind: gossip.Crash, Key: string(entry.Digest[:]), Sequence: crashSequence(entry, time.Now()), Payload: encodeCrash(entry),
+	})
+}
+
+// crashSequence grows with time, and within a second with the standing, so
+// that news replaces what was told of an earlier crash of the same prompt.
+// Receivers never lower a standing.
+func crashSequence(entry crash.Entry, now time.Time) uint64 {
+	const standingBits = 2
+	return uint64(now.Unix())<<standingBits | uint64(entry.Standing)
 }
 
 // crashPayloadBytes is the length of a crash digest's payload: the standing
--- a/serving/process/keeper/keeper.go
+++ b/serving/process/keeper/keeper.go
@@ -34,11 +34,15 @@
 	// ReportEvery is the time between two polls of an engine's report, and
 	// LongestPoll its bound when a rate limits the polls.
 	ReportEvery = 250 * time.Millisecond
-	LongestPoll = 5 * time.Second
+	LongestPoll = 10 * time.Second
 	// EventsEvery and HoldingsEvery are the times between polls of cache
-	// events and of holdings.
-	EventsEvery   = time.Second
-	HoldingsEvery = 10 * time.Second
+	// events and of holdings while reports are polled every ReportEvery. They
+	// grow with the time between those, up to LongestEvents and
+	// LongestHoldings.
+	EventsEvery     = time.Second
+	HoldingsEvery   = 10 * time.Second
+	LongestEvents   = 20 * time.Second
+	LongestHoldings = time.Minute
 	// PollBytes is the size of one poll of a report, both ways together, by
 	// which a rate in bytes a second limits the polls.
 	PollBytes = 700
@@ -72,8 +76,8 @@
 	Fence(v names.Version)
 }
 
-// Config holds what a Keeper needs. All fields but Now, Limits and PollRate
-// are required.
+// Config holds what a Keeper needs. All fields but Fresh, Now, Limits and
+// PollRate are required.
 type Config struct {
 	Versions *version.Holder
 	Place    Place
@@ -81,6 +85,10 @@
 	Sink     Sink
 	Logger   *zap.Logger
 	Registry metrics.Registry
+	// Fresh reports whether an engine has told its load by itself within a
+	// time, so that this daemon need not ask unless it gives the orders. It
+	// may be nil.
+	Fresh func(t names.Target, within time.Duration) bool
 	// Limits bound rollouts; nil means the defaults.
 	Limits *orders.Limits
 	// PollRate bounds the polls of reports, in bytes a second; nil or zero
--- a/serving/process/keeper/worker.go
+++ b/serving/process/keeper/worker.go
@@ -72,6 +72,32 @@
 
 // poll does what is due.
 func (w *worker) poll(ctx context.Context) {
+	if !w.told() {
+		w.pollReport(ctx)
+	}
+	now := w.k.config.Now()
+	if now.Sub(w.events) >= w.stretched(EventsEvery, LongestEvents) {
+		w.events = now
+		w.readEvents(ctx)
+	}
+	if w.leased() && now.Sub(w.holdings) >= w.stretched(HoldingsEvery, LongestHoldings) {
+		w.holdings = now
+		w.sweep(ctx, now)
+	}
+}
+
+// told reports whether the engine's answers have told enough of its load.
+func (w *worker) told() bool {
+	fresh := w.k.config.Fresh
+	return fresh != nil && !w.leased() && fresh(w.name, w.wait())
+}
+
+// stretched returns a time between polls that grows with that of reports.
+func (w *worker) stretched(every, longest time.Duration) time.Duration {
+	return Stretched(every, w.wait(), longest)
+}
+
+func (w *worker) pollReport(ctx context.Context) {
 	report, err := w.engine.Report(ctx)
 	if ctx.Err() != nil {
 		return
@@ -84,15 +110,6 @@
 	}
 	w.reported(report)
 	w.order(ctx, report, true)
-	now := w.k.config.Now()
-	if now.Sub(w.events) >= EventsEvery {
-		w.events = now
-		w.readEvents(ctx)
-	}
-	if now.Sub(w.holdings) >= HoldingsEvery {
-		w.holdings = now
-		w.sweep(ctx, now)
-	}
 }
 
 func (w *worker) reported(r target.Report) {
--- a/serving/request/answer/crashes.go
+++ b/serving/request/answer/crashes.go
@@ -12,17 +12,17 @@
 // is safe for concurrent use.
 type Crashes struct {
 	clock func() time.Time
-	tell  func([]crash.Entry)
+	tell  func(crash.Entry)
 
 	mu    sync.Mutex
 	table *crash.Table
 }
 
-// NewCrashes returns an empty table. tell is given all digests after each
-// crash, to pass them on to other daemons; it may be nil.
-func NewCrashes(clock func() time.Time, tell func([]crash.Entry)) *Crashes {
+// NewCrashes returns an empty table. tell is given what each crash says of its
+// prompt, to pass it on to other daemons; it may be nil.
+func NewCrashes(clock func() time.Time, tell func(crash.Entry)) *Crashes {
 	if tell == nil {
-		tell = func([]crash.Entry) {}
+		tell = func(crash.Entry) {}
 	}
 	return &Crashes{clock: clock, tell: tell, table: crash.New()}
 }
@@ -60,15 +60,17 @@
 
 // Crashed implements Prompt.
 func (p *prompt) Crashed(alone bool) crash.Standing {
-	standing := p.crashes.crashed(p.digest, alone)
-	p.crashes.tell(p.crashes.Digests())
-	return standing
+	entry := p.crashes.crashed(p.digest, alone)
+	p.crashes.tell(entry)
+	return entry.Standing
 }
 
-func (c *Crashes) crashed(digest crash.Digest, alone bool) crash.Standing {
+func (c *Crashes) crashed(digest crash.Digest, alone bool) crash.Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Crashed(digest, alone, c.clock())
+	now := c.clock()
+	c.table.Crashed(digest, alone, now)
+	return c.table.Entry(digest, now)
 }
 
 // Ended implements Prompt.
--- a/serving/request/dispatch/admitter.go
+++ b/serving/request/dispatch/admitter.go
@@ -16,11 +16,13 @@
 type Admitter struct {
 	mu         sync.Mutex
 	controller *admission.Controller
+	// told is when each kept target last told its load with an answer.
+	told map[names.Target]time.Time
 }
 
 // NewAdmitter returns a shell around a controller, which it owns from now on.
 func NewAdmitter(c *admission.Controller) *Admitter {
-	return &Admitter{controller: c}
+	return &Admitter{controller: c, told: make(map[names.Target]time.Time)}
 }
 
 // Arrive decides on a request.
@@ -73,6 +75,26 @@
 	a.controller.Report(time.Now(), r)
 }
 
+// Told takes in a load report that came with an answer.
+func (a *Admitter) Told(r target.Report) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if _, kept := a.told[r.Target]; kept {
+		a.told[r.Target] = now
+	}
+	a.controller.Report(now, r)
+}
+
+// Fresh reports whether a target has told its load with an answer within a
+// time.
+func (a *Admitter) Fresh(t names.Target, within time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at, kept := a.told[t]
+	return kept && time.Since(at) < within
+}
+
 // SetMaxReserve bounds the share of targets that are reserved for short
 // prefills; zero means the default.
 func (a *Admitter) SetMaxReserve(share float64) {
@@ -86,6 +108,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.controller.Table().Apply(specs)
+	told := make(map[names.Target]time.Time, len(specs))
+	for i := range specs {
+		told[specs[i].Name] = a.told[specs[i].Name]
+	}
+	a.told = told
 }
 
 // Candidates returns what is known of a model's targets.
--- a/serving/request/dispatch/place.go
+++ b/serving/request/dispatch/place.go
@@ -144,7 +144,7 @@
 		started: func() { p.d.Admitter.FirstToken(state.request.ID) },
 		told: func(report target.Report) {
 			report.Target = at
-			p.d.Admitter.Report(report)
+			p.d.Admitter.Told(report)
 		},
 	}
 	return answer.Placement{Target: at, Engine: watched, Release: release}, nil
--- a/tools/slopes/polls.go
+++ b/tools/slopes/polls.go
@@ -51,13 +51,6 @@
 	processor time.Duration
 }
 
-// Rates in bytes a second by which a daemon bounds its polls of reports, in a
-// fleet of up to subset.FewDaemons and in a larger one.
-const (
-	pollRateOfFew  = 40 << 10
-	pollRateOfMany = 3 << 10
-)
-
 func pollTables(p *printer, o Options) {
 	p.line("### Polls of targets")
 	p.line("")
@@ -76,7 +69,7 @@
 		p.row(kind.name, kind.every.String(), number(c.bytes), c.processor.String())
 	}
 	p.line("")
-	p.line("Of one daemon, worked out from these costs and the pace of its polls:")
+	p.line("Of one daemon, worked out from these costs and the pace of its polls, as if no answer told an engine's load. Holdings are polled by an engine's first keeper only.")
 	p.line("")
 	p.header("daemons", "targets", "kept by one, mean", "pace", "B/s", "of it holdings", "CPU, fraction of a core")
 	for i, n := range o.Sizes {
@@ -84,10 +77,14 @@
 		pace := pollPace(n, int(kept))
 		var bytes, cpu, last float64
 		for j, kind := range kinds {
-			each := max(pace, kind.every).Seconds()
-			last = kept * costs[j].bytes / each
+			each := max(pace, keeper.Stretched(kind.every, pace, kind.longest)).Seconds()
+			asked := kept
+			if kind.first {
+				asked = float64(o.Targets[i]) / float64(n)
+			}
+			last = asked * costs[j].bytes / each
 			bytes += last
-			cpu += kept * costs[j].processor.Seconds() / each
+			cpu += asked * costs[j].processor.Seconds() / each
 		}
 		p.row(fmt.Sprint(n), fmt.Sprint(o.Targets[i]), number(kept), pace.Round(time.Millisecond).String(),
 			number(bytes), number(last), fmt.Sprintf("%.4f", cpu))
@@ -97,31 +94,29 @@
 
 // pollPace is the time between two polls of a target in a fleet of n.
 func pollPace(n, kept int) time.Duration {
-	rate := float64(pollRateOfMany)
-	if n <= subset.FewDaemons {
-		rate = pollRateOfFew
-	}
-	return keeping.Pace(kept, keeper.PollBytes, rate, keeper.ReportEvery, keeper.LongestPoll)
+	return keeping.Pace(kept, keeper.PollBytes, keeper.PollRate(n), keeper.ReportEvery, keeper.LongestPoll)
 }
 
 // pollKind is a kind of poll and how often the keeper makes it.
 type pollKind struct {
-	name  string
-	every time.Duration
+	name           string
+	every, longest time.Duration
+	// first is set if only the first keeper makes it.
+	first bool
 	call  func(context.Context, *targetapi.Client) error
 }
 
 func pollKinds() []pollKind {
 	return []pollKind{
-		{"report", keeper.ReportEvery, func(ctx context.Context, c *targetapi.Client) error {
+		{"report", keeper.ReportEvery, keeper.LongestPoll, false, func(ctx context.Context, c *targetapi.Client) error {
 			_, err := c.Report(ctx)
 			return err
 		}},
-		{"cache events, none new", keeper.EventsEvery, func(ctx context.Context, c *targetapi.Client) error {
+		{"cache events, none new", keeper.EventsEvery, keeper.LongestEvents, false, func(ctx context.Context, c *targetapi.Client) error {
 			_, err := c.Events(ctx, 1)
 			return err
 		}},
-		{"holdings, 20 handles and streams", keeper.HoldingsEvery, func(ctx context.Context, c *targetapi.Client) error {
+		{"holdings, 20 handles and streams", keeper.HoldingsEvery, keeper.LongestHoldings, true, func(ctx context.Context, c *targetapi.Client) error {
 			_, err := c.Holdings(ctx)
 			return err
 		}},
