Reserve the whole isolation engine for a suspect

Cause: two daemons could meet at one isolation engine for a round trip, and an innocent prompt be blamed for the other's crash. Change: a suspect's daemon reserves all of the engine's memory before it submits; only one reservation can have it, and it passes to the stream. Conclusion: aloneness is the engine's to decide, with no agreement of daemons.

--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -12,6 +12,7 @@
 
 	"carobspoke.example/core/names"
 	core "carobspoke.example/core/process/distribution"
+	corekeeping "carobspoke.example/core/process/keeping"
 	"carobspoke.example/core/process/load"
 	"carobspoke.example/core/process/membership"
 	"carobspoke.example/core/process/subset"
@@ -158,7 +159,7 @@
 		Versions:    d.versions,
 		Admitter:    d.admitter,
 		Engines:     engines{transport: d.transport},
-		Alone:       answer.NewAlone(),
+		Alone:       answer.NewAlone(d.newHandle),
 		Quota:       d.quota,
 		Relays:      d.fleet,
 		Forward:     &forward.Client{Peers: d.pool},
@@ -281,3 +282,8 @@
 	_, _ = crand.Read(seed[:]) // it never fails
 	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
 }
+
+// newHandle names a handle of this incarnation.
+func (d *Daemon) newHandle(scope string, deadline time.Time) target.HandleID {
+	return corekeeping.NewHandleID(scope, d.Host(), d.incarnation, deadline, rand.Uint64())
+}
--- a/serving/request/answer/alone.go
+++ b/serving/request/answer/alone.go
@@ -19,24 +19,36 @@
 	AlonePoll = 200 * time.Millisecond
 	// AloneWait is how long a suspect waits for one.
 	AloneWait = 30 * time.Second
+	// freeTimeout bounds the freeing of a reservation.
+	freeTimeout = 2 * time.Second
 )
 
+// HandleNamer names a handle that is wanted until a deadline.
+type HandleNamer func(scope string, deadline time.Time) target.HandleID
+
 // Alone keeps suspects apart at isolation targets: within this daemon by a
-// table of those in use, and among daemons by asking the engine what it runs,
-// before a suspect is submitted and again after. A suspect that finds it has
-// company withdraws and comes back after a random wait. Two suspects may thus
-// meet for a round trip; if one of them crashes the engine within it, the other
-// may be blamed. It is safe for concurrent use.
+// table of those in use, and among daemons by reserving all of the engine's
+// memory, which one of them at most can have. The reservation passes to the
+// suspect's stream; one that is left behind by a daemon's death ends with the
+// deadline in its name.
+//
+// For an engine that cannot be asked to reserve, the daemon asks what it runs,
+// before the suspect is submitted and again after; two suspects may then meet
+// for a round trip, and one be blamed for the other. Alone is safe for
+// concurrent use.
 type Alone struct {
+	name HandleNamer
+
 	mu    sync.Mutex
 	inUse map[names.Target]bool
 	// freed is closed and replaced when a target is no longer in use.
 	freed chan struct{}
 }
 
-// NewAlone returns a table with nothing in use.
-func NewAlone() *Alone {
-	return &Alone{inUse: make(map[names.Target]bool), freed: make(chan struct{})}
+// NewAlone returns a table with nothing in use. Without a name for handles
+// nothing is reserved.
+func NewAlone(name HandleNamer) *Alone {
+	return &Alone{name: name, inUse: make(map[names.Target]bool), freed: make(chan struct{})}
 }
 
 // Wrap returns Targets that place suspects alone and leave other placements to
@@ -65,16 +77,72 @@
 		placement.Release()
 		return Placement{}, err
 	}
-	placement.Engine = aloneEngine{placement.Engine}
-	return placement, nil
+	handle, err := t.alone.reserve(ctx, placement.Engine, want)
+	if err != nil {
+		placement.Release()
+		return Placement{}, err
+	}
+	return held(placement, handle), nil
+}
+
+// held returns a placement whose reservation is freed with it, if the stream
+// has not taken it over.
+func held(placement Placement, handle target.HandleID) Placement {
+	engine, release := placement.Engine, placement.Release
+	placement.Engine = aloneEngine{Engine: engine, handle: handle}
+	placement.Release = sync.OnceFunc(func() {
+		if handle != "" {
+			ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+			defer cancel()
+			_ = engine.Free(ctx, handle) // else the engine's keepers free it
+		}
+		release()
+	})
+	return placement
+}
+
+// reserve takes all of an engine's memory, and waits for it while others have
+// some. It returns no handle if the engine cannot be asked: the submit tells
+// what is wrong with it.
+func (a *Alone) reserve(ctx context.Context, engine targetapi.Engine, want Want) (target.HandleID, error) {
+	if a.name == nil {
+		return "", nil
+	}
+	report, err := engine.Report(ctx)
+	if err != nil {
+		return "", nil //nolint:nilerr // see above
+	}
+	handle := a.name(want.Scope, want.Deadline)
+	whole := target.Reservation{Handle: handle, Scope: want.Scope, Tokens: report.TotalBlocks * report.BlockTokens}
+	for {
+		err := engine.Reserve(ctx, whole)
+		if err == nil {
+			return handle, nil
+		}
+		if verdict.From(err).Reason != verdict.TargetRefused {
+			return "", nil //nolint:nilerr // see above
+		}
+		select {
+		case <-time.After(pollWait()):
+		case <-ctx.Done():
+			return "", busy(ctx.Err())
+		}
+	}
 }
 
 // aloneEngine is an isolation target that takes back a submit which has
 // company.
-type aloneEngine struct{ targetapi.Engine }
+type aloneEngine struct {
+	targetapi.Engine
+	handle target.HandleID
+}
 
 // Submit implements targetapi.Engine.
 func (e aloneEngine) Submit(ctx context.Context, s target.Submit) (targetapi.Stream, error) {
+	if e.handle != "" {
+		s.Reservation = e.handle
+		return e.Engine.Submit(ctx, s)
+	}
 	stream, err := e.Engine.Submit(ctx, s)
 	if err != nil || running(ctx, e.Engine) <= 1 {
 		return stream, err
--- a/serving/request/answer/alone_test.go
+++ b/serving/request/answer/alone_test.go
@@ -56,7 +56,7 @@
 func TestSuspectsRunAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		targets := cells{"i1": {}, "i2": {}}
-		daemons := []Targets{NewAlone().Wrap(targets), NewAlone().Wrap(targets)}
+		daemons := []Targets{NewAlone(nil).Wrap(targets), NewAlone(nil).Wrap(targets)}
 		var wait sync.WaitGroup
 		for i := range 8 {
 			wait.Go(func() {
--- a/serving/request/answer/answer.go
+++ b/serving/request/answer/answer.go
@@ -32,6 +32,9 @@
 	From int
 	// Avoid are the targets that failed this request, oldest first.
 	Avoid []names.Target
+	// Scope and Deadline are those of the request.
+	Scope    string
+	Deadline time.Time
 	// Isolate asks for an isolation target with nothing else on it. Place
 	// waits until there is one.
 	Isolate bool
--- a/serving/request/answer/run.go
+++ b/serving/request/answer/run.go
@@ -118,7 +118,10 @@
 		return r.deps.Prompt.Refusal()
 	}
 	isolate := standing == crash.Suspect
-	want := Want{From: r.checker.Next(), Avoid: r.avoid, Isolate: isolate}
+	want := Want{
+		From: r.checker.Next(), Avoid: r.avoid, Isolate: isolate,
+		Scope: r.submit.Scope, Deadline: r.submit.Deadline,
+	}
 	placement, err := r.deps.Targets.Place(ctx, want)
 	if err != nil && isolate && inUse(err) {
 		return busy(err)
--- a/tools/history/crash_test.go
+++ b/tools/history/crash_test.go
@@ -264,7 +264,7 @@
 func (f *crashFleet) daemon(i int) *crashDaemon {
 	count := func(retry.Outcome, verdict.Reason) {}
 	return &crashDaemon{
-		fleet: f, name: i, targets: answer.NewAlone().Wrap(f),
+		fleet: f, name: i, targets: answer.NewAlone(nil).Wrap(f),
 		crashes: answer.NewCrashes(time.Now, nil),
 		retries: retries.New(retry.Default(), time.Now, rand.New(rand.NewPCG(1, uint64(i))), count),
 	}
