--- a/core/process/quota/quota.go
+++ b/core/process/quota/quota.go
@@ -54,17 +54,19 @@
 	// that hold a lease.
 	LeasedShare = 0.95
 	// LeaseTime is how long a lease lasts at a daemon of a fleet of up to
-	// ManyDaemons, ManyLeaseTime above, and LeaseMargin how much longer it
-	// lasts at the home.
-	LeaseTime     = 10 * time.Second
+	// ManyDaemons.
+	LeaseTime = 10 * time.Second
+	// ManyLeaseTime is the same in a larger fleet.
 	ManyLeaseTime = 5 * time.Minute
-	LeaseMargin   = 5 * time.Second
-	// BurstTime is how long a bucket fills until it is full. Daemons of a
-	// fleet above ManyDaemons see each customer rarely: theirs hold what
-	// comes in in ManyBurstTime.
-	BurstTime     = 10 * time.Second
+	// LeaseMargin is how much longer a lease lasts at the home.
+	LeaseMargin = 5 * time.Second
+	// BurstTime is how long a bucket fills until it is full.
+	BurstTime = 10 * time.Second
+	// ManyBurstTime is the same for daemons of a fleet above ManyDaemons,
+	// which see each customer rarely.
 	ManyBurstTime = 60 * time.Second
-	ManyDaemons   = 12
+	// ManyDaemons is the largest fleet with short bursts and leases.
+	ManyDaemons = 12
 	// MaxCustomers bounds each table. The customer that was idle longest
 	// makes room.
 	MaxCustomers = 8192
