Run whole daemons over a network that tests cut

Cause: joint behaviour of daemons under partition was tested on machines in virtual time only, never on whole daemons over their own sockets.

Change: tools/joint puts a network between the daemons of one process, which loses datagrams and holds back connections in each direction by itself.

--- /dev/null
+++ b/tools/joint/net.go
@@ -0,0 +1,174 @@
+// Package joint runs whole daemons against each other over a network that
+// tests cut, and checks the promises that only all of them together can keep.
+//
+// A Net stands between the daemons of one process. It acts on each direction
+// between two hosts by itself: datagrams are lost, connections are not
+// established, and bytes of established connections are held back until the
+// direction is mended or the connection is closed, as TCP holds back what it
+// sends again. Traffic to targets, callers and the platform does not pass
+// through it.
+package joint
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/serving/process/daemon"
+	"carobspoke.example/serving/process/membership"
+)
+
+// direction is from one host to another.
+type direction struct{ from, to names.Host }
+
+// Net is a network between hosts. The zero value loses nothing. It is safe for
+// concurrent use.
+type Net struct {
+	mu      sync.Mutex
+	cut     map[direction]bool
+	muted   map[names.Host]bool
+	changed chan struct{}
+}
+
+// NewNet returns a network that loses nothing.
+func NewNet() *Net {
+	return &Net{
+		cut:     map[direction]bool{},
+		muted:   map[names.Host]bool{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Attach makes a daemon use the network. It fits dev.Config.Options.
+func (n *Net) Attach(o *daemon.Options) {
+	from := o.Settings.Host
+	o.Network = func(host names.Host) (membership.Network, error) {
+		under, err := membership.ListenUDP(host)
+		if err != nil {
+			return nil, err
+		}
+		return &datagrams{Network: under, net: n, from: host}, nil
+	}
+	o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		return n.dial(ctx, from, names.Host(address))
+	}
+}
+
+// Cut cuts the direction between two hosts.
+func (n *Net) Cut(from, to names.Host) { n.change(func() { n.cut[direction{from, to}] = true }) }
+
+// Part cuts both directions between each host of one side and each of the
+// other.
+func (n *Net) Part(one, other []names.Host) {
+	for _, a := range one {
+		for _, b := range other {
+			n.Cut(a, b)
+			n.Cut(b, a)
+		}
+	}
+}
+
+// Mute loses a host's own datagrams for good, as those of a killed process.
+func (n *Net) Mute(host names.Host) { n.change(func() { n.muted[host] = true }) }
+
+// Mend ends all cuts.
+func (n *Net) Mend() { n.change(func() { clear(n.cut) }) }
+
+func (n *Net) change(what func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	what()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// state reports whether a direction is cut, and what is closed at the next
+// change.
+func (n *Net) state(d direction) (cut bool, changed <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[d], n.changed
+}
+
+// await waits until a direction is open, or done is closed. It reports whether
+// the direction is open.
+func (n *Net) await(d direction, done <-chan struct{}) bool {
+	for {
+		cut, changed := n.state(d)
+		if !cut {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-done:
+			return false
+		}
+	}
+}
+
+func (n *Net) loses(d direction) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[d] || n.muted[d.from]
+}
+
+func (n *Net) dial(ctx context.Context, from, to names.Host) (net.Conn, error) {
+	there, back := direction{from, to}, direction{to, from}
+	if !n.await(there, ctx.Done()) || !n.await(back, ctx.Done()) {
+		return nil, ctx.Err() //nolint:wrapcheck // the dialer's caller knows the context's errors
+	}
+	var dialer net.Dialer
+	under, err := dialer.DialContext(ctx, "tcp", string(to))
+	if err != nil {
+		return nil, err //nolint:wrapcheck // the dialer's caller knows the dialer's errors
+	}
+	return &conn{Conn: under, net: n, there: there, back: back, done: make(chan struct{})}, nil
+}
+
+// datagrams is a host's socket.
+type datagrams struct {
+	membership.Network
+	net  *Net
+	from names.Host
+}
+
+// Send implements membership.Network.
+func (s *datagrams) Send(to names.Host, packet []byte) error {
+	if s.net.loses(direction{s.from, to}) {
+		return nil
+	}
+	return s.Network.Send(to, packet)
+}
+
+// conn is a connection as the host sees it that dialled.
+type conn struct {
+	net.Conn
+	net         *Net
+	there, back direction
+	once        sync.Once
+	done        chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	got, err := c.Conn.Read(b)
+	if !c.net.await(c.back, c.done) {
+		return 0, net.ErrClosed
+	}
+	return got, err //nolint:wrapcheck // readers compare it with io.EOF
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	if !c.net.await(c.there, c.done) {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b) //nolint:wrapcheck // as a connection's
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.done) })
+	return c.Conn.Close() //nolint:wrapcheck // as a connection's
+}
