Send tickets through both sides of a partition

Cause: that a ticket's call runs at most once was shown for machines and for paused processes, not for whole daemons that a partition parts.

Change: a test mints tickets on both sides of a 3/3 partition of six daemons and sends each call through all of them at once when it begins, during it and after it. The history goes through porcupine; a service's record of a run is an action that may have been at any time since the call's first send.

--- /dev/null
+++ b/tools/joint/calls_test.go
@@ -0,0 +1,191 @@
+package joint
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/serving/process/daemon"
+	"carobspoke.example/tools/history"
+	"carobspoke.example/tools/standin/fleet"
+	"carobspoke.example/tools/standin/service"
+)
+
+const (
+	ticketPath = "/v1/services/orders/tickets"
+	callPath   = "/v1/services/orders/call"
+)
+
+// verdict returns the verdict of a refusal, and that of a broken connection;
+// it returns false for an answer.
+func (r reply) verdict() (verdict.Verdict, bool) {
+	if r.status == http.StatusOK {
+		return 0, false
+	}
+	var document struct{ Error struct{ Verdict string } }
+	_ = json.Unmarshal(r.body, &document) // an unreadable one may have run
+	return verdict.Parse(document.Error.Verdict), true
+}
+
+// mint returns the header with a new ticket of a daemon, which allows a call
+// timeout.
+func mint(t *testing.T, d *daemon.Daemon) map[string]string {
+	t.Helper()
+	minted := post(t.Context(), d.CallerAddress(), ticketPath, `{}`, nil)
+	var document struct{ Ticket string }
+	if err := json.Unmarshal(minted.body, &document); err != nil || document.Ticket == "" {
+		t.Fatalf("%d %s", minted.status, minted.body)
+	}
+	return map[string]string{"Carobspoke-Ticket": document.Ticket, "Carobspoke-Timeout-Ms": "2000"}
+}
+
+// register is the history of calls to a bench. Services record that a call ran
+// but not when, so that an action may have been at any time since the call's
+// first send.
+type register struct {
+	history.Recorder
+
+	mu   sync.Mutex
+	acts map[string][]func(output any)
+}
+
+func newRegister() *register { return &register{acts: map[string][]func(output any){}} }
+
+// begin begins the actions of a call, and one more than it may have.
+func (r *register) begin(call string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.acts[call]) < 2 {
+		r.acts[call] = append(r.acts[call], r.Begin(-1, history.CallInput{Call: call, Act: true}))
+	}
+}
+
+func bodyOf(call string) string { return `{"call":"` + call + `"}` }
+
+// send sends a call through the daemon at an address.
+func (r *register) send(ctx context.Context, client int, address, call string, header map[string]string) reply {
+	r.begin(call)
+	end := r.Begin(client, history.CallInput{Call: call})
+	got := post(ctx, address, callPath, bodyOf(call), header)
+	out := history.CallOutput{Answer: string(got.body)}
+	if v, failed := got.verdict(); failed {
+		out = history.CallOutput{Failed: true, Verdict: v}
+	}
+	end(out)
+	return got
+}
+
+// sendAll sends a call through all daemons at once.
+func (r *register) sendAll(t *testing.T, daemons []*daemon.Daemon, call string, header map[string]string) []reply {
+	t.Helper()
+	replies := make([]reply, len(daemons))
+	var sends sync.WaitGroup
+	for i, d := range daemons {
+		sends.Go(func() { replies[i] = r.send(t.Context(), i, d.CallerAddress(), call, header) })
+	}
+	sends.Wait()
+	return replies
+}
+
+// check ends the actions that the services recorded, checks the history, and
+// returns how many calls ran.
+func (r *register) check(t *testing.T, fleet *fleet.Fleet) int {
+	t.Helper()
+	ran := map[uint64]int{}
+	for _, s := range fleet.Services() {
+		for _, run := range s.Runs() {
+			ran[run.Body]++
+		}
+	}
+	answer := map[string]string{}
+	for _, op := range r.Operations() {
+		if out, _ := op.Output.(history.CallOutput); !out.Failed {
+			answer[op.Input.(history.CallInput).Call] = out.Answer //nolint:forcetypeassert // the register holds no other
+		}
+	}
+	count := 0
+	for call, acts := range r.acts {
+		times := ran[service.Digest([]byte(bodyOf(call)))]
+		count += min(times, 1)
+		if times > 1 {
+			t.Errorf("call %s ran %d times", call, times)
+		}
+		for _, end := range acts[:min(times, len(acts))] {
+			end(history.CallOutput{Answer: answer[call]})
+		}
+	}
+	if !history.Check(history.CallModel(), r.Operations()) {
+		t.Error("the calls broke the promise")
+	}
+	return count
+}
+
+// tally counts the outcomes of sends.
+type tally struct{ answered, mayHaveRun, notRun int }
+
+func (c *tally) add(replies []reply) {
+	for _, r := range replies {
+		switch v, failed := r.verdict(); {
+		case !failed:
+			c.answered++
+		case v == verdict.NotRun:
+			c.notRun++
+		default:
+			c.mayHaveRun++
+		}
+	}
+}
+
+// TestTicketAcrossAPartitionRunsOnce sends calls whose tickets both sides
+// minted through all daemons at once, when a partition begins, during it, and
+// after it. In the same partition a key without a ticket is refused, since no
+// side can know what the other ran.
+func TestTicketAcrossAPartitionRunsOnce(t *testing.T) {
+	t.Parallel()
+	const calls = 8
+	b := start(t, 6)
+	daemons := b.Daemons()
+	r := newRegister()
+	headers := make([]map[string]string, calls)
+	for i := range headers {
+		headers[i] = mint(t, daemons[i%len(daemons)])
+	}
+	sends := func(first, last int) (c tally) {
+		var running sync.WaitGroup
+		replies := make([][]reply, calls)
+		for i := first; i < last; i++ {
+			running.Go(func() { replies[i] = r.sendAll(t, daemons, strconv.Itoa(i), headers[i]) })
+		}
+		running.Wait()
+		for _, some := range replies {
+			c.add(some)
+		}
+		return c
+	}
+	b.sides()
+	beginning := sends(0, calls/2)
+	within(t, "each side sees itself alone", func() bool { return b.see(len(daemons) / 2) })
+	parted := sends(calls/2, calls)
+	for i, got := range r.sendAll(t, daemons, "keyed", map[string]string{"Idempotency-Key": "k"}) {
+		if v, failed := got.verdict(); !failed || v != verdict.MayHaveRun {
+			t.Errorf("a key without a ticket, daemon %d: %d %s", i, got.status, got.body)
+		}
+	}
+	b.net.Mend()
+	within(t, "all see each other", func() bool { return b.see(len(daemons)) })
+	healed := sends(0, calls)
+	t.Logf("beginning %+v, parted %+v, healed %+v", beginning, parted, healed)
+	if healed.answered != calls*len(daemons) {
+		t.Error("a call was not answered after the partition")
+	}
+	if parted.mayHaveRun == 0 || parted.answered == 0 {
+		t.Error("the partition parted nothing")
+	}
+	if ran := r.check(t, b.Fleet); ran != calls {
+		t.Errorf("%d calls ran", ran)
+	}
+}
--- a/tools/joint/joint_test.go
+++ b/tools/joint/joint_test.go
@@ -156,6 +156,11 @@
 	return true
 }
 
+// see reports whether each daemon sees so many members.
+func (b *bench) see(members int) bool {
+	return all(b.Daemons(), func(d *daemon.Daemon) bool { return d.Members() == members })
+}
+
 // watchVersions records the versions of daemons until the result is called.
 func watchVersions(daemons []*daemon.Daemon, recorder *history.Recorder) (stop func()) {
 	over := make(chan struct{})
@@ -228,6 +233,7 @@
 // TestPartitionedSideKeepsItsVersion publishes while only one side of a
 // partition reaches the platform.
 func TestPartitionedSideKeepsItsVersion(t *testing.T) {
+	t.Parallel()
 	b := start(t, 6)
 	recorder := &history.Recorder{}
 	stop := watchVersions(b.Daemons(), recorder)
@@ -238,9 +244,7 @@
 	reached := within(t, "the side that reaches the platform has the new version", func() bool {
 		return all(one, func(d *daemon.Daemon) bool { return version(d) == next })
 	})
-	parted := within(t, "each side sees itself alone", func() bool {
-		return all(b.Daemons(), func(d *daemon.Daemon) bool { return d.Members() == len(one) })
-	})
+	parted := within(t, "each side sees itself alone", func() bool { return b.see(len(one)) })
 	if !all(other, func(d *daemon.Daemon) bool { return version(d) == old }) {
 		t.Fatal("the version passed through the partition")
 	}
@@ -249,9 +253,7 @@
 	healed := within(t, "all have the new version", func() bool {
 		return all(b.Daemons(), func(d *daemon.Daemon) bool { return version(d) == next })
 	})
-	joined := within(t, "all see each other", func() bool {
-		return all(b.Daemons(), func(d *daemon.Daemon) bool { return d.Members() == len(b.Daemons()) })
-	})
+	joined := within(t, "all see each other", func() bool { return b.see(len(b.Daemons())) })
 	stop()
 	if !history.Check(history.VersionModel(), recorder.Operations()) {
 		t.Error("a daemon went back to an older version")
