Restart all daemons, end the platform, lose one direction

Cause: what happens to whole daemons in these cases was known from the design and from machines in virtual time.

Change: tests for whole daemons. One daemon's sends to another are lost for 10 s while prompts go through all six. All daemons restart against a service that serves an older version, with engines that keep fencing numbers and with engines that keep none, where the design says that the old version is taken. The platform ends, and a daemon boots from its peers.

--- a/tools/joint/joint_test.go
+++ b/tools/joint/joint_test.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/version/manifest"
 	"carobspoke.example/serving/platform"
 	"carobspoke.example/serving/process/daemon"
 	"carobspoke.example/tools/dev"
 	"carobspoke.example/tools/history"
+	"carobspoke.example/tools/standin/engine"
 	"carobspoke.example/tools/standin/fleet"
 	"go.uber.org/zap"
 )
@@ -29,17 +31,26 @@
 type bench struct {
 	*dev.Dev
 	net *Net
+
+	mu sync.Mutex
 	// away holds the hosts that do not reach the platform.
-	mu   sync.Mutex
-	away map[names.Host]bool
+	away  map[names.Host]bool
+	seeds []names.Host
 }
 
 func start(t *testing.T, daemons int) *bench {
+	t.Helper()
+	return startWith(t, daemons, nil, nil)
+}
+
+// startWith starts a bench with other engines or another manifest.
+func startWith(t *testing.T, daemons int, engines func(int, *engine.Config), adjust func(*manifest.Manifest)) *bench {
 	t.Helper()
 	b := &bench{net: NewNet(), away: map[names.Host]bool{}}
 	d, err := dev.Start(t.Context(), dev.Config{
-		Fleet:   fleet.Config{Size: fleet.Dev, Speedup: speedup},
+		Fleet:   fleet.Config{Size: fleet.Dev, Speedup: speedup, AdjustEngine: engines},
 		Daemons: daemons,
+		Adjust:  adjust,
 		Log:     zap.NewNop(),
 		Options: b.attach,
 	})
@@ -52,11 +63,21 @@
 }
 
 func (b *bench) attach(o *daemon.Options) {
+	b.mu.Lock()
+	o.Settings.Peer.Seeds = b.seeds
+	b.mu.Unlock()
 	b.net.Attach(o)
 	client := platform.NewClient(o.Settings.Platform.Address, http.DefaultTransport)
 	o.Platform = &reach{Platform: client, bench: b, host: o.Settings.Host}
 }
 
+// setSeeds gives daemons that are added later their first peers.
+func (b *bench) setSeeds(hosts []names.Host) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seeds = hosts
+}
+
 // reach is the platform as one host reaches it.
 type reach struct {
 	platform.Platform
