Send tokens that arrived together in one write

Cause: each token was flushed to the caller by itself, a system call each, also when the next one had already been read from the engine. Change: the frame reader tells whether a whole further frame is buffered; the observed stream has the caller's output wait for it, and flushes before it waits for the engine and when an attempt ends. Bytes are unchanged. Tests: a frame in parts is not buffered; a silent engine holds no token back (with the flush before waiting taken out, the test hangs into its time limit); an attempt that ends with a frame unread sends what was held.

--- a/serving/connection/targetapi/frames.go
+++ b/serving/connection/targetapi/frames.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -15,14 +16,34 @@
 	body   io.ReadCloser
 	lines  *bufio.Scanner
 	report string
+	// buffered says that a whole line follows the one read last.
+	buffered bool
+}
+
+// Buffering is a Stream that knows whether its next frame has arrived.
+type Buffering interface {
+	// Buffered reports whether Next returns without waiting.
+	Buffered() bool
 }
 
 func newFrameReader(response *http.Response) *frameReader {
 	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(make([]byte, 0, 512), MaxFrameBytes)
-	return &frameReader{body: response.Body, lines: lines, report: response.Header.Get(target.ReportHeader)}
+	reader := &frameReader{body: response.Body, lines: lines, report: response.Header.Get(target.ReportHeader)}
+	lines.Split(reader.split)
+	return reader
 }
 
+// split is bufio.ScanLines, and looks for the line after.
+func (r *frameReader) split(data []byte, atEOF bool) (int, []byte, error) {
+	advance, line, err := bufio.ScanLines(data, atEOF)
+	r.buffered = bytes.IndexByte(data[advance:], '\n') >= 0
+	return advance, line, err
+}
+
+// Buffered implements Buffering.
+func (r *frameReader) Buffered() bool { return r.buffered }
+
 // Load implements LoadTeller.
 func (r *frameReader) Load() (target.Report, bool) {
 	report, err := target.ParseReportHeader(r.report)
--- a/serving/request/dispatch/observe.go
+++ b/serving/request/dispatch/observe.go
@@ -7,6 +7,7 @@
 	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/connection/targetapi"
+	"carobspoke.example/serving/request/gateway"
 )
 
 // observed is an engine that tells the admission controller how the one
@@ -23,16 +24,16 @@
 func (o *observed) Submit(ctx context.Context, s target.Submit) (targetapi.Stream, error) {
 	s.Priority = o.placed.priority
 	stream, err := o.Engine.Submit(o.placed.cancellable(ctx), s)
-	return o.watch(stream, err)
+	return o.watch(ctx, stream, err)
 }
 
 // Resume implements targetapi.Engine.
 func (o *observed) Resume(ctx context.Context, id target.StreamID, attempt uint32, from int) (targetapi.Stream, error) {
 	stream, err := o.Engine.Resume(o.placed.cancellable(ctx), id, attempt, from)
-	return o.watch(stream, err)
+	return o.watch(ctx, stream, err)
 }
 
-func (o *observed) watch(stream targetapi.Stream, err error) (targetapi.Stream, error) {
+func (o *observed) watch(ctx context.Context, stream targetapi.Stream, err error) (targetapi.Stream, error) {
 	if err != nil {
 		o.placed.outcome = outcomeOf(err)
 		return nil, o.placed.leaving(err)
@@ -42,19 +43,41 @@
 			o.told(report)
 		}
 	}
-	return &observedStream{Stream: stream, placed: o.placed, started: o.started}, nil
+	buffering, _ := stream.(targetapi.Buffering)
+	return &observedStream{
+		Stream: stream, placed: o.placed, started: o.started,
+		buffering: buffering, batch: gateway.BatchOf(ctx),
+	}, nil
 }
 
-// observedStream watches the frames of an attempt.
+// observedStream watches the frames of an attempt. It has the tokens that
+// arrived together sent to the caller together, and none held back while it
+// waits for the next.
 type observedStream struct {
 	targetapi.Stream
 	placed  *placed
 	started func()
+	// buffering is the stream, or nil if it doesn't tell.
+	buffering targetapi.Buffering
+	batch     *gateway.Batch
+}
+
+func (s *observedStream) buffered() bool { return s.buffering != nil && s.buffering.Buffered() }
+
+// Close implements targetapi.Stream.
+func (s *observedStream) Close() error {
+	s.batch.Hold(false)
+	s.batch.Flush()
+	return s.Stream.Close()
 }
 
 // Next implements targetapi.Stream.
 func (s *observedStream) Next() (target.Frame, error) {
+	if !s.buffered() {
+		s.batch.Flush()
+	}
 	frame, err := s.Stream.Next()
+	s.batch.Hold(err == nil && s.buffered())
 	switch {
 	case err != nil:
 		s.placed.outcome = outcomeOf(err)
--- a/serving/request/gateway/answer.go
+++ b/serving/request/gateway/answer.go
@@ -37,8 +37,9 @@
 // a status of its own.
 func (a *answer) WriteTo(w io.Writer) (int64, error) {
 	defer a.cancel()
-	sink := a.sink(w)
-	err := a.service.Runner.Run(a.ctx, a.generation, sink)
+	out := newOutput(w)
+	sink := a.sink(out)
+	err := a.service.Runner.Run(WithBatch(a.ctx, out.Batch), a.generation, sink)
 	if err == nil {
 		err = sink.whole()
 	}
@@ -64,8 +65,7 @@
 	a.service.log(a.generation, e)
 }
 
-func (a *answer) sink(w io.Writer) responseSink {
-	out := newOutput(w)
+func (a *answer) sink(out *output) responseSink {
 	if a.form.stream {
 		return &eventSink{output: out, form: a.form}
 	}
@@ -83,16 +83,67 @@
 	written() int64
 }
 
+// Batch sends the tokens of an answer that arrived together to the caller
+// together. Whoever reads the tokens says with Hold whether the next one has
+// arrived, and calls Flush before it waits for one; without a call of Hold
+// each token is sent at once. A Batch is used by the goroutine that runs the
+// answer. A nil Batch does nothing.
+type Batch struct {
+	flush func()
+	hold  bool
+	held  bool
+}
+
+// NewBatch returns a batch that is sent by flush.
+func NewBatch(flush func()) *Batch { return &Batch{flush: flush} }
+
+type batchKey struct{}
+
+// WithBatch returns the context to run an answer with.
+func WithBatch(ctx context.Context, b *Batch) context.Context {
+	return context.WithValue(ctx, batchKey{}, b)
+}
+
+// BatchOf returns the batch of the answer that is run with ctx, or nil.
+func BatchOf(ctx context.Context) *Batch {
+	b, _ := ctx.Value(batchKey{}).(*Batch)
+	return b
+}
+
+// Hold says whether what is written next may wait for a Flush.
+func (b *Batch) Hold(hold bool) {
+	if b != nil {
+		b.hold = hold
+	}
+}
+
+// Flush sends what was held back.
+func (b *Batch) Flush() {
+	if b == nil || !b.held {
+		return
+	}
+	b.held = false
+	b.flush()
+}
+
+// Wrote is told of each write. It sends what was written, unless it may wait.
+func (b *Batch) Wrote() {
+	b.held = true
+	if !b.hold {
+		b.Flush()
+	}
+}
+
 // output writes to a caller and counts.
 type output struct {
+	*Batch
 	w      io.Writer
 	header http.Header
-	flush  func()
 	count  int64
 }
 
 func newOutput(w io.Writer) *output {
-	out := &output{w: w, header: http.Header{}, flush: func() {}}
+	out := &output{w: w, header: http.Header{}, Batch: NewBatch(func() {})}
 	if response, ok := w.(http.ResponseWriter); ok {
 		out.header = response.Header()
 	}
@@ -110,7 +161,7 @@
 	if err != nil {
 		return verdict.Wrap(err, verdict.Ran, verdict.CallerGone, "the caller is gone")
 	}
-	o.flush()
+	o.Wrote()
 	return nil
 }
 
