Pass over relays that do not answer

Cause: a request to a daemon whose packets are lost waited for the connection's keepalive or gRPC's connect timeout, and the same relay was picked again. Change: a relay says at once that it has a request, and is given up after a second without; connecting takes a second at most; relays that failed are spared for 5 s.

--- a/serving/connection/peers/peers.go
+++ b/serving/connection/peers/peers.go
@@ -17,6 +17,7 @@
 	"carobspoke.example/core/names"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -32,6 +33,10 @@
 	// it is probed; KeepaliveTimeout is how long the probe may take.
 	KeepaliveTime    = 10 * time.Second
 	KeepaliveTimeout = 3 * time.Second
+	// ConnectTimeout bounds an attempt to connect.
+	ConnectTimeout = time.Second
+	// MaxConnectBackoff bounds the wait between two attempts.
+	MaxConnectBackoff = 5 * time.Second
 	// IdleTimeout closes connections without calls.
 	IdleTimeout = 5 * time.Minute
 )
@@ -62,6 +67,7 @@
 			grpc.WithDisableRetry(),
 			grpc.WithStatsHandler(meter),
 			grpc.WithNoProxy(),
+			grpc.WithConnectParams(connectParams()),
 			grpc.WithIdleTimeout(IdleTimeout),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: KeepaliveTime, Timeout: KeepaliveTimeout}),
 			grpc.WithDefaultCallOptions(
@@ -76,6 +82,13 @@
 	return p
 }
 
+func connectParams() grpc.ConnectParams {
+	params := grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: ConnectTimeout}
+	params.Backoff.BaseDelay = ConnectTimeout / 10
+	params.Backoff.MaxDelay = MaxConnectBackoff
+	return params
+}
+
 // Conn returns the connection to a peer, which may still be connecting.
 func (p *Pool) Conn(host names.Host) (*grpc.ClientConn, error) {
 	p.mu.Lock()
--- a/serving/process/fleet/fleet.go
+++ b/serving/process/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,8 +45,15 @@
 	// changed is told of each new view, by one goroutine.
 	changed func(*View)
 	current atomic.Pointer[View]
+
+	mu     sync.Mutex
+	failed map[names.Host]time.Time
 }
 
+// SpareFor is how long a relay that failed is passed over while others are
+// there.
+const SpareFor = 5 * time.Second
+
 // New returns a fleet with an empty view.
 func New(self names.Host, members Members, versions *version.Holder, changed func(*View)) *Fleet {
 	f := &Fleet{self: self, members: members, versions: versions, changed: changed}
@@ -119,7 +127,36 @@
 // Pick implements dispatch.Relays.
 func (f *Fleet) Pick(model names.Model, avoid []names.Host) (names.Host, bool) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return f.View().Assignment.Pick(model, avoid, random)
+	assigned := f.View().Assignment
+	if host, ok := assigned.Pick(model, slices.Concat(avoid, f.spared()), random); ok {
+		return host, true
+	}
+	return assigned.Pick(model, avoid, random)
+}
+
+// Failed implements dispatch.Relays.
+func (f *Fleet) Failed(host names.Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failed == nil {
+		f.failed = make(map[names.Host]time.Time)
+	}
+	f.failed[host] = time.Now()
+}
+
+// spared returns the relays that failed of late, and forgets the others.
+func (f *Fleet) spared() []names.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []names.Host
+	for host, at := range f.failed {
+		if time.Since(at) < SpareFor {
+			list = append(list, host)
+			continue
+		}
+		delete(f.failed, host)
+	}
+	return list
 }
 
 // Known returns the newest incarnation known of a host, or zero.
--- a/serving/request/dispatch/dispatch.go
+++ b/serving/request/dispatch/dispatch.go
@@ -53,6 +53,9 @@
 	Keeps(model names.Model) bool
 	// Pick returns a daemon that keeps one, none of those in avoid.
 	Pick(model names.Model, avoid []names.Host) (names.Host, bool)
+	// Failed says that a daemon did not serve as a relay, so that others are
+	// preferred for a while.
+	Failed(host names.Host)
 }
 
 // Dispatcher runs generations. Its methods are safe for concurrent use.
--- a/serving/request/forward/client.go
+++ b/serving/request/forward/client.go
@@ -40,9 +40,29 @@
 	if err != nil {
 		return callError(ctx, err, verdict.NotRun)
 	}
+	if err := accepted(frames, cancel); err != nil {
+		return err
+	}
 	return receive(ctx, frames, sink, r.Facts.Offset)
 }
 
+// AcceptTimeout bounds the time until a peer says that it has a request.
+const AcceptTimeout = time.Second
+
+// accepted waits until the peer has the request. One that cannot be reached
+// does not say so by itself until the connection's keepalive finds out.
+func accepted(frames grpc.ServerStreamingClient[peerpb.GenerateFrame], cancel func()) error {
+	timer := time.AfterFunc(AcceptTimeout, cancel)
+	_, err := frames.Header()
+	if !timer.Stop() {
+		return verdict.New(verdict.MayHaveRun, verdict.PeerUnreachable, "a daemon does not answer")
+	}
+	if err != nil {
+		return callError(frames.Context(), err, verdict.MayHaveRun)
+	}
+	return nil
+}
+
 // receive passes an answer on and checks that no token is missing.
 func receive(ctx context.Context, frames grpc.ServerStreamingClient[peerpb.GenerateFrame], sink Sink, next int) error {
 	for {
--- a/serving/request/forward/server.go
+++ b/serving/request/forward/server.go
@@ -7,6 +7,7 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/peerpb"
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 )
 
@@ -30,6 +31,9 @@
 
 // Generate implements peerpb.ForwardingServer.
 func (s *Server) Generate(m *peerpb.GenerateRequest, out grpc.ServerStreamingServer[peerpb.GenerateFrame]) error {
+	if err := out.SendHeader(nil); err != nil {
+		return errors.WithStack(err)
+	}
 	r := fromMessage(m, s.DataCentre, time.Now())
 	ctx, cancel := context.WithDeadline(out.Context(), r.Facts.Deadline)
 	defer cancel()
