--- a/tools/joint/net.go
+++ b/tools/joint/net.go
@@ -5,7 +5,8 @@
 // between two hosts by itself: datagrams are lost, connections are not
 // established, and bytes of established connections are held back until the
 // direction is mended or the connection is closed, as TCP holds back what it
-// sends again. Traffic to targets, callers and the platform does not pass
+// sends again. A writer does not notice that until its send buffer is full.
+// Traffic to targets, callers and the platform does not pass
 // through it.
 package joint
 
@@ -144,7 +145,7 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // the dialer's caller knows the dialer's errors
 	}
-	return &conn{Conn: under, net: n, there: there, back: back, done: make(chan struct{})}, nil
+	return newConn(under, n, there, back), nil
 }
 
 // datagrams is a host's socket.
@@ -161,35 +162,3 @@
 	}
 	return s.Network.Send(to, packet)
 }
-
-// conn is a connection as the host sees it that dialled.
-type conn struct {
-	net.Conn
-	net         *Net
-	there, back direction
-	once        sync.Once
-	done        chan struct{}
-}
-
-// Read implements net.Conn.
-func (c *conn) Read(b []byte) (int, error) {
-	got, err := c.Conn.Read(b)
-	if !c.net.await(c.back, c.done) {
-		return 0, net.ErrClosed
-	}
-	return got, err //nolint:wrapcheck // readers compare it with io.EOF
-}
-
-// Write implements net.Conn.
-func (c *conn) Write(b []byte) (int, error) {
-	if !c.net.await(c.there, c.done) {
-		return 0, net.ErrClosed
-	}
-	return c.Conn.Write(b) //nolint:wrapcheck // as a connection's
-}
-
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.once.Do(func() { close(c.done) })
-	return c.Conn.Close() //nolint:wrapcheck // as a connection's
-}
