--- a/serving/request/dispatch/admitter.go
+++ b/serving/request/dispatch/admitter.go
@@ -119,7 +119,7 @@
 func (a *Admitter) Candidates(model names.Model) []choice.Candidate {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.controller.Table().Candidates(model, time.Now())
+	return a.controller.Candidates(model, time.Now())
 }
 
 // Held returns the requests that are at targets, and their size in bytes.
