Count forwarded requests as in flight, and unreadable ones as refused

Cause: a relay that drained did not wait for the answers that it relayed; requests that could not be decoded were counted nowhere. Change: forwarded generations and calls hold the drain; decoding errors count under their reason.

--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -176,8 +176,8 @@
 	d.distributor.Register(d.peerServer)
 	peerpb.RegisterQuotasServer(d.peerServer, d.quota)
 	peerpb.RegisterForwardingServer(d.peerServer, &forward.Server{
-		Runner:     d.dispatcher,
-		Caller:     d.calls,
+		Runner:     forwarded{d: d},
+		Caller:     forwarded{d: d},
 		DataCentre: d.settings.DataCentre,
 	})
 }
@@ -194,9 +194,9 @@
 		Log:            d.log,
 	})
 	endpoints := completions.NewEndpoints(service)
-	completionsserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, failure.Formatter).Mount(mux)
+	completionsserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, d.formatted).Mount(mux)
 	callEndpoints := gencalls.NewEndpoints(d.calls)
-	callsserver.New(callEndpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, failure.Formatter).Mount(mux)
+	callsserver.New(callEndpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, d.formatted).Mount(mux)
 	caller := d.settings.Caller
 	limited := gateway.Limit(d.counted(mux), caller.MaxBodyBytes, caller.BodyTimeout.Duration)
 	d.callerServer = gateway.NewServer(limited)
@@ -213,7 +213,7 @@
 		Ready:      d.ready,
 	}}
 	endpoints := genadmin.NewEndpoints(service)
-	adminserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, failure.Formatter).Mount(mux)
+	adminserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, d.formatted).Mount(mux)
 	d.adminServer = gateway.NewServer(gateway.Limit(mux, maxAdminBody, adminBodyTimeout))
 }
 
@@ -239,6 +239,15 @@
 	}
 }
 
+// formatted gives an error its form, and counts requests that were refused
+// before they were understood: no service has seen them.
+func (d *Daemon) formatted(ctx context.Context, err error) goahttp.Statuser {
+	if refusal, ok := failure.Undecoded(err); ok {
+		d.counters.Ended(refusal)
+	}
+	return failure.Formatter(ctx, err)
+}
+
 func (d *Daemon) writeFailed(_ context.Context, _ http.ResponseWriter, err error) {
 	d.log.Debug("answer not written", zap.Error(err))
 }
--- a/serving/request/failure/failure.go
+++ b/serving/request/failure/failure.go
@@ -75,7 +75,8 @@
 // an error on the response that the context carries.
 func Formatter(ctx context.Context, err error) goahttp.Statuser {
 	body := From(err)
-	if resent, _ := ctx.Value(resentKey{}).(bool); resent && body.Error.Verdict == verdict.NotRun.String() && undecoded(err) {
+	resent, _ := ctx.Value(resentKey{}).(bool)
+	if _, undecoded := Undecoded(err); undecoded && resent {
 		body.Error.Verdict = verdict.MayHaveRun.String()
 	}
 	if header, ok := ctx.Value(headerKey{}).(http.Header); ok {
@@ -94,10 +95,14 @@
 	return context.WithValue(ctx, resentKey{}, true)
 }
 
-// undecoded reports whether a request was refused before it was understood.
-func undecoded(err error) bool {
+// Undecoded returns the refusal of a request that was not understood, and
+// whether err is one.
+func Undecoded(err error) (*verdict.Error, bool) {
 	var service *goa.ServiceError
-	return errors.As(err, &service)
+	if !errors.As(err, &service) {
+		return nil, false
+	}
+	return classify(err), true
 }
 
 // WithHeader returns a context from which Formatter takes the response's
