Test that a discarded frame holds no token back

Change: a late frame that is discarded follows the last token, so that the token is still held when the engine falls silent.

--- a/serving/request/dispatch/observe_test.go
+++ b/serving/request/dispatch/observe_test.go
@@ -12,14 +12,15 @@
 	"carobspoke.example/serving/request/gateway"
 )
 
-// TestNoTokenIsHeldBackFromTheCaller has an engine send three tokens and a
-// part of a fourth, and then nothing until the caller has got the three.
+// TestNoTokenIsHeldBackFromTheCaller has an engine send three tokens, a late
+// frame that is discarded and a part of a fourth token, and then nothing until
+// the caller has got the three.
 func TestNoTokenIsHeldBackFromTheCaller(t *testing.T) {
 	received := make(chan int, 8)
 	silent := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		_, _ = io.WriteString(w, "{\"a\":1}\n{\"a\":1,\"o\":1}\n{\"a\":1,\"o\":2}\n{\"a\":1,")
+		_, _ = io.WriteString(w, "{\"a\":1}\n{\"a\":1,\"o\":1}\n{\"a\":1,\"o\":2}\n{\"o\":2}\n{\"a\":1,")
 		_ = http.NewResponseController(w).Flush()
 		<-silent
 		_, _ = io.WriteString(w, "\"o\":3}\n{\"a\":1,\"o\":4,\"end\":true}\n")
@@ -85,6 +86,9 @@
 		if err != nil || frame.End {
 			return err
 		}
+		if frame.Attempt == 0 {
+			continue
+		}
 		*written++
 		batch.Wrote()
 	}
