--- a/tools/dev/dev_test.go
+++ b/tools/dev/dev_test.go
@@ -140,8 +140,16 @@
 func TestDrainedDaemonCutsNothing(t *testing.T) {
 	d := startDev(t)
 	leaving := d.Daemons()[0]
-	c := client(d, 0, "customer-a")
-	stream := c.Chat.Completions.NewStreaming(t.Context(), chat("long", 200))
+	streamWhileDraining(t, d, leaving, leaving)
+}
+
+// streamWhileDraining reads an answer from one daemon while one is drained and
+// removed, and fails if a token is missing.
+func streamWhileDraining(t *testing.T, d *Dev, entry, leaving *daemon.Daemon) {
+	t.Helper()
+	const want = 500
+	c := clientOf(entry, "customer-a")
+	stream := c.Chat.Completions.NewStreaming(t.Context(), chat("long", want))
 	if !stream.Next() {
 		t.Fatal(stream.Err())
 	}
@@ -157,7 +165,7 @@
 			tokens++
 		}
 	}
-	if err := stream.Err(); err != nil || tokens != 200 {
+	if err := stream.Err(); err != nil || tokens != want {
 		t.Fatalf("%d tokens, error %v", tokens, err)
 	}
 	if err := <-removed; err != nil {
--- a/tools/dev/relay_test.go
+++ b/tools/dev/relay_test.go
@@ -1,9 +1,7 @@
 package dev
 
 import (
-	"context"
 	"testing"
-	"time"
 
 	"carobspoke.example/serving/process/daemon"
 	"carobspoke.example/tools/standin/fleet"
@@ -28,27 +26,5 @@
 			entry = running
 		}
 	}
-	client := clientOf(entry, "customer-a")
-	stream := client.Chat.Completions.NewStreaming(t.Context(), chat("p", 500))
-	if !stream.Next() {
-		t.Fatal(stream.Err())
-	}
-	removed := make(chan error, 1)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-		defer cancel()
-		removed <- d.Remove(ctx, relay)
-	}()
-	tokens := 1
-	for stream.Next() {
-		if stream.Current().Choices[0].Delta.Content != "" {
-			tokens++
-		}
-	}
-	if err := stream.Err(); err != nil || tokens != 500 {
-		t.Fatalf("%d tokens, %v", tokens, err)
-	}
-	if err := <-removed; err != nil {
-		t.Fatal(err)
-	}
+	streamWhileDraining(t, d, entry, relay)
 }
