Use a target's connection again after an answer or a refusal

Cause: a body that was not read to its end made the transport close the connection, so that each request dialled anew. Change: the reader reads the body's end with the end frame, and a refusal's body before it is closed.

--- a/serving/connection/targetapi/client.go
+++ b/serving/connection/targetapi/client.go
@@ -28,6 +28,8 @@
 	ControlTimeout = 2 * time.Second
 	// MaxReplyBytes bounds an answer that is read whole.
 	MaxReplyBytes = 8 << 20
+	// maxRefusalBytes is how much of a refusal's body is read.
+	maxRefusalBytes = 4 << 10
 	// MaxFrameBytes bounds one frame of a stream.
 	MaxFrameBytes = 64 << 10
 	// RefusedHeader is "1" on an answer by which the target says that it did
@@ -213,7 +215,8 @@
 	if response.StatusCode/100 == 2 {
 		return response, nil
 	}
-	defer response.Body.Close() //nolint:errcheck // the body is of no use
+	defer response.Body.Close()                                 //nolint:errcheck // the body is of no use
+	_, _ = io.CopyN(io.Discard, response.Body, maxRefusalBytes) // so that the connection is used again
 	return nil, statusError(response)
 }
 
--- a/serving/connection/targetapi/frames.go
+++ b/serving/connection/targetapi/frames.go
@@ -66,6 +66,9 @@
 	if err := r.decode(bytes.Trim(r.lines.Bytes(), whitespace)); err != nil {
 		return target.Frame{}, verdict.Wrap(err, verdict.Ran, verdict.AnswerMismatch, "the answer is not understood")
 	}
+	if r.frame.End {
+		r.lines.Scan() // to the end of the body, or the connection is not used again
+	}
 	return r.frame, nil
 }
 
