--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -12,6 +12,7 @@
 
 	"carobspoke.example/core/names"
 	core "carobspoke.example/core/process/distribution"
+	corekeeping "carobspoke.example/core/process/keeping"
 	"carobspoke.example/core/process/load"
 	"carobspoke.example/core/process/membership"
 	"carobspoke.example/core/process/subset"
@@ -63,8 +64,8 @@
 	}
 	d.buildQuota()
 	d.keeping = newKeeping(d)
-	d.buildKeeper()
 	d.buildDispatcher(ring)
+	d.buildKeeper()
 	d.buildCalls(ring)
 	d.buildPeerServer()
 	d.buildCallerServer()
@@ -158,12 +159,12 @@
 		Versions:    d.versions,
 		Admitter:    d.admitter,
 		Engines:     engines{transport: d.transport},
-		Alone:       answer.NewAlone(),
+		Alone:       answer.NewAlone(d.newHandle),
 		Quota:       d.quota,
 		Relays:      d.fleet,
 		Forward:     &forward.Client{Peers: d.pool},
 		Retries:     d.retries,
-		Crashes:     answer.NewCrashes(time.Now, d.tellCrashes),
+		Crashes:     answer.NewCrashes(time.Now, d.tellCrash),
 		Tickets:     ring,
 		Abandoned:   dispatch.NewAbandoned(func() { d.counters.Add("abandon_queue_full", 1) }),
 		Spans:       dispatch.Spans{MaxEngines: admission.DefaultSpanEngines},
@@ -175,8 +176,8 @@
 	d.distributor.Register(d.peerServer)
 	peerpb.RegisterQuotasServer(d.peerServer, d.quota)
 	peerpb.RegisterForwardingServer(d.peerServer, &forward.Server{
-		Runner:     d.dispatcher,
-		Caller:     d.calls,
+		Runner:     forwarded{d: d},
+		Caller:     forwarded{d: d},
 		DataCentre: d.settings.DataCentre,
 	})
 }
@@ -193,9 +194,9 @@
 		Log:            d.log,
 	})
 	endpoints := completions.NewEndpoints(service)
-	completionsserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, failure.Formatter).Mount(mux)
+	completionsserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, d.formatted).Mount(mux)
 	callEndpoints := gencalls.NewEndpoints(d.calls)
-	callsserver.New(callEndpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, failure.Formatter).Mount(mux)
+	callsserver.New(callEndpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, d.formatted).Mount(mux)
 	caller := d.settings.Caller
 	limited := gateway.Limit(d.counted(mux), caller.MaxBodyBytes, caller.BodyTimeout.Duration)
 	d.callerServer = gateway.NewServer(limited)
@@ -212,7 +213,7 @@
 		Ready:      d.ready,
 	}}
 	endpoints := genadmin.NewEndpoints(service)
-	adminserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, failure.Formatter).Mount(mux)
+	adminserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, d.formatted).Mount(mux)
 	d.adminServer = gateway.NewServer(gateway.Limit(mux, maxAdminBody, adminBodyTimeout))
 }
 
@@ -238,6 +239,15 @@
 	}
 }
 
+// formatted gives an error its form, and counts requests that were refused
+// before they were understood: no service has seen them.
+func (d *Daemon) formatted(ctx context.Context, err error) goahttp.Statuser {
+	if refusal, ok := failure.Undecoded(err); ok {
+		d.counters.Ended(refusal)
+	}
+	return failure.Formatter(ctx, err)
+}
+
 func (d *Daemon) writeFailed(_ context.Context, _ http.ResponseWriter, err error) {
 	d.log.Debug("answer not written", zap.Error(err))
 }
@@ -281,3 +291,8 @@
 	_, _ = crand.Read(seed[:]) // it never fails
 	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
 }
+
+// newHandle names a handle of this incarnation.
+func (d *Daemon) newHandle(scope string, deadline time.Time) target.HandleID {
+	return corekeeping.NewHandleID(scope, d.Host(), d.incarnation, deadline, rand.Uint64())
+}
--- a/tools/cmd/carobspoke/main.go
+++ b/tools/cmd/carobspoke/main.go
@@ -12,6 +12,7 @@
 	"carobspoke.example/tools/bench"
 	"carobspoke.example/tools/cmd/carobspoke/manifestcmd"
 	"carobspoke.example/tools/dev"
+	"carobspoke.example/tools/experiment"
 	"carobspoke.example/tools/load"
 	"carobspoke.example/tools/slopes"
 	"github.com/pkg/errors"
@@ -31,6 +32,7 @@
 			adminclient.ExplainCommand(),
 			bench.Command(),
 			dev.Command(),
+			experiment.Command(),
 			load.Command(),
 			manifestcmd.Command(),
 			slopes.Command(),
--- a/tools/experiment/command.go
+++ b/tools/experiment/command.go
@@ -44,9 +44,32 @@
 			return err
 		}
 	}
+	return runSpans(w, seeds)
+}
+
+// runSpans runs prompts over one engine's memory, without and with deaths of
+// engines.
+func runSpans(w io.Writer, seeds []uint64) error {
+	for _, s := range sizes() {
+		if s.whole {
+			continue
+		}
+		rows := measureAll(measureSpanning, []policy{product()}, s, seeds)
+		s.killEvery = killInterval
+		rows = append(rows, measureAll(measureSpanning, []policy{product()}, s, seeds)...)
+		rows[1].policy += ", an engine killed each minute"
+		title := "Prompts of 2.2 engines' memory: " + s.title()
+		if err := writeTable(w, title, spanningColumns(), rows); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+// overstatedRate is how many times their prefill rate engines report in the
+// experiment on wrong rates.
+const overstatedRate = 2
+
 // runParts runs the product without each of its parts at the smaller size.
 func runParts(w io.Writer, seeds []uint64) error {
 	s := sizes()[0]
@@ -56,6 +79,13 @@
 			return err
 		}
 	}
+	o := s
+	o.overstated = overstatedRate
+	trusting := []policy{product(), changed(change{name: "rates trusted", trust: true})}
+	title := "Engines that report twice their prefill rate: " + s.title()
+	if err := writeTable(w, title, columns(), measureAll(measure, trusting, o, seeds)); err != nil {
+		return err
+	}
 	rows := measureAll(measureRepeating, withIndex(), s, seeds)
 	return writeTable(w, "Prompts with common beginnings: "+s.title(), repeatingColumns(), rows)
 }
