Let the body's end come by itself in the test of reused connections

Change: the server flushes the end frame first. Conclusion: the change is for engines that end their bodies late.

--- a/serving/connection/targetapi/reuse_test.go
+++ b/serving/connection/targetapi/reuse_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"carobspoke.example/core/target"
 )
@@ -22,8 +23,9 @@
 			return
 		}
 		fmt.Fprintln(w, `{"a":1,"o":0,"t":"x"}`)
-		_ = http.NewResponseController(w).Flush()
 		fmt.Fprintln(w, `{"a":1,"o":1,"end":true}`)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(time.Millisecond) // the body's end comes by itself
 	}))
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
