Close connections to daemons that are dead or have left

Cause: nothing called the pool's Forget, so that an answer which came through a dead relay waited for the connection's keepalive. Change: a member's death or leaving closes the connection to it. Conclusion: waiting requests are taken up elsewhere once the death is known.

--- a/serving/process/daemon/members.go
+++ b/serving/process/daemon/members.go
@@ -38,6 +38,7 @@
 		Network:  network,
 		Sealer:   sealer,
 		Deliver:  d.delivered,
+		Changed:  d.memberChanged,
 		Log:      d.log,
 		Registry: d.counters.Registry(),
 		Meter:    func(bytes int) { d.meter.Spent(budget.Membership, bytes) },
@@ -77,6 +78,14 @@
 	d.members.Seeds(seeds)
 }
 
+// memberChanged closes the connection to a daemon that is dead or has left, so
+// that requests which wait for it are taken up elsewhere.
+func (d *Daemon) memberChanged(member core.Member) {
+	if !member.Counted() {
+		d.pool.Forget(member.Host)
+	}
+}
+
 // delivered takes in what another daemon told.
 func (d *Daemon) delivered(a core.Deliver) {
 	switch a.Digest.Kind {
--- a/serving/process/membership/membership.go
+++ b/serving/process/membership/membership.go
@@ -49,6 +49,9 @@
 	// Deliver is told of other daemons' digests, by one goroutine. It must
 	// not block.
 	Deliver func(core.Deliver)
+	// Changed is told of each member whose entry changed, by one goroutine;
+	// nil means nobody. It must not block.
+	Changed func(core.Member)
 	Log     *zap.Logger
 	// Registry takes the counters.
 	Registry metrics.Registry
@@ -198,6 +201,9 @@
 			zap.String("member", string(a.Member.Host)),
 			zap.String("state", a.Member.State.String()),
 			zap.Uint64("incarnation", uint64(a.Member.Incarnation)))
+		if m.config.Changed != nil {
+			m.config.Changed(a.Member)
+		}
 	}
 }
 
