Ask daemons for the caller's time, without the grace

Cause: the load tool sent its own limit, two seconds above the time that it checks, as the request's deadline, and counted answers within it as overdue. Change: the grace is taken off, towards daemons and bare engines alike. Conclusion: a fault of the tool, not of the daemons.

--- a/tools/load/caller/caller.go
+++ b/tools/load/caller/caller.go
@@ -67,6 +67,10 @@
 	return failed(v, code)
 }
 
+// Grace is how much later than its time a caller still reads an answer: a
+// request's context ends so much after the time that the caller asks for.
+const Grace = 2 * time.Second
+
 // minPause is the least time between two sends of a request.
 const minPause = 20 * time.Millisecond
 
--- a/tools/load/caller/direct.go
+++ b/tools/load/caller/direct.go
@@ -57,6 +57,7 @@
 
 func submitOf(ctx context.Context, r *workload.Request, prompt string, attempt int) target.Submit {
 	deadline, _ := ctx.Deadline()
+	deadline = deadline.Add(-Grace)
 	return target.Submit{
 		Stream:       target.StreamID(fmt.Sprintf("direct-%s-%d", r.Name(), attempt)),
 		Attempt:      uint32(attempt),
@@ -98,6 +99,7 @@
 	var result Answer
 	replicas := d.services[r.Call.Service]
 	deadline, _ := ctx.Deadline()
+	deadline = deadline.Add(-Grace)
 	again(ctx, random, d.retry, &result, func(attempt int) outcome {
 		call := target.Call{
 			ID: r.Name(), Attempt: uint32(attempt), Customer: r.Customer.Name, Key: r.Name(), Body: r.Body(),
--- a/tools/load/caller/gateway.go
+++ b/tools/load/caller/gateway.go
@@ -157,7 +157,7 @@
 	request.Header.Set("Authorization", "Bearer "+p.key)
 	request.Header.Set("Carobspoke-Priority", strconv.Itoa(p.priority))
 	if deadline, ok := ctx.Deadline(); ok {
-		left := max(1, time.Until(deadline).Milliseconds())
+		left := max(1, (time.Until(deadline) - Grace).Milliseconds())
 		request.Header.Set("Carobspoke-Timeout-Ms", strconv.FormatInt(left, 10))
 	}
 	for name, value := range p.header {
--- a/tools/load/run.go
+++ b/tools/load/run.go
@@ -16,8 +16,6 @@
 
 // Limits of a request's time.
 const (
-	// grace is how much later than its time a caller still reads an answer.
-	grace = 2 * time.Second
 	// overdue is how much later than its time an end is counted as overdue.
 	overdue = 500 * time.Millisecond
 )
@@ -113,7 +111,7 @@
 	defer r.count(-1)
 	due := r.start.Add(request.At)
 	sent := time.Now()
-	ctx, cancel := context.WithDeadline(ctx, due.Add(request.Timeout+grace))
+	ctx, cancel := context.WithDeadline(ctx, due.Add(request.Timeout+caller.Grace))
 	defer cancel()
 	random := rand.New(rand.NewPCG(r.Workload.Seed, retryStream+uint64(request.Index)))
 	answer := r.ask(ctx, request, random)
