Linger, close connections and let peers' answers leave in a drain

Change: a draining daemon stays for caller.drain_linger, says Connection: close, and shuts both servers down gracefully; connections to daemons that have left are forgotten after 30 s.

--- a/serving/process/daemon/daemon.go
+++ b/serving/process/daemon/daemon.go
@@ -263,21 +263,42 @@
 const drainRetryAfter = 200 * time.Millisecond
 
 // Drain refuses new requests and waits until those in flight have ended, or
-// the context ends. Health checks of the balancer fail from now on.
+// the context ends. Health checks of the balancer fail from now on; the daemon
+// stays for the linger time at least, so that the balancer sees them fail
+// before connections do.
 func (d *Daemon) Drain(ctx context.Context) error {
 	d.draining.Store(true)
 	d.members.Drain()
 	d.log.Info("draining", zap.Int64("in_flight", d.active.Load()))
+	lingered := time.Now().Add(d.settings.Caller.DrainLinger.Duration)
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for d.active.Load() > 0 {
+	for d.active.Load() > 0 || time.Now().Before(lingered) {
 		select {
 		case <-ctx.Done():
 			return errors.Errorf("%d requests were still in flight", d.active.Load())
 		case <-ticker.C:
 		}
 	}
-	return nil
+	if err := d.callerServer.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "drain")
+	}
+	return d.drainPeers(ctx)
+}
+
+// drainPeers waits until what peers have been answered has left.
+func (d *Daemon) drainPeers(ctx context.Context) error {
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		d.peerServer.GracefulStop()
+	}()
+	select {
+	case <-stopped:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "drain")
+	}
 }
 
 const drainPoll = 10 * time.Millisecond
@@ -306,6 +327,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.active.Add(1)
 		defer d.active.Add(-1)
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/serving/process/daemon/members.go
+++ b/serving/process/daemon/members.go
@@ -78,11 +78,23 @@
 	d.members.Seeds(seeds)
 }
 
-// memberChanged closes the connection to a daemon that is dead or has left, so
-// that requests which wait for it are taken up elsewhere.
+// forgetAfter is how long the connection to a daemon that has left is kept: the
+// ends of its last answers may still be on their way.
+const forgetAfter = 30 * time.Second
+
+// memberChanged closes the connection to a daemon that is dead, so that
+// requests which wait for it are taken up elsewhere, or has left.
 func (d *Daemon) memberChanged(member core.Member) {
-	if !member.Counted() {
+	switch member.State {
+	case core.Dead:
 		d.pool.Forget(member.Host)
+	case core.Left:
+		time.AfterFunc(forgetAfter, func() {
+			if d.fleet.Known(member.Host) == 0 {
+				d.pool.Forget(member.Host)
+			}
+		})
+	default:
 	}
 }
 
--- a/serving/process/settings/check.go
+++ b/serving/process/settings/check.go
@@ -28,6 +28,7 @@
 		duration("caller.body_timeout", s.Caller.BodyTimeout),
 		duration("caller.default_timeout", s.Caller.DefaultTimeout),
 		duration("caller.drain_timeout", s.Caller.DrainTimeout),
+		duration("caller.drain_linger", s.Caller.DrainLinger),
 		duration("peer.alone_after", s.Peer.AloneAfter),
 		s.checkLists(),
 		s.checkRest(),
--- a/serving/process/settings/defaults.go
+++ b/serving/process/settings/defaults.go
@@ -10,6 +10,7 @@
 	DefaultBodyTimeout    = 20 * time.Second
 	DefaultRequestTimeout = 5 * time.Minute
 	DefaultDrainTimeout   = 5 * time.Minute
+	DefaultDrainLinger    = 5 * time.Second
 	DefaultAloneAfter     = 15 * time.Second
 	DefaultLogLevel       = "info"
 )
@@ -46,6 +47,7 @@
 			BodyTimeout:    Duration{Duration: DefaultBodyTimeout},
 			DefaultTimeout: Duration{Duration: DefaultRequestTimeout},
 			DrainTimeout:   Duration{Duration: DefaultDrainTimeout},
+			DrainLinger:    Duration{Duration: DefaultDrainLinger},
 		},
 		Peer: Peer{AloneAfter: Duration{Duration: DefaultAloneAfter}},
 		Log:  Log{Level: DefaultLogLevel},
--- a/serving/process/settings/settings.go
+++ b/serving/process/settings/settings.go
@@ -43,6 +43,9 @@
 	// DrainTimeout bounds how long a stopping daemon waits for the requests
 	// that it serves.
 	DrainTimeout Duration `toml:"drain_timeout"`
+	// DrainLinger is how long a stopping daemon stays at least, for the
+	// balancer to see that it is not ready.
+	DrainLinger Duration `toml:"drain_linger"`
 }
 
 // Admin is the administration interface.
--- a/tools/dev/dev.go
+++ b/tools/dev/dev.go
@@ -199,6 +199,7 @@
 	centres := d.manifest.Fleet.DataCentres
 	adminDigest := sha256.Sum256([]byte(AdminKey))
 	s := settings.Default()
+	s.Caller.DrainLinger = settings.Duration{Duration: drainLinger}
 	s.Host = names.Host(listeners.Peer.Addr().String())
 	s.DataCentre = centres[number%len(centres)].Name
 	s.Caller.Listen = listeners.Caller.Addr().String()
@@ -214,6 +215,9 @@
 	return s, listeners, s.Check()
 }
 
+// drainLinger is how long a stopping daemon of a dev fleet stays.
+const drainLinger = 200 * time.Millisecond
+
 // loneStart is how long the only daemon of a fleet waits for peers.
 const loneStart = 500 * time.Millisecond
 
