Answer unknown paths in the failure's form

Cause: a wrong path got net/http's plain text, which clients cannot read. Change: both interfaces answer 404 with the JSON form, not_run. Figures: TestUnknownPathIsAFailureLikeAnyOther fails without it. Conclusion: every answer of an error has one form.

--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -197,6 +197,7 @@
 	completionsserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, d.formatted).Mount(mux)
 	callEndpoints := gencalls.NewEndpoints(d.calls)
 	callsserver.New(callEndpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, d.formatted).Mount(mux)
+	gateway.Fallback(mux)
 	caller := d.settings.Caller
 	limited := gateway.Limit(d.counted(mux), caller.MaxBodyBytes, caller.BodyTimeout.Duration)
 	d.callerServer = gateway.NewServer(limited)
@@ -214,6 +215,7 @@
 	}}
 	endpoints := genadmin.NewEndpoints(service)
 	adminserver.New(endpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, d.formatted).Mount(mux)
+	gateway.Fallback(mux)
 	d.adminServer = gateway.NewServer(gateway.Limit(mux, maxAdminBody, adminBodyTimeout))
 }
 
--- a/serving/request/gateway/http.go
+++ b/serving/request/gateway/http.go
@@ -98,6 +98,22 @@
 	return err
 }
 
+// NothingHere answers requests to paths that no service has, in the failure's
+// form.
+func NothingHere(w http.ResponseWriter, _ *http.Request) {
+	body := failure.From(verdict.New(verdict.NotRun, verdict.BadRequest, "there is nothing at this path"))
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusNotFound)
+	_ = json.NewEncoder(w).Encode(body) // the caller is gone otherwise
+}
+
+// Fallback lets a muxer answer paths that no service has.
+func Fallback(mux goahttp.Muxer) {
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
+		mux.Handle(method, "/{*path}", NothingHere)
+	}
+}
+
 // Encoder is goa's response encoder: JSON, whatever the caller would accept.
 func Encoder(_ context.Context, w http.ResponseWriter) goahttp.Encoder {
 	w.Header().Set("Content-Type", "application/json")
--- a/tools/dev/calls_test.go
+++ b/tools/dev/calls_test.go
@@ -188,3 +188,11 @@
 		}
 	}
 }
+
+func TestUnknownPathIsAFailureLikeAnyOther(t *testing.T) {
+	d := startDev(t)
+	got := post(t, d, 0, "/v1/nowhere", `{}`, nil)
+	if got.status != http.StatusNotFound || field(t, got.body, "error", "verdict") != "not_run" {
+		t.Fatalf("%d %s", got.status, got.body)
+	}
+}
