Serve on the users' platform: adapter, routed requests, shared dispatches

Cause: the product had never met the users' platform; its own interface, its signed manifests and its keys do not exist there.

--- /dev/null
+++ b/core/request/placement/prompt.go
@@ -0,0 +1,194 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/core/version/routing"
+)
+
+// Priorities asked of engines, 0 first.
+const (
+	defaultPriority = 5
+	lightPriority   = 2
+	heavyPriority   = 4
+	longestPriority = 6
+	// longPrefill divides heavy prompts by priority.
+	longPrefill = time.Second
+)
+
+func (p *Placer) placePrompt(r *Request, e *routing.Engine, usable []Candidate) Decision {
+	alone := PrefillTime(e, r.PromptTokens)
+	need := r.PromptTokens + r.AnswerTokens
+	room := int(p.settings.MemoryShare * float64(e.MemoryTokens))
+	var d Decision
+	switch {
+	case need > room:
+		d = p.placeOversize(r, e, usable, room)
+	case alone < p.settings.HeavyPrefill || !e.Parallel:
+		d = p.placeLight(r, e, usable, alone)
+	default:
+		d = p.placeHeavy(r, e, usable, alone)
+	}
+	if d.Refusal == nil && d.FirstEvent > r.Left {
+		d.Refusal = p.overloaded()
+	}
+	return d
+}
+
+func (p *Placer) overloaded() *verdict.Error {
+	spread := p.settings.OverloadRetryMax - p.settings.OverloadRetryMin
+	wait := p.settings.OverloadRetryMin + time.Duration(p.random.Int64N(int64(spread)+1))
+	return verdict.New(verdict.NotRun, verdict.Overloaded, "no target can serve the request in time").WithRetryAfter(wait)
+}
+
+// queueWait predicts how long a request waits for a slot or for memory.
+func (p *Placer) queueWait(r *Request, e *routing.Engine, c *Candidate) time.Duration {
+	wait := time.Duration(p.settings.SparePerScore.Seconds() * c.Score * float64(time.Second))
+	slots := max(c.Slots, 1)
+	if c.Load.Writers >= slots {
+		turn := WriteTime(e, e.UsualAnswer, slots, r.PromptTokens)
+		wait += time.Duration(c.Load.Writers-slots+1) * turn / time.Duration(slots)
+	}
+	if over := c.Load.Tokens + r.PromptTokens + r.AnswerTokens - int(p.settings.MemoryShare*float64(e.MemoryTokens)); over > 0 {
+		wait += memoryTurnover * time.Duration(over) / time.Duration(max(e.MemoryTokens, 1))
+	}
+	return wait
+}
+
+// memoryTurnover is the time in which an engine's answers free its whole
+// memory.
+const memoryTurnover = 4 * time.Second
+
+// firstEvent predicts the time to the first event of a prompt whose part at the
+// candidate takes prefill.
+func (p *Placer) firstEvent(r *Request, e *routing.Engine, c *Candidate, prefill time.Duration) time.Duration {
+	return p.queueWait(r, e, c) + c.Load.Backlog + prefill + PassTime(e, c.Load.Writers+1, r.PromptTokens)
+}
+
+// placeLight takes the first target in order that is fast enough, or else the
+// fastest.
+func (p *Placer) placeLight(r *Request, e *routing.Engine, usable []Candidate, alone time.Duration) Decision {
+	slices.SortStableFunc(usable, func(a, b Candidate) int { return cmp.Compare(a.Order, b.Order) })
+	enough := time.Duration(p.settings.LightShare * float64(r.LatencyTarget))
+	best, bestTime := 0, time.Duration(0)
+	for i := range usable {
+		first := p.firstEvent(r, e, &usable[i], alone)
+		if first <= enough {
+			best, bestTime = i, first
+			break
+		}
+		if i == 0 || first < bestTime {
+			best, bestTime = i, first
+		}
+	}
+	return p.alone(r, e, &usable[best], alone, bestTime, lightPriority)
+}
+
+func (p *Placer) alone(r *Request, e *routing.Engine, c *Candidate, prefill, first time.Duration, priority int) Decision {
+	return Decision{
+		Target:     c.Target,
+		FirstEvent: first,
+		Whole:      first + WriteTime(e, r.AnswerTokens, c.Load.Writers+1, r.PromptTokens),
+		Priority:   priority,
+		Parts:      []inflight.Part{p.writer(r, c, prefill)},
+	}
+}
+
+func (p *Placer) writer(r *Request, c *Candidate, prefill time.Duration) inflight.Part {
+	return inflight.Part{
+		Target:  c.Target,
+		Prefill: prefill,
+		Tokens:  r.PromptTokens + r.AnswerTokens,
+		Writes:  true,
+		Gentle:  r.GapTarget > 0 && r.GapTarget <= p.settings.GentleGap,
+	}
+}
+
+// rated is a candidate with what it costs to use it for a heavy prompt.
+type rated struct {
+	candidate *Candidate
+	cost      time.Duration
+}
+
+func (p *Placer) rate(r *Request, e *routing.Engine, usable []Candidate) []rated {
+	list := make([]rated, 0, len(usable))
+	for i := range usable {
+		c := &usable[i]
+		harm := time.Duration(c.Load.Gentle) * p.settings.HarmPerGentle
+		list = append(list, rated{candidate: c, cost: p.queueWait(r, e, c) + c.Load.Backlog + harm})
+	}
+	slices.SortStableFunc(list, func(a, b rated) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.candidate.Order, a.candidate.Order))
+	})
+	return list
+}
+
+// placeHeavy spreads the prefill over the cheapest targets, as many as make
+// the first token come sooner.
+func (p *Placer) placeHeavy(r *Request, e *routing.Engine, usable []Candidate, alone time.Duration) Decision {
+	list := p.rate(r, e, usable)
+	count, best := 1, time.Duration(0)
+	for n := 1; n <= min(len(list), p.settings.MaxHelpers+1); n++ {
+		total := list[n-1].cost + alone/time.Duration(n) + time.Duration(n-1)*p.settings.HelperCost
+		if n == 1 || total < best {
+			count, best = n, total
+		}
+	}
+	part := alone / time.Duration(count)
+	return p.together(r, e, list[:count], part, heavyOrLongest(alone))
+}
+
+func heavyOrLongest(alone time.Duration) int {
+	if alone > longPrefill {
+		return longestPriority
+	}
+	return heavyPriority
+}
+
+// together places a prompt at the first of a list, with the rest as helpers.
+func (p *Placer) together(r *Request, e *routing.Engine, list []rated, part time.Duration, priority int) Decision {
+	first := list[0].candidate
+	var slowest time.Duration
+	parts := []inflight.Part{p.writer(r, first, part)}
+	var helpers []Helper
+	for i, item := range list {
+		slowest = max(slowest, p.firstEvent(r, e, item.candidate, part))
+		if i > 0 {
+			helpers = append(helpers, Helper{Target: item.candidate.Target})
+			parts = append(parts, inflight.Part{Target: item.candidate.Target, Prefill: part})
+		}
+	}
+	return Decision{
+		Target:     first.Target,
+		Helpers:    helpers,
+		FirstEvent: slowest,
+		Whole:      slowest + WriteTime(e, r.AnswerTokens, first.Load.Writers+1, r.PromptTokens),
+		Priority:   priority,
+		Parts:      parts,
+	}
+}
+
+// placeOversize places a prompt that no engine's memory holds: helpers set
+// memory aside, the emptiest first.
+func (p *Placer) placeOversize(r *Request, e *routing.Engine, usable []Candidate, room int) Decision {
+	need := r.PromptTokens + r.AnswerTokens
+	alone := PrefillTime(e, r.PromptTokens)
+	list := p.rate(r, e, usable)
+	holders := (need + room - 1) / room
+	if holders > len(list) || holders > p.settings.MaxHelpers {
+		return Decision{Refusal: p.overloaded()}
+	}
+	count := min(len(list), max(holders, p.settings.MaxHelpers/2+1))
+	d := p.together(r, e, list[:count], alone/time.Duration(count), longestPriority)
+	held := need / (holders)
+	for i := range holders - 1 {
+		d.Helpers[i].Reserve = held
+		d.Parts[i+1].Tokens = held
+	}
+	d.Parts[0].Tokens = need - held*(holders-1)
+	return d
+}
--- a/core/request/retry/budget.go
+++ b/core/request/retry/budget.go
@@ -5,7 +5,8 @@
 	// DefaultShare is the share of fresh requests that may be retries when
 	// the manifest says nothing.
 	DefaultShare = 0.1
-	// Burst is the most retries that a budget saves up.
+	// Burst is the most retries that a budget saves up, unless SetMost says
+	// otherwise.
 	Burst = 100
 )
 
@@ -15,16 +16,29 @@
 // for concurrent use.
 type Budget struct {
 	share float64
+	most  float64
 	saved float64
 }
 
 // NewBudget returns a full budget. A share of zero means DefaultShare.
 func NewBudget(share float64) *Budget {
-	b := &Budget{saved: Burst}
+	b := &Budget{saved: Burst, most: Burst}
 	b.SetShare(share)
 	return b
 }
 
+// SetMost bounds what the budget saves up.
+func (b *Budget) SetMost(most float64) {
+	b.most = most
+	b.saved = min(b.saved, most)
+}
+
+// Earn adds retries that no fresh request earned, such as a fixed number for
+// each span of time.
+func (b *Budget) Earn(retries float64) {
+	b.saved = min(b.most, b.saved+retries)
+}
+
 // SetShare changes the share from now on. Zero means DefaultShare.
 func (b *Budget) SetShare(share float64) {
 	if share <= 0 {
@@ -35,7 +49,7 @@
 
 // Fresh counts a request that is sent for the first time.
 func (b *Budget) Fresh() {
-	b.saved = min(Burst, b.saved+b.share)
+	b.Earn(b.share)
 }
 
 // Take spends a retry, or reports false if there is none.
--- /dev/null
+++ b/core/version/routing/table.go
@@ -0,0 +1,107 @@
+package routing
+
+import (
+	"slices"
+	"strings"
+
+	"carobspoke.example/core/names"
+	"github.com/pkg/errors"
+)
+
+// Table answers lookups in one version.
+type Table struct {
+	Version  names.Version
+	Limits   Limits
+	routes   map[string][]*Route
+	services map[names.Service]*Service
+	byKey    map[string]*Customer
+}
+
+// NewTable checks and indexes a configuration. Its error names the first entry
+// that cannot work.
+func NewTable(c *Config) (*Table, error) {
+	if c.Version == 0 {
+		return nil, errors.New("routing: the version is missing")
+	}
+	t := &Table{
+		Version:  c.Version,
+		Limits:   c.Limits,
+		routes:   make(map[string][]*Route),
+		services: make(map[names.Service]*Service, len(c.Services)),
+		byKey:    make(map[string]*Customer),
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	if err := t.addRoutes(c.Routes); err != nil {
+		return nil, err
+	}
+	return t, t.addCustomers(c.Customers)
+}
+
+func (t *Table) addRoutes(routes []Route) error {
+	for i := range routes {
+		r := &routes[i]
+		if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+			return errors.Errorf("routing: route %q: the prefix %q does not begin and end with a slash", r.Name, r.Prefix)
+		}
+		if len(r.Services) == 0 {
+			return errors.Errorf("routing: route %q has no service", r.Name)
+		}
+		t.routes[r.Hostname] = append(t.routes[r.Hostname], r)
+	}
+	for _, list := range t.routes {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return nil
+}
+
+func (t *Table) addCustomers(customers []Customer) error {
+	for i := range customers {
+		customer := &customers[i]
+		for _, key := range customer.Keys {
+			if other, ok := t.byKey[key]; ok && other.Name != customer.Name {
+				return errors.Errorf("routing: customers %q and %q have the same key", other.Name, customer.Name)
+			}
+			t.byKey[key] = customer
+		}
+	}
+	return nil
+}
+
+// Match returns the route with the longest prefix of a path at a host name, or
+// nil.
+func (t *Table) Match(hostname, path string) *Route {
+	for _, r := range t.routes[hostname] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service, or nil.
+func (t *Table) Service(name names.Service) *Service { return t.services[name] }
+
+// Customer returns who holds a key, or nil.
+func (t *Table) Customer(key string) *Customer { return t.byKey[key] }
+
+// Keyed reports whether any customer is listed; without customers no key is
+// asked for.
+func (t *Table) Keyed() bool { return len(t.byKey) > 0 }
+
+// Pick returns the service that takes a request whose draw lies in [0, 1).
+func (r *Route) Pick(draw float64) names.Service {
+	total := 0
+	for _, s := range r.Services {
+		total += max(s.Weight, 0)
+	}
+	left := draw * float64(total)
+	for _, s := range r.Services {
+		left -= float64(max(s.Weight, 0))
+		if left < 0 {
+			return s.Service
+		}
+	}
+	return r.Services[len(r.Services)-1].Service
+}
--- /dev/null
+++ b/serving/cmd/carobspoked/edge.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"carobspoke.example/platform"
+	"carobspoke.example/serving/process/edge"
+	"carobspoke.example/serving/process/journal"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+)
+
+// flushWait bounds the writing of the last log lines.
+const flushWait = 200 * time.Millisecond
+
+func edgeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "edge",
+		Usage: "serve on the users' platform, by the settings file that " + platform.SettingsVariable + " names",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "check-config", Usage: "check the settings and exit"},
+		},
+		Action: runEdge,
+	}
+}
+
+func runEdge(_ context.Context, c *cli.Command) error {
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return cli.Exit(err.Error(), exitSettings)
+	}
+	if c.Bool("check-config") {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	level, err := zap.ParseAtomicLevel(settings.LogLevel)
+	if err != nil {
+		return cli.Exit(err.Error(), exitSettings)
+	}
+	lines := journal.NewWriter(os.Stdout)
+	defer lines.Flush(flushWait)
+	log := journal.New(lines, level)
+	daemon, err := edge.New(edge.Options{
+		Settings: settings, Codec: platform.Codec{}, Source: platform.NewStore(settings.Store), Decoder: platform.Decoder{},
+		Reserver: platform.NewOrders(owner(settings), log), Log: log, DroppedLines: lines.Dropped,
+	})
+	if err != nil {
+		log.Error("not started", zap.Error(err))
+		return cli.Exit(err.Error(), exitFailure)
+	}
+	serveEdge(daemon, path, log)
+	return nil
+}
+
+// owner names this incarnation in reservations.
+func owner(s *edge.Settings) string {
+	return strings.ReplaceAll(s.Peer.Addr().String(), ".", "-") + "-" + fmt.Sprint(time.Now().UnixMilli())
+}
+
+// serveEdge runs a daemon until a signal asks it to stop, and drains it then.
+func serveEdge(daemon *edge.Daemon, path string, log *zap.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	daemon.Start()
+	defer daemon.Close()
+	for got := range signals {
+		if got == syscall.SIGHUP {
+			reload(path, log)
+			continue
+		}
+		daemon.Drain()
+		return
+	}
+}
+
+// reload checks a settings file that has changed. Addresses hold for the life
+// of a process, so that the file takes effect at the next start.
+func reload(path string, log *zap.Logger) {
+	if _, err := platform.LoadSettings(path); err != nil {
+		log.Error("the changed settings cannot be used, the ones before stay", zap.Error(err))
+		return
+	}
+	log.Info("settings checked after a change, they take effect at the next start")
+}
+
--- a/serving/cmd/carobspoked/main.go
+++ b/serving/cmd/carobspoked/main.go
@@ -31,10 +31,11 @@
 		Description:           "Exit codes: 0 after a drained stop, 1 for a failure while running, 2 for settings that cannot work.",
 		EnableShellCompletion: true,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings `FILE` (TOML)", Required: true},
+			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings `FILE` (TOML)"},
 			&cli.BoolFlag{Name: "check-config", Usage: "check the settings and exit"},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{edgeCommand()},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "carobspoked:", err)
@@ -51,6 +52,9 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
+	if !c.IsSet("config") {
+		return cli.Exit("the flag --config is missing", exitSettings)
+	}
 	loaded, err := settings.Load(c.String("config"))
 	if err != nil {
 		return cli.Exit(err.Error(), exitSettings)
--- /dev/null
+++ b/serving/process/edge/budget.go
@@ -0,0 +1,74 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/request/retry"
+)
+
+// Shares of the fleet's retry budget.
+const (
+	// budgetPart is what the daemons use of the budget together, so that
+	// late counting does not exceed it.
+	budgetPart = 0.85
+	// hostsPerSeed stands for the fleet's size until peers are known: a
+	// daemon that knows only its seeds must not take a larger share than
+	// its own.
+	hostsPerSeed = 3
+)
+
+// budgets keeps a retry budget for each service: the daemon's part of the
+// fleet's. The part follows the largest number of daemons seen, so that the
+// sides of a partition do not each take the whole.
+type budgets struct {
+	settings *Settings
+	hosts    func() int
+
+	mu       sync.Mutex
+	services map[names.Service]*budget
+	most     int
+	random   *rand.Rand
+}
+
+type budget struct {
+	*retry.Budget
+	at time.Time
+}
+
+func newBudgets(s *Settings, hosts func() int, random *rand.Rand) *budgets {
+	return &budgets{settings: s, hosts: hosts, services: make(map[names.Service]*budget), most: max(hostsPerSeed*len(s.Seeds), 1), random: random}
+}
+
+// get returns a service's budget, with what time has earned. The slack of one
+// window is split: half is saved up at most, half is earned over the window.
+func (b *budgets) get(service names.Service, now time.Time) *budget {
+	b.most = max(b.most, b.hosts())
+	slack := budgetPart * b.settings.RetrySlack / float64(b.most)
+	found, ok := b.services[service]
+	if !ok {
+		found = &budget{Budget: retry.NewBudget(budgetPart * b.settings.RetryRatio), at: now}
+		b.services[service] = found
+	}
+	found.SetMost(slack / 2)
+	found.Earn(slack / 2 * now.Sub(found.at).Seconds() / b.settings.RetryWindow.Seconds())
+	found.at = now
+	return found
+}
+
+// Fresh implements relay.Budget.
+func (b *budgets) Fresh(service names.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.get(service, time.Now()).Fresh()
+}
+
+// Decide implements relay.Budget.
+func (b *budgets) Decide(service names.Service, p retry.Policy, a retry.Attempt) retry.Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	return p.Decide(a, b.get(service, now).Budget, now, b.random)
+}
--- a/serving/process/membership/seal.go
+++ b/serving/process/membership/seal.go
@@ -24,8 +24,14 @@
 type Sealer struct {
 	newest uint32
 	keys   map[uint32]cipher.AEAD
+	// open sealers leave datagrams as they are.
+	open bool
 }
 
+// NewOpenSealer returns a sealer for a closed network without fleet keys: it
+// leaves datagrams as they are, and any host of the network can send them.
+func NewOpenSealer() *Sealer { return &Sealer{open: true} }
+
 // NewSealer returns a sealer of fleet keys, newest first.
 func NewSealer(keys [][]byte) (*Sealer, error) {
 	if len(keys) == 0 {
@@ -61,6 +67,9 @@
 
 // Seal encrypts a datagram.
 func (s *Sealer) Seal(plain []byte) []byte {
+	if s.open {
+		return plain
+	}
 	sealed := make([]byte, keyIDBytes+nonceBytes, keyIDBytes+nonceBytes+len(plain)+16)
 	binary.BigEndian.PutUint32(sealed, s.newest)
 	_, _ = rand.Read(sealed[keyIDBytes:]) // it never fails
@@ -69,6 +78,9 @@
 
 // Open decrypts a datagram, or fails if it is not of this fleet.
 func (s *Sealer) Open(sealed []byte) ([]byte, error) {
+	if s.open {
+		return sealed, nil
+	}
 	if len(sealed) < keyIDBytes+nonceBytes {
 		return nil, errors.New("membership: datagram too short")
 	}
--- /dev/null
+++ b/serving/process/sharing/sharing.go
@@ -0,0 +1,223 @@
+// Package sharing tells the other daemons what this one has sent to targets,
+// by UDP, and takes in what they tell.
+//
+// Events are gathered for Gather and sent to all peers in one datagram. A lost
+// one costs accuracy only, see core/process/inflight.
+package sharing
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/serving/peerpb"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+)
+
+// Limits of the datagrams.
+const (
+	// Gather is how long events wait for others; it adds to the age of what
+	// peers know.
+	Gather = 15 * time.Millisecond
+	// maxPacket bounds a received datagram, in bytes, and maxEvents those
+	// gathered into one, so that it fits a packet of 1,400 bytes.
+	maxPacket = 2048
+	maxEvents = 10
+)
+
+// Sink takes in what peers tell.
+type Sink interface {
+	Begin(d inflight.Dispatch)
+	FirstEvent(k inflight.Key)
+	End(k inflight.Key)
+}
+
+// Config is what a Sharing is made of.
+type Config struct {
+	Self        names.Host
+	Incarnation names.Incarnation
+	Conn        *net.UDPConn
+	// Peers returns the addresses at which peers listen.
+	Peers func() []netip.AddrPort
+	Sink  Sink
+	Log   *zap.Logger
+}
+
+// Sharing is safe for concurrent use.
+type Sharing struct {
+	config Config
+	host   []byte
+
+	mu      sync.Mutex
+	pending *peerpb.DispatchBatch
+	events  int
+	wake    chan struct{}
+}
+
+// New returns a Sharing that does nothing until Run.
+func New(c Config) *Sharing {
+	host, err := netip.ParseAddrPort(string(c.Self))
+	if err != nil {
+		panic(errors.Wrap(err, "sharing: own host")) // settings are checked
+	}
+	packed, _ := host.MarshalBinary() // it never fails
+	s := &Sharing{config: c, host: packed, wake: make(chan struct{}, 1)}
+	s.pending = s.empty()
+	return s
+}
+
+func (s *Sharing) empty() *peerpb.DispatchBatch {
+	return &peerpb.DispatchBatch{Host: s.host, Incarnation: uint64(s.config.Incarnation)}
+}
+
+// Begun tells a dispatch.
+func (s *Sharing) Begun(d *inflight.Dispatch) {
+	begun := &peerpb.DispatchBegun{Number: d.Key.Number, LastsMs: uint32(d.Lasts.Milliseconds())}
+	for i := range d.Parts {
+		p := &d.Parts[i]
+		begun.Parts = append(begun.Parts, &peerpb.DispatchPart{
+			Target: string(p.Target), PrefillMs: uint32(p.Prefill.Milliseconds()), Tokens: uint32(p.Tokens),
+			Writes: p.Writes, Gentle: p.Gentle,
+		})
+	}
+	s.add(func(b *peerpb.DispatchBatch) { b.Begun = append(b.Begun, begun) })
+}
+
+// FirstEvent tells that a prompt has been read.
+func (s *Sharing) FirstEvent(number uint64) {
+	s.add(func(b *peerpb.DispatchBatch) { b.Read = append(b.Read, number) })
+}
+
+// Ended tells the end of a dispatch.
+func (s *Sharing) Ended(number uint64) {
+	s.add(func(b *peerpb.DispatchBatch) { b.Ended = append(b.Ended, number) })
+}
+
+func (s *Sharing) add(change func(*peerpb.DispatchBatch)) {
+	s.mu.Lock()
+	change(s.pending)
+	s.events++
+	full := s.events >= maxEvents
+	first := s.events == 1
+	var batch *peerpb.DispatchBatch
+	if full {
+		batch = s.takeLocked()
+	}
+	s.mu.Unlock()
+	if full {
+		s.send(batch)
+		return
+	}
+	if first {
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (s *Sharing) takeLocked() *peerpb.DispatchBatch {
+	batch := s.pending
+	s.pending = s.empty()
+	s.events = 0
+	return batch
+}
+
+func (s *Sharing) flush() {
+	s.mu.Lock()
+	if s.events == 0 {
+		s.mu.Unlock()
+		return
+	}
+	batch := s.takeLocked()
+	s.mu.Unlock()
+	s.send(batch)
+}
+
+func (s *Sharing) send(batch *peerpb.DispatchBatch) {
+	packet, err := proto.Marshal(batch)
+	if err != nil {
+		s.config.Log.Error("a batch of dispatches cannot be encoded", zap.Error(err))
+		return
+	}
+	for _, peer := range s.config.Peers() {
+		_, _ = s.config.Conn.WriteToUDPAddrPort(packet, peer) // as if it were lost on the way
+	}
+}
+
+// Run sends and receives until ctx ends. It closes the socket.
+func (s *Sharing) Run(ctx context.Context) {
+	var receiving sync.WaitGroup
+	receiving.Go(s.receive)
+	defer receiving.Wait()
+	defer func() { _ = s.config.Conn.Close() }() // ends receive
+	for {
+		select {
+		case <-ctx.Done():
+			s.flush()
+			return
+		case <-s.wake:
+		}
+		timer := time.NewTimer(Gather)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+		s.flush()
+	}
+}
+
+func (s *Sharing) receive() {
+	buffer := make([]byte, maxPacket)
+	for {
+		n, _, err := s.config.Conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.config.Log.Warn("a datagram cannot be received", zap.Error(err))
+			time.Sleep(Gather)
+			continue
+		}
+		var batch peerpb.DispatchBatch
+		if err := proto.Unmarshal(buffer[:n], &batch); err != nil {
+			s.config.Log.Warn("a datagram cannot be read", zap.Error(err))
+			continue
+		}
+		s.take(&batch)
+	}
+}
+
+func (s *Sharing) take(b *peerpb.DispatchBatch) {
+	var host netip.AddrPort
+	if err := host.UnmarshalBinary(b.GetHost()); err != nil {
+		return // not a daemon's
+	}
+	key := inflight.Key{Host: names.Host(host.String()), Incarnation: names.Incarnation(b.GetIncarnation())}
+	for _, begun := range b.GetBegun() {
+		key.Number = begun.GetNumber()
+		d := inflight.Dispatch{Key: key, Lasts: time.Duration(begun.GetLastsMs()) * time.Millisecond}
+		for _, p := range begun.GetParts() {
+			d.Parts = append(d.Parts, inflight.Part{
+				Target: names.Target(p.GetTarget()), Prefill: time.Duration(p.GetPrefillMs()) * time.Millisecond,
+				Tokens: int(p.GetTokens()), Writes: p.GetWrites(), Gentle: p.GetGentle(),
+			})
+		}
+		s.config.Sink.Begin(d)
+	}
+	for _, number := range b.GetRead() {
+		key.Number = number
+		s.config.Sink.FirstEvent(key)
+	}
+	for _, number := range b.GetEnded() {
+		key.Number = number
+		s.config.Sink.End(key)
+	}
+}
