Tell dispatches to all live peers, and keep them until they end

Cause: the list of peers was built in the callback of a member's change, which runs before the members are published, so that it missed the newest members; four of nine daemons saw hardly any dispatch of the others (at_target was 7 to 10 too low at the median). Dispatches were also dropped after twice the predicted time, at the crest before they had ended. Ruled out: lost datagrams (the other five daemons erred by 0 at the median). Change: the list is derived from the live members when it is used; an entry lasts until the request's deadline; silence ends a stream only where another attempt may follow; a prompt waits for half of the running pass.

--- a/core/process/inflight/inflight.go
+++ b/core/process/inflight/inflight.go
@@ -40,8 +40,8 @@
 type Dispatch struct {
 	Key   Key
 	Parts []Part
-	// Lasts is the predicted time from now to the end; an entry that was
-	// never ended is dropped after twice that.
+	// Lasts bounds the time from now to the end; an entry that was never
+	// ended is dropped after that.
 	Lasts time.Duration
 }
 
@@ -84,15 +84,15 @@
 	return &Table{entries: make(map[Key]*entry), targets: make(map[names.Target]*state)}
 }
 
-// leastExpiry bounds the life of an entry from below.
-const leastExpiry = 2 * time.Second
+// lateEnd is how much later than its bound the end of a dispatch may be told.
+const lateEnd = time.Second
 
 // Begin adds a dispatch. A repeated one changes nothing.
 func (t *Table) Begin(d Dispatch, now time.Time) {
 	if _, ok := t.entries[d.Key]; ok {
 		return
 	}
-	t.entries[d.Key] = &entry{dispatch: d, expires: now.Add(max(2*d.Lasts, leastExpiry))}
+	t.entries[d.Key] = &entry{dispatch: d, expires: now.Add(d.Lasts + lateEnd)}
 	for i := range d.Parts {
 		p := &d.Parts[i]
 		s := t.settle(p.Target, now)
--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -69,6 +69,8 @@
 type Decision struct {
 	Target  names.Target
 	Helpers []Helper
+	// Load is what was known of the target's work.
+	Load inflight.Load
 	// FirstEvent is the predicted time to the first event, Whole that to the
 	// end of the answer.
 	FirstEvent time.Duration
@@ -146,5 +148,5 @@
 		}
 	}
 	c := &usable[best]
-	return Decision{Target: c.Target, Parts: []inflight.Part{{Target: c.Target}}, Priority: defaultPriority}
+	return Decision{Target: c.Target, Load: c.Load, Parts: []inflight.Part{{Target: c.Target}}, Priority: defaultPriority}
 }
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -63,10 +63,19 @@
 // memory.
 const memoryTurnover = 4 * time.Second
 
+// passesToFirst is how many passes a prompt waits for at an engine that writes
+// answers: half of the one that runs, and the one in which it is read.
+const passesToFirst = 1.5
+
 // firstEvent predicts the time to the first event of a prompt whose part at the
-// candidate takes prefill.
+// candidate takes prefill. An engine that writes nothing answers right after
+// the prefill.
 func (p *Placer) firstEvent(r *Request, e *routing.Engine, c *Candidate, prefill time.Duration) time.Duration {
-	return p.queueWait(r, e, c) + c.Load.Backlog + prefill + PassTime(e, c.Load.Writers+1, r.PromptTokens)
+	first := p.queueWait(r, e, c) + c.Load.Backlog + prefill
+	if c.Load.Writers == 0 {
+		return first + e.Step
+	}
+	return first + time.Duration(passesToFirst*float64(PassTime(e, c.Load.Writers+1, r.PromptTokens)))
 }
 
 // placeLight takes the first target in order that is fast enough, or else the
@@ -91,6 +100,7 @@
 func (p *Placer) alone(r *Request, e *routing.Engine, c *Candidate, prefill, first time.Duration, priority int) Decision {
 	return Decision{
 		Target:     c.Target,
+		Load:       c.Load,
 		FirstEvent: first,
 		Whole:      first + WriteTime(e, r.AnswerTokens, c.Load.Writers+1, r.PromptTokens),
 		Priority:   priority,
@@ -164,6 +174,7 @@
 	}
 	return Decision{
 		Target:     first.Target,
+		Load:       first.Load,
 		Helpers:    helpers,
 		FirstEvent: slowest,
 		Whole:      slowest + WriteTime(e, r.AnswerTokens, first.Load.Writers+1, r.PromptTokens),
--- a/serving/cmd/carobspoked/edge.go
+++ b/serving/cmd/carobspoked/edge.go
@@ -89,4 +89,3 @@
 	}
 	log.Info("settings checked after a change, they take effect at the next start")
 }
-
--- a/serving/process/board/board.go
+++ b/serving/process/board/board.go
@@ -72,7 +72,7 @@
 	b.next++
 	dispatch := inflight.Dispatch{
 		Key:   inflight.Key{Host: b.config.Self, Incarnation: b.config.Incarnation, Number: b.next},
-		Parts: decision.Parts, Lasts: decision.Whole,
+		Parts: decision.Parts, Lasts: r.Left,
 	}
 	b.work.Begin(dispatch, now)
 	b.mu.Unlock()
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -57,7 +57,7 @@
 	pool     *peers.Pool
 	targets  *upstream.Pool
 	metrics  *Metrics
-	peers    atomic.Pointer[[]netip.AddrPort]
+	peers    atomic.Pointer[peerList]
 
 	callers    *http.Server
 	ready      *http.Server
@@ -401,16 +401,8 @@
 	}
 }
 
-// memberChanged keeps the list of peers to tell, and drops the work of dead
-// incarnations.
+// memberChanged drops the work of dead incarnations.
 func (d *Daemon) memberChanged(m core.Member) {
-	var list []netip.AddrPort
-	for _, live := range d.members.Live() {
-		if address, err := netip.ParseAddrPort(string(live.Host)); err == nil && live.Host != d.self {
-			list = append(list, netip.AddrPortFrom(address.Addr(), d.Settings.SharePort))
-		}
-	}
-	d.peers.Store(&list)
 	switch m.State {
 	case core.Dead, core.Left:
 		d.board.Gone(m.Host, m.Incarnation+1)
@@ -419,11 +411,27 @@
 	}
 }
 
+// peerList is the live members and where they listen for dispatches.
+type peerList struct {
+	members   []core.Member
+	addresses []netip.AddrPort
+}
+
+// peerAddresses returns where the live peers listen. The list is built anew
+// when the members have changed.
 func (d *Daemon) peerAddresses() []netip.AddrPort {
-	if list := d.peers.Load(); list != nil {
-		return *list
+	live := d.members.Live()
+	if list := d.peers.Load(); list != nil && slices.Equal(list.members, live) {
+		return list.addresses
 	}
-	return nil
+	list := &peerList{members: live}
+	for _, m := range live {
+		if address, err := netip.ParseAddrPort(string(m.Host)); err == nil && m.Host != d.self {
+			list.addresses = append(list.addresses, netip.AddrPortFrom(address.Addr(), d.Settings.SharePort))
+		}
+	}
+	d.peers.Store(list)
+	return list.addresses
 }
 
 // peerHosts returns the peers that may be asked: the live ones, or the seeds
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -87,8 +87,10 @@
 	if err != nil {
 		return nil, err
 	}
+	load := &placed.Decision.Load
 	q.relay.Log.Info("placed", zap.String("request", q.facts.ID), zap.String("target", string(placed.Decision.Target)),
 		zap.Int("helpers", len(placed.Helpers)), zap.Duration("predicted", placed.Decision.FirstEvent),
+		zap.Duration("backlog", load.Backlog), zap.Int("at_target", load.Requests), zap.Int("writers", load.Writers),
 		zap.Int("tokens", q.facts.PromptTokens), zap.Duration("left", left), zap.Uint64("version", uint64(q.table.Version)))
 	return placed, nil
 }
@@ -130,12 +132,12 @@
 
 func (a *attempt) patience() time.Duration {
 	switch {
+	case !a.mayRepeat():
+		return time.Until(a.deadline)
 	case a.route.Kind == routing.Streaming:
 		return firstPatience*a.placed.Decision.FirstEvent + firstLeast
-	case a.route.Kind == routing.Idempotent && a.ran+1 < a.route.MaxAttempts:
-		return max(callPatience*a.route.LatencyTarget, callLeast)
 	default:
-		return time.Until(a.deadline)
+		return max(callPatience*a.route.LatencyTarget, callLeast)
 	}
 }
 
@@ -255,7 +257,7 @@
 // repeatFailure reports whether a target's own failure is followed by another
 // attempt. Without one the failure is passed on as it is.
 func (a *attempt) repeatFailure() bool {
-	return a.route.Kind == routing.Idempotent && a.ran+1 < a.route.MaxAttempts && time.Until(a.deadline) > callLeast
+	return a.route.Kind == routing.Idempotent && a.mayRepeat() && time.Until(a.deadline) > callLeast
 }
 
 // hopByHop are headers of one connection only.
@@ -290,7 +292,7 @@
 			a.exchange.Abort()
 			return a.exchange.Failed(a.ctx, err)
 		}
-		a.watchdog.Reset(gap)
+		a.heard(gap)
 		if !follows(a.lastID, next.id) {
 			a.exchange.Abort()
 			return verdict.Newf(verdict.Ran, verdict.AnswerMismatch, "event %q follows event %q", next.id, a.lastID)
@@ -305,6 +307,26 @@
 	}
 }
 
+// heard notes that an event came. Silence ends an attempt only where another
+// may follow it: a target that is slow still answers, and nobody else would.
+func (a *attempt) heard(gap time.Duration) {
+	now := time.Now()
+	if !a.lastEvent.IsZero() {
+		a.longestPause = max(a.longestPause, now.Sub(a.lastEvent))
+	}
+	a.lastEvent = now
+	if a.mayRepeat() {
+		a.watchdog.Reset(gap)
+		return
+	}
+	a.watchdog.Stop()
+}
+
+// mayRepeat reports whether another attempt may follow this one if it fails.
+func (a *attempt) mayRepeat() bool {
+	return a.route.Repeatable() && a.ran+1 < a.route.MaxAttempts
+}
+
 // begin sends the header before the first event. A resumed stream keeps the
 // header of its first target.
 func (a *attempt) begin(response *http.Response) {
@@ -341,4 +363,3 @@
 	after, err := strconv.ParseUint(id, 10, 64)
 	return err == nil && after == before+1
 }
-
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -132,8 +132,12 @@
 	// begun is true once a part of the answer has gone to the caller.
 	begun      bool
 	firstEvent time.Time
-	lastID     string
-	verdict    verdict.Verdict
+	// lastEvent is when the newest event came, longestPause the longest time
+	// between two.
+	lastEvent    time.Time
+	longestPause time.Duration
+	lastID       string
+	verdict      verdict.Verdict
 }
 
 // admit checks the request against the configuration in force and reads its
@@ -319,7 +323,7 @@
 		}
 		q.relay.Observer.Answered(q.route, first, took)
 		q.relay.Log.Info("answered", zap.String("request", q.facts.ID), zap.String("route", q.route.Name),
-			zap.Duration("first", first), zap.Duration("took", took), zap.Int("sends", q.sends))
+			zap.Duration("first", first), zap.Duration("took", took), zap.Duration("longest_pause", q.longestPause), zap.Int("sends", q.sends))
 		return
 	}
 	failure := verdict.From(err)
