Place parts of long prompts by what they delay

Cause: in the wave of long prompts the parts of the largest ones stopped the answers of others for up to 2.5 s on up to nine engines at once, and only answers with short gap targets were counted as harmed. Change: each dispatch tells the size and gap target of the answer that a target writes; the number of engines for a prompt is the one at which the least size is lost, its own included; a prompt that comes late anyway takes few engines.

--- a/core/process/inflight/inflight.go
+++ b/core/process/inflight/inflight.go
@@ -32,8 +32,11 @@
 	Tokens int
 	// Writes says that the target writes the answer.
 	Writes bool
-	// Gentle says that the answer's caller accepts only short pauses.
-	Gentle bool
+	// Size is what the answer counts, see placement.Size, and Gap the
+	// longest pause that its caller accepts. Both are of the target that
+	// writes.
+	Size int
+	Gap  time.Duration
 }
 
 // Dispatch is work that one daemon has sent.
@@ -45,15 +48,29 @@
 	Lasts time.Duration
 }
 
+// Pauses divide answers by the longest pause that their callers accept: an
+// answer is in the first class whose bound it does not exceed, or the last.
+var Pauses = [...]time.Duration{250 * time.Millisecond, 600 * time.Millisecond, time.Second}
+
+func pauseClass(gap time.Duration) int {
+	for i, bound := range Pauses {
+		if gap <= bound {
+			return i
+		}
+	}
+	return len(Pauses) - 1
+}
+
 // Load is what is known of one target.
 type Load struct {
 	// Backlog is the prefill time ahead of a new prompt.
 	Backlog time.Duration
 	// Requests counts all that is there, Writers the answers that are being
-	// or will be written, and Gentle those among them that bear no pause.
+	// or will be written.
 	Requests int
 	Writers  int
-	Gentle   int
+	// Exposed is the size of the answers there by the pause that harms them.
+	Exposed [len(Pauses)]int
 	// Tokens is the memory in use or promised.
 	Tokens int
 }
@@ -107,9 +124,7 @@
 	s.load.Tokens += n * p.Tokens
 	if p.Writes {
 		s.load.Writers += n
-		if p.Gentle {
-			s.load.Gentle += n
-		}
+		s.load.Exposed[pauseClass(p.Gap)] += n * p.Size
 	}
 }
 
--- a/core/request/placement/model.go
+++ b/core/request/placement/model.go
@@ -17,6 +17,13 @@
 	return seconds(linear) + time.Duration(pairs/1e6*float64(e.PerMillionPairs))
 }
 
+// answerWeight is how many prompt tokens one token of an answer counts.
+const answerWeight = 10
+
+// Size is what a request counts against others: a token of its answer takes
+// many times the work of one of its prompt.
+func Size(r *Request) int { return r.PromptTokens + answerWeight*r.AnswerTokens }
+
 // PassTime predicts a decode pass with a number of answers, whose contexts are
 // as long as the one given.
 func PassTime(e *routing.Engine, writers, context int) time.Duration {
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -114,42 +115,79 @@
 		Prefill: prefill,
 		Tokens:  r.PromptTokens + r.AnswerTokens,
 		Writes:  true,
-		Gentle:  r.GapTarget > 0 && r.GapTarget <= p.settings.GentleGap,
+		Size:    Size(r),
+		Gap:     r.GapTarget,
 	}
 }
 
-// rated is a candidate with what it costs to use it for a heavy prompt.
+// rated is a candidate with what it costs to use it for a part of a prompt.
 type rated struct {
 	candidate *Candidate
-	cost      time.Duration
+	// ready is when it begins to read.
+	ready time.Duration
+	// harm is the size of the answers there that the part would delay by
+	// more than their callers accept.
+	harm int
 }
 
-func (p *Placer) rate(r *Request, e *routing.Engine, usable []Candidate) []rated {
+// rate orders the candidates for parts of one length, the best first.
+func (p *Placer) rate(r *Request, e *routing.Engine, usable []Candidate, part time.Duration) []rated {
 	list := make([]rated, 0, len(usable))
 	for i := range usable {
 		c := &usable[i]
-		harm := time.Duration(c.Load.Gentle) * p.settings.HarmPerGentle
-		list = append(list, rated{candidate: c, cost: p.queueWait(r, e, c) + c.Load.Backlog + harm})
+		pause := part + PassTime(e, c.Load.Writers, e.UsualPrompt)
+		item := rated{candidate: c, ready: p.queueWait(r, e, c) + c.Load.Backlog}
+		for class, bound := range inflight.Pauses {
+			if pause > bound-p.settings.PauseMargin {
+				item.harm += c.Load.Exposed[class]
+			}
+		}
+		list = append(list, item)
+	}
+	cost := func(x *rated) float64 {
+		return x.ready.Seconds()*p.settings.SizePerSecond + float64(x.harm)
 	}
 	slices.SortStableFunc(list, func(a, b rated) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.candidate.Order, a.candidate.Order))
+		return cmp.Or(cmp.Compare(cost(&a), cost(&b)), cmp.Compare(b.candidate.Order, a.candidate.Order))
 	})
 	return list
 }
 
-// placeHeavy spreads the prefill over the cheapest targets, as many as make
-// the first token come sooner.
+// placeHeavy reads a prompt at several targets at once. It takes the number of
+// targets at which the least is lost: the own answer if it comes late, and the
+// answers that the parts delay. A prompt that comes late whatever is done takes
+// few targets, so that it delays few others.
 func (p *Placer) placeHeavy(r *Request, e *routing.Engine, usable []Candidate, alone time.Duration) Decision {
-	list := p.rate(r, e, usable)
-	count, best := 1, time.Duration(0)
-	for n := 1; n <= min(len(list), p.settings.MaxHelpers+1); n++ {
-		total := list[n-1].cost + alone/time.Duration(n) + time.Duration(n-1)*p.settings.HelperCost
-		if n == 1 || total < best {
-			count, best = n, total
+	var best Decision
+	least := math.Inf(1)
+	for n := 1; n <= min(len(usable), p.settings.MaxHelpers+1); n++ {
+		part := alone / time.Duration(n)
+		list := p.rate(r, e, usable, part)[:n]
+		d := p.together(r, e, list, part, heavyOrLongest(alone))
+		if loss := p.loss(r, d.FirstEvent, list); loss < least {
+			least, best = loss, d
 		}
 	}
-	part := alone / time.Duration(count)
-	return p.together(r, e, list[:count], part, heavyOrLongest(alone))
+	return best
+}
+
+// loss is the size of the answers that a placement delays too much.
+func (p *Placer) loss(r *Request, first time.Duration, list []rated) float64 {
+	size := float64(Size(r))
+	loss := 0.0
+	for i := range list {
+		loss += float64(list[i].harm)
+	}
+	late := first > r.LatencyTarget-p.settings.FirstMargin
+	switch {
+	case first > time.Duration(p.settings.LateShare*float64(r.Left)):
+		loss += 2*size + first.Seconds()*p.settings.SizePerSecond
+	case late:
+		loss += size + float64(len(list))*p.settings.HelperSize*size
+	default:
+		loss += p.settings.EarlySize * size * first.Seconds() / r.LatencyTarget.Seconds()
+	}
+	return loss
 }
 
 func heavyOrLongest(alone time.Duration) int {
@@ -188,14 +226,14 @@
 func (p *Placer) placeOversize(r *Request, e *routing.Engine, usable []Candidate, room int) Decision {
 	need := r.PromptTokens + r.AnswerTokens
 	alone := PrefillTime(e, r.PromptTokens)
-	list := p.rate(r, e, usable)
 	holders := (need + room - 1) / room
-	if holders > len(list) || holders > p.settings.MaxHelpers {
+	if holders > len(usable) || holders > p.settings.MaxHelpers {
 		return Decision{Refusal: p.overloaded()}
 	}
-	count := min(len(list), max(holders, p.settings.MaxHelpers/2+1))
-	d := p.together(r, e, list[:count], alone/time.Duration(count), longestPriority)
-	held := need / (holders)
+	count := min(len(usable), max(holders, p.settings.MaxHelpers/2+1))
+	part := alone / time.Duration(count)
+	d := p.together(r, e, p.rate(r, e, usable, part)[:count], part, longestPriority)
+	held := need / holders
 	for i := range holders - 1 {
 		d.Helpers[i].Reserve = held
 		d.Parts[i+1].Tokens = held
--- a/core/request/placement/settings.go
+++ b/core/request/placement/settings.go
@@ -6,16 +6,25 @@
 type Settings struct {
 	// HeavyPrefill is the prefill time from which a prompt counts as heavy.
 	HeavyPrefill time.Duration
-	// GentleGap is the gap target up to which an answer counts as one that
-	// bears no pause.
-	GentleGap time.Duration
-	// HarmPerGentle is what delaying one such answer costs a heavy prompt.
-	HarmPerGentle time.Duration
+	// PauseMargin and FirstMargin are how much earlier than the bound a
+	// pause or a first event counts as late, for what predictions miss.
+	PauseMargin time.Duration
+	FirstMargin time.Duration
+	// SizePerSecond is the size of the answers that a second of waiting
+	// counts as.
+	SizePerSecond float64
+	// EarlySize is the part of a prompt's size that its first event costs if
+	// it comes just in time, falling to nothing if it comes at once.
+	EarlySize float64
+	// HelperSize is the part of a late prompt's size that each target it
+	// takes costs.
+	HelperSize float64
+	// LateShare is the part of the time left by which the first event of a
+	// late prompt must come.
+	LateShare float64
 	// LightShare is the part of the latency target within which a light
 	// prompt takes the first target in order instead of the best.
 	LightShare float64
-	// HelperCost is what one more helper must save.
-	HelperCost time.Duration
 	// MaxHelpers bounds the helpers of a prompt; the engines' interface
 	// takes 16.
 	MaxHelpers int
@@ -36,10 +45,13 @@
 func Default() Settings {
 	return Settings{
 		HeavyPrefill:     130 * time.Millisecond, // above the longest short prompt of the users' traffic
-		GentleGap:        250 * time.Millisecond, // the users' shortest gap target is 200 ms
-		HarmPerGentle:    120 * time.Millisecond,
+		PauseMargin:      40 * time.Millisecond,
+		FirstMargin:      100 * time.Millisecond,
+		SizePerSecond:    50_000, // a short prompt's answer counts about 20,000
+		EarlySize:        0.3,
+		HelperSize:       0.02,
+		LateShare:        0.5,
 		LightShare:       0.6,
-		HelperCost:       10 * time.Millisecond,
 		MaxHelpers:       8,
 		SparePerScore:    300 * time.Millisecond,
 		MemoryShare:      0.97,
--- a/core/version/routing/config.go
+++ b/core/version/routing/config.go
@@ -98,7 +98,8 @@
 	PerMillionPairs time.Duration
 	// Chunk is the most prompt tokens read in one step.
 	Chunk int
-	// UsualAnswer is the mean length of an answer in tokens.
+	// UsualPrompt and UsualAnswer are mean lengths in tokens.
+	UsualPrompt int
 	UsualAnswer int
 	// Parallel says that engines read one prompt together.
 	Parallel bool
--- a/serving/process/sharing/sharing.go
+++ b/serving/process/sharing/sharing.go
@@ -83,7 +83,7 @@
 		p := &d.Parts[i]
 		begun.Parts = append(begun.Parts, &peerpb.DispatchPart{
 			Target: string(p.Target), PrefillMs: uint32(p.Prefill.Milliseconds()), Tokens: uint32(p.Tokens),
-			Writes: p.Writes, Gentle: p.Gentle,
+			Writes: p.Writes, Size: uint32(p.Size), GapMs: uint32(p.Gap.Milliseconds()),
 		})
 	}
 	s.add(func(b *peerpb.DispatchBatch) { b.Begun = append(b.Begun, begun) })
@@ -207,7 +207,7 @@
 		for _, p := range begun.GetParts() {
 			d.Parts = append(d.Parts, inflight.Part{
 				Target: names.Target(p.GetTarget()), Prefill: time.Duration(p.GetPrefillMs()) * time.Millisecond,
-				Tokens: int(p.GetTokens()), Writes: p.GetWrites(), Gentle: p.GetGentle(),
+				Tokens: int(p.GetTokens()), Writes: p.GetWrites(), Size: int(p.GetSize()), Gap: time.Duration(p.GetGapMs()) * time.Millisecond,
 			})
 		}
 		s.config.Sink.Begin(d)
