--- /dev/null
+++ b/serving/request/relay/fake_test.go
@@ -0,0 +1,333 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/crash"
+	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/core/request/placement"
+	"carobspoke.example/core/request/retry"
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/core/version/routing"
+	"carobspoke.example/serving/connection/upstream"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// fakeCodec uses plain header names.
+type fakeCodec struct{}
+
+func (fakeCodec) Facts(r *http.Request) (Facts, error) {
+	f := Facts{ID: r.Header.Get("Id"), Credential: r.Header.Get("Key")}
+	if text := r.Header.Get("Left"); text != "" {
+		left, err := time.ParseDuration(text)
+		if err != nil {
+			return f, err
+		}
+		f.Left = left
+	}
+	return f, nil
+}
+
+func (fakeCodec) Outgoing(r *http.Request, a *Attempt) http.Header {
+	h := http.Header{}
+	h.Set("Id", r.Header.Get("Id"))
+	h.Set("Target", string(a.Target))
+	h.Set("Customer", string(a.Customer))
+	h.Set("Left", strconv.FormatInt(a.Left.Milliseconds(), 10))
+	if a.ResumeAfter != "" {
+		h.Set("After", a.ResumeAfter)
+	}
+	return h
+}
+
+func (fakeCodec) Ours(response *http.Response, f *Facts) bool {
+	return response.Header.Get("Id") == f.ID
+}
+
+func (fakeCodec) Reply(response *http.Response) Reply {
+	return Reply{
+		NotRun: response.Header.Get("Not-Run") != "", Another: response.StatusCode == http.StatusMisdirectedRequest,
+		Whole: response.Header.Get("Seal") != "",
+	}
+}
+
+func (fakeCodec) Refuse(h http.Header, _ *Facts, err *verdict.Error) int {
+	h.Set("Reason", string(err.Reason))
+	h.Set("Verdict", err.Verdict.String())
+	if err.RetryAfter > 0 {
+		h.Set("Come-Back", err.RetryAfter.String())
+	}
+	return http.StatusServiceUnavailable
+}
+
+// fakeBoard takes the first target that is not excluded.
+type fakeBoard struct {
+	mu        sync.Mutex
+	targets   []fakeTarget
+	refusal   *verdict.Error
+	predicted time.Duration
+	begun     int
+	ended     int
+	failed    []names.Target
+	broke     int
+	standing  crash.Standing
+}
+
+type fakeTarget struct {
+	id      names.Target
+	address string
+}
+
+func (b *fakeBoard) Place(r *placement.Request, _ *routing.Service) (*Placed, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.refusal != nil {
+		return nil, b.refusal
+	}
+	for _, t := range b.targets {
+		excluded := false
+		for _, e := range r.Exclude {
+			excluded = excluded || e == t.id
+		}
+		if !excluded {
+			b.begun++
+			return &Placed{Decision: placement.Decision{Target: t.id, FirstEvent: b.predicted}, Address: t.address}, nil
+		}
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.NoTarget, "none")
+}
+
+func (b *fakeBoard) FirstEvent(inflight.Key) {}
+
+func (b *fakeBoard) End(inflight.Key) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended++
+}
+
+func (b *fakeBoard) Succeeded(names.Target) {}
+
+func (b *fakeBoard) Failed(id names.Target, _ verdict.Reason) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failed = append(b.failed, id)
+}
+
+func (b *fakeBoard) Unreachable(id names.Target) { b.Failed(id, verdict.TargetUnreachable) }
+
+func (b *fakeBoard) Check(crash.Digest) crash.Standing { return b.standing }
+
+func (b *fakeBoard) Broke(crash.Digest, crash.Standing) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.broke++
+}
+
+// fakeBudget grants a number of repeats.
+type fakeBudget struct{ budget *retry.Budget }
+
+func (f fakeBudget) Fresh(names.Service) {}
+
+func (f fakeBudget) Decide(_ names.Service, p retry.Policy, a retry.Attempt) retry.Decision {
+	return p.Decide(a, f.budget, time.Now(), rand.New(rand.NewPCG(1, 1)))
+}
+
+type fakeObserver struct{}
+
+func (fakeObserver) Admitted(*routing.Route)                               {}
+func (fakeObserver) Refused(*verdict.Error)                                {}
+func (fakeObserver) Retried(verdict.Reason)                                {}
+func (fakeObserver) Answered(*routing.Route, time.Duration, time.Duration) {}
+
+// fakeReserver grants what fits.
+type fakeReserver struct {
+	mu       sync.Mutex
+	free     map[names.Target]int
+	released int
+}
+
+func (f *fakeReserver) Reserve(_ context.Context, _ string, id names.Target, tokens int) (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.free[id] < tokens {
+		return "", errors.New("no room")
+	}
+	f.free[id] -= tokens
+	return "r-" + string(id), nil
+}
+
+func (f *fakeReserver) Release(string, names.Target, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.released++
+}
+
+// fixture is a relay before fake targets.
+type fixture struct {
+	t       *testing.T
+	relay   *Relay
+	board   *fakeBoard
+	server  *httptest.Server
+	routes  []routing.Route
+	recent  bool
+	leaving time.Duration
+}
+
+func newFixture(t *testing.T, targets ...*fakeServer) *fixture {
+	t.Helper()
+	f := &fixture{t: t, board: &fakeBoard{predicted: 10 * time.Millisecond}, recent: true}
+	for i, s := range targets {
+		f.board.targets = append(f.board.targets, fakeTarget{id: names.Target(rune('a' + i)), address: s.listener.Addr().String()})
+	}
+	route := routing.Route{
+		Hostname: "host.example", Services: []routing.Share{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second,
+		LatencyTarget: 100 * time.Millisecond, GapTarget: 100 * time.Millisecond, MaxAttempts: 2,
+	}
+	add := func(name, prefix string, kind routing.Kind, resumable bool) {
+		r := route
+		r.Name, r.Prefix, r.Kind, r.Resumable = name, prefix, kind, resumable
+		f.routes = append(f.routes, r)
+	}
+	add("read", "/read/", routing.Idempotent, false)
+	add("order", "/order/", routing.NonIdempotent, false)
+	add("stream", "/stream/", routing.Streaming, true)
+	add("once", "/once/", routing.Streaming, false)
+	f.build()
+	return f
+}
+
+func (f *fixture) build() {
+	table, err := routing.NewTable(&routing.Config{
+		Version: 1, Routes: f.routes, Services: []routing.Service{{Name: "s"}},
+		Customers: []routing.Customer{{Name: "customer", Keys: []string{"key"}}},
+		Limits:    routing.Limits{BodyBytes: 1 << 10},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.relay = New(Deps{
+		Codec: fakeCodec{}, Board: f.board, Crashes: f.board, Budget: fakeBudget{budget: retry.NewBudget(0)},
+		Pool: upstream.NewPool(), Reserver: &fakeReserver{}, Observer: fakeObserver{},
+		Table:   func() (*routing.Table, bool) { return table, f.recent },
+		Leaving: func() (time.Duration, bool) { return f.leaving, f.leaving > 0 },
+		Draw:    func() float64 { return 0 }, Log: zap.NewNop(),
+	})
+	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.relay.ServeHTTP(w, r) }))
+	f.t.Cleanup(f.server.Close)
+}
+
+// call sends a request; err is that of reading the body.
+func (f *fixture) call(path string, change func(*http.Request)) (response *http.Response, body string, err error) {
+	f.t.Helper()
+	r, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, f.server.URL+path, nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Host = "host.example"
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Key", "key")
+	if change != nil {
+		change(r)
+	}
+	response, err = http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	read, err := io.ReadAll(response.Body)
+	return response, string(read), err
+}
+
+// fakeServer is a target whose answers a script writes on the raw connection.
+type fakeServer struct {
+	listener net.Listener
+	mu       sync.Mutex
+	headers  []http.Header
+}
+
+// script answers the n-th request, counted from one; the connection is closed
+// when it returns.
+type script func(conn net.Conn, r *http.Request, n int)
+
+func newServer(t *testing.T, respond script) *fakeServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &fakeServer{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.handle(conn, respond)
+		}
+	}()
+	return s
+}
+
+func (s *fakeServer) handle(conn net.Conn, respond script) {
+	defer func() { _ = conn.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.headers = append(s.headers, r.Header)
+	n := len(s.headers)
+	s.mu.Unlock()
+	respond(conn, r, n)
+}
+
+func (s *fakeServer) seen() []http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.headers
+}
+
+func answerWith(conn net.Conn, r *http.Request, status int, extra, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		status, r.Header.Get("Id"), extra, len(body), body)
+}
+
+func good(body string) script {
+	return func(conn net.Conn, r *http.Request, _ int) { answerWith(conn, r, http.StatusOK, "Seal: s\r\n", body) }
+}
+
+func dies(net.Conn, *http.Request, int) {}
+
+// streams sends events of a range and ends the stream, or breaks off in the
+// middle of the next event.
+func streams(from, to int, whole bool) script {
+	return func(conn net.Conn, r *http.Request, _ int) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s%d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"), from)
+		for i := from; i <= to; i++ {
+			chunk(conn, fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i))
+		}
+		if whole {
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+			return
+		}
+		chunk(conn, fmt.Sprintf("id: %d\nda", to+1))
+	}
+}
+
+func chunk(conn net.Conn, text string) {
+	_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+}
