--- a/serving/process/edge/budget.go
+++ b/serving/process/edge/budget.go
@@ -14,10 +14,10 @@
 	// budgetPart is what the daemons use of the budget together, so that
 	// late counting does not exceed it.
 	budgetPart = 0.85
-	// hostsPerSeed stands for the fleet's size until peers are known: a
-	// daemon that knows only its seeds must not take a larger share than
-	// its own.
-	hostsPerSeed = 3
+	// settle is how long after its start a daemon may still miss peers. It
+	// takes no part of the fixed slack until then, which is divided by the
+	// number of daemons.
+	settle = 5 * time.Second
 )
 
 // budgets keeps a retry budget for each service: the daemon's part of the
@@ -29,6 +29,7 @@
 
 	mu       sync.Mutex
 	services map[names.Service]*budget
+	started  time.Time
 	most     int
 	random   *rand.Rand
 }
@@ -39,7 +40,7 @@
 }
 
 func newBudgets(s *Settings, hosts func() int, random *rand.Rand) *budgets {
-	return &budgets{settings: s, hosts: hosts, services: make(map[names.Service]*budget), most: max(hostsPerSeed*len(s.Seeds), 1), random: random}
+	return &budgets{settings: s, hosts: hosts, services: make(map[names.Service]*budget), started: time.Now(), most: 1, random: random}
 }
 
 // get returns a service's budget, with what time has earned. The slack of one
@@ -50,10 +51,13 @@
 	found, ok := b.services[service]
 	if !ok {
 		found = &budget{Budget: retry.NewBudget(budgetPart * b.settings.RetryRatio), at: now}
+		found.SetMost(0)
 		b.services[service] = found
 	}
-	found.SetMost(slack / 2)
-	found.Earn(slack / 2 * now.Sub(found.at).Seconds() / b.settings.RetryWindow.Seconds())
+	found.SetMost(max(slack/2, 1))
+	if now.Sub(b.started) > settle {
+		found.Earn(slack / 2 * now.Sub(found.at).Seconds() / b.settings.RetryWindow.Seconds())
+	}
 	found.at = now
 	return found
 }
--- a/serving/process/journal/journal.go
+++ b/serving/process/journal/journal.go
@@ -80,8 +80,13 @@
 // change later.
 func New(w *Writer, level zap.AtomicLevel) *zap.Logger {
 	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeDuration = zapcore.MillisDurationEncoder
+	encoder.EncodeDuration = millis
 	encoder.TimeKey = "time"
 	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), w, level))
 }
+
+// millis writes a duration in ms, with fractions.
+func millis(d time.Duration, to zapcore.PrimitiveArrayEncoder) {
+	to.AppendFloat64(float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond))
+}
--- /dev/null
+++ b/serving/process/published/published_test.go
@@ -0,0 +1,290 @@
+package published
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/replicas"
+	"carobspoke.example/core/version/routing"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// fakeSource is a store whose answers a test sets.
+type fakeSource struct {
+	mu       sync.Mutex
+	records  map[string]Record
+	log      []Record
+	revision uint64
+	down     bool
+	forgot   uint64
+	lists    int
+}
+
+func newSource() *fakeSource { return &fakeSource{records: make(map[string]Record), revision: 1} }
+
+func (s *fakeSource) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	r := Record{Key: key, Value: []byte(value), Revision: s.revision, Deleted: value == ""}
+	s.log = append(s.log, r)
+	if r.Deleted {
+		delete(s.records, key)
+		return
+	}
+	s.records[key] = r
+}
+
+func (s *fakeSource) set(change func(*fakeSource)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+func (s *fakeSource) List(context.Context) (Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return Batch{}, errors.New("down")
+	}
+	s.lists++
+	b := Batch{Revision: s.revision, Whole: true}
+	for _, r := range s.records {
+		b.Records = append(b.Records, r)
+	}
+	return b, nil
+}
+
+func (s *fakeSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
+	until := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		if s.down {
+			s.mu.Unlock()
+			return Batch{}, errors.New("down")
+		}
+		if after < s.forgot {
+			s.mu.Unlock()
+			return Batch{}, ErrForgotten
+		}
+		b := Batch{Revision: s.revision}
+		for _, r := range s.log {
+			if r.Revision > after {
+				b.Records = append(b.Records, r)
+			}
+		}
+		s.mu.Unlock()
+		if len(b.Records) > 0 || time.Now().After(until) || ctx.Err() != nil {
+			return b, nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// fakeDecoder reads "config" records that hold a version number as so many
+// letters, and "target/" records.
+type fakeDecoder struct{}
+
+func (fakeDecoder) TargetOf(key string) (names.Target, bool) {
+	id, ok := strings.CutPrefix(key, "target/")
+	return names.Target(id), ok
+}
+
+func (d fakeDecoder) Decode(r *Record) (*routing.Config, *replicas.Target, error) {
+	if string(r.Value) == "garbage" {
+		return nil, nil, errors.New("cannot be read")
+	}
+	if id, ok := d.TargetOf(r.Key); ok {
+		return nil, &replicas.Target{ID: id, Service: "s", Revision: r.Revision, Draining: string(r.Value) == "draining"}, nil
+	}
+	return &routing.Config{Version: names.Version(len(r.Value))}, nil, nil
+}
+
+// fakePeers gives a batch.
+type fakePeers struct {
+	mu    sync.Mutex
+	batch Batch
+}
+
+func (p *fakePeers) Read(context.Context, uint64) (Batch, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.batch.Revision == 0 {
+		return Batch{}, errors.New("no peer")
+	}
+	return p.batch, nil
+}
+
+func follow(t *testing.T, s Source, p Peers) *Follower {
+	t.Helper()
+	f := New(s, fakeDecoder{}, p, zap.NewNop(), func(uint64) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(5 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("not within 5 s: %s", what)
+		}
+	}
+}
+
+func version(f *Follower) names.Version {
+	if v := f.View(); v != nil {
+		return v.Table.Version
+	}
+	return 0
+}
+
+func targets(f *Follower) int {
+	if v := f.View(); v != nil {
+		return len(v.Targets["s"])
+	}
+	return 0
+}
+
+func TestChangesAreInForceAtOnce(t *testing.T) {
+	s := newSource()
+	s.put("config", "v")
+	s.put("target/a", "ready")
+	f := follow(t, s, &fakePeers{})
+	eventually(t, "version 1", func() bool { return version(f) == 1 && targets(f) == 1 })
+	began := time.Now()
+	s.put("config", "vvv")
+	s.put("target/a", "draining")
+	eventually(t, "version 3", func() bool { return version(f) == 3 && targets(f) == 0 })
+	if took := time.Since(began); took > time.Second {
+		t.Fatalf("took %s", took)
+	}
+	if !f.Recent() {
+		t.Fatal("not recent right after a change")
+	}
+}
+
+func TestAVersionNeverGoesBack(t *testing.T) {
+	s := newSource()
+	s.put("config", "vvv")
+	f := follow(t, s, &fakePeers{})
+	eventually(t, "version 3", func() bool { return version(f) == 3 })
+	s.put("config", "v")
+	s.put("target/a", "ready")
+	eventually(t, "the later record", func() bool { return targets(f) == 1 })
+	if version(f) != 3 {
+		t.Fatalf("version %d", version(f))
+	}
+	f.apply(Batch{Revision: 1, Whole: true}, "stale source")
+	if version(f) != 3 || targets(f) != 1 {
+		t.Fatal("a list as of an older revision was taken in")
+	}
+}
+
+func TestForgottenHistoryIsReadAnew(t *testing.T) {
+	s := newSource()
+	s.put("config", "v")
+	s.put("target/a", "ready")
+	f := follow(t, s, &fakePeers{})
+	eventually(t, "one target", func() bool { return targets(f) == 1 })
+	s.set(func(s *fakeSource) {
+		s.revision += 5
+		s.forgot = s.revision
+		delete(s.records, "target/a")
+		s.records["target/b"] = Record{Key: "target/b", Value: []byte("ready"), Revision: s.revision}
+	})
+	s.put("target/c", "ready")
+	eventually(t, "b and c", func() bool { return targets(f) == 2 })
+}
+
+// TestKnowledgeOutlivesAnOutage takes the source away while entries lapse.
+func TestKnowledgeOutlivesAnOutage(t *testing.T) {
+	s := newSource()
+	s.put("config", "v")
+	s.put("target/a", "ready")
+	s.put("target/b", "ready")
+	f := follow(t, s, &fakePeers{})
+	eventually(t, "two targets", func() bool { return targets(f) == 2 })
+	s.set(func(s *fakeSource) { s.down = true })
+	eventually(t, "the loss", func() bool { return !f.Recent() })
+	if version(f) != 1 || targets(f) != 2 {
+		t.Fatal("knowledge was dropped in an outage")
+	}
+	s.put("target/a", "")
+	s.put("target/b", "")
+	s.set(func(s *fakeSource) { s.down = false })
+	eventually(t, "the return", func() bool { return f.Recent() })
+	if targets(f) != 2 {
+		t.Fatalf("%d targets right after the return", targets(f))
+	}
+	s.put("target/a", "ready")
+	eventually(t, "b to be dropped", func() bool { return targets(f) == 1 })
+}
+
+// TestPeersTellWhatTheSourceKeepsBack turns one daemon away at the source.
+func TestPeersTellWhatTheSourceKeepsBack(t *testing.T) {
+	s := newSource()
+	s.put("config", "v")
+	p := &fakePeers{}
+	f := follow(t, s, p)
+	eventually(t, "version 1", func() bool { return version(f) == 1 })
+	s.set(func(s *fakeSource) { s.down = true })
+	p.mu.Lock()
+	p.batch = Batch{Revision: 9, Whole: true, Records: []Record{{Key: "config", Value: []byte("vvvv"), Revision: 9}}}
+	p.mu.Unlock()
+	f.Told(9)
+	began := time.Now()
+	eventually(t, "version 4", func() bool { return version(f) == 4 })
+	if took := time.Since(began); took > time.Second {
+		t.Fatalf("took %s", took)
+	}
+}
+
+func TestADaemonThatStartsInAnOutageAsksPeers(t *testing.T) {
+	s := newSource()
+	s.down = true
+	p := &fakePeers{batch: Batch{Revision: 4, Whole: true, Records: []Record{{Key: "config", Value: []byte("vv"), Revision: 4}}}}
+	f := follow(t, s, p)
+	eventually(t, "version 2", func() bool { return version(f) == 2 })
+}
+
+func TestRecordsThatCannotBeReadHarmNothingElse(t *testing.T) {
+	s := newSource()
+	s.put("config", "v")
+	s.put("target/a", "garbage")
+	s.put("target/b", "ready")
+	f := follow(t, s, &fakePeers{})
+	eventually(t, "one target", func() bool { return targets(f) == 1 })
+	s.put("config", "garbage")
+	s.put("target/c", "ready")
+	eventually(t, "two targets", func() bool { return targets(f) == 2 })
+	if version(f) != 1 {
+		t.Fatalf("version %d", version(f))
+	}
+}
+
+func TestRecordsAreGivenOnlyWhenNewer(t *testing.T) {
+	s := newSource()
+	s.put("config", "v")
+	f := follow(t, s, &fakePeers{})
+	eventually(t, "version 1", func() bool { return version(f) == 1 })
+	if b := f.Records(0); !b.Whole || len(b.Records) != 1 {
+		t.Fatalf("batch %+v", b)
+	}
+	if b := f.Records(f.Revision()); b.Whole || len(b.Records) != 0 {
+		t.Fatalf("batch %+v", b)
+	}
+}
--- a/serving/process/sharing/sharing.go
+++ b/serving/process/sharing/sharing.go
@@ -25,10 +25,11 @@
 	// Gather is how long events wait for others; it adds to the age of what
 	// peers know.
 	Gather = 15 * time.Millisecond
-	// maxPacket bounds a received datagram, in bytes, and maxEvents those
-	// gathered into one, so that it fits a packet of 1,400 bytes.
-	maxPacket = 2048
-	maxEvents = 10
+	// maxPacket bounds a received datagram, in bytes, and fullPacket is the
+	// size from which one is sent without waiting. The largest event takes
+	// about 500 bytes, a packet of the network 1,400.
+	maxPacket  = 2048
+	fullPacket = 900
 )
 
 // Sink takes in what peers tell.
@@ -56,8 +57,9 @@
 
 	mu      sync.Mutex
 	pending *peerpb.DispatchBatch
-	events  int
-	wake    chan struct{}
+	// bytes is about the size of the pending batch.
+	bytes int
+	wake  chan struct{}
 }
 
 // New returns a Sharing that does nothing until Run.
@@ -86,25 +88,28 @@
 			Writes: p.Writes, Size: uint32(p.Size), GapMs: uint32(p.Gap.Milliseconds()),
 		})
 	}
-	s.add(func(b *peerpb.DispatchBatch) { b.Begun = append(b.Begun, begun) })
+	s.add(proto.Size(begun), func(b *peerpb.DispatchBatch) { b.Begun = append(b.Begun, begun) })
 }
 
 // FirstEvent tells that a prompt has been read.
 func (s *Sharing) FirstEvent(number uint64) {
-	s.add(func(b *peerpb.DispatchBatch) { b.Read = append(b.Read, number) })
+	s.add(numberBytes, func(b *peerpb.DispatchBatch) { b.Read = append(b.Read, number) })
 }
 
 // Ended tells the end of a dispatch.
 func (s *Sharing) Ended(number uint64) {
-	s.add(func(b *peerpb.DispatchBatch) { b.Ended = append(b.Ended, number) })
+	s.add(numberBytes, func(b *peerpb.DispatchBatch) { b.Ended = append(b.Ended, number) })
 }
 
-func (s *Sharing) add(change func(*peerpb.DispatchBatch)) {
+// numberBytes bounds the size of a dispatch's number in a batch.
+const numberBytes = 6
+
+func (s *Sharing) add(bytes int, change func(*peerpb.DispatchBatch)) {
 	s.mu.Lock()
 	change(s.pending)
-	s.events++
-	full := s.events >= maxEvents
-	first := s.events == 1
+	first := s.bytes == 0
+	s.bytes += bytes
+	full := s.bytes >= fullPacket
 	var batch *peerpb.DispatchBatch
 	if full {
 		batch = s.takeLocked()
@@ -125,13 +130,13 @@
 func (s *Sharing) takeLocked() *peerpb.DispatchBatch {
 	batch := s.pending
 	s.pending = s.empty()
-	s.events = 0
+	s.bytes = 0
 	return batch
 }
 
 func (s *Sharing) flush() {
 	s.mu.Lock()
-	if s.events == 0 {
+	if s.bytes == 0 {
 		s.mu.Unlock()
 		return
 	}
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -47,6 +47,8 @@
 	watchdog *time.Timer
 	placed   *Placed
 	exchange *upstream.Exchange
+	// another is true if the address belongs to another target.
+	another bool
 }
 
 // once places the request, sends it and passes the answer on.
@@ -179,7 +181,8 @@
 	switch {
 	case reply.Another:
 		a.exchange.Abort()
-		return verdict.New(verdict.NotRun, verdict.TargetUnreachable, "the address belongs to another target")
+		a.another = true
+		return verdict.New(verdict.NotRun, verdict.TargetRefused, "the address belongs to another target")
 	case reply.NotRun:
 		_, _ = io.CopyN(io.Discard, a.exchange.Response.Body, maxEvent) // a refusal is short
 		a.exchange.Done()
@@ -215,7 +218,7 @@
 		zap.Bool("hung", hung), zap.Error(failure.Unwrap()))
 	switch {
 	case a.r.Context().Err() != nil:
-	case failure.Reason == verdict.TargetUnreachable:
+	case failure.Reason == verdict.TargetUnreachable || a.another:
 		a.relay.Board.Unreachable(id)
 	case failure.Reason == verdict.TargetRefused || failure.Reason == verdict.SpanUnavailable:
 	default:
