--- a/serving/request/relay/fake_test.go
+++ b/serving/request/relay/fake_test.go
@@ -229,8 +229,14 @@
 	f.t.Cleanup(f.server.Close)
 }
 
+// received is the header of an answer.
+type received struct {
+	StatusCode int
+	Header     http.Header
+}
+
 // call sends a request; err is that of reading the body.
-func (f *fixture) call(path string, change func(*http.Request)) (response *http.Response, body string, err error) {
+func (f *fixture) call(path string, change func(*http.Request)) (head *received, body string, err error) {
 	f.t.Helper()
 	r, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, f.server.URL+path, nil)
 	if err != nil {
@@ -242,13 +248,13 @@
 	if change != nil {
 		change(r)
 	}
-	response, err = http.DefaultClient.Do(r)
+	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return nil, "", err
 	}
 	defer func() { _ = response.Body.Close() }()
 	read, err := io.ReadAll(response.Body)
-	return response, string(read), err
+	return &received{StatusCode: response.StatusCode, Header: response.Header}, string(read), err
 }
 
 // fakeServer is a target whose answers a script writes on the raw connection.
--- a/serving/request/relay/relay_test.go
+++ b/serving/request/relay/relay_test.go
@@ -15,7 +15,7 @@
 	"carobspoke.example/core/verdict"
 )
 
-func wantRefusal(t *testing.T, response *http.Response, err error, reason verdict.Reason, v verdict.Verdict) {
+func wantRefusal(t *testing.T, response *received, err error, reason verdict.Reason, v verdict.Verdict) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
