Let late short prompts go last, and refuse what callers would not wait for

Change: a short prompt that comes late everywhere is deferred, with a lower priority, and is left out of what others wait for; a wait over 0.8 of the time left or of the caller's patience is refused at once; oversize prompts choose their engines like other long ones.

--- a/core/process/inflight/inflight.go
+++ b/core/process/inflight/inflight.go
@@ -37,6 +37,8 @@
 	// writes.
 	Size int
 	Gap  time.Duration
+	// Deferred parts let all others go first until they are read.
+	Deferred bool
 }
 
 // Dispatch is work that one daemon has sent.
@@ -69,6 +71,9 @@
 	// or will be written.
 	Requests int
 	Writers  int
+	// Deferred counts the writers that let others go first and are not read
+	// yet. Backlog leaves them out.
+	Deferred int
 	// Exposed is the size of the answers there by the pause that harms them.
 	Exposed [len(Pauses)]int
 	// Tokens is the memory in use or promised.
@@ -113,9 +118,13 @@
 	for i := range d.Parts {
 		p := &d.Parts[i]
 		s := t.settle(p.Target, now)
+		s.count(p, 1)
+		if p.Deferred {
+			s.load.Deferred++
+			continue
+		}
 		s.unread += p.Prefill
 		s.backlog += p.Prefill
-		s.count(p, 1)
 	}
 }
 
@@ -144,6 +153,10 @@
 	for i := range e.dispatch.Parts {
 		p := &e.dispatch.Parts[i]
 		s := t.settle(p.Target, now)
+		if p.Deferred {
+			s.load.Deferred--
+			continue
+		}
 		s.unread -= p.Prefill
 		s.backlog = min(s.backlog, s.unread)
 	}
--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -37,6 +37,9 @@
 	GapTarget     time.Duration
 	// Left is the time until the request must have its whole answer.
 	Left time.Duration
+	// Patience is how long callers wait for the first event before they leave;
+	// zero if that is not known.
+	Patience time.Duration
 	// Rank is the caller's priority; 0 is the most urgent.
 	Rank int
 	// Exclude names targets that must not get the request again.
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -16,6 +16,7 @@
 	defaultPriority = 5
 	lightPriority   = 2
 	heavyPriority   = 4
+	lateLight       = 5
 	longestPriority = 6
 	// longPrefill divides heavy prompts by priority.
 	longPrefill = time.Second
@@ -27,32 +28,45 @@
 	room := int(p.settings.MemoryShare * float64(e.MemoryTokens))
 	var d Decision
 	switch {
-	case need > room:
-		d = p.placeOversize(r, e, usable, room)
-	case alone < p.settings.HeavyPrefill || !e.Parallel:
+	case need <= room && (alone < p.settings.HeavyPrefill || !e.Parallel):
 		d = p.placeLight(r, e, usable, alone)
 	default:
-		d = p.placeHeavy(r, e, usable, alone)
+		d = p.placeHeavy(r, e, usable, alone, room)
 	}
-	if d.Refusal == nil && d.FirstEvent > r.Left {
+	if d.Refusal == nil && d.FirstEvent > p.longestWait(r) {
 		d.Refusal = p.overloaded()
 	}
 	return d
 }
 
+// longestWait is the predicted time to the first event from which a request is
+// refused at once: it would most likely end without an answer.
+func (p *Placer) longestWait(r *Request) time.Duration {
+	wait := r.Left
+	if r.Patience > 0 {
+		wait = min(wait, r.Patience)
+	}
+	return time.Duration(p.settings.HopeShare * float64(wait))
+}
+
 func (p *Placer) overloaded() *verdict.Error {
 	spread := p.settings.OverloadRetryMax - p.settings.OverloadRetryMin
 	wait := p.settings.OverloadRetryMin + time.Duration(p.random.Int64N(int64(spread)+1))
 	return verdict.New(verdict.NotRun, verdict.Overloaded, "no target can serve the request in time").WithRetryAfter(wait)
 }
 
-// queueWait predicts how long a request waits for a slot or for memory.
-func (p *Placer) queueWait(r *Request, e *routing.Engine, c *Candidate) time.Duration {
+// queueWait predicts how long a request waits for a slot or for memory. A
+// deferred one waits for all that are there.
+func (p *Placer) queueWait(r *Request, e *routing.Engine, c *Candidate, deferred bool) time.Duration {
 	wait := time.Duration(p.settings.SparePerScore.Seconds() * c.Score * float64(time.Second))
 	slots := max(c.Slots, 1)
-	if c.Load.Writers >= slots {
+	ahead := c.Load.Writers
+	if !deferred {
+		ahead -= c.Load.Deferred
+	}
+	if ahead >= slots {
 		turn := WriteTime(e, e.UsualAnswer, slots, r.PromptTokens)
-		wait += time.Duration(c.Load.Writers-slots+1) * turn / time.Duration(slots)
+		wait += time.Duration(ahead-slots+1) * turn / time.Duration(slots)
 	}
 	if over := c.Load.Tokens + r.PromptTokens + r.AnswerTokens - int(p.settings.MemoryShare*float64(e.MemoryTokens)); over > 0 {
 		wait += memoryTurnover * time.Duration(over) / time.Duration(max(e.MemoryTokens, 1))
@@ -72,7 +86,12 @@
 // candidate takes prefill. An engine that writes nothing answers right after
 // the prefill.
 func (p *Placer) firstEvent(r *Request, e *routing.Engine, c *Candidate, prefill time.Duration) time.Duration {
-	first := p.queueWait(r, e, c) + c.Load.Backlog + prefill
+	return p.queueWait(r, e, c, false) + p.read(r, e, c, prefill)
+}
+
+// read predicts the time from a slot to the first event.
+func (p *Placer) read(r *Request, e *routing.Engine, c *Candidate, prefill time.Duration) time.Duration {
+	first := c.Load.Backlog + prefill
 	if c.Load.Writers == 0 {
 		return first + e.Step
 	}
@@ -80,7 +99,9 @@
 }
 
 // placeLight takes the first target in order that is fast enough, or else the
-// fastest.
+// fastest. A prompt that comes late everywhere is deferred: it lets those go
+// first that can still be in time, so that at a crest most are in time instead
+// of all late.
 func (p *Placer) placeLight(r *Request, e *routing.Engine, usable []Candidate, alone time.Duration) Decision {
 	slices.SortStableFunc(usable, func(a, b Candidate) int { return cmp.Compare(a.Order, b.Order) })
 	enough := time.Duration(p.settings.LightShare * float64(r.LatencyTarget))
@@ -95,9 +116,26 @@
 			best, bestTime = i, first
 		}
 	}
+	if bestTime > r.LatencyTarget {
+		return p.deferLight(r, e, usable, alone)
+	}
 	return p.alone(r, e, &usable[best], alone, bestTime, lightPriority)
 }
 
+// deferLight takes the target with the shortest wait for all that are there.
+func (p *Placer) deferLight(r *Request, e *routing.Engine, usable []Candidate, alone time.Duration) Decision {
+	best, bestTime := 0, time.Duration(0)
+	for i := range usable {
+		first := p.queueWait(r, e, &usable[i], true) + p.read(r, e, &usable[i], alone)
+		if i == 0 || first < bestTime {
+			best, bestTime = i, first
+		}
+	}
+	d := p.alone(r, e, &usable[best], alone, bestTime, lateLight)
+	d.Parts[0].Deferred = true
+	return d
+}
+
 func (p *Placer) alone(r *Request, e *routing.Engine, c *Candidate, prefill, first time.Duration, priority int) Decision {
 	return Decision{
 		Target:     c.Target,
@@ -136,7 +174,7 @@
 	for i := range usable {
 		c := &usable[i]
 		pause := part + PassTime(e, c.Load.Writers, e.UsualPrompt)
-		item := rated{candidate: c, ready: p.queueWait(r, e, c) + c.Load.Backlog}
+		item := rated{candidate: c, ready: p.queueWait(r, e, c, false) + c.Load.Backlog}
 		for class, bound := range inflight.Pauses {
 			if pause > bound-p.settings.PauseMargin {
 				item.harm += c.Load.Exposed[class]
@@ -156,11 +194,17 @@
 // placeHeavy reads a prompt at several targets at once. It takes the number of
 // targets at which the least is lost: the own answer if it comes late, and the
 // answers that the parts delay. A prompt that comes late whatever is done takes
-// few targets, so that it delays few others.
-func (p *Placer) placeHeavy(r *Request, e *routing.Engine, usable []Candidate, alone time.Duration) Decision {
+// few targets, so that it delays few others. One that no engine's memory holds
+// takes as many as hold it together.
+func (p *Placer) placeHeavy(r *Request, e *routing.Engine, usable []Candidate, alone time.Duration, room int) Decision {
+	holders := (r.PromptTokens + r.AnswerTokens + room - 1) / room
+	most := min(len(usable), p.settings.MaxHelpers+1)
+	if holders > most {
+		return Decision{Refusal: p.overloaded()}
+	}
 	var best Decision
 	least := math.Inf(1)
-	for n := 1; n <= min(len(usable), p.settings.MaxHelpers+1); n++ {
+	for n := holders; n <= most; n++ {
 		part := alone / time.Duration(n)
 		list := p.rate(r, e, usable, part)[:n]
 		d := p.together(r, e, list, part, heavyOrLongest(alone))
@@ -168,9 +212,24 @@
 			least, best = loss, d
 		}
 	}
+	hold(&best, holders, r.PromptTokens+r.AnswerTokens)
 	return best
 }
 
+// hold spreads the memory of a prompt that no engine holds alone over the
+// first targets; the helpers among them set it aside.
+func hold(d *Decision, holders, tokens int) {
+	if holders <= 1 {
+		return
+	}
+	part := tokens / holders
+	for i := range holders - 1 {
+		d.Helpers[i].Reserve = part
+		d.Parts[i+1].Tokens = part
+	}
+	d.Parts[0].Tokens = tokens - part*(holders-1)
+}
+
 // loss is the size of the answers that a placement delays too much.
 func (p *Placer) loss(r *Request, first time.Duration, list []rated) float64 {
 	size := float64(Size(r))
@@ -220,24 +279,3 @@
 		Parts:      parts,
 	}
 }
-
-// placeOversize places a prompt that no engine's memory holds: helpers set
-// memory aside, the emptiest first.
-func (p *Placer) placeOversize(r *Request, e *routing.Engine, usable []Candidate, room int) Decision {
-	need := r.PromptTokens + r.AnswerTokens
-	alone := PrefillTime(e, r.PromptTokens)
-	holders := (need + room - 1) / room
-	if holders > len(usable) || holders > p.settings.MaxHelpers {
-		return Decision{Refusal: p.overloaded()}
-	}
-	count := min(len(usable), max(holders, p.settings.MaxHelpers/2+1))
-	part := alone / time.Duration(count)
-	d := p.together(r, e, p.rate(r, e, usable, part)[:count], part, longestPriority)
-	held := need / holders
-	for i := range holders - 1 {
-		d.Helpers[i].Reserve = held
-		d.Parts[i+1].Tokens = held
-	}
-	d.Parts[0].Tokens = need - held*(holders-1)
-	return d
-}
--- a/core/request/placement/settings.go
+++ b/core/request/placement/settings.go
@@ -25,6 +25,9 @@
 	// LightShare is the part of the latency target within which a light
 	// prompt takes the first target in order instead of the best.
 	LightShare float64
+	// HopeShare is the part of the time left, or of the caller's patience,
+	// beyond which a predicted first event counts as hopeless.
+	HopeShare float64
 	// MaxHelpers bounds the helpers of a prompt; the engines' interface
 	// takes 16.
 	MaxHelpers int
@@ -52,6 +55,7 @@
 		HelperSize:       0.02,
 		LateShare:        0.5,
 		LightShare:       0.6,
+		HopeShare:        0.8,
 		MaxHelpers:       8,
 		SparePerScore:    300 * time.Millisecond,
 		MemoryShare:      0.97,
--- a/serving/process/sharing/sharing.go
+++ b/serving/process/sharing/sharing.go
@@ -85,7 +85,7 @@
 		p := &d.Parts[i]
 		begun.Parts = append(begun.Parts, &peerpb.DispatchPart{
 			Target: string(p.Target), PrefillMs: uint32(p.Prefill.Milliseconds()), Tokens: uint32(p.Tokens),
-			Writes: p.Writes, Size: uint32(p.Size), GapMs: uint32(p.Gap.Milliseconds()),
+			Writes: p.Writes, Size: uint32(p.Size), GapMs: uint32(p.Gap.Milliseconds()), Deferred: p.Deferred,
 		})
 	}
 	s.add(proto.Size(begun), func(b *peerpb.DispatchBatch) { b.Begun = append(b.Begun, begun) })
@@ -212,7 +212,7 @@
 		for _, p := range begun.GetParts() {
 			d.Parts = append(d.Parts, inflight.Part{
 				Target: names.Target(p.GetTarget()), Prefill: time.Duration(p.GetPrefillMs()) * time.Millisecond,
-				Tokens: int(p.GetTokens()), Writes: p.GetWrites(), Size: int(p.GetSize()), Gap: time.Duration(p.GetGapMs()) * time.Millisecond,
+				Tokens: int(p.GetTokens()), Writes: p.GetWrites(), Size: int(p.GetSize()), Gap: time.Duration(p.GetGapMs()) * time.Millisecond, Deferred: p.GetDeferred(),
 			})
 		}
 		s.config.Sink.Begin(d)
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -82,6 +82,7 @@
 		LatencyTarget: q.route.LatencyTarget,
 		GapTarget:     q.route.GapTarget,
 		Left:          left,
+		Patience:      patienceOf(q.route),
 		Rank:          q.rank(),
 		Exclude:       q.exclude,
 	}
@@ -97,6 +98,23 @@
 	return placed, nil
 }
 
+// Bounds of a caller's patience with a stream that is silent, as published for
+// callers: the longest of these.
+const (
+	patienceLeast   = 2 * time.Second
+	patienceLatency = 4 // latency targets
+	patienceGap     = 8 // gap targets
+)
+
+// patienceOf returns how long callers of a route wait for an event, or zero if
+// they wait to their deadline.
+func patienceOf(r *routing.Route) time.Duration {
+	if r.Kind != routing.Streaming {
+		return 0
+	}
+	return max(patienceLeast, patienceLatency*r.LatencyTarget, patienceGap*r.GapTarget)
+}
+
 func (q *request) rank() int {
 	if q.customer != nil && q.customer.Priority != nil {
 		return *q.customer.Priority
@@ -215,7 +233,7 @@
 	a.exclude = append(a.exclude, id)
 	a.relay.Log.Info("send failed", zap.String("request", a.facts.ID), zap.String("target", string(id)),
 		zap.String("reason", string(failure.Reason)), zap.String("verdict", failure.Verdict.String()),
-		zap.Bool("hung", hung), zap.Error(failure.Unwrap()))
+		zap.Bool("hung", hung), cause(failure))
 	switch {
 	case a.r.Context().Err() != nil:
 	case failure.Reason == verdict.TargetUnreachable || a.another:
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -283,7 +283,7 @@
 	})
 	q.relay.Log.Info("attempt failed", zap.String("request", q.facts.ID), zap.String("reason", string(failure.Reason)),
 		zap.String("verdict", failure.Verdict.String()), zap.Int("sends", q.sends), zap.Int("ran", q.ran),
-		zap.String("outcome", string(d.Outcome)), zap.Duration("wait", d.Wait), zap.Error(failure.Unwrap()))
+		zap.String("outcome", string(d.Outcome)), zap.Duration("wait", d.Wait), cause(failure))
 	if !d.Retry() {
 		return failure.WithVerdict(q.verdict)
 	}
@@ -354,5 +354,14 @@
 	q.relay.Log.Info("not answered", zap.String("request", q.facts.ID), zap.String("route", route),
 		zap.String("reason", string(failure.Reason)), zap.String("verdict", failure.Verdict.String()),
 		zap.Duration("took", took), zap.Duration("retry_after", failure.RetryAfter), zap.Int("sends", q.sends),
-		zap.Bool("begun", q.begun), zap.Uint64("version", uint64(version)), zap.Error(failure.Unwrap()))
+		zap.Bool("begun", q.begun), zap.Uint64("version", uint64(version)), cause(failure))
+}
+
+// cause is the log field for what is behind a failure, without the stack that
+// the error carries.
+func cause(failure *verdict.Error) zap.Field {
+	if err := failure.Unwrap(); err != nil {
+		return zap.String("error", err.Error())
+	}
+	return zap.Skip()
 }
