--- a/core/process/inflight/inflight.go
+++ b/core/process/inflight/inflight.go
@@ -99,6 +99,10 @@
 	unread  time.Duration
 	backlog time.Duration
 	at      time.Time
+	// unknown is how many requests the target said it had beyond those known
+	// here, and told when it said so.
+	unknown int
+	told    time.Time
 }
 
 // New returns an empty table.
@@ -176,9 +180,6 @@
 		p := &e.dispatch.Parts[i]
 		s := t.settle(p.Target, now)
 		s.count(p, -1)
-		if s.load.Requests == 0 {
-			delete(t.targets, p.Target)
-		}
 	}
 }
 
@@ -221,6 +222,17 @@
 	return s
 }
 
+// toldFor is how long the difference to what a target tells counts: after a
+// restart or in a partition, others' dispatches are not known here.
+const toldFor = 1500 * time.Millisecond
+
+// Told takes in how many requests a target said it had, running and waiting.
+func (t *Table) Told(id names.Target, requests int, now time.Time) {
+	s := t.settle(id, now)
+	s.unknown = max(requests-s.load.Writers, 0)
+	s.told = now
+}
+
 // At returns the load of a target.
 func (t *Table) At(id names.Target, now time.Time) Load {
 	if _, ok := t.targets[id]; !ok {
@@ -229,8 +241,21 @@
 	s := t.settle(id, now)
 	load := s.load
 	load.Backlog = s.backlog
+	if now.Sub(s.told) < toldFor {
+		load.Requests += s.unknown
+		load.Writers += s.unknown
+	}
 	return load
 }
 
+// Forget drops targets without work that are no longer listed.
+func (t *Table) Forget(keep func(names.Target) bool) {
+	for id, s := range t.targets {
+		if s.load.Requests == 0 && !keep(id) {
+			delete(t.targets, id)
+		}
+	}
+}
+
 // Size returns the number of dispatches known.
 func (t *Table) Size() int { return len(t.entries) }
--- a/core/process/inflight/inflight_test.go
+++ b/core/process/inflight/inflight_test.go
@@ -121,3 +121,31 @@
 		}
 	})
 }
+
+// TestWhatATargetTellsCountsForAWhile is a daemon that has just started: others'
+// work is known from answers alone.
+func TestWhatATargetTellsCountsForAWhile(t *testing.T) {
+	table := New()
+	table.Begin(prompt(1, "a", 0), at(0))
+	table.Told("a", 9, at(0))
+	if got := table.At("a", at(time.Second)); got.Writers != 9 || got.Requests != 9 {
+		t.Fatalf("load %+v", got)
+	}
+	table.Begin(prompt(2, "a", 0), at(time.Second))
+	if got := table.At("a", at(time.Second)); got.Writers != 10 {
+		t.Fatalf("load %+v", got)
+	}
+	if got := table.At("a", at(2*time.Second)); got.Writers != 2 {
+		t.Fatalf("load %+v after two seconds", got)
+	}
+	table.Told("a", 1, at(2*time.Second))
+	if got := table.At("a", at(2*time.Second)); got.Writers != 2 {
+		t.Fatalf("load %+v: a target that lags told less", got)
+	}
+	table.End(key(1), at(3*time.Second))
+	table.End(key(2), at(3*time.Second))
+	table.Forget(func(names.Target) bool { return false })
+	if len(table.targets) != 0 {
+		t.Fatal("a target that is gone was kept")
+	}
+}
--- a/serving/process/board/board.go
+++ b/serving/process/board/board.go
@@ -35,6 +35,8 @@
 	// Targets returns the usable targets of a service.
 	Targets func(names.Service) []replicas.Target
 	Teller  Teller
+	// Settled reports whether this daemon knows what the others send.
+	Settled func() bool
 	// TellCrash passes a request's standing on to the other daemons.
 	TellCrash func(crash.Entry)
 	Log       *zap.Logger
@@ -82,22 +84,28 @@
 
 func (b *Board) candidates(targets []replicas.Target, now time.Time) []placement.Candidate {
 	list := make([]placement.Candidate, 0, len(targets))
+	settled := b.config.Settled()
 	for i := range targets {
 		t := &targets[i]
 		list = append(list, placement.Candidate{
 			Target: t.ID, DataCentre: t.DataCentre, Slots: t.Slots,
 			Load:   b.work.At(t.ID, now),
 			Spared: b.health.Spared(t.ID, now), Score: b.health.Score(t.ID, now),
-			Order: order(t.ID),
+			Order: b.order(t.ID, settled),
 		})
 	}
 	return list
 }
 
 // order is a target's place among those of its service: a hash of its name,
-// equal at all daemons.
-func order(id names.Target) float64 {
-	return float64(xxhash.Sum64String(string(id))>>11) / (1 << 53)
+// equal at all daemons that know each other's work. Others must not all fill
+// the same targets first, and use an order of their own.
+func (b *Board) order(id names.Target, settled bool) float64 {
+	name := string(id)
+	if !settled {
+		name += string(b.config.Self)
+	}
+	return float64(xxhash.Sum64String(name)>>11) / (1 << 53)
 }
 
 func (b *Board) placed(k inflight.Key, d placement.Decision, targets []replicas.Target) *relay.Placed {
@@ -140,6 +148,13 @@
 	b.health.Succeeded(id, time.Now())
 }
 
+// Told implements relay.Board.
+func (b *Board) Told(id names.Target, requests int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.work.Told(id, requests, time.Now())
+}
+
 // Failed implements relay.Board.
 func (b *Board) Failed(id names.Target, reason verdict.Reason) {
 	b.mu.Lock()
@@ -227,11 +242,14 @@
 	b.work.Gone(h, before, time.Now())
 }
 
-// Expire drops work whose end was never told.
-func (b *Board) Expire(now time.Time) {
+// Sweep drops work whose end was never told, and what is known of targets that
+// are no longer listed.
+func (b *Board) Sweep(listed func(names.Target) bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.work.Expire(now)
+	b.work.Forget(listed)
+	b.health.Forget(listed)
 }
 
 // Size returns how many dispatches of the fleet are known.
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -49,6 +49,7 @@
 	Options
 	incarnation names.Incarnation
 	self        names.Host
+	started     time.Time
 
 	follower *published.Follower
 	board    *board.Board
@@ -82,6 +83,7 @@
 		Options:     o,
 		incarnation: names.Incarnation(time.Now().UnixNano()),
 		self:        names.Host(o.Settings.Peer.String()),
+		started:     time.Now(),
 		targets:     upstream.NewPool(),
 		pool:        peers.NewPool(nil, noStats{}, nil),
 		idle:        newIdleConns(),
@@ -126,6 +128,7 @@
 		Placer:    placement.New(placement.Default(), random()),
 		Targets:   d.targetsOf,
 		Teller:    teller{d},
+		Settled:   d.settled,
 		TellCrash: d.tellCrash,
 		Log:       d.Log,
 	})
@@ -234,7 +237,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			d.board.Expire(now)
+			d.board.Sweep(d.listed, now)
 			d.targets.Sweep(d.listed, now)
 			if view := d.follower.View(); view != nil {
 				d.idle.sweep(view.Table.Limits.IdleTimeout, now)
@@ -434,6 +437,16 @@
 	return list.addresses
 }
 
+// settled reports whether the peers have had the time to tell this daemon what
+// they send.
+func (d *Daemon) settled() bool {
+	return time.Since(d.started) > settleWork && len(d.peerAddresses()) > 0
+}
+
+// settleWork is how long after its start a daemon knows too little of the work
+// of others: it joins within a second, and a short answer takes two.
+const settleWork = 3 * time.Second
+
 // peerHosts returns the peers that may be asked: the live ones, or the seeds
 // until any is known.
 func (d *Daemon) peerHosts() []names.Host {
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"carobspoke.example/core/names"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/routing"
@@ -49,6 +50,8 @@
 	exchange *upstream.Exchange
 	// another is true if the address belongs to another target.
 	another bool
+	// atFault is the target that failed: the one asked, or a helper.
+	atFault names.Target
 }
 
 // once places the request, sends it and passes the answer on.
@@ -63,7 +66,7 @@
 		return err
 	}
 	defer release()
-	a := &attempt{request: q, placed: placed}
+	a := &attempt{request: q, placed: placed, atFault: placed.Decision.Target}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
 	a.watchdog = time.AfterFunc(a.patience(), func() { a.cancel(errHung) })
@@ -181,7 +184,10 @@
 	}
 	a.exchange = exchange
 	reply := a.relay.Codec.Reply(exchange.Response)
-	if err := a.refused(reply); err != nil {
+	if reply.Requests != nil {
+		a.relay.Board.Told(d.Target, *reply.Requests)
+	}
+	if err := a.refused(&reply); err != nil {
 		return err
 	}
 	if exchange.Response.StatusCode < http.StatusMultipleChoices && !reply.Whole {
@@ -195,7 +201,8 @@
 }
 
 // refused returns the error for an answer that says the request did not run.
-func (a *attempt) refused(reply Reply) error {
+func (a *attempt) refused(reply *Reply) error {
+	a.blame(reply.At)
 	switch {
 	case reply.Another:
 		a.exchange.Abort()
@@ -210,6 +217,16 @@
 	}
 }
 
+// blame notes which target is at fault, if the one asked says that it is
+// another.
+func (a *attempt) blame(address string) {
+	for i, helper := range a.placed.Helpers {
+		if address != "" && helper == address {
+			a.atFault = a.placed.Decision.Helpers[i].Target
+		}
+	}
+}
+
 // refusedRetry is when to come back after a target's refusal.
 const refusedRetry = 400 * time.Millisecond
 
@@ -230,13 +247,15 @@
 	if failure.Verdict != verdict.NotRun {
 		a.ran++
 	}
+	helper := a.atFault != id
+	id = a.atFault
 	a.exclude = append(a.exclude, id)
 	a.relay.Log.Info("send failed", zap.String("request", a.facts.ID), zap.String("target", string(id)),
 		zap.String("reason", string(failure.Reason)), zap.String("verdict", failure.Verdict.String()),
 		zap.Bool("hung", hung), cause(failure))
 	switch {
 	case a.r.Context().Err() != nil:
-	case failure.Reason == verdict.TargetUnreachable || a.another:
+	case helper || failure.Reason == verdict.TargetUnreachable || a.another:
 		a.relay.Board.Unreachable(id)
 	case failure.Reason == verdict.TargetRefused || failure.Reason == verdict.SpanUnavailable:
 	default:
--- a/serving/request/relay/codec.go
+++ b/serving/request/relay/codec.go
@@ -58,6 +58,9 @@
 	Another bool
 	// At is the address of the target at fault, if it is not the one asked.
 	At string
+	// Requests is how many requests the target has, running and waiting, if
+	// it tells.
+	Requests *int
 	// Whole says that the answer bears the mark of a target that ran it.
 	Whole bool
 }
--- a/serving/request/relay/fake_test.go
+++ b/serving/request/relay/fake_test.go
@@ -59,6 +59,7 @@
 
 func (fakeCodec) Reply(response *http.Response) Reply {
 	return Reply{
+		At:     response.Header.Get("At"),
 		NotRun: response.Header.Get("Not-Run") != "", Another: response.StatusCode == http.StatusMisdirectedRequest,
 		Whole: response.Header.Get("Seal") != "",
 	}
@@ -118,6 +119,8 @@
 	b.ended++
 }
 
+func (b *fakeBoard) Told(names.Target, int) {}
+
 func (b *fakeBoard) Succeeded(names.Target) {}
 
 func (b *fakeBoard) Failed(id names.Target, _ verdict.Reason) {
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -36,6 +36,8 @@
 	// FirstEvent and End tell how a placed request goes on.
 	FirstEvent(k inflight.Key)
 	End(k inflight.Key)
+	// Told takes in how many requests a target says it has.
+	Told(id names.Target, requests int)
 	// Succeeded, Failed and Unreachable tell how a target did.
 	Succeeded(id names.Target)
 	Failed(id names.Target, reason verdict.Reason)
--- a/serving/request/relay/relay_test.go
+++ b/serving/request/relay/relay_test.go
@@ -329,3 +329,22 @@
 		t.Fatalf("%d released", reserver.released)
 	}
 }
+
+// TestTheHelperAtFaultIsSpared refuses for want of a helper: the target asked
+// did nothing wrong and is asked again.
+func TestTheHelperAtFaultIsSpared(t *testing.T) {
+	q := &request{}
+	a := &attempt{request: q, atFault: "first", placed: &Placed{
+		Helpers:  []string{"10.0.0.1:80", "10.0.0.2:80"},
+		Decision: placement.Decision{Target: "first", Helpers: []placement.Helper{{Target: "x"}, {Target: "y"}}},
+	}}
+	a.blame("")
+	a.blame("10.0.0.9:80")
+	if a.atFault != "first" {
+		t.Fatalf("blamed %s", a.atFault)
+	}
+	a.blame("10.0.0.2:80")
+	if a.atFault != "y" {
+		t.Fatalf("blamed %s", a.atFault)
+	}
+}
