--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -61,11 +61,12 @@
 	wait := time.Duration(p.settings.SparePerScore.Seconds() * c.Score * float64(time.Second))
 	slots := max(c.Slots, 1)
 	ahead := c.Load.Writers
-	if !deferred {
-		ahead -= c.Load.Deferred
+	if !deferred && c.Load.Deferred > 0 {
+		// Deferred prompts wait there, so that no slot is free.
+		ahead = max(ahead-c.Load.Deferred, slots)
 	}
 	if ahead >= slots {
-		turn := WriteTime(e, e.UsualAnswer, slots, r.PromptTokens)
+		turn := WriteTime(e, e.UsualAnswer, slots, e.UsualPrompt)
 		wait += time.Duration(ahead-slots+1) * turn / time.Duration(slots)
 	}
 	if over := c.Load.Tokens + r.PromptTokens + r.AnswerTokens - int(p.settings.MemoryShare*float64(e.MemoryTokens)); over > 0 {
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -148,7 +148,7 @@
 		Codec: d.Codec, Board: d.board, Crashes: d.board,
 		Budget: newBudgets(d.Settings, func() int { return len(d.members.Live()) }, random()),
 		Pool:   d.targets, Reserver: d.Reserver, Observer: d.metrics,
-		Table: d.table, Leaving: d.leaving, Draw: rand.Float64, Log: d.Log,
+		Table: d.table, Leaving: d.leaving, ComeBack: d.comeBack, Draw: rand.Float64, Log: d.Log,
 	})
 	d.callers = &http.Server{
 		Handler:           d.counted(handler),
@@ -277,6 +277,26 @@
 	return view.Table, d.follower.Recent()
 }
 
+// Times to come back to a daemon without a recent configuration.
+const (
+	// bootTime is how long a daemon takes to read one if the store or a peer
+	// answers, with a margin.
+	bootTime = 400 * time.Millisecond
+	// outageMin and outageMax bound the random time that an outage is taken
+	// to go on: outages of the store last seconds, and a caller returns
+	// once.
+	outageMin = time.Second
+	outageMax = 3 * time.Second
+)
+
+// comeBack returns when a caller may find a recent configuration here.
+func (d *Daemon) comeBack() time.Duration {
+	if time.Since(d.started) < bootTime {
+		return bootTime
+	}
+	return outageMin + time.Duration(rand.Int64N(int64(outageMax-outageMin)))
+}
+
 func (d *Daemon) targetsOf(service names.Service) []replicas.Target {
 	view := d.follower.View()
 	if view == nil {
--- a/serving/request/relay/fake_test.go
+++ b/serving/request/relay/fake_test.go
@@ -224,9 +224,10 @@
 	f.relay = New(Deps{
 		Codec: fakeCodec{}, Board: f.board, Crashes: f.board, Budget: fakeBudget{budget: retry.NewBudget(0)},
 		Pool: upstream.NewPool(), Reserver: &fakeReserver{}, Observer: fakeObserver{},
-		Table:   func() (*routing.Table, bool) { return table, f.recent },
-		Leaving: func() (time.Duration, bool) { return f.leaving, f.leaving > 0 },
-		Draw:    func() float64 { return 0 }, Log: zap.NewNop(),
+		Table:    func() (*routing.Table, bool) { return table, f.recent },
+		Leaving:  func() (time.Duration, bool) { return f.leaving, f.leaving > 0 },
+		ComeBack: func() time.Duration { return time.Second },
+		Draw:     func() float64 { return 0 }, Log: zap.NewNop(),
 	})
 	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.relay.ServeHTTP(w, r) }))
 	f.t.Cleanup(f.server.Close)
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -87,6 +87,9 @@
 	Table func() (*routing.Table, bool)
 	// Leaving returns how long the daemon will still run, if it is stopping.
 	Leaving func() (time.Duration, bool)
+	// ComeBack returns when a daemon that lacks a recent configuration may have
+	// one.
+	ComeBack func() time.Duration
 	// Draw returns a number in [0, 1).
 	Draw func() float64
 	Log  *zap.Logger
@@ -152,18 +155,18 @@
 		return verdict.Wrap(err, verdict.NotRun, verdict.BadRequest, "the request's header cannot be read")
 	}
 	if table == nil {
-		return verdict.New(verdict.NotRun, verdict.NotReady, "no configuration is in force yet").WithRetryAfter(notReadyRetry)
+		return verdict.New(verdict.NotRun, verdict.NotReady, "no configuration is in force yet").WithRetryAfter(q.relay.ComeBack())
 	}
 	q.table = table
 	if err := q.authorise(); err != nil {
 		if !recent {
-			return verdict.Wrap(err, verdict.NotRun, verdict.NotReady, "the configuration in force may be outdated").WithRetryAfter(notReadyRetry)
+			return verdict.Wrap(err, verdict.NotRun, verdict.NotReady, "the configuration in force may be outdated").WithRetryAfter(q.relay.ComeBack())
 		}
 		return err
 	}
 	q.service = table.Service(q.route.Pick(q.relay.Draw()))
 	if q.service == nil {
-		return verdict.New(verdict.NotRun, verdict.NoTarget, "the route's service is not listed").WithRetryAfter(notReadyRetry)
+		return verdict.New(verdict.NotRun, verdict.NoTarget, "the route's service is not listed").WithRetryAfter(q.relay.ComeBack())
 	}
 	q.setDeadline()
 	if err := q.readBody(); err != nil {
@@ -172,10 +175,6 @@
 	return q.checkCrashes()
 }
 
-// notReadyRetry is when to come back to a daemon that lacks a recent
-// configuration; reading it takes milliseconds once it can be reached.
-const notReadyRetry = 300 * time.Millisecond
-
 func (q *request) authorise() error {
 	host := q.r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
