Let two daemons of each data centre watch the store for the others

Change: two watchers in each data centre, by an order all daemons compute alike, beat to its other daemons, which read changes from them and watch by themselves after a second without a confirmed beat; changes that come together cost one watch; peers give changes since a revision instead of the whole list.

--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -108,7 +108,7 @@
 		return errors.Wrap(err, "sharing")
 	}
 	client := &published.Client{Hosts: d.peerHosts, Pool: d.pool}
-	d.follower = published.New(d.Source, d.Decoder, client, d.Log, d.advanced)
+	d.follower = published.New(d.Source, d.Decoder, client, d.Log, d.advanced, d.watches)
 	machine := core.DefaultConfig()
 	machine.Regions = d.Settings.Regions
 	d.members = membership.New(membership.Config{
@@ -133,7 +133,7 @@
 		Log:       d.Log,
 	})
 	d.sharing = sharing.New(sharing.Config{
-		Self: d.self, Incarnation: d.incarnation, Conn: share, Peers: d.peerAddresses, Sink: d.board.Peer(), Log: d.Log,
+		Self: d.self, Incarnation: d.incarnation, Conn: share, Peers: d.peerAddresses, Sink: sink{Peer: d.board.Peer(), Follower: d.follower}, Log: d.Log,
 	})
 	d.peerServer = peers.NewServer(nil, noStats{})
 	peerpb.RegisterPublicationsServer(d.peerServer, &published.Server{Records: d.follower.Records})
@@ -206,6 +206,7 @@
 	d.running.Go(func() { d.members.Run(ctx) })
 	d.running.Go(func() { d.sharing.Run(ctx) })
 	d.running.Go(func() { d.sweep(ctx) })
+	d.running.Go(func() { d.beat(ctx) })
 	d.serve(d.callers, d.listeners[0])
 	d.serve(d.ready, d.listeners[1])
 	d.running.Go(func() {
@@ -411,7 +412,7 @@
 func (d *Daemon) delivered(a core.Deliver) {
 	switch a.Digest.Kind {
 	case gossip.Version:
-		d.follower.Told(a.Digest.Sequence)
+		d.follower.Told(a.Digest.Sequence, a.From)
 	case gossip.Crash:
 		var e crash.Entry
 		if len(a.Digest.Payload) != crashPayload || copy(e.Digest[:], a.Digest.Key) != len(e.Digest) {
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -4,11 +4,17 @@
 // A Source reads the platform's records and tells their changes; a Decoder
 // knows what they hold. The follower keeps the newest configuration in force,
 // feeds the directory of targets, and never goes back: a configuration with a
-// lower version and a list as of an older revision change nothing. While the
-// source does not answer, peers that follow it are asked for their records.
+// lower version and a list as of an older revision change nothing.
+//
+// Calls to the source are few and shared by all daemons. Only some daemons
+// watch it; they tell the others the newest revision and how recent it is, and
+// these read the changes from them. A daemon that hears no watcher for Alone
+// watches by itself, and one that is turned away by the source reads from
+// peers.
 package published
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -36,9 +42,20 @@
 	retryMost  = 400 * time.Millisecond
 	// expireEvery is the time between looks for entries that did not return.
 	expireEvery = 200 * time.Millisecond
-	// peerLag is how long a peer may know a newer revision before it is
-	// asked; the own watch is usually faster.
-	peerLag = 120 * time.Millisecond
+	// Beat is the time between two beats of a watcher, Alone how long none
+	// may come before a daemon watches by itself.
+	Beat  = 400 * time.Millisecond
+	Alone = time.Second
+	// gather is the pause between two watches, so that changes that come
+	// together cost one call.
+	gather = 60 * time.Millisecond
+	// listenEvery is the time between two looks whether beats still come.
+	listenEvery = 200 * time.Millisecond
+	// ownWatchLag is how long a watcher lets its own watch bring what a peer
+	// already knows.
+	ownWatchLag = 150 * time.Millisecond
+	// keptChanges bounds the changes kept for peers.
+	keptChanges = 512
 )
 
 // Record is one published item in the publisher's own encoding.
@@ -79,8 +96,9 @@
 
 // Peers asks other daemons.
 type Peers interface {
-	// Read returns the records of a peer if it knows a newer revision.
-	Read(ctx context.Context, after uint64) (Batch, error)
+	// Read returns what a peer knows after a revision. The peer may be empty
+	// for any.
+	Read(ctx context.Context, from names.Host, after uint64) (Batch, error)
 }
 
 // View is what is in force.
@@ -98,24 +116,36 @@
 	log     *zap.Logger
 	// advanced is told of each new revision.
 	advanced func(revision uint64)
+	// watches reports whether this daemon is to watch the source for others.
+	watches func() bool
 
 	view      atomic.Pointer[View]
 	confirmed atomic.Int64
 	revision  atomic.Uint64
-	told      atomic.Uint64
+	told      atomic.Pointer[newer]
+	heard     atomic.Int64
 	wake      chan struct{}
 
-	mu        sync.Mutex
-	records   map[string]Record
+	mu      sync.Mutex
+	records map[string]Record
+	// changes are all since the revision floor.
+	changes   []Record
+	floor     uint64
 	directory *replicas.Directory
 	table     *routing.Table
 	lost      bool
 }
 
+// newer is a revision that a peer knows.
+type newer struct {
+	revision uint64
+	from     names.Host
+}
+
 // New returns a follower that knows nothing yet.
-func New(source Source, decoder Decoder, peers Peers, log *zap.Logger, advanced func(uint64)) *Follower {
+func New(source Source, decoder Decoder, peers Peers, log *zap.Logger, advanced func(uint64), watches func() bool) *Follower {
 	return &Follower{
-		source: source, decoder: decoder, peers: peers, log: log, advanced: advanced,
+		source: source, decoder: decoder, peers: peers, log: log, advanced: advanced, watches: watches,
 		wake: make(chan struct{}, 1), records: make(map[string]Record), directory: replicas.New(),
 	}
 }
@@ -135,13 +165,13 @@
 func (f *Follower) Revision() uint64 { return f.revision.Load() }
 
 // Told takes in that a peer knows a revision.
-func (f *Follower) Told(revision uint64) {
+func (f *Follower) Told(revision uint64, from names.Host) {
 	for {
 		known := f.told.Load()
-		if revision <= known {
+		if revision <= f.revision.Load() || known != nil && revision <= known.revision {
 			return
 		}
-		if f.told.CompareAndSwap(known, revision) {
+		if f.told.CompareAndSwap(known, &newer{revision: revision, from: from}) {
 			break
 		}
 	}
@@ -151,7 +181,31 @@
 	}
 }
 
-// Records returns all records if they are newer than a revision.
+// Heard takes in the beat of a watcher: the newest revision it knows and how
+// long ago the source confirmed it.
+func (f *Follower) Heard(from names.Host, revision uint64, confirmed time.Duration) {
+	if confirmed > Recent {
+		return
+	}
+	now := time.Now()
+	f.heard.Store(now.UnixNano())
+	if revision > f.revision.Load() {
+		f.Told(revision, from)
+		return
+	}
+	at := now.Add(-confirmed).UnixNano()
+	for known := f.confirmed.Load(); at > known && !f.confirmed.CompareAndSwap(known, at); {
+		known = f.confirmed.Load()
+	}
+}
+
+// alone reports whether no watcher was heard of late.
+func (f *Follower) alone() bool {
+	return time.Since(time.Unix(0, f.heard.Load())) > Alone
+}
+
+// Records returns what is newer than a revision: the changes, or all records if
+// the changes since then are no longer known.
 func (f *Follower) Records(after uint64) Batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -159,6 +213,10 @@
 	if revision <= after {
 		return Batch{Revision: revision}
 	}
+	if after >= f.floor {
+		from, _ := slices.BinarySearchFunc(f.changes, after+1, func(r Record, at uint64) int { return cmp.Compare(r.Revision, at) })
+		return Batch{Records: slices.Clone(f.changes[from:]), Revision: revision}
+	}
 	return Batch{Records: slices.Collect(maps.Values(f.records)), Revision: revision, Whole: true}
 }
 
@@ -175,6 +233,10 @@
 	pause := retryFirst
 	whole := true
 	for ctx.Err() == nil {
+		if !whole && !f.watches() && !f.alone() {
+			sleep(ctx, listenEvery)
+			continue
+		}
 		batch, err := f.read(ctx, whole)
 		switch {
 		case err == nil:
@@ -182,6 +244,9 @@
 			pause = retryFirst
 			f.back()
 			f.apply(batch, "source")
+			if len(batch.Records) > 0 {
+				sleep(ctx, gather)
+			}
 			continue
 		case errors.Is(err, ErrForgotten):
 			f.log.Info("the publisher has forgotten its changes, the list is read again", zap.Uint64("revision", f.Revision()))
@@ -226,8 +291,8 @@
 	}
 }
 
-// followPeers reads from a peer when peers know a newer revision for longer
-// than the own watch takes, or when nothing is known and the source is away.
+// followPeers reads from a peer that knows a newer revision, and from any while
+// nothing is known.
 func (f *Follower) followPeers(ctx context.Context) {
 	ticker := time.NewTicker(retryMost)
 	defer ticker.Stop()
@@ -236,22 +301,37 @@
 		case <-ctx.Done():
 			return
 		case <-f.wake:
-			sleep(ctx, peerLag)
-		case <-ticker.C:
-			if f.Revision() > 0 && f.told.Load() <= f.Revision() {
-				continue
+			if f.watches() {
+				sleep(ctx, ownWatchLag)
 			}
+		case <-ticker.C:
 		}
-		if f.Revision() > 0 && f.told.Load() <= f.Revision() {
-			continue
-		}
-		batch, err := f.peers.Read(ctx, f.Revision())
-		if err != nil || batch.Revision <= f.Revision() {
-			continue // the next tick asks another peer
+		f.readPeer(ctx)
+	}
+}
+
+func (f *Follower) readPeer(ctx context.Context) {
+	var from names.Host
+	told := f.told.Load()
+	switch {
+	case told != nil && told.revision > f.Revision():
+		from = told.from
+	case f.Revision() > 0:
+		return
+	}
+	batch, err := f.peers.Read(ctx, from, f.Revision())
+	if err != nil {
+		f.log.Info("peer not read", zap.String("peer", string(from)), zap.String("error", err.Error()))
+		if told != nil {
+			f.told.CompareAndSwap(told, &newer{revision: told.revision}) // any other may know it
 		}
-		f.confirmed.Store(time.Now().UnixNano())
-		f.apply(batch, "peer")
+		return
+	}
+	if batch.Revision <= f.Revision() {
+		return
 	}
+	f.confirmed.Store(time.Now().UnixNano())
+	f.apply(batch, "peer")
 }
 
 func (f *Follower) expire(ctx context.Context) {
@@ -283,10 +363,15 @@
 	now := time.Now()
 	if b.Whole {
 		f.replace(&b, now)
+		f.changes, f.floor = nil, b.Revision
 	}
+	slices.SortStableFunc(b.Records, func(x, y Record) int { return cmp.Compare(x.Revision, y.Revision) })
 	for i := range b.Records {
 		f.take(&b.Records[i], now)
 	}
+	if !b.Whole {
+		f.keep(b.Records, known)
+	}
 	f.revision.Store(b.Revision)
 	f.publish()
 	f.log.Info("published records taken in", zap.String("from", from), zap.Uint64("revision", b.Revision),
@@ -294,6 +379,19 @@
 	f.advanced(b.Revision)
 }
 
+// keep adds changes to those kept for peers.
+func (f *Follower) keep(records []Record, known uint64) {
+	for i := range records {
+		if records[i].Revision > known {
+			f.changes = append(f.changes, records[i])
+		}
+	}
+	if over := len(f.changes) - keptChanges; over > 0 {
+		f.floor = f.changes[over-1].Revision
+		f.changes = slices.Delete(f.changes, 0, over)
+	}
+}
+
 // replace removes what a whole list no longer names.
 func (f *Follower) replace(b *Batch, now time.Time) {
 	present := make(map[string]bool, len(b.Records))
--- a/serving/process/published/published_test.go
+++ b/serving/process/published/published_test.go
@@ -23,6 +23,7 @@
 	down     bool
 	forgot   uint64
 	lists    int
+	watches  int
 }
 
 func newSource() *fakeSource { return &fakeSource{records: make(map[string]Record), revision: 1} }
@@ -62,6 +63,7 @@
 
 func (s *fakeSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
 	until := time.Now().Add(wait)
+	s.set(func(s *fakeSource) { s.watches++ })
 	for {
 		s.mu.Lock()
 		if s.down {
@@ -105,15 +107,19 @@
 	return &routing.Config{Version: names.Version(len(r.Value))}, nil, nil
 }
 
-// fakePeers gives a batch.
+// fakePeers gives a batch, or what a follower has.
 type fakePeers struct {
 	mu    sync.Mutex
 	batch Batch
+	of    *Follower
 }
 
-func (p *fakePeers) Read(context.Context, uint64) (Batch, error) {
+func (p *fakePeers) Read(_ context.Context, _ names.Host, after uint64) (Batch, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.of != nil {
+		return p.of.Records(after), nil
+	}
 	if p.batch.Revision == 0 {
 		return Batch{}, errors.New("no peer")
 	}
@@ -122,7 +128,12 @@
 
 func follow(t *testing.T, s Source, p Peers) *Follower {
 	t.Helper()
-	f := New(s, fakeDecoder{}, p, zap.NewNop(), func(uint64) {})
+	return followAs(t, s, p, true)
+}
+
+func followAs(t *testing.T, s Source, p Peers, watches bool) *Follower {
+	t.Helper()
+	f := New(s, fakeDecoder{}, p, zap.NewNop(), func(uint64) {}, func() bool { return watches })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -245,7 +256,7 @@
 	p.mu.Lock()
 	p.batch = Batch{Revision: 9, Whole: true, Records: []Record{{Key: "config", Value: []byte("vvvv"), Revision: 9}}}
 	p.mu.Unlock()
-	f.Told(9)
+	f.Told(9, "peer")
 	began := time.Now()
 	eventually(t, "version 4", func() bool { return version(f) == 4 })
 	if took := time.Since(began); took > time.Second {
@@ -288,3 +299,85 @@
 		t.Fatalf("batch %+v", b)
 	}
 }
+
+// TestAListenerCostsTheSourceNoWatch follows by the beats of a watcher, reads
+// the changes from it, and watches by itself once the beats end.
+func TestAListenerCostsTheSourceNoWatch(t *testing.T) {
+	s := newSource()
+	s.put("config", "v")
+	s.put("target/a", "ready")
+	watcher := follow(t, s, &fakePeers{})
+	eventually(t, "version 1", func() bool { return version(watcher) == 1 })
+	own := newSource()
+	own.put("config", "v")
+	own.put("target/a", "ready")
+	listener := New(own, fakeDecoder{}, &fakePeers{of: watcher}, zap.NewNop(), func(uint64) {}, func() bool { return false })
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	listener.Heard("watcher", watcher.Revision(), 0)
+	go func() {
+		defer close(done)
+		listener.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	beat := func() { listener.Heard("watcher", watcher.Revision(), watcher.Age()) }
+	s.put("config", "vv")
+	s.put("target/b", "ready")
+	s.put("target/a", "")
+	eventually(t, "version 2 and b alone", func() bool {
+		beat()
+		return version(listener) == 2 && targets(listener) == 1
+	})
+	if b := watcher.Records(3); b.Whole || len(b.Records) != 3 {
+		t.Fatalf("the watcher gives %+v", b)
+	}
+	for range 20 {
+		beat()
+		time.Sleep(50 * time.Millisecond)
+	}
+	own.set(func(o *fakeSource) {
+		if o.watches != 0 {
+			t.Errorf("the listener watched %d times", o.watches)
+		}
+	})
+	if !listener.Recent() {
+		t.Fatal("not recent though a watcher confirms it")
+	}
+	eventually(t, "a watch of its own", func() bool {
+		own.mu.Lock()
+		defer own.mu.Unlock()
+		return own.watches > 0
+	})
+}
+
+// TestABeatWithoutConfirmationIsNoBeat is a watcher that the source turns away.
+func TestABeatWithoutConfirmationIsNoBeat(t *testing.T) {
+	f := New(newSource(), fakeDecoder{}, &fakePeers{}, zap.NewNop(), func(uint64) {}, func() bool { return false })
+	f.Heard("watcher", 0, Recent+time.Second)
+	if !f.alone() {
+		t.Fatal("a watcher that is cut off counts")
+	}
+	f.Heard("watcher", 0, 0)
+	if f.alone() || !f.Recent() {
+		t.Fatal("a watcher's beat does not count")
+	}
+}
+
+// TestOldChangesAreForgottenWhole asks for more than is kept.
+func TestOldChangesAreForgottenWhole(t *testing.T) {
+	f := New(newSource(), fakeDecoder{}, &fakePeers{}, zap.NewNop(), func(uint64) {}, func() bool { return true })
+	f.apply(Batch{Revision: 10, Whole: true, Records: []Record{{Key: "config", Value: []byte("v"), Revision: 2}}}, "source")
+	for i := range uint64(keptChanges + 5) {
+		revision := 11 + 2*i
+		f.apply(Batch{Revision: revision, Records: []Record{{Key: "target/a", Value: []byte("ready"), Revision: revision}}}, "source")
+	}
+	if b := f.Records(10); !b.Whole {
+		t.Fatal("changes that are not kept are given")
+	}
+	if b := f.Records(f.floor); b.Whole || len(b.Records) != keptChanges {
+		t.Fatalf("whole %t, %d records", b.Whole, len(b.Records))
+	}
+}
--- a/serving/process/sharing/sharing.go
+++ b/serving/process/sharing/sharing.go
@@ -37,6 +37,8 @@
 	Begin(d inflight.Dispatch)
 	FirstEvent(k inflight.Key)
 	End(k inflight.Key)
+	// Heard takes in the beat of a daemon that watches what is published.
+	Heard(from names.Host, revision uint64, confirmed time.Duration)
 }
 
 // Config is what a Sharing is made of.
@@ -101,6 +103,15 @@
 	s.add(numberBytes, func(b *peerpb.DispatchBatch) { b.Ended = append(b.Ended, number) })
 }
 
+// Beat tells some peers the newest published revision that this daemon knows,
+// and how long ago the source confirmed it.
+func (s *Sharing) Beat(peers []netip.AddrPort, revision uint64, confirmed time.Duration) {
+	batch := s.empty()
+	batch.Revision = revision
+	batch.ConfirmedMs = uint32(confirmed.Milliseconds())
+	s.sendTo(peers, batch)
+}
+
 // numberBytes bounds the size of a dispatch's number in a batch.
 const numberBytes = 6
 
@@ -146,12 +157,16 @@
 }
 
 func (s *Sharing) send(batch *peerpb.DispatchBatch) {
+	s.sendTo(s.config.Peers(), batch)
+}
+
+func (s *Sharing) sendTo(peers []netip.AddrPort, batch *peerpb.DispatchBatch) {
 	packet, err := proto.Marshal(batch)
 	if err != nil {
 		s.config.Log.Error("a batch of dispatches cannot be encoded", zap.Error(err))
 		return
 	}
-	for _, peer := range s.config.Peers() {
+	for _, peer := range peers {
 		_, _ = s.config.Conn.WriteToUDPAddrPort(packet, peer) // as if it were lost on the way
 	}
 }
@@ -217,6 +232,9 @@
 		}
 		s.config.Sink.Begin(d)
 	}
+	if b.GetRevision() > 0 {
+		s.config.Sink.Heard(key.Host, b.GetRevision(), time.Duration(b.GetConfirmedMs())*time.Millisecond)
+	}
 	for _, number := range b.GetRead() {
 		key.Number = number
 		s.config.Sink.FirstEvent(key)
--- a/serving/process/sharing/sharing_test.go
+++ b/serving/process/sharing/sharing_test.go
@@ -17,6 +17,9 @@
 type sink struct {
 	mu    sync.Mutex
 	table *inflight.Table
+
+	revision  uint64
+	confirmed time.Duration
 }
 
 func (s *sink) Begin(d inflight.Dispatch) {
@@ -37,6 +40,12 @@
 	s.table.End(k, time.Now())
 }
 
+func (s *sink) Heard(_ names.Host, revision uint64, confirmed time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.confirmed = revision, confirmed
+}
+
 func (s *sink) at(id names.Target) inflight.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,6 +107,12 @@
 	}
 	from.FirstEvent(3)
 	eventually(t, "the first event", func() bool { return learned.at("x").Backlog == 0 })
+	from.Beat(toB, 77, 90*time.Millisecond)
+	eventually(t, "the beat", func() bool {
+		learned.mu.Lock()
+		defer learned.mu.Unlock()
+		return learned.revision == 77 && learned.confirmed == 90*time.Millisecond
+	})
 	from.Ended(3)
 	eventually(t, "the end", func() bool { return learned.at("x") == inflight.Load{} })
 }
