--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return errors.Wrap(err, "sharing")
 	}
-	client := &published.Client{Hosts: d.peerHosts, Pool: d.pool}
+	client := &published.Client{Hosts: d.recordHosts, Pool: d.pool}
 	d.follower = published.New(d.Source, d.Decoder, client, d.Log, d.advanced, d.watches)
 	machine := core.DefaultConfig()
 	machine.Regions = d.Settings.Regions
@@ -412,7 +412,7 @@
 func (d *Daemon) delivered(a core.Deliver) {
 	switch a.Digest.Kind {
 	case gossip.Version:
-		d.follower.Told(a.Digest.Sequence, a.From)
+		d.follower.Told(a.Digest.Sequence, "") // who passes it on may not have read it yet
 	case gossip.Crash:
 		var e crash.Entry
 		if len(a.Digest.Payload) != crashPayload || copy(e.Digest[:], a.Digest.Key) != len(e.Digest) {
--- a/serving/process/edge/watchers.go
+++ b/serving/process/edge/watchers.go
@@ -25,15 +25,37 @@
 }
 
 // watches reports whether this daemon is among the watchers of its data
-// centre: the first live members in an order that all daemons compute alike. A
-// daemon that does not know its peers yet, or stops, watches for itself.
+// centre. A daemon that does not know its peers yet, or stops, watches for
+// itself.
 func (d *Daemon) watches() bool {
+	list := d.watchers()
+	at := slices.IndexFunc(list, func(m core.Member) bool { return m.Host == d.self })
+	return at >= 0 || len(list) == 0 || d.stopAt.Load() != 0
+}
+
+// watchers returns the first live members of the data centre in an order that
+// all daemons compute alike.
+func (d *Daemon) watchers() []core.Member {
 	list := d.neighbours()
 	slices.SortFunc(list, func(a, b core.Member) int {
 		return cmp.Or(cmp.Compare(rank(a.Host), rank(b.Host)), cmp.Compare(a.Host, b.Host))
 	})
-	at := slices.IndexFunc(list, func(m core.Member) bool { return m.Host == d.self })
-	return at < watchersEach
+	return list[:min(len(list), watchersEach)]
+}
+
+// recordHosts returns the peers to read records from: the watchers of the data
+// centre, or any.
+func (d *Daemon) recordHosts() []names.Host {
+	var hosts []names.Host
+	for _, m := range d.watchers() {
+		if m.Host != d.self {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	if len(hosts) > 0 && d.follower.Revision() > 0 && !d.watches() {
+		return hosts
+	}
+	return d.peerHosts()
 }
 
 func rank(h names.Host) uint64 { return xxhash.Sum64String(string(h)) }
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -54,6 +54,9 @@
 	// ownWatchLag is how long a watcher lets its own watch bring what a peer
 	// already knows.
 	ownWatchLag = 150 * time.Millisecond
+	// peersLate is how long peers may take to give what they told before the
+	// source is asked.
+	peersLate = 600 * time.Millisecond
 	// keptChanges bounds the changes kept for peers.
 	keptChanges = 512
 )
@@ -136,10 +139,11 @@
 	lost      bool
 }
 
-// newer is a revision that a peer knows.
+// newer is a revision that a peer knows, and since when that is known here.
 type newer struct {
 	revision uint64
 	from     names.Host
+	at       time.Time
 }
 
 // New returns a follower that knows nothing yet.
@@ -171,7 +175,7 @@
 		if revision <= f.revision.Load() || known != nil && revision <= known.revision {
 			return
 		}
-		if f.told.CompareAndSwap(known, &newer{revision: revision, from: from}) {
+		if f.told.CompareAndSwap(known, &newer{revision: revision, from: from, at: time.Now()}) {
 			break
 		}
 	}
@@ -199,6 +203,12 @@
 	}
 }
 
+// lagging reports whether a revision that peers know has not come from them.
+func (f *Follower) lagging() bool {
+	told := f.told.Load()
+	return told != nil && told.revision > f.Revision() && time.Since(told.at) > peersLate
+}
+
 // alone reports whether no watcher was heard of late.
 func (f *Follower) alone() bool {
 	return time.Since(time.Unix(0, f.heard.Load())) > Alone
@@ -233,7 +243,7 @@
 	pause := retryFirst
 	whole := true
 	for ctx.Err() == nil {
-		if !whole && !f.watches() && !f.alone() {
+		if !whole && !f.watches() && !f.alone() && !f.lagging() {
 			sleep(ctx, listenEvery)
 			continue
 		}
@@ -294,7 +304,7 @@
 // followPeers reads from a peer that knows a newer revision, and from any while
 // nothing is known.
 func (f *Follower) followPeers(ctx context.Context) {
-	ticker := time.NewTicker(retryMost)
+	ticker := time.NewTicker(listenEvery)
 	defer ticker.Stop()
 	for {
 		select {
@@ -323,12 +333,12 @@
 	if err != nil {
 		f.log.Info("peer not read", zap.String("peer", string(from)), zap.String("error", err.Error()))
 		if told != nil {
-			f.told.CompareAndSwap(told, &newer{revision: told.revision}) // any other may know it
+			f.told.CompareAndSwap(told, &newer{revision: told.revision, at: told.at}) // any other may know it
 		}
 		return
 	}
 	if batch.Revision <= f.Revision() {
-		return
+		return // it was told of the revision and has not read it yet
 	}
 	f.confirmed.Store(time.Now().UnixNano())
 	f.apply(batch, "peer")
--- a/serving/process/published/published_test.go
+++ b/serving/process/published/published_test.go
@@ -381,3 +381,47 @@
 		t.Fatalf("whole %t, %d records", b.Whole, len(b.Records))
 	}
 }
+
+// TestLargeValuesTravelCompressed reads a configuration of many routes.
+func TestLargeValuesTravelCompressed(t *testing.T) {
+	value := []byte(strings.Repeat(`{"name":"route","prefix":"/x/"},`, 2000))
+	server := &Server{Records: func(uint64) Batch {
+		return Batch{Revision: 3, Records: []Record{{Key: "config", Value: value, Revision: 3}, {Key: "small", Value: []byte("v"), Revision: 2}}}
+	}}
+	for range 2 {
+		reply, err := server.Read(t.Context(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		large, small := reply.GetRecords()[0], reply.GetRecords()[1]
+		if !large.GetPacked() || len(large.GetValue()) > len(value)/10 || small.GetPacked() {
+			t.Fatalf("packed %t to %d of %d bytes", large.GetPacked(), len(large.GetValue()), len(value))
+		}
+		got, err := uncompress(large.GetValue())
+		if err != nil || string(got) != string(value) {
+			t.Fatalf("%v, %d bytes", err, len(got))
+		}
+	}
+	if _, err := uncompress([]byte("garbage")); err == nil {
+		t.Fatal("garbage was taken")
+	}
+}
+
+// TestALateListenerAsksTheSource is told of a revision that no peer gives.
+func TestALateListenerAsksTheSource(t *testing.T) {
+	s := newSource()
+	s.put("config", "v")
+	f := followAs(t, s, &fakePeers{}, false)
+	eventually(t, "version 1", func() bool { return version(f) == 1 })
+	f.Heard("watcher", f.Revision(), 0)
+	s.put("config", "vvv")
+	began := time.Now()
+	f.Told(f.Revision()+1, "watcher")
+	eventually(t, "version 3", func() bool {
+		f.heard.Store(time.Now().UnixNano())
+		return version(f) == 3
+	})
+	if took := time.Since(began); took > peersLate+time.Second {
+		t.Fatalf("took %s", took)
+	}
+}
