--- a/tools/processes/processes.go
+++ b/tools/processes/processes.go
@@ -91,9 +91,6 @@
 	return nil
 }
 
-// Pause stops the process without ending it; Wake lets it go on.
-func (d *Daemon) Pause() error { return errors.WithStack(d.command.Process.Signal(syscall.SIGSTOP)) }
-
 // Wake lets a paused process go on.
 func (d *Daemon) Wake() error { return errors.WithStack(d.command.Process.Signal(syscall.SIGCONT)) }
 
