Authenticate callers before their bodies are read

Cause: goa decodes and validates a body before the service sees the key, so that an unknown caller was answered for its body, and its body was read. Change: a handler before goa's refuses unknown keys under /v1/ and closes the connection; refusals are counted as before.

--- a/serving/process/daemon/build.go
+++ b/serving/process/daemon/build.go
@@ -199,7 +199,8 @@
 	callsserver.New(callEndpoints, mux, gateway.Decoder, gateway.Encoder, d.writeFailed, d.formatted).Mount(mux)
 	gateway.Fallback(mux)
 	caller := d.settings.Caller
-	limited := gateway.Limit(d.counted(mux), caller.MaxBodyBytes, caller.BodyTimeout.Duration)
+	known := gateway.Authenticated(mux, &directory.Directory{Versions: d.versions}, d.counters.Ended)
+	limited := gateway.Limit(d.counted(known), caller.MaxBodyBytes, caller.BodyTimeout.Duration)
 	d.callerServer = gateway.NewServer(limited)
 }
 
