--- a/tools/cmd/carobspoke/main.go
+++ b/tools/cmd/carobspoke/main.go
@@ -15,6 +15,7 @@
 	"carobspoke.example/tools/experiment"
 	"carobspoke.example/tools/load"
 	"carobspoke.example/tools/slopes"
+	"carobspoke.example/tools/soak"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
@@ -36,6 +37,7 @@
 			load.Command(),
 			manifestcmd.Command(),
 			slopes.Command(),
+			soak.Command(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
--- /dev/null
+++ b/tools/soak/callers.go
@@ -0,0 +1,236 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"carobspoke.example/platform"
+	"carobspoke.example/tools/emulator"
+)
+
+// Kinds of requests that callers send, by the route's prefix.
+const (
+	kindStream = "stream"
+	kindRead   = "read"
+	kindOrder  = "order"
+)
+
+// Counts are what became of requests.
+type Counts struct {
+	Sent, Served, Refused, Failed, Cut int
+}
+
+// callers send requests through the hosts that are in rotation.
+type callers struct {
+	world *world
+
+	mu       sync.Mutex
+	counts   Counts
+	rotation []*host
+	misses   map[*host]int
+}
+
+func look(ctx context.Context, url string) (int, string) {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return 0, ""
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }() // it was read
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(text)
+}
+
+// Balancer's looks: two misses take a host out.
+const (
+	lookEvery = time.Second
+	maxMisses = 2
+)
+
+// balance keeps the rotation until ctx ends.
+func (c *callers) balance(ctx context.Context) {
+	for ctx.Err() == nil {
+		var looks sync.WaitGroup
+		for _, h := range c.world.hosts {
+			looks.Go(func() {
+				ready := h.ready(ctx)
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.misses[h]++
+				if ready {
+					c.misses[h] = 0
+				}
+			})
+		}
+		looks.Wait()
+		c.mu.Lock()
+		c.rotation = nil
+		for _, h := range c.world.hosts {
+			if c.misses[h] < maxMisses {
+				c.rotation = append(c.rotation, h)
+			}
+		}
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(lookEvery):
+		}
+	}
+}
+
+func (c *callers) pick(random *rand.Rand) *host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.rotation) == 0 {
+		return c.world.hosts[random.IntN(len(c.world.hosts))]
+	}
+	return c.rotation[random.IntN(len(c.rotation))]
+}
+
+func (c *callers) count(change func(*Counts)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.counts)
+}
+
+// call sends one request after the other until ctx ends. Each caller keeps its
+// connections.
+func (c *callers) call(ctx context.Context, number int) {
+	random := rand.New(rand.NewPCG(c.world.config.Seed, uint64(number)+2))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	kinds := []string{kindStream, kindRead, kindOrder}
+	for i := 0; ctx.Err() == nil; i++ {
+		kind := kinds[random.IntN(len(kinds))]
+		attempt := fmt.Sprintf("%x-%d-%d", c.world.config.Seed, number, i)
+		leaves := !c.world.config.Planned && random.IntN(20) == 0
+		c.send(client, c.pick(random), kind, attempt, leaves)
+		time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
+	}
+}
+
+// callTime is how long a caller waits.
+const callTime = 4 * time.Second
+
+func (c *callers) send(client *http.Client, h *host, kind, attempt string, leaves bool) {
+	limit := callTime
+	if leaves {
+		limit = 40 * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.settings.Callers.String()+"/"+kind+"/x", strings.NewReader("body "+attempt))
+	if err != nil {
+		c.world.ledger.Break("a request cannot be made: %v", err)
+		return
+	}
+	r.GetBody = nil // net/http must not send it again
+	r.Host = hostname
+	r.Header.Set(platform.HeaderAttempt, attempt)
+	r.Header.Set(platform.HeaderKey, key)
+	r.Header.Set(platform.HeaderDeadline, strconv.FormatInt(callTime.Milliseconds(), 10))
+	r.Header.Set(emulator.HeaderCallersCustomer, customer)
+	if kind != kindOrder {
+		r.Header.Set(emulator.HeaderRepeatable, "1")
+	}
+	if kind == kindStream {
+		r.Header.Set(platform.HeaderTokens, "1000,100")
+	}
+	c.count(func(n *Counts) { n.Sent++ })
+	response, err := client.Do(r)
+	if err != nil {
+		c.cut(h, kind, attempt, leaves, err)
+		return
+	}
+	defer func() { _ = response.Body.Close() }() // it was read or is of no use
+	c.judge(h, response, kind, attempt, leaves)
+}
+
+// cut counts a request without a whole answer. In a run of planned work alone
+// only an order may end so, and only if it never reached a daemon.
+func (c *callers) cut(h *host, kind, attempt string, leaves bool, err error) {
+	c.count(func(n *Counts) { n.Cut++ })
+	if c.world.config.Planned && !leaves && !strings.Contains(err.Error(), "connection refused") {
+		c.world.ledger.Break("%s %s was cut at %s by planned work: %v", kind, attempt, h.settings.Name, err)
+	}
+}
+
+func (c *callers) judge(h *host, response *http.Response, kind, attempt string, leaves bool) {
+	switch status := response.StatusCode; {
+	case response.Header.Get(platform.HeaderAttempt) != attempt:
+		c.world.ledger.Break("%s got an answer of %q", attempt, response.Header.Get(platform.HeaderAttempt))
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		if kind == kindOrder {
+			c.world.ledger.NotRun(attempt)
+		}
+		c.count(func(n *Counts) { n.Refused++ })
+	case status != http.StatusOK:
+		c.count(func(n *Counts) { n.Failed++ })
+		if c.world.config.Planned {
+			c.world.ledger.Break("%s %s was answered %d at %s by planned work", kind, attempt, status, h.settings.Name)
+		}
+	default:
+		c.whole(h, response, kind, attempt, leaves)
+	}
+}
+
+// whole checks that an answer that ends as complete is.
+func (c *callers) whole(h *host, response *http.Response, kind, attempt string, leaves bool) {
+	if kind == kindStream {
+		next, err := readStream(response.Body, attempt)
+		switch {
+		case err != nil && strings.HasPrefix(err.Error(), "event"):
+			c.world.ledger.Break("stream %s: %v", attempt, err)
+		case err != nil:
+			c.cut(h, kind, attempt, leaves, err)
+			return
+		case next != emulator.StreamLength(attempt):
+			c.world.ledger.Break("stream %s ends as complete after %d of %d events", attempt, next, emulator.StreamLength(attempt))
+		}
+		c.count(func(n *Counts) { n.Served++ })
+		return
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		c.cut(h, kind, attempt, leaves, err)
+		return
+	}
+	if string(body) != emulator.CallAnswer(attempt) {
+		c.world.ledger.Break("%s %s was answered %q", kind, attempt, body)
+	}
+	c.count(func(n *Counts) { n.Served++ })
+}
+
+// readStream reads events in order and returns how many came.
+func readStream(body io.Reader, attempt string) (int, error) {
+	scanner := bufio.NewScanner(body)
+	next := 0
+	for scanner.Scan() {
+		line := scanner.Text()
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data != fmt.Sprintf("%s %d", attempt, next) {
+			return next, fmt.Errorf("event %d is %q", next, data)
+		}
+		next++
+	}
+	return next, scanner.Err()
+}
