Let listeners regain the store through their watchers

Change: a confirmed beat of a watcher counts as the store's return. Figures: a test failed first (2 targets after one had vanished) and passes.

--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -197,6 +197,7 @@
 		f.Told(revision, from)
 		return
 	}
+	f.regained(now)
 	at := now.Add(-confirmed).UnixNano()
 	for known := f.confirmed.Load(); at > known && !f.confirmed.CompareAndSwap(known, at); {
 		known = f.confirmed.Load()
@@ -292,6 +293,12 @@
 func (f *Follower) back() {
 	now := time.Now()
 	f.confirmed.Store(now.UnixNano())
+	f.regained(now)
+}
+
+// regained notes that the source answers, this daemon or a watcher that it
+// hears.
+func (f *Follower) regained(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.directory.Back(now)
--- a/serving/process/published/published_test.go
+++ b/serving/process/published/published_test.go
@@ -425,3 +425,31 @@
 		t.Fatalf("took %s", took)
 	}
 }
+
+// TestAListenerTrustsItsWatchers is turned away by the source once, and hears a
+// watcher from then on: a target that vanishes is gone, and not taken for one
+// that lapsed in an outage. (Found by a score: tuuraj-carob-grown, scale-2.)
+func TestAListenerTrustsItsWatchers(t *testing.T) {
+	s := newSource()
+	s.put("config", "v")
+	s.put("target/a", "ready")
+	s.put("target/b", "ready")
+	f := followAs(t, s, &fakePeers{}, false)
+	eventually(t, "two targets", func() bool { return targets(f) == 2 })
+	s.set(func(s *fakeSource) { s.down = true })
+	eventually(t, "the loss", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.lost
+	})
+	f.Heard("watcher", f.Revision(), 0)
+	until := time.Now().Add(replicas.Return + 100*time.Millisecond)
+	for time.Now().Before(until) {
+		f.Heard("watcher", f.Revision(), 0)
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.apply(Batch{Revision: 50, Records: []Record{{Key: "target/a", Revision: 50, Deleted: true}}}, "peer")
+	if targets(f) != 1 {
+		t.Fatalf("%d targets after one has vanished", targets(f))
+	}
+}
--- a/tools/soak/world.go
+++ b/tools/soak/world.go
@@ -185,12 +185,12 @@
 const firstHost = 10
 
 func (w *world) startHosts(store string) error {
-	ports, err := freePorts()
+	network, ports, err := freeAddresses()
 	if err != nil {
 		return err
 	}
 	address := func(i, port int) netip.AddrPort {
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(firstHost + i)}), ports[port])
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, network, byte(firstHost + i)}), ports[port])
 	}
 	for i := range w.config.Daemons {
 		proxy, err := emulator.StartProxy("127.0.0.1:0", store)
@@ -219,26 +219,31 @@
 	return nil
 }
 
-// freePorts returns four ports that were free just now; the last two follow
-// each other.
-func freePorts() ([4]uint16, error) {
+// freeAddresses returns the third byte of a loopback network and four ports that
+// were free there just now. The last two ports follow each other. Each run has a
+// network of its own, since the port of metrics is the same for all.
+func freeAddresses() (network byte, ports [4]uint16, err error) {
 	const tries, lowest, span = 100, 20_000, 10_000
 	for range tries {
+		network = byte(1 + rand.IntN(250))
 		at := uint16(lowest + rand.IntN(span))
-		free := true
-		for i := range uint16(4) {
-			tcp, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:%d", firstHost, at+i))
-			if err != nil {
-				free = false
-				break
-			}
-			_ = tcp.Close() // it was only a look
+		ports = [4]uint16{at, at + 1, at + 2, at + 3}
+		if free(network, append(ports[:], platform.MetricsPort)) {
+			return network, ports, nil
 		}
-		if free {
-			return [4]uint16{at, at + 1, at + 2, at + 3}, nil
+	}
+	return 0, ports, errors.New("soak: no free addresses")
+}
+
+func free(network byte, ports []uint16) bool {
+	for _, port := range ports {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:%d", network, firstHost, port))
+		if err != nil {
+			return false
 		}
+		_ = listener.Close() // it was only a look
 	}
-	return [4]uint16{}, errors.New("soak: no free ports")
+	return true
 }
 
 // close ends all that was started.
