--- a/core/process/health/health.go
+++ b/core/process/health/health.go
@@ -4,7 +4,12 @@
 // Each failure adds one to the target's score and each success takes a part
 // away; the score halves every HalfLife. A target whose score reaches Suspect
 // takes no requests until it has decayed below Cleared, and then some, so that
-// it is tried again at a bounded rate. A Table is not safe for concurrent use.
+// it is tried again at a bounded rate.
+//
+// A target that died without a word is known by its silence: it owes answers,
+// and nothing has come from it for SilentAfter.
+//
+// A Table is not safe for concurrent use.
 package health
 
 import (
@@ -24,6 +29,9 @@
 	Cleared = 1.2
 	// successFactor is what a success leaves of the score.
 	successFactor = 0.7
+	// SilentAfter is how long nothing may come from a target that owes
+	// answers; engines that read short prompts answer several times in it.
+	SilentAfter = 700 * time.Millisecond
 	// lost is the score of a target that cannot be reached.
 	lost = 3.0
 )
@@ -37,6 +45,10 @@
 	value  float64
 	at     time.Time
 	spared bool
+	// owed is how many answers the target owes, and heard is since when
+	// nothing has come.
+	owed  int
+	heard time.Time
 }
 
 // New returns a table of targets without faults.
@@ -59,6 +71,35 @@
 	return s
 }
 
+// Sent records that the target owes one more answer.
+func (t *Table) Sent(id names.Target, now time.Time) {
+	s := t.get(id, now)
+	if s.owed == 0 {
+		s.heard = now
+	}
+	s.owed++
+}
+
+// Heard records that something came from the target.
+func (t *Table) Heard(id names.Target, now time.Time) {
+	if s, ok := t.scores[id]; ok {
+		s.heard = now
+	}
+}
+
+// Ended records that an answer is no longer owed.
+func (t *Table) Ended(id names.Target) {
+	if s, ok := t.scores[id]; ok && s.owed > 0 {
+		s.owed--
+	}
+}
+
+// Silent reports whether a target owes answers and nothing comes.
+func (t *Table) Silent(id names.Target, now time.Time) bool {
+	s, ok := t.scores[id]
+	return ok && s.owed > 0 && now.Sub(s.heard) > SilentAfter
+}
+
 // Failed records a failure and reports whether the target is spared from now
 // on and was not before.
 func (t *Table) Failed(id names.Target, now time.Time) bool {
--- a/core/process/health/health_test.go
+++ b/core/process/health/health_test.go
@@ -65,3 +65,24 @@
 		t.Fatalf("scores: listed %f, gone %f", table.Score("listed", at(0)), table.Score("gone", at(0)))
 	}
 }
+
+func TestATargetThatOwesAnswersAndSaysNothingIsSilent(t *testing.T) {
+	table := New()
+	if table.Silent("a", at(0)) {
+		t.Fatal("silent though nothing was sent")
+	}
+	table.Sent("a", at(0))
+	table.Sent("a", at(600*time.Millisecond))
+	if table.Silent("a", at(SilentAfter)) || !table.Silent("a", at(SilentAfter+time.Millisecond)) {
+		t.Fatal("silence is counted from the first answer owed")
+	}
+	table.Heard("a", at(time.Second))
+	if table.Silent("a", at(time.Second+SilentAfter)) {
+		t.Fatal("silent though it was heard")
+	}
+	table.Ended("a")
+	table.Ended("a")
+	if table.Silent("a", at(time.Minute)) {
+		t.Fatal("silent though it owes nothing")
+	}
+}
--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -55,6 +55,8 @@
 	// Spared targets failed of late; Score is how much.
 	Spared bool
 	Score  float64
+	// Silent targets owe answers, and nothing comes from them.
+	Silent bool
 	// Order is the target's place among those of its service, from 0 to 1;
 	// all daemons compute the same.
 	Order float64
@@ -117,7 +119,7 @@
 	for _, c := range candidates {
 		switch {
 		case excluded(r, c.Target):
-		case c.Spared:
+		case c.Spared || c.Silent && r.light():
 			spared = append(spared, c)
 		default:
 			usable = append(usable, c)
@@ -129,6 +131,14 @@
 	return usable
 }
 
+// light reports whether the request is one that targets answer within the time
+// that counts as silence.
+func (r *Request) light() bool { return r.PromptTokens < lightTokens }
+
+// lightTokens bounds the prompts that no engine reads for longer than that; an
+// engine that reads longer ones may be silent for a pass.
+const lightTokens = 25_000
+
 func excluded(r *Request, id names.Target) bool {
 	for _, e := range r.Exclude {
 		if e == id {
--- a/core/request/placement/placement_test.go
+++ b/core/request/placement/placement_test.go
@@ -164,3 +164,11 @@
 		t.Fatalf("placed at %s", d.Target)
 	}
 }
+
+func TestShortPromptsAvoidSilentTargets(t *testing.T) {
+	list := idle(3)
+	list[0].Silent = true
+	if d := placer().Place(short(), service(), list); d.Target != "b" {
+		t.Fatalf("placed at %s", d.Target)
+	}
+}
--- a/serving/process/board/board.go
+++ b/serving/process/board/board.go
@@ -77,6 +77,7 @@
 		Parts: decision.Parts, Lasts: r.Left,
 	}
 	b.work.Begin(dispatch, now)
+	b.health.Sent(decision.Target, now)
 	b.mu.Unlock()
 	b.config.Teller.Begun(&dispatch)
 	return b.placed(dispatch.Key, decision, targets), nil
@@ -91,7 +92,8 @@
 			Target: t.ID, DataCentre: t.DataCentre, Slots: t.Slots,
 			Load:   b.work.At(t.ID, now),
 			Spared: b.health.Spared(t.ID, now), Score: b.health.Score(t.ID, now),
-			Order: b.order(t.ID, settled),
+			Silent: b.health.Silent(t.ID, now),
+			Order:  b.order(t.ID, settled),
 		})
 	}
 	return list
@@ -134,9 +136,10 @@
 }
 
 // End implements relay.Board.
-func (b *Board) End(k inflight.Key) {
+func (b *Board) End(k inflight.Key, id names.Target) {
 	b.mu.Lock()
 	b.work.End(k, time.Now())
+	b.health.Ended(id)
 	b.mu.Unlock()
 	b.config.Teller.Ended(k.Number)
 }
@@ -148,6 +151,20 @@
 	b.health.Succeeded(id, time.Now())
 }
 
+// Heard implements relay.Board.
+func (b *Board) Heard(id names.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.health.Heard(id, time.Now())
+}
+
+// Silent implements relay.Board.
+func (b *Board) Silent(id names.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.health.Silent(id, time.Now())
+}
+
 // Told implements relay.Board.
 func (b *Board) Told(id names.Target, requests int) {
 	b.mu.Lock()
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -23,14 +23,13 @@
 	callPatience = 3
 	callLeast    = 400 * time.Millisecond
 	// firstPatience is how many times its prediction a first event may take
-	// before another target is asked; firstLeast is added, since an engine
-	// may stall for 1.5 s.
+	// before another target is asked.
 	firstPatience = 2
-	firstLeast    = 1600 * time.Millisecond
-	// gapPatience is how many gap targets a stream may pause before it is
-	// resumed elsewhere; gapLeast bounds it from below, see firstLeast.
-	gapPatience = 6
-	gapLeast    = 1700 * time.Millisecond
+	// silentShare is the part of its caller's patience after which a stream
+	// of a silent target is resumed elsewhere, and stallShare that after
+	// which one of a target that answers others is.
+	silentShare = 0.5
+	stallShare  = 0.85
 	// lastAnswer is how long before the daemon's end an answer must be
 	// whole.
 	lastAnswer = 300 * time.Millisecond
@@ -45,7 +44,7 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// watchdog ends the attempt when the target is silent for too long.
-	watchdog *time.Timer
+	watchdog *watchdog
 	placed   *Placed
 	exchange *upstream.Exchange
 	// another is true if the address belongs to another target.
@@ -60,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	defer q.relay.Board.End(placed.Key)
+	defer q.relay.Board.End(placed.Key, placed.Decision.Target)
 	helpers, release, err := q.reserve(ctx, placed)
 	if err != nil {
 		return err
@@ -69,8 +68,9 @@
 	a := &attempt{request: q, placed: placed, atFault: placed.Decision.Target}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
-	a.watchdog = time.AfterFunc(a.patience(), func() { a.cancel(errHung) })
-	defer a.watchdog.Stop()
+	id := placed.Decision.Target
+	a.watchdog = newWatchdog(a.limits(), func() bool { return a.relay.Board.Silent(id) }, func() { a.cancel(errHung) })
+	defer a.watchdog.stop()
 	return a.judge(a.run(helpers))
 }
 
@@ -153,17 +153,28 @@
 	return helpers, release, nil
 }
 
-func (a *attempt) patience() time.Duration {
+// limits returns how long the first event may take.
+func (a *attempt) limits() limits {
 	switch {
 	case !a.mayRepeat():
-		return time.Until(a.deadline)
+		left := time.Until(a.deadline)
+		return limits{silent: left, stalled: left}
 	case a.route.Kind == routing.Streaming:
-		return firstPatience*a.placed.Decision.FirstEvent + firstLeast
+		l := gapLimits(a.route)
+		l.stalled += firstPatience * a.placed.Decision.FirstEvent
+		return l
 	default:
-		return max(callPatience*a.route.LatencyTarget, callLeast)
+		limit := max(callPatience*a.route.LatencyTarget, callLeast)
+		return limits{silent: limit, stalled: limit}
 	}
 }
 
+// gapLimits returns how long the next event may take.
+func gapLimits(r *routing.Route) limits {
+	patience := float64(patienceOf(r))
+	return limits{silent: time.Duration(silentShare * patience), stalled: time.Duration(stallShare * patience)}
+}
+
 func (a *attempt) run(helpers []HelperAddress) error {
 	d := &a.placed.Decision
 	left := time.Until(a.deadline)
@@ -183,6 +194,7 @@
 		return err
 	}
 	a.exchange = exchange
+	a.relay.Board.Heard(d.Target)
 	reply := a.relay.Codec.Reply(exchange.Response)
 	if reply.Requests != nil {
 		a.relay.Board.Told(d.Target, *reply.Requests)
@@ -322,7 +334,7 @@
 	response := a.exchange.Response
 	events := newEventReader(response.Body)
 	controller := http.NewResponseController(a.w)
-	gap := max(gapPatience*a.route.GapTarget, gapLeast)
+	gap := gapLimits(a.route)
 	for {
 		next, err := events.next()
 		switch {
@@ -349,17 +361,18 @@
 
 // heard notes that an event came. Silence ends an attempt only where another
 // may follow it: a target that is slow still answers, and nobody else would.
-func (a *attempt) heard(gap time.Duration) {
+func (a *attempt) heard(gap limits) {
+	a.relay.Board.Heard(a.placed.Decision.Target)
 	now := time.Now()
 	if !a.lastEvent.IsZero() {
 		a.longestPause = max(a.longestPause, now.Sub(a.lastEvent))
 	}
 	a.lastEvent = now
 	if a.mayRepeat() {
-		a.watchdog.Reset(gap)
+		a.watchdog.feed(gap)
 		return
 	}
-	a.watchdog.Stop()
+	a.watchdog.stop()
 }
 
 // mayRepeat reports whether another attempt may follow this one if it fails.
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -35,7 +35,11 @@
 	Place(r *placement.Request, service *routing.Service) (*Placed, error)
 	// FirstEvent and End tell how a placed request goes on.
 	FirstEvent(k inflight.Key)
-	End(k inflight.Key)
+	End(k inflight.Key, id names.Target)
+	// Heard tells that something came from a target; Silent reports whether
+	// it owes answers and nothing comes.
+	Heard(id names.Target)
+	Silent(id names.Target) bool
 	// Told takes in how many requests a target says it has.
 	Told(id names.Target, requests int)
 	// Succeeded, Failed and Unreachable tell how a target did.
--- /dev/null
+++ b/serving/request/relay/watchdog_test.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestTheWatchdogTellsSilentTargetsFromBusyOnes(t *testing.T) {
+	l := limits{silent: time.Second, stalled: 3 * time.Second}
+	cases := []struct {
+		name   string
+		silent func(since time.Duration) bool
+		want   time.Duration
+	}{
+		{"silent", func(time.Duration) bool { return true }, time.Second},
+		{"answers others", func(time.Duration) bool { return false }, 3 * time.Second},
+		{"falls silent", func(since time.Duration) bool { return since > 1200*time.Millisecond }, 1300 * time.Millisecond},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			barked := make(chan time.Duration, 1)
+			w := newWatchdog(l, func() bool { return c.silent(time.Since(began)) }, func() { barked <- time.Since(began) })
+			defer w.stop()
+			if got := <-barked; got != c.want {
+				t.Errorf("%s: ended after %s, want %s", c.name, got, c.want)
+			}
+		})
+	}
+}
+
+func TestEventsKeepTheWatchdogQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var barks atomic.Int64
+		l := limits{silent: time.Second, stalled: 3 * time.Second}
+		w := newWatchdog(l, func() bool { return true }, func() { barks.Add(1) })
+		for range 20 {
+			time.Sleep(900 * time.Millisecond)
+			w.feed(l)
+		}
+		w.stop()
+		w.feed(l)
+		time.Sleep(time.Minute)
+		if barks.Load() != 0 {
+			t.Fatal("an attempt whose events come, or that has ended, was ended")
+		}
+	})
+}
--- a/tools/dev/span_test.go
+++ b/tools/dev/span_test.go
@@ -108,6 +108,7 @@
 	if err := d.WaitReady(t.Context()); err != nil {
 		t.Fatal(err)
 	}
+	time.Sleep(sendsEnd)
 	before := len(d.Fleet.Engines()[leaving].Submits())
 	time.Sleep(time.Until(departure))
 	if n := d.Fleet.Engines()[leaving].Measure().RunningStreams; n != 0 {
@@ -123,6 +124,11 @@
 	}
 }
 
+// sendsEnd is how long after a version is in force a request that was placed
+// under the one before may still reach a leaving engine. The users allow two
+// seconds.
+const sendsEnd = time.Second
+
 // busyEngine waits for an engine that runs streams.
 func busyEngine(t *testing.T, d *Dev) int {
 	t.Helper()
