--- a/serving/cmd/carobspoked/edge.go
+++ b/serving/cmd/carobspoked/edge.go
@@ -12,6 +12,7 @@
 	"carobspoke.example/platform"
 	"carobspoke.example/serving/process/edge"
 	"carobspoke.example/serving/process/journal"
+	"carobspoke.example/serving/request/reserve"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 )
@@ -49,7 +50,7 @@
 	log := journal.New(lines, level)
 	daemon, err := edge.New(edge.Options{
 		Settings: settings, Codec: platform.Codec{}, Source: platform.NewStore(settings.Store), Decoder: platform.Decoder{},
-		Reserver: platform.NewOrders(owner(settings), log), Log: log, DroppedLines: lines.Dropped,
+		Reserver: reserve.New(platform.NewOrders(), owner(settings), log), Log: log, DroppedLines: lines.Dropped,
 	})
 	if err != nil {
 		log.Error("not started", zap.Error(err))
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -28,7 +28,7 @@
 	// silentShare is the part of its caller's patience after which a stream
 	// of a silent target is resumed elsewhere, and stallShare that after
 	// which one of a target that answers others is.
-	silentShare = 0.5
+	silentShare = 0.7
 	stallShare  = 0.85
 	// lastAnswer is how long before the daemon's end an answer must be
 	// whole.
@@ -131,9 +131,9 @@
 func (q *request) reserve(ctx context.Context, placed *Placed) ([]HelperAddress, func(), error) {
 	helpers := make([]HelperAddress, len(placed.Helpers))
 	release := func() {
-		for i, h := range helpers {
+		for _, h := range helpers {
 			if h.Reservation != "" {
-				q.relay.Reserver.Release(h.Address, placed.Decision.Helpers[i].Target, h.Reservation)
+				q.relay.Reserver.Release(h.Reservation)
 			}
 		}
 	}
--- a/serving/request/relay/fake_test.go
+++ b/serving/request/relay/fake_test.go
@@ -177,7 +177,7 @@
 	return "r-" + string(id), nil
 }
 
-func (f *fakeReserver) Release(string, names.Target, string) {
+func (f *fakeReserver) Release(string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.released++
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -66,7 +66,7 @@
 	// Reserve returns the reservation's name, or fails with nothing set
 	// aside.
 	Reserve(ctx context.Context, address string, id names.Target, tokens int) (string, error)
-	Release(address string, id names.Target, reservation string)
+	Release(reservation string)
 }
 
 // Observer counts what becomes of requests.
