--- a/serving/cmd/carobspoked/edge.go
+++ b/serving/cmd/carobspoked/edge.go
@@ -48,9 +48,10 @@
 	lines := journal.NewWriter(os.Stdout)
 	defer lines.Flush(flushWait)
 	log := journal.New(lines, level)
+	orders := platform.NewOrders()
 	daemon, err := edge.New(edge.Options{
 		Settings: settings, Codec: platform.Codec{}, Source: platform.NewStore(settings.Store), Decoder: platform.Decoder{},
-		Reserver: reserve.New(platform.NewOrders(), owner(settings), log), Log: log, DroppedLines: lines.Dropped,
+		Reserver: reserve.New(orders, owner(settings), log), Prober: orders, Log: log, DroppedLines: lines.Dropped,
 	})
 	if err != nil {
 		log.Error("not started", zap.Error(err))
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -39,6 +39,7 @@
 	Source   published.Source
 	Decoder  published.Decoder
 	Reserver relay.Reserver
+	Prober   relay.Prober
 	Log      *zap.Logger
 	// DroppedLines returns how many log lines were dropped.
 	DroppedLines func() int64
@@ -147,7 +148,7 @@
 	handler := relay.New(relay.Deps{
 		Codec: d.Codec, Board: d.board, Crashes: d.board,
 		Budget: newBudgets(d.Settings, func() int { return len(d.members.Live()) }, random()),
-		Pool:   d.targets, Reserver: d.Reserver, Observer: d.metrics,
+		Pool:   d.targets, Reserver: d.Reserver, Prober: d.Prober, Observer: d.metrics,
 		Table: d.table, Leaving: d.leaving, ComeBack: d.comeBack, Draw: rand.Float64, Log: d.Log,
 	})
 	d.callers = &http.Server{
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -71,6 +71,9 @@
 	id := placed.Decision.Target
 	a.watchdog = newWatchdog(a.limits(), func() bool { return a.relay.Board.Silent(id) }, func() { a.cancel(errHung) })
 	defer a.watchdog.stop()
+	if holdsMemory(helpers) {
+		go a.probe()
+	}
 	return a.judge(a.run(helpers))
 }
 
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -85,6 +85,7 @@
 	Budget   Budget
 	Pool     *upstream.Pool
 	Reserver Reserver
+	Prober   Prober
 	Observer Observer
 	// Table returns the configuration in force and whether it is known to be
 	// recent; nil before the first.
--- a/serving/request/reserve/reserve_test.go
+++ b/serving/request/reserve/reserve_test.go
@@ -109,8 +109,8 @@
 		k.Release(id)
 		k.Release(id)
 		synctest.Wait()
-		if e.held() || e.releases != 1 {
-			t.Fatalf("held %t, %d releases", e.held(), e.releases)
+		if e.held() || e.count() != 1 {
+			t.Fatalf("held %t, %d releases", e.held(), e.count())
 		}
 		time.Sleep(time.Minute)
 		if e.held() {
@@ -181,8 +181,14 @@
 		e.set(func(e *engine) { e.gone = true })
 		k.Release(id)
 		time.Sleep(time.Minute)
-		if e.releases != 1 {
-			t.Fatalf("%d releases", e.releases)
+		if e.count() != 1 {
+			t.Fatalf("%d releases", e.count())
 		}
 	})
 }
+
+func (e *engine) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.releases
+}
