Accept connections to the end of a stop, refuse what could not end

Streams admitted late in a stop were cut at its end. Change: connections are accepted until nothing is in flight; a prompt whose predicted answer would not end in time is refused at once, to come back at another host.

--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -37,6 +37,9 @@
 	GapTarget     time.Duration
 	// Left is the time until the request must have its whole answer.
 	Left time.Duration
+	// Ends is when the daemon ends, from now; zero if it stays. The whole
+	// answer must be out by then.
+	Ends time.Duration
 	// Patience is how long callers wait for the first event before they leave;
 	// zero if that is not known.
 	Patience time.Duration
--- a/core/request/placement/placement_test.go
+++ b/core/request/placement/placement_test.go
@@ -172,3 +172,16 @@
 		t.Fatalf("placed at %s", d.Target)
 	}
 }
+
+func TestADaemonThatStopsRefusesWhatItCouldNotEnd(t *testing.T) {
+	r := short()
+	r.Ends = 6 * time.Second
+	if d := placer().Place(r, service(), idle(3)); d.Refusal != nil {
+		t.Fatal(d.Refusal)
+	}
+	r.Ends = 500 * time.Millisecond
+	d := placer().Place(r, service(), idle(3))
+	if d.Refusal == nil || d.Refusal.Reason != verdict.DaemonDraining || d.Refusal.Verdict != verdict.NotRun {
+		t.Fatalf("refusal %v", d.Refusal)
+	}
+}
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -33,8 +33,12 @@
 	default:
 		d = p.placeHeavy(r, e, usable, alone, room)
 	}
-	if d.Refusal == nil && d.FirstEvent > p.longestWait(r) {
+	switch {
+	case d.Refusal != nil:
+	case d.FirstEvent > p.longestWait(r):
 		d.Refusal = p.overloaded()
+	case r.Ends > 0 && time.Duration(p.settings.EndsFactor*float64(d.Whole)) > r.Ends:
+		d.Refusal = verdict.New(verdict.NotRun, verdict.DaemonDraining, "the daemon stops before the answer would end").WithRetryAfter(p.settings.StoppingRetry)
 	}
 	return d
 }
--- a/core/request/placement/settings.go
+++ b/core/request/placement/settings.go
@@ -36,6 +36,12 @@
 	SparePerScore time.Duration
 	// MemoryShare is the part of an engine's memory that placement fills.
 	MemoryShare float64
+	// EndsFactor is how many times its prediction an answer may take before
+	// the daemon ends.
+	EndsFactor float64
+	// StoppingRetry is when to come back, to another daemon, after a refusal
+	// by one that stops.
+	StoppingRetry time.Duration
 	// NoTargetRetry is when to come back if there is no target.
 	NoTargetRetry time.Duration
 	// OverloadRetryMin and OverloadRetryMax bound the random time after
@@ -59,6 +65,8 @@
 		MaxHelpers:       8,
 		SparePerScore:    300 * time.Millisecond,
 		MemoryShare:      0.97,
+		EndsFactor:       1.3,
+		StoppingRetry:    20 * time.Millisecond,
 		NoTargetRetry:    300 * time.Millisecond,
 		OverloadRetryMin: 500 * time.Millisecond,
 		OverloadRetryMax: 2500 * time.Millisecond,
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -212,7 +212,7 @@
 	d.serve(d.ready, d.listeners[1])
 	d.running.Go(func() {
 		if err := d.peerServer.Serve(d.listeners[2]); err != nil {
-			d.Log.Error("peer interface ended", zap.Error(err))
+			d.Log.Error("peer interface ended", zap.String("error", err.Error()))
 		}
 	})
 	d.serve(d.metricsSrv, d.listeners[3])
@@ -223,7 +223,7 @@
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
 	d.running.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			d.Log.Error("interface ended", zap.Stringer("address", listener.Addr()), zap.Error(err))
+			d.Log.Error("interface ended", zap.Stringer("address", listener.Addr()), zap.String("error", err.Error()))
 		}
 	})
 }
@@ -360,22 +360,34 @@
 	// endMargin is how long before the end of the grace time the process
 	// ends by itself.
 	endMargin = 500 * time.Millisecond
+	// quietTime is how long nothing may be in flight before the process ends.
+	quietTime = 200 * time.Millisecond
 	drainPoll = 20 * time.Millisecond
 )
 
-// Drain says not ready, serves what still comes until the balancer has turned
-// away, and returns when all is answered or the grace time is nearly over.
+// Drain says not ready, serves what still comes, and returns once the balancer
+// has had the time to turn away and nothing is in flight, or the grace time is
+// nearly over. Connections are accepted to the end: where many hosts stop at
+// once the balancer uses those that are not ready, too.
 func (d *Daemon) Drain() {
-	now := time.Now()
-	end := now.Add(d.Settings.Grace - endMargin)
+	began := time.Now()
+	end := began.Add(d.Settings.Grace - endMargin)
 	d.stopAt.Store(end.UnixNano())
 	d.members.Drain()
 	d.Log.Info("stopping", zap.Int64("in_flight", d.active.Load()), zap.Duration("grace", d.Settings.Grace))
-	time.Sleep(min(turnAway, time.Until(end)))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	for quiet := began; ; time.Sleep(drainPoll) {
+		now := time.Now()
+		if d.active.Load() > 0 {
+			quiet = now
+		}
+		if now.After(end) || now.Sub(began) > turnAway && now.Sub(quiet) > quietTime {
+			break
+		}
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(drainPoll))
 	defer cancel()
 	if err := d.callers.Shutdown(ctx); err != nil {
-		d.Log.Warn("stopped with requests in flight", zap.Int64("in_flight", d.active.Load()), zap.Error(err))
+		d.Log.Warn("stopped with requests in flight", zap.Int64("in_flight", d.active.Load()), zap.String("error", err.Error()))
 	}
 }
 
--- a/serving/process/edge/metrics.go
+++ b/serving/process/edge/metrics.go
@@ -85,7 +85,7 @@
 	slices.Sort(lines)
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	if _, err := w.Write([]byte(strings.Join(lines, "\n") + "\n")); err != nil {
-		m.daemon.Log.Debug("metrics not written", zap.Error(err))
+		m.daemon.Log.Debug("metrics not written", zap.String("error", err.Error()))
 	}
 }
 
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -286,7 +286,7 @@
 	f.directory.Away()
 	if !f.lost {
 		f.lost = true
-		f.log.Warn("publisher lost", zap.Uint64("revision", f.Revision()), zap.Error(err))
+		f.log.Warn("publisher lost", zap.Uint64("revision", f.Revision()), zap.String("error", err.Error()))
 	}
 }
 
@@ -438,7 +438,7 @@
 	config, target, err := f.decoder.Decode(r)
 	switch {
 	case err != nil:
-		f.log.Warn("a published record is not used", zap.String("key", r.Key), zap.Uint64("revision", r.Revision), zap.Error(err))
+		f.log.Warn("a published record is not used", zap.String("key", r.Key), zap.Uint64("revision", r.Revision), zap.String("error", err.Error()))
 	case config != nil:
 		f.install(config)
 	case target != nil:
@@ -452,7 +452,7 @@
 	}
 	table, err := routing.NewTable(c)
 	if err != nil {
-		f.log.Error("configuration refused, the one before stays in force", zap.Uint64("version", uint64(c.Version)), zap.Error(err))
+		f.log.Error("configuration refused, the one before stays in force", zap.Uint64("version", uint64(c.Version)), zap.String("error", err.Error()))
 		return
 	}
 	f.table = table
--- a/serving/process/sharing/sharing.go
+++ b/serving/process/sharing/sharing.go
@@ -163,7 +163,7 @@
 func (s *Sharing) sendTo(peers []netip.AddrPort, batch *peerpb.DispatchBatch) {
 	packet, err := proto.Marshal(batch)
 	if err != nil {
-		s.config.Log.Error("a batch of dispatches cannot be encoded", zap.Error(err))
+		s.config.Log.Error("a batch of dispatches cannot be encoded", zap.String("error", err.Error()))
 		return
 	}
 	for _, peer := range peers {
@@ -202,13 +202,13 @@
 			return
 		}
 		if err != nil {
-			s.config.Log.Warn("a datagram cannot be received", zap.Error(err))
+			s.config.Log.Warn("a datagram cannot be received", zap.String("error", err.Error()))
 			time.Sleep(Gather)
 			continue
 		}
 		var batch peerpb.DispatchBatch
 		if err := proto.Unmarshal(buffer[:n], &batch); err != nil {
-			s.config.Log.Warn("a datagram cannot be read", zap.Error(err))
+			s.config.Log.Warn("a datagram cannot be read", zap.String("error", err.Error()))
 			continue
 		}
 		s.take(&batch)
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -79,8 +79,10 @@
 
 func (q *request) place() (*Placed, error) {
 	left := time.Until(q.deadline)
+	ends := time.Duration(0)
 	if rest, leaving := q.relay.Leaving(); leaving {
-		left = min(left, rest-lastAnswer)
+		ends = max(rest-lastAnswer, 1)
+		left = min(left, ends)
 	}
 	in := &placement.Request{
 		PromptTokens:  q.facts.PromptTokens,
@@ -88,6 +90,7 @@
 		LatencyTarget: q.route.LatencyTarget,
 		GapTarget:     q.route.GapTarget,
 		Left:          left,
+		Ends:          ends,
 		Patience:      patienceOf(q.route),
 		Rank:          q.rank(),
 		Exclude:       q.exclude,
