--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -127,7 +127,9 @@
 	revision  atomic.Uint64
 	told      atomic.Pointer[newer]
 	heard     atomic.Int64
-	wake      chan struct{}
+	// watcher is who beat last.
+	watcher atomic.Pointer[names.Host]
+	wake    chan struct{}
 
 	mu      sync.Mutex
 	records map[string]Record
@@ -144,6 +146,8 @@
 	revision uint64
 	from     names.Host
 	at       time.Time
+	// failed is true once a peer was asked in vain.
+	failed bool
 }
 
 // New returns a follower that knows nothing yet.
@@ -175,7 +179,11 @@
 		if revision <= f.revision.Load() || known != nil && revision <= known.revision {
 			return
 		}
-		if f.told.CompareAndSwap(known, &newer{revision: revision, from: from, at: time.Now()}) {
+		at := time.Now()
+		if known != nil && known.revision > f.revision.Load() {
+			at = known.at // the wait goes on
+		}
+		if f.told.CompareAndSwap(known, &newer{revision: revision, from: from, at: at}) {
 			break
 		}
 	}
@@ -193,6 +201,7 @@
 	}
 	now := time.Now()
 	f.heard.Store(now.UnixNano())
+	f.watcher.Store(&from)
 	if revision > f.revision.Load() {
 		f.Told(revision, from)
 		return
@@ -332,7 +341,7 @@
 	told := f.told.Load()
 	switch {
 	case told != nil && told.revision > f.Revision():
-		from = told.from
+		from = f.reader(told)
 	case f.Revision() > 0:
 		return
 	}
@@ -340,7 +349,7 @@
 	if err != nil {
 		f.log.Info("peer not read", zap.String("peer", string(from)), zap.String("error", err.Error()))
 		if told != nil {
-			f.told.CompareAndSwap(told, &newer{revision: told.revision, at: told.at}) // any other may know it
+			f.told.CompareAndSwap(told, &newer{revision: told.revision, at: told.at, failed: true}) // any other may know it
 		}
 		return
 	}
@@ -351,6 +360,16 @@
 	f.apply(batch, "peer")
 }
 
+// reader returns whom to ask for what was told: who told it, or else the watcher
+// that beat last; empty for any peer.
+func (f *Follower) reader(told *newer) names.Host {
+	watcher := f.watcher.Load()
+	if told.from != "" || told.failed || watcher == nil || f.alone() {
+		return told.from
+	}
+	return *watcher
+}
+
 func (f *Follower) expire(ctx context.Context) {
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
--- a/serving/process/published/published_test.go
+++ b/serving/process/published/published_test.go
@@ -112,11 +112,13 @@
 	mu    sync.Mutex
 	batch Batch
 	of    *Follower
+	asked []names.Host
 }
 
-func (p *fakePeers) Read(_ context.Context, _ names.Host, after uint64) (Batch, error) {
+func (p *fakePeers) Read(_ context.Context, from names.Host, after uint64) (Batch, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.asked = append(p.asked, from)
 	if p.of != nil {
 		return p.of.Records(after), nil
 	}
@@ -453,3 +455,27 @@
 		t.Fatalf("%d targets after one has vanished", targets(f))
 	}
 }
+
+// TestNewsOfNewsDoesNotExtendTheWait tells one revision after the other, none of
+// which a peer gives. (Found by a hunt: tuuraj-carob, days of our own,
+// partitions, seed 664690967066: a watcher that was cut off was asked again and
+// again while revisions came.)
+func TestNewsOfNewsDoesNotExtendTheWait(t *testing.T) {
+	p := &fakePeers{}
+	f := New(newSource(), fakeDecoder{}, p, zap.NewNop(), func(uint64) {}, func() bool { return false })
+	f.apply(Batch{Revision: 1, Whole: true, Records: []Record{{Key: "config", Value: []byte("v"), Revision: 1}}}, "source")
+	began := time.Now()
+	for revision := uint64(2); !f.lagging(); revision++ {
+		f.Told(revision, "")
+		time.Sleep(20 * time.Millisecond)
+		if time.Since(began) > peersLate+200*time.Millisecond {
+			t.Fatal("not late though nothing came")
+		}
+	}
+	f.Heard("beating", 1, 0)
+	f.readPeer(t.Context())
+	f.readPeer(t.Context())
+	if p.asked[0] != "beating" || p.asked[1] != "" {
+		t.Fatalf("asked %q: first who beats, then any", p.asked)
+	}
+}
