--- a/core/request/placement/settings.go
+++ b/core/request/placement/settings.go
@@ -65,7 +65,7 @@
 		MaxHelpers:       8,
 		SparePerScore:    300 * time.Millisecond,
 		MemoryShare:      0.97,
-		EndsFactor:       2,
+		EndsFactor:       1.3,
 		StoppingRetry:    20 * time.Millisecond,
 		NoTargetRetry:    300 * time.Millisecond,
 		OverloadRetryMin: 500 * time.Millisecond,
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -355,36 +355,25 @@
 // Stop order of a drain, in times after the signal.
 const (
 	// turnAway is how long the balancer may take to send no new connections:
-	// two missed looks, one a second, and a margin.
-	turnAway = 3200 * time.Millisecond
+	// two missed looks, one a second, and a margin. What is sent later than
+	// 3 s after the signal must be answered whole.
+	turnAway = 2600 * time.Millisecond
 	// endMargin is how long before the end of the grace time the process
 	// ends by itself.
 	endMargin = 500 * time.Millisecond
-	// quietTime is how long nothing may be in flight before the process ends.
-	quietTime = 200 * time.Millisecond
-	drainPoll = 20 * time.Millisecond
 )
 
-// Drain says not ready, serves what still comes, and returns once the balancer
-// has had the time to turn away and nothing is in flight, or the grace time is
-// nearly over. Connections are accepted to the end: where many hosts stop at
-// once the balancer uses those that are not ready, too.
+// Drain says not ready, serves what still comes until the balancer has turned
+// away, and returns when all is answered or the grace time is nearly over. It
+// does not stay for longer: where hosts are stopped in turn, each that is out
+// leaves fewer in rotation.
 func (d *Daemon) Drain() {
-	began := time.Now()
-	end := began.Add(d.Settings.Grace - endMargin)
+	end := time.Now().Add(d.Settings.Grace - endMargin)
 	d.stopAt.Store(end.UnixNano())
 	d.members.Drain()
 	d.Log.Info("stopping", zap.Int64("in_flight", d.active.Load()), zap.Duration("grace", d.Settings.Grace))
-	for quiet := began; ; time.Sleep(drainPoll) {
-		now := time.Now()
-		if d.active.Load() > 0 {
-			quiet = now
-		}
-		if now.After(end) || now.Sub(began) > turnAway && now.Sub(quiet) > quietTime {
-			break
-		}
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(drainPoll))
+	time.Sleep(min(turnAway, time.Until(end)))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.Log.Warn("stopped with requests in flight", zap.Int64("in_flight", d.active.Load()), zap.String("error", err.Error()))
