Split large files, rank callers, check the checks

Cause: attempt.go, edge.go, published.go and soak.go held several jobs each; the callers' priorities were read and not used; nothing showed that the soak's checks catch a broken daemon. Change: one job a file; a caller above or below the usual rank moves a prompt's priority at engines by one; tests with a daemon and sends that break one promise each.

--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -111,7 +111,18 @@
 	if service.Engine == nil || r.PromptTokens == 0 {
 		return p.placeCall(usable)
 	}
-	return p.placePrompt(r, service.Engine, usable)
+	d := p.placePrompt(r, service.Engine, usable)
+	d.Priority = ranked(d.Priority, r.Rank)
+	return d
+}
+
+// usualRank is the rank of callers that no configuration sets apart.
+const usualRank = 1
+
+// ranked moves a priority by one place for callers above or below the usual
+// rank: among equal prompts the more urgent caller goes first.
+func ranked(priority, rank int) int {
+	return min(max(priority+min(max(rank-usualRank, -1), 1), 0), lowestPriority)
 }
 
 // filter drops targets that failed the request or fail others. If all fail,
--- a/core/request/placement/placement_test.go
+++ b/core/request/placement/placement_test.go
@@ -185,3 +185,17 @@
 		t.Fatalf("refusal %v", d.Refusal)
 	}
 }
+
+func TestUrgentCallersGoFirstAmongEquals(t *testing.T) {
+	priority := func(rank int) int {
+		r := short()
+		r.Rank = rank
+		return placer().Place(r, service(), idle(2)).Priority
+	}
+	if priority(0) >= priority(1) || priority(1) >= priority(2) || priority(2) != priority(7) {
+		t.Fatalf("priorities %d %d %d %d", priority(0), priority(1), priority(2), priority(7))
+	}
+	if ranked(0, 0) != 0 || ranked(lowestPriority, 5) != lowestPriority {
+		t.Fatal("priorities leave their range")
+	}
+}
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -18,6 +18,7 @@
 	heavyPriority   = 4
 	lateLight       = 5
 	longestPriority = 6
+	lowestPriority  = 9
 	// longPrefill divides heavy prompts by priority.
 	longPrefill = time.Second
 )
--- /dev/null
+++ b/serving/process/edge/drain.go
@@ -0,0 +1,82 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+func (d *Daemon) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if d.stopAt.Load() != 0 || d.follower.View() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// counted counts requests in flight, and asks callers to come back by another
+// connection while the daemon stops.
+func (d *Daemon) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.active.Add(1)
+		defer d.active.Add(-1)
+		next.ServeHTTP(closing{ResponseWriter: w, daemon: d}, r)
+	})
+}
+
+// closing adds the header that ends the connection to answers given while the
+// daemon stops.
+type closing struct {
+	http.ResponseWriter
+	daemon *Daemon
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (c closing) WriteHeader(status int) {
+	if c.daemon.stopAt.Load() != 0 {
+		c.Header().Set("Connection", "close")
+	}
+	c.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap serves http.ResponseController.
+func (c closing) Unwrap() http.ResponseWriter { return c.ResponseWriter }
+
+// leaving returns how long the daemon still runs, if it is stopping.
+func (d *Daemon) leaving() (time.Duration, bool) {
+	at := d.stopAt.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return time.Until(time.Unix(0, at)), true
+}
+
+// Stop order of a drain, in times after the signal.
+const (
+	// turnAway is how long the balancer may take to send no new connections:
+	// two missed looks, one a second, and a margin. What is sent later than
+	// 3 s after the signal must be answered whole.
+	turnAway = 2600 * time.Millisecond
+	// endMargin is how long before the end of the grace time the process
+	// ends by itself.
+	endMargin = 500 * time.Millisecond
+)
+
+// Drain says not ready, serves what still comes until the balancer has turned
+// away, and returns when all is answered or the grace time is nearly over. It
+// does not stay for longer: where hosts are stopped in turn, each that is out
+// leaves fewer in rotation.
+func (d *Daemon) Drain() {
+	end := time.Now().Add(d.Settings.Grace - endMargin)
+	d.stopAt.Store(end.UnixNano())
+	d.members.Drain()
+	d.Log.Info("stopping", zap.Int64("in_flight", d.active.Load()), zap.Duration("grace", d.Settings.Grace))
+	time.Sleep(min(turnAway, time.Until(end)))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.Log.Warn("stopped with requests in flight", zap.Int64("in_flight", d.active.Load()), zap.String("error", err.Error()))
+	}
+}
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"carobspoke.example/core/names"
-	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/routing"
 	"carobspoke.example/serving/connection/upstream"
@@ -16,25 +15,6 @@
 	"go.uber.org/zap"
 )
 
-// Bounds of the silence of a target that owes an answer.
-const (
-	// callPatience is how many latency targets an idempotent call may take
-	// before another target is asked; callLeast bounds it from below.
-	callPatience = 3
-	callLeast    = 400 * time.Millisecond
-	// firstPatience is how many times its prediction a first event may take
-	// before another target is asked.
-	firstPatience = 2
-	// silentShare is the part of its caller's patience after which a stream
-	// of a silent target is resumed elsewhere, and stallShare that after
-	// which one of a target that answers others is.
-	silentShare = 0.7
-	stallShare  = 0.85
-	// lastAnswer is how long before the daemon's end an answer must be
-	// whole.
-	lastAnswer = 300 * time.Millisecond
-)
-
 // errHung ends an attempt whose target stays silent.
 var errHung = errors.New("the target was silent for too long")
 
@@ -77,110 +57,6 @@
 	return a.judge(a.run(helpers))
 }
 
-func (q *request) place() (*Placed, error) {
-	left := time.Until(q.deadline)
-	ends := time.Duration(0)
-	if rest, leaving := q.relay.Leaving(); leaving {
-		ends = max(rest-lastAnswer, 1)
-		left = min(left, ends)
-	}
-	in := &placement.Request{
-		PromptTokens:  q.facts.PromptTokens,
-		AnswerTokens:  q.facts.AnswerTokens,
-		LatencyTarget: q.route.LatencyTarget,
-		GapTarget:     q.route.GapTarget,
-		Left:          left,
-		Ends:          ends,
-		Patience:      patienceOf(q.route),
-		Rank:          q.rank(),
-		Exclude:       q.exclude,
-	}
-	placed, err := q.relay.Board.Place(in, q.service)
-	if err != nil {
-		return nil, err
-	}
-	load := &placed.Decision.Load
-	q.relay.Log.Info("placed", zap.String("request", q.facts.ID), zap.String("target", string(placed.Decision.Target)),
-		zap.Int("helpers", len(placed.Helpers)), zap.Duration("predicted", placed.Decision.FirstEvent),
-		zap.Duration("backlog", load.Backlog), zap.Int("at_target", load.Requests), zap.Int("writers", load.Writers),
-		zap.Int("tokens", q.facts.PromptTokens), zap.Duration("left", left), zap.Uint64("version", uint64(q.table.Version)))
-	return placed, nil
-}
-
-// Bounds of a caller's patience with a stream that is silent, as published for
-// callers: the longest of these.
-const (
-	patienceLeast   = 2 * time.Second
-	patienceLatency = 4 // latency targets
-	patienceGap     = 8 // gap targets
-)
-
-// patienceOf returns how long callers of a route wait for an event, or zero if
-// they wait to their deadline.
-func patienceOf(r *routing.Route) time.Duration {
-	if r.Kind != routing.Streaming {
-		return 0
-	}
-	return max(patienceLeast, patienceLatency*r.LatencyTarget, patienceGap*r.GapTarget)
-}
-
-func (q *request) rank() int {
-	if q.customer != nil && q.customer.Priority != nil {
-		return *q.customer.Priority
-	}
-	return q.route.Priority
-}
-
-// reserve sets memory aside at the helpers that need it, all or none. The
-// order is that of the helpers' names, so that two prompts never each hold what
-// the other waits for; a reservation that is not granted at once fails.
-func (q *request) reserve(ctx context.Context, placed *Placed) ([]HelperAddress, func(), error) {
-	helpers := make([]HelperAddress, len(placed.Helpers))
-	release := func() {
-		for _, h := range helpers {
-			if h.Reservation != "" {
-				q.relay.Reserver.Release(h.Reservation)
-			}
-		}
-	}
-	for i, address := range placed.Helpers {
-		helpers[i].Address = address
-		helper := placed.Decision.Helpers[i]
-		if helper.Reserve == 0 {
-			continue
-		}
-		name, err := q.relay.Reserver.Reserve(ctx, address, helper.Target, helper.Reserve)
-		if err != nil {
-			release()
-			return nil, nil, verdict.Wrap(err, verdict.NotRun, verdict.SpanUnavailable, "no memory could be set aside")
-		}
-		helpers[i].Reservation = name
-	}
-	return helpers, release, nil
-}
-
-// limits returns how long the first event may take.
-func (a *attempt) limits() limits {
-	switch {
-	case !a.mayRepeat():
-		left := time.Until(a.deadline)
-		return limits{silent: left, stalled: left}
-	case a.route.Kind == routing.Streaming:
-		l := gapLimits(a.route)
-		l.stalled += firstPatience * a.placed.Decision.FirstEvent
-		return l
-	default:
-		limit := max(callPatience*a.route.LatencyTarget, callLeast)
-		return limits{silent: limit, stalled: limit}
-	}
-}
-
-// gapLimits returns how long the next event may take.
-func gapLimits(r *routing.Route) limits {
-	patience := float64(patienceOf(r))
-	return limits{silent: time.Duration(silentShare * patience), stalled: time.Duration(stallShare * patience)}
-}
-
 func (a *attempt) run(helpers []HelperAddress) error {
 	d := &a.placed.Decision
 	left := time.Until(a.deadline)
@@ -334,91 +210,3 @@
 
 // HopByHop returns the names of headers that concern one connection only.
 func HopByHop() []string { return hopByHop }
-
-// stream passes events on as they come.
-func (a *attempt) stream() error {
-	response := a.exchange.Response
-	events := newEventReader(response.Body)
-	controller := http.NewResponseController(a.w)
-	gap := gapLimits(a.route)
-	for {
-		next, err := events.next()
-		switch {
-		case errors.Is(err, io.EOF):
-			return a.streamEnded()
-		case err != nil:
-			a.exchange.Abort()
-			return a.exchange.Failed(a.ctx, err)
-		}
-		a.heard(gap)
-		if !follows(a.lastID, next.id) {
-			a.exchange.Abort()
-			return verdict.Newf(verdict.Ran, verdict.AnswerMismatch, "event %q follows event %q", next.id, a.lastID)
-		}
-		a.begin(response)
-		if _, err := a.w.Write(next.raw); err != nil {
-			a.exchange.Abort()
-			return verdict.Wrap(err, verdict.Ran, verdict.CallerGone, "the caller has gone")
-		}
-		_ = controller.Flush() // the next write tells
-		a.lastID = next.id
-	}
-}
-
-// heard notes that an event came. Silence ends an attempt only where another
-// may follow it: a target that is slow still answers, and nobody else would.
-func (a *attempt) heard(gap limits) {
-	a.relay.Board.Heard(a.placed.Decision.Target)
-	now := time.Now()
-	if !a.lastEvent.IsZero() {
-		a.longestPause = max(a.longestPause, now.Sub(a.lastEvent))
-	}
-	a.lastEvent = now
-	if a.mayRepeat() {
-		a.watchdog.feed(gap)
-		return
-	}
-	a.watchdog.stop()
-}
-
-// mayRepeat reports whether another attempt may follow this one if it fails.
-func (a *attempt) mayRepeat() bool {
-	return a.route.Repeatable() && a.ran+1 < a.route.MaxAttempts
-}
-
-// begin sends the header before the first event. A resumed stream keeps the
-// header of its first target.
-func (a *attempt) begin(response *http.Response) {
-	a.relay.Board.FirstEvent(a.placed.Key)
-	if a.begun {
-		return
-	}
-	a.begun = true
-	a.firstEvent = time.Now()
-	copyHeader(a.w.Header(), response.Header)
-	a.w.WriteHeader(response.StatusCode)
-}
-
-// streamEnded ends the answer. A stream without events is no answer.
-func (a *attempt) streamEnded() error {
-	if !a.begun {
-		a.exchange.Abort()
-		return verdict.New(verdict.MayHaveRun, verdict.AnswerCut, "the stream ended before its first event")
-	}
-	a.exchange.Done()
-	return nil
-}
-
-// follows reports whether an event may come after another: its number is the
-// next one. Events without numbers may come in any order.
-func follows(last, id string) bool {
-	if last == "" || id == "" {
-		return true
-	}
-	before, err := strconv.ParseUint(last, 10, 64)
-	if err != nil {
-		return last != id
-	}
-	after, err := strconv.ParseUint(id, 10, 64)
-	return err == nil && after == before+1
-}
--- /dev/null
+++ b/tools/soak/checks_test.go
@@ -0,0 +1,146 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"carobspoke.example/core/process/replicas"
+	"carobspoke.example/platform"
+	"carobspoke.example/serving/process/edge"
+	"carobspoke.example/tools/emulator"
+)
+
+// TestBrokenDaemonsAreCaught gives the callers a daemon that breaks one promise
+// each time; the checks must name it, and must find nothing in a good one.
+func TestBrokenDaemonsAreCaught(t *testing.T) {
+	stream := func(w io.Writer, attempt string, events int) {
+		for i := range events {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, attempt, i)
+		}
+	}
+	cases := []struct {
+		name, kind string
+		answer     func(w http.ResponseWriter, attempt string)
+		want       string
+	}{
+		{"good stream", kindStream, func(w http.ResponseWriter, a string) { stream(w, a, emulator.StreamLength(a)) }, ""},
+		{"good call", kindRead, func(w http.ResponseWriter, a string) { _, _ = io.WriteString(w, emulator.CallAnswer(a)) }, ""},
+		{"short stream", kindStream, func(w http.ResponseWriter, a string) { stream(w, a, emulator.StreamLength(a)-1) }, "ends as complete"},
+		{"joined streams", kindStream, func(w http.ResponseWriter, a string) {
+			stream(w, a, 2)
+			stream(w, a, emulator.StreamLength(a))
+		}, "event 2 is"},
+		{"another's answer", kindRead, func(w http.ResponseWriter, _ string) {
+			_, _ = io.WriteString(w, emulator.CallAnswer("other"))
+		}, "was answered"},
+		{"another's header", kindRead, func(w http.ResponseWriter, _ string) {
+			w.Header().Set(platform.HeaderAttempt, "other")
+		}, "got an answer of"},
+		{"cut by planned work", kindRead, func(http.ResponseWriter, string) { panic(http.ErrAbortHandler) }, "was cut"},
+		{"failed by planned work", kindOrder, func(w http.ResponseWriter, _ string) { w.WriteHeader(http.StatusBadGateway) }, "was answered 502"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				attempt := r.Header.Get(platform.HeaderAttempt)
+				w.Header().Set(platform.HeaderAttempt, attempt)
+				c.answer(w, attempt)
+			}))
+			defer daemon.Close()
+			ledger := emulator.NewLedger(time.Second)
+			all := &callers{world: &world{config: Config{Planned: true}, ledger: ledger}}
+			h := &host{settings: &edge.Settings{Callers: netip.MustParseAddrPort(daemon.Listener.Addr().String())}}
+			all.send(http.DefaultClient, h, c.kind, "attempt-1", false)
+			check(t, ledger, c.want)
+		})
+	}
+}
+
+func check(t *testing.T, ledger *emulator.Ledger, want string) {
+	t.Helper()
+	broken := strings.Join(ledger.Broken(), "\n")
+	if want == "" && broken != "" || !strings.Contains(broken, want) {
+		t.Errorf("broken: %q, want %q", broken, want)
+	}
+}
+
+// TestTargetsCatchWhatTheyAreTold sends a target what no daemon may send.
+func TestTargetsCatchWhatTheyAreTold(t *testing.T) {
+	cases := []struct {
+		name string
+		send func(ledger *emulator.Ledger, target *emulator.Target)
+		want string
+	}{
+		{"once", func(_ *emulator.Ledger, target *emulator.Target) { post(t, target, nil) }, ""},
+		{"twice", func(_ *emulator.Ledger, target *emulator.Target) {
+			post(t, target, nil)
+			post(t, target, nil)
+		}, "ran 2 times"},
+		{"twice, repeatable", func(_ *emulator.Ledger, target *emulator.Target) {
+			again := map[string]string{emulator.HeaderRepeatable: "1"}
+			post(t, target, again)
+			post(t, target, again)
+		}, ""},
+		{"a key", func(_ *emulator.Ledger, target *emulator.Target) {
+			post(t, target, map[string]string{platform.HeaderKey: "secret"})
+		}, "with its key"},
+		{"another customer", func(_ *emulator.Ledger, target *emulator.Target) {
+			post(t, target, map[string]string{platform.HeaderCustomer: "other"})
+		}, "was passed on as of"},
+		{"no time", func(_ *emulator.Ledger, target *emulator.Target) {
+			post(t, target, map[string]string{platform.HeaderDeadline: "0"})
+		}, "ms left"},
+		{"after a promise", func(ledger *emulator.Ledger, target *emulator.Target) {
+			ledger.NotRun("attempt-1")
+			post(t, target, nil)
+		}, "ran after its caller was told"},
+		{"before a promise", func(ledger *emulator.Ledger, target *emulator.Target) {
+			post(t, target, nil)
+			ledger.NotRun("attempt-1")
+		}, "had run when"},
+		{"after its leaving", func(ledger *emulator.Ledger, target *emulator.Target) {
+			ledger.Leaving(target.ID)
+			time.Sleep(20 * time.Millisecond)
+			post(t, target, nil)
+		}, "published as leaving"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ledger := emulator.NewLedger(10 * time.Millisecond)
+			target, err := emulator.StartTarget(replicas.Target{ID: "t-1", Address: "127.0.0.1:0", Slots: 2}, ledger)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer target.Crash()
+			c.send(ledger, target)
+			check(t, ledger, c.want)
+		})
+	}
+}
+
+func post(t *testing.T, target *emulator.Target, headers map[string]string) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+target.Address+"/order/x", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(platform.HeaderAttempt, "attempt-1")
+	r.Header.Set(platform.HeaderTarget, string(target.ID))
+	r.Header.Set(platform.HeaderDeadline, "1000")
+	r.Header.Set(platform.HeaderCustomer, customer)
+	r.Header.Set(emulator.HeaderCallersCustomer, customer)
+	for name, value := range headers {
+		r.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close() // only the target's view counts
+}
