Refuse a prompt whose memory is not granted after three tries

The final answer lacked a time to come back. Some fields were decoded and never read. Change: failed reservations count; every refusal that has not run tells when to come back; unused fields are gone.

--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -51,10 +51,9 @@
 
 // Candidate is a target of the request's service.
 type Candidate struct {
-	Target     names.Target
-	DataCentre names.DataCentre
-	Slots      int
-	Load       inflight.Load
+	Target names.Target
+	Slots  int
+	Load   inflight.Load
 	// Spared targets failed of late; Score is how much.
 	Spared bool
 	Score  float64
--- a/serving/connection/upstream/attempt.go
+++ b/serving/connection/upstream/attempt.go
@@ -36,8 +36,7 @@
 // Exchange is an answer whose header has come.
 type Exchange struct {
 	Response *http.Response
-	// Reader is the connection's; an event reader takes the body from
-	// Response.Body.
+
 	conn    *Conn
 	pool    *Pool
 	target  names.Target
--- a/serving/process/board/board.go
+++ b/serving/process/board/board.go
@@ -89,7 +89,7 @@
 	for i := range targets {
 		t := &targets[i]
 		list = append(list, placement.Candidate{
-			Target: t.ID, DataCentre: t.DataCentre, Slots: t.Slots,
+			Target: t.ID, Slots: t.Slots,
 			Load:   b.work.At(t.ID, now),
 			Spared: b.health.Spared(t.ID, now), Score: b.health.Score(t.ID, now),
 			Silent: b.health.Silent(t.ID, now),
--- a/serving/process/edge/settings.go
+++ b/serving/process/edge/settings.go
@@ -43,8 +43,6 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	// ReserveHold is the longest time that an engine holds a reservation.
-	ReserveHold time.Duration
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -42,6 +42,7 @@
 	defer q.relay.Board.End(placed.Key, placed.Decision.Target)
 	helpers, release, err := q.reserve(ctx, placed)
 	if err != nil {
+		q.sends++
 		return err
 	}
 	defer release()
--- a/serving/request/relay/fake_test.go
+++ b/serving/request/relay/fake_test.go
@@ -86,6 +86,7 @@
 	broke     int
 	standing  crash.Standing
 	silent    bool
+	helpers   []placement.Helper
 }
 
 type fakeTarget struct {
@@ -106,7 +107,8 @@
 		}
 		if !excluded {
 			b.begun++
-			return &Placed{Decision: placement.Decision{Target: t.id, FirstEvent: b.predicted}, Address: t.address}, nil
+			decision := placement.Decision{Target: t.id, FirstEvent: b.predicted, Helpers: b.helpers}
+			return &Placed{Decision: decision, Address: t.address, Helpers: make([]string, len(b.helpers))}, nil
 		}
 	}
 	return nil, verdict.New(verdict.NotRun, verdict.NoTarget, "none")
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -333,6 +333,9 @@
 		return
 	}
 	failure := verdict.From(err)
+	if failure.Verdict == verdict.NotRun && failure.RetryAfter == 0 {
+		failure = failure.WithRetryAfter(refusedRetry)
+	}
 	q.relay.Observer.Refused(failure)
 	q.logFailure(failure, took)
 	if failure.Reason == verdict.CallerGone {
--- a/serving/request/relay/relay_test.go
+++ b/serving/request/relay/relay_test.go
@@ -370,3 +370,18 @@
 		t.Fatalf("took %s", took)
 	}
 }
+
+// TestAPromptWhoseMemoryIsNotGrantedIsRefusedSoon has plenty of retry budget.
+func TestAPromptWhoseMemoryIsNotGrantedIsRefusedSoon(t *testing.T) {
+	s := newServer(t, good("ran"))
+	f := newFixture(t, s)
+	f.board.helpers = []placement.Helper{{Target: "x", Reserve: 80}}
+	response, _, err := f.call("/stream/x", nil)
+	wantRefusal(t, response, err, verdict.SpanUnavailable, verdict.NotRun)
+	if response.Header.Get("Come-Back") == "" {
+		t.Error("no time to come back")
+	}
+	if f.board.begun > maxRefused+1 || len(s.seen()) != 0 {
+		t.Errorf("placed %d times, sent %d times", f.board.begun, len(s.seen()))
+	}
+}
