Say that the settings' variable is not set

Cause: an empty variable was reported as a file without a name that does not exist, found by trying bad input on a clean checkout. Change: the message names the variable; exit code 2 as before.

--- a/serving/cmd/carobspoked/edge.go
+++ b/serving/cmd/carobspoked/edge.go
@@ -33,6 +33,9 @@
 
 func runEdge(_ context.Context, c *cli.Command) error {
 	path := os.Getenv(platform.SettingsVariable)
+	if path == "" {
+		return cli.Exit("the variable "+platform.SettingsVariable+" is not set", exitSettings)
+	}
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return cli.Exit(err.Error(), exitSettings)
