Keep a stream that was cut while it was resumed

Cause: traced with the daemons' logs, eight runs of TestKillsPausesAndWakes at once beside eight busy processes. An answer that broke off inside a frame was judged answer_mismatch, since a scanner returns the rest of a body as its last line; that gives the stream up at its engine. And a resume by ticket, which has no prompt, cancelled the stream when it was cut once more, so that each later resume found it unknown and ended as target_crashed. Ruled out: crashes of engines (none in the schedule), the retry budget, the answers of other requests. Change: a line without its end at the end of a body is a cut; a run without a prompt leaves the stream at its engine, for the caller to resume. Conclusion: mended.

--- a/serving/connection/targetapi/frames.go
+++ b/serving/connection/targetapi/frames.go
@@ -42,9 +42,10 @@
 	return reader
 }
 
-// split is bufio.ScanLines, and looks for the line after.
-func (r *frameReader) split(data []byte, atEOF bool) (int, []byte, error) {
-	advance, line, err := bufio.ScanLines(data, atEOF)
+// split is bufio.ScanLines, and looks for the line after. A line that has no
+// end at the end of the body was cut, and is dropped.
+func (r *frameReader) split(data []byte, _ bool) (int, []byte, error) {
+	advance, line, err := bufio.ScanLines(data, false)
 	r.buffered = bytes.IndexByte(data[advance:], '\n') >= 0
 	return advance, line, err
 }
--- a/serving/connection/targetapi/frames_test.go
+++ b/serving/connection/targetapi/frames_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"carobspoke.example/core/target"
+	"carobspoke.example/core/verdict"
 )
 
 // arrivals is a body whose reads return one piece each.
@@ -95,3 +96,15 @@
 		}
 	}
 }
+
+// TestCutInALine has an answer end in the middle of a frame: it was cut, which
+// leaves the stream to be resumed.
+func TestCutInALine(t *testing.T) {
+	r := reader("{\"a\":1,\"o\":0,\"t\":\"x\"}\n{\"a\":1,\"o\"")
+	if _, err := r.Next(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Next(); verdict.From(err).Reason != verdict.AnswerCut {
+		t.Fatalf("%v", err)
+	}
+}
--- a/serving/request/answer/answer_test.go
+++ b/serving/request/answer/answer_test.go
@@ -197,6 +197,30 @@
 	})
 }
 
+// TestCutResumeKeepsTheStream cuts the answer to a caller that resumes by its
+// ticket: the stream stays at its engine, and the next resume is whole.
+func TestCutResumeKeepsTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 0)
+		holder := f.engines[2]
+		holder.held, holder.cuts = true, 1
+		at := Placement{Target: "e2", Engine: holder, Release: func() {}}
+		submit := request()
+		submit.Prompt = ""
+		deps := newDeps(f, NewCrashes(time.Now, nil))
+		deps.Abandon = func(names.Target, targetapi.Engine, target.StreamID) { holder.held = false }
+		resume := func() (string, error) {
+			return collect(func(sink Sink) error { return Resume(t.Context(), deps, at, submit, sink) })
+		}
+		if _, err := resume(); verdict.From(err).Reason != verdict.AnswerCut {
+			t.Fatalf("%v", err)
+		}
+		if got, err := resume(); err != nil || got != whole() {
+			t.Fatalf("%q, %v", got, err)
+		}
+	})
+}
+
 func TestCallerGoneEndsTheRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(1, 0)
--- a/serving/request/answer/fake_test.go
+++ b/serving/request/answer/fake_test.go
@@ -24,9 +24,11 @@
 	faulty int
 	// crashing prompts kill the engine at the first frame.
 	crashing bool
-	held     bool
-	crashes  int
-	submits  int
+	// cuts is how many resumes are cut before their first frame.
+	cuts    int
+	held    bool
+	crashes int
+	submits int
 }
 
 func (e *engine) Submit(ctx context.Context, s target.Submit) (targetapi.Stream, error) {
@@ -45,6 +47,10 @@
 	if !e.held {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.StreamUnknown, "unknown")
 	}
+	if e.cuts > 0 {
+		e.cuts--
+		return &frames{ctx: ctx, engine: e, ended: true}, nil
+	}
 	return &frames{ctx: ctx, engine: e, attempt: attempt, next: from}, nil
 }
 
--- a/serving/request/answer/judge.go
+++ b/serving/request/answer/judge.go
@@ -25,6 +25,9 @@
 	case r.holds(failure):
 		r.resume = true
 		return failure
+	case r.submit.Prompt == "":
+		r.moveOn() // no other engine can continue it: the caller may resume it once more
+		return failure
 	default:
 		r.abandon()
 		r.moveOn()
