Place streams that have begun also while a daemon stops

A replica that reads a part of a prompt of 577,000 tokens sends nothing for about 1.5 s. The watchdog ended two streams there, at daemons that were stopping, and placement refused the next attempt because the answer would not end before the daemon does; the streams were cut. Beside it, streams were ended for silence when the budget held no repeat. Ruled out: the listener's time, cuts at the end of grace (2.3 s were left). Change: a request that may have run is placed whatever is predicted. An attempt whose answer has begun ends for silence only with a repeat taken from the budget.

--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -40,6 +40,9 @@
 	// Ends is when the daemon ends, from now; zero if it stays. The whole
 	// answer must be out by then.
 	Ends time.Duration
+	// Begun says that an earlier send may have run. Giving the request up
+	// would break off its answer, so that it is placed whatever is predicted.
+	Begun bool
 	// Patience is how long callers wait for the first event before they leave;
 	// zero if that is not known.
 	Patience time.Duration
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -27,6 +27,8 @@
 	watchdog *watchdog
 	placed   *Placed
 	exchange *upstream.Exchange
+	// toldHung is true once the board knows that the target is silent.
+	toldHung bool
 	// another is true if the address belongs to another target.
 	another bool
 	// atFault is the target that failed: the one asked, or a helper.
@@ -49,13 +51,34 @@
 	a := &attempt{request: q, placed: placed, atFault: placed.Decision.Target}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
-	id := placed.Decision.Target
-	a.watchdog = newWatchdog(a.limits(), func() bool { return a.relay.Board.Silent(id) }, func() { a.cancel(errHung) })
+	id, begun := placed.Decision.Target, a.begun
+	a.watchdog = newWatchdog(a.limits(), func() bool { return a.relay.Board.Silent(id) }, func(fed bool) bool { return a.hang(begun || fed) })
 	defer a.watchdog.stop()
 	if holdsMemory(helpers) {
 		go a.probe()
 	}
-	return a.judge(a.run(helpers))
+	err = a.run(helpers)
+	a.watchdog.stop() // so that it no longer decides
+	return a.judge(err)
+}
+
+// hang ends an attempt whose target stays silent. An answer that has begun would
+// be broken off if no other attempt followed; it is left to go on.
+func (a *attempt) hang(begun bool) bool {
+	failure := verdict.New(verdict.MayHaveRun, verdict.TargetFailed, "the target was silent for too long")
+	d := a.decide(failure, a.ran+1)
+	if !a.toldHung {
+		a.toldHung = true
+		a.relay.Board.Failed(a.placed.Decision.Target, failure.Reason)
+		a.relay.Log.Info("target hangs", zap.String("request", a.facts.ID), zap.String("target", string(a.placed.Decision.Target)),
+			zap.String("outcome", string(d.Outcome)))
+	}
+	if begun && !d.Retry() {
+		return false
+	}
+	a.whenHung = &d
+	a.cancel(errHung)
+	return true
 }
 
 func (a *attempt) run(helpers []HelperAddress) error {
@@ -154,7 +177,9 @@
 		a.relay.Board.Unreachable(id)
 	case failure.Reason == verdict.TargetRefused || failure.Reason == verdict.SpanUnavailable:
 	default:
-		a.relay.Board.Failed(id, failure.Reason)
+		if !a.toldHung {
+			a.relay.Board.Failed(id, failure.Reason)
+		}
 		if failure.Reason == verdict.AnswerCut {
 			a.relay.Crashes.Broke(a.digest, a.standing)
 		}
--- a/serving/request/relay/fake_test.go
+++ b/serving/request/relay/fake_test.go
@@ -86,7 +86,9 @@
 	broke     int
 	standing  crash.Standing
 	silent    bool
-	helpers   []placement.Helper
+	// stopping refuses all but the first request that has not begun.
+	stopping bool
+	helpers  []placement.Helper
 }
 
 type fakeTarget struct {
@@ -100,6 +102,9 @@
 	if b.refusal != nil {
 		return nil, b.refusal
 	}
+	if b.stopping && b.begun > 0 && !r.Begun {
+		return nil, verdict.New(verdict.NotRun, verdict.DaemonDraining, "stopping")
+	}
 	for _, t := range b.targets {
 		excluded := false
 		for _, e := range r.Exclude {
@@ -194,11 +199,12 @@
 	routes  []routing.Route
 	recent  bool
 	leaving time.Duration
+	budget  *retry.Budget
 }
 
 func newFixture(t *testing.T, targets ...*fakeServer) *fixture {
 	t.Helper()
-	f := &fixture{t: t, board: &fakeBoard{predicted: 10 * time.Millisecond}, recent: true}
+	f := &fixture{t: t, board: &fakeBoard{predicted: 10 * time.Millisecond}, recent: true, budget: retry.NewBudget(0)}
 	for i, s := range targets {
 		f.board.targets = append(f.board.targets, fakeTarget{id: names.Target(rune('a' + i)), address: s.listener.Addr().String()})
 	}
@@ -229,7 +235,7 @@
 		f.t.Fatal(err)
 	}
 	f.relay = New(Deps{
-		Codec: fakeCodec{}, Board: f.board, Crashes: f.board, Budget: fakeBudget{budget: retry.NewBudget(0)},
+		Codec: fakeCodec{}, Board: f.board, Crashes: f.board, Budget: fakeBudget{budget: f.budget},
 		Pool: upstream.NewPool(), Reserver: &fakeReserver{}, Observer: fakeObserver{},
 		Table:    func() (*routing.Table, bool) { return table, f.recent },
 		Leaving:  func() (time.Duration, bool) { return f.leaving, f.leaving > 0 },
--- a/serving/request/relay/place.go
+++ b/serving/request/relay/place.go
@@ -24,6 +24,7 @@
 		GapTarget:     q.route.GapTarget,
 		Left:          left,
 		Ends:          ends,
+		Begun:         q.ran > 0,
 		Patience:      patienceOf(q.route),
 		Rank:          q.rank(),
 		Exclude:       q.exclude,
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -139,6 +139,9 @@
 	// ran counts the sends that may have run, sends all.
 	ran, sends int
 	exclude    []names.Target
+	// whenHung is the decision that ended a silent attempt; a repeat is
+	// already taken from the budget.
+	whenHung *retry.Decision
 	// begun is true once a part of the answer has gone to the caller.
 	begun      bool
 	firstEvent time.Time
@@ -279,14 +282,7 @@
 	if !retry.Mendable(failure.Reason) || failure.Reason == verdict.NoTarget {
 		return failure.WithVerdict(q.verdict)
 	}
-	attempts := max(q.route.MaxAttempts, 1)
-	made := q.ran
-	if q.sends > q.ran+maxRefused {
-		made = attempts
-	}
-	d := q.relay.Budget.Decide(q.service.Name, policy(attempts), retry.Attempt{
-		Made: made, Begun: q.ran > 0, Failure: failure.WithRetryAfter(0), Idempotent: q.route.Repeatable(), Deadline: q.deadline,
-	})
+	d := q.decided(failure)
 	q.relay.Log.Info("attempt failed", zap.String("request", q.facts.ID), zap.String("reason", string(failure.Reason)),
 		zap.String("verdict", failure.Verdict.String()), zap.Int("sends", q.sends), zap.Int("ran", q.ran),
 		zap.String("outcome", string(d.Outcome)), zap.Duration("wait", d.Wait), cause(failure))
@@ -304,6 +300,28 @@
 	}
 }
 
+// decided returns what was decided about a failed attempt when it was ended, or
+// decides now.
+func (q *request) decided(failure *verdict.Error) retry.Decision {
+	if d := q.whenHung; d != nil {
+		q.whenHung = nil
+		return *d
+	}
+	made := q.ran
+	if q.sends > q.ran+maxRefused {
+		made = q.attempts()
+	}
+	return q.decide(failure, made)
+}
+
+func (q *request) decide(failure *verdict.Error, made int) retry.Decision {
+	return q.relay.Budget.Decide(q.service.Name, policy(q.attempts()), retry.Attempt{
+		Made: made, Begun: made > 0, Failure: failure.WithRetryAfter(0), Idempotent: q.route.Repeatable(), Deadline: q.deadline,
+	})
+}
+
+func (q *request) attempts() int { return max(q.route.MaxAttempts, 1) }
+
 // maxRefused is how many refusals by targets one request may meet.
 const maxRefused = 2
 
--- a/serving/request/relay/relay_test.go
+++ b/serving/request/relay/relay_test.go
@@ -197,6 +197,30 @@
 	}
 }
 
+// TestSilenceDoesNotEndAnAttemptThatNoneMayFollow has a route that allows more
+// attempts, and a budget that is spent.
+func TestSilenceDoesNotEndAnAttemptThatNoneMayFollow(t *testing.T) {
+	pauses := newServer(t, func(conn net.Conn, r *http.Request, _ int) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		chunk(conn, "id: 0\n\n")
+		time.Sleep(patienceLeast + 300*time.Millisecond)
+		chunk(conn, "id: 1\n\n")
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	})
+	f := newFixture(t, pauses, newServer(t, streams(1, 1, true)))
+	for f.budget.Take() { //nolint:revive // until it is spent
+	}
+	f.routes[2].Timeout = 10 * time.Second
+	f.build()
+	_, body, err := f.call("/stream/x", nil)
+	if err != nil || body != "id: 0\n\nid: 1\n\n" {
+		t.Fatalf("%v %q", err, body)
+	}
+	if len(f.board.failed) != 1 {
+		t.Fatalf("the board was told %d times that the target hangs", len(f.board.failed))
+	}
+}
+
 func TestWorkEndsWhenTheCallerLeaves(t *testing.T) {
 	ended := make(chan struct{})
 	s := newServer(t, func(conn net.Conn, r *http.Request, _ int) {
@@ -350,7 +374,7 @@
 }
 
 // TestAStreamOfASilentTargetIsResumedBeforeItsCallerLeaves lets a target say
-// nothing after two events.
+// nothing after two events, at a daemon that stops.
 func TestAStreamOfASilentTargetIsResumedBeforeItsCallerLeaves(t *testing.T) {
 	silent := newServer(t, func(conn net.Conn, r *http.Request, _ int) {
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
@@ -358,7 +382,7 @@
 		_, _ = conn.Read(make([]byte, 1))
 	})
 	f := newFixture(t, silent, newServer(t, streams(2, 3, true)))
-	f.board.silent = true
+	f.board.silent, f.board.stopping = true, true
 	f.routes[2].Timeout = 10 * time.Second
 	f.build()
 	began := time.Now()
--- a/serving/request/relay/watchdog.go
+++ b/serving/request/relay/watchdog.go
@@ -19,17 +19,20 @@
 // are safe for concurrent use.
 type watchdog struct {
 	silent func() bool // of the target altogether
-	bark   func()
+	// end ends the attempt, or returns false if it has to go on. It is told
+	// whether an event has come.
+	end func(fed bool) bool
 
 	mu     sync.Mutex
 	timer  *time.Timer
 	since  time.Time
 	limits limits
+	fed    bool
 	off    bool
 }
 
-func newWatchdog(l limits, silent func() bool, bark func()) *watchdog {
-	w := &watchdog{silent: silent, bark: bark, since: time.Now(), limits: l}
+func newWatchdog(l limits, silent func() bool, end func(fed bool) bool) *watchdog {
+	w := &watchdog{silent: silent, end: end, since: time.Now(), limits: l}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(min(l.silent, l.stalled), w.look)
@@ -43,7 +46,7 @@
 	if w.off {
 		return
 	}
-	w.since, w.limits = time.Now(), l
+	w.since, w.limits, w.fed = time.Now(), l, true
 	w.timer.Reset(min(l.silent, l.stalled))
 }
 
@@ -63,8 +66,9 @@
 	switch {
 	case w.off:
 	case waited >= w.limits.stalled, waited >= w.limits.silent && silent:
-		w.off = true
-		w.bark()
+		if w.off = w.end(w.fed); !w.off {
+			w.timer.Reset(watchdogPoll)
+		}
 	case waited < w.limits.silent:
 		w.timer.Reset(w.limits.silent - waited)
 	default:
--- a/serving/request/relay/watchdog_test.go
+++ b/serving/request/relay/watchdog_test.go
@@ -22,7 +22,11 @@
 		synctest.Test(t, func(t *testing.T) {
 			began := time.Now()
 			barked := make(chan time.Duration, 1)
-			w := newWatchdog(l, func() bool { return c.silent(time.Since(began)) }, func() { barked <- time.Since(began) })
+			end := func(bool) bool {
+				barked <- time.Since(began)
+				return true
+			}
+			w := newWatchdog(l, func() bool { return c.silent(time.Since(began)) }, end)
 			defer w.stop()
 			if got := <-barked; got != c.want {
 				t.Errorf("%s: ended after %s, want %s", c.name, got, c.want)
@@ -35,7 +39,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var barks atomic.Int64
 		l := limits{silent: time.Second, stalled: 3 * time.Second}
-		w := newWatchdog(l, func() bool { return true }, func() { barks.Add(1) })
+		w := newWatchdog(l, func() bool { return true }, func(bool) bool { return barks.Add(1) > 0 })
 		for range 20 {
 			time.Sleep(900 * time.Millisecond)
 			w.feed(l)
@@ -48,3 +52,23 @@
 		}
 	})
 }
+
+// TestAnAttemptThatMustGoOnIsLookedAtAgain has no retry to spare at first.
+func TestAnAttemptThatMustGoOnIsLookedAtAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		ended := make(chan time.Duration, 1)
+		end := func(bool) bool {
+			if time.Since(began) < 2*time.Second {
+				return false
+			}
+			ended <- time.Since(began)
+			return true
+		}
+		w := newWatchdog(limits{silent: time.Second, stalled: time.Second}, func() bool { return true }, end)
+		defer w.stop()
+		if got := <-ended; got < 2*time.Second || got > 2*time.Second+watchdogPoll {
+			t.Fatalf("ended after %s", got)
+		}
+	})
+}
