--- a/core/process/replicas/replicas.go
+++ b/core/process/replicas/replicas.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -44,6 +45,8 @@
 	// list cannot be trusted to miss only what is gone.
 	away  bool
 	until time.Time
+	// since is when the publisher first answered.
+	since time.Time
 }
 
 type held struct {
@@ -97,6 +100,9 @@
 
 // Back tells that the publisher answers again.
 func (d *Directory) Back(now time.Time) {
+	if d.since.IsZero() {
+		d.since = now
+	}
 	if d.away {
 		d.away = false
 		d.until = now.Add(Return)
@@ -109,14 +115,22 @@
 	if d.doubtful(now) {
 		return false
 	}
-	dropped := false
-	for id, entry := range d.entries {
-		if entry.missing {
-			delete(d.entries, id)
-			dropped = true
-		}
-	}
-	return dropped
+	return d.Settle()
+}
+
+// Settled reports whether the targets that are not listed are gone. A directory
+// that has just been started cannot say so: there may have been an outage that
+// it does not know of.
+func (d *Directory) Settled(now time.Time) bool {
+	return !d.doubtful(now) && !d.since.IsZero() && now.Sub(d.since) >= Return
+}
+
+// Settle drops the entries that are missing, on the word of a directory that is
+// settled and knows the same or more, and reports whether any was dropped.
+func (d *Directory) Settle() bool {
+	before := len(d.entries)
+	maps.DeleteFunc(d.entries, func(_ names.Target, entry *held) bool { return entry.missing })
+	return len(d.entries) < before
 }
 
 func (d *Directory) doubtful(now time.Time) bool {
--- a/core/process/replicas/replicas_test.go
+++ b/core/process/replicas/replicas_test.go
@@ -90,3 +90,22 @@
 	d.Replace([]Target{entry("kept", 3)}, 5, at(0))
 	want(t, d, "kept", "new")
 }
+
+func TestADirectoryIsSettledOnlyWhenItKnowsOfNoOutage(t *testing.T) {
+	d := New()
+	if d.Settled(at(time.Hour)) {
+		t.Fatal("settled before the publisher answered")
+	}
+	d.Back(at(0))
+	if d.Settled(at(Return-1)) || !d.Settled(at(Return)) {
+		t.Fatal("a directory that was just started vouches for what it lacks")
+	}
+	d.Away()
+	if d.Settled(at(time.Minute)) {
+		t.Fatal("settled in an outage")
+	}
+	d.Back(at(time.Minute))
+	if d.Settled(at(time.Minute+Return-1)) || !d.Settled(at(time.Minute+Return)) {
+		t.Fatal("settled at the wrong time after an outage")
+	}
+}
--- a/serving/process/edge/watchers.go
+++ b/serving/process/edge/watchers.go
@@ -91,6 +91,6 @@
 				to = append(to, netip.AddrPortFrom(address.Addr(), d.Settings.SharePort))
 			}
 		}
-		d.sharing.Beat(to, d.follower.Revision(), d.follower.Age())
+		d.sharing.Beat(to, d.follower.Revision(), d.follower.Age(), d.follower.Settled())
 	}
 }
--- a/serving/process/published/apply.go
+++ b/serving/process/published/apply.go
@@ -17,15 +17,15 @@
 func (f *Follower) Records(after uint64) Batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	revision := f.revision.Load()
+	revision, settled := f.revision.Load(), f.directory.Settled(time.Now())
 	if revision <= after {
-		return Batch{Revision: revision}
+		return Batch{Revision: revision, Settled: settled}
 	}
 	if after >= f.floor {
 		from, _ := slices.BinarySearchFunc(f.changes, after+1, func(r Record, at uint64) int { return cmp.Compare(r.Revision, at) })
-		return Batch{Records: slices.Clone(f.changes[from:]), Revision: revision}
+		return Batch{Records: slices.Clone(f.changes[from:]), Revision: revision, Settled: settled}
 	}
-	return Batch{Records: slices.Collect(maps.Values(f.records)), Revision: revision, Whole: true}
+	return Batch{Records: slices.Collect(maps.Values(f.records)), Revision: revision, Whole: true, Settled: settled}
 }
 
 // apply takes in a batch unless it is older than what is known.
@@ -48,6 +48,9 @@
 	if !b.Whole {
 		f.keep(b.Records, known)
 	}
+	if b.Settled {
+		f.directory.Settle()
+	}
 	f.revision.Store(b.Revision)
 	f.publish()
 	f.log.Info("published records taken in", zap.String("from", from), zap.Uint64("revision", b.Revision),
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -151,6 +151,23 @@
 	return *watcher
 }
 
+// Settled reports whether the targets that are not listed are gone.
+func (f *Follower) Settled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.directory.Settled(time.Now())
+}
+
+// settle drops targets that are missing, on the word of a peer.
+func (f *Follower) settle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.directory.Settle() {
+		f.log.Info("missing targets were dropped, a watcher says that they are gone", zap.Uint64("revision", f.Revision()))
+		f.publish()
+	}
+}
+
 func (f *Follower) expire(ctx context.Context) {
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
--- a/serving/process/published/peers.go
+++ b/serving/process/published/peers.go
@@ -47,7 +47,7 @@
 // Read implements peerpb.PublicationsServer.
 func (s *Server) Read(_ context.Context, r *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
 	batch := s.Records(r.GetAfter())
-	reply := &peerpb.PublishedReply{Revision: batch.Revision, Whole: batch.Whole}
+	reply := &peerpb.PublishedReply{Revision: batch.Revision, Whole: batch.Whole, Settled: batch.Settled}
 	for i := range batch.Records {
 		record, err := s.pack(&batch.Records[i])
 		if err != nil {
@@ -130,7 +130,7 @@
 		c.Pool.Forget(from)
 		return Batch{}, errors.Wrapf(err, "peer %s", from)
 	}
-	batch := Batch{Revision: reply.GetRevision(), Whole: reply.GetWhole()}
+	batch := Batch{Revision: reply.GetRevision(), Whole: reply.GetWhole(), Settled: reply.GetSettled()}
 	for _, r := range reply.GetRecords() {
 		if r.GetPacked() {
 			if r.Value, err = uncompress(r.GetValue()); err != nil {
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -73,6 +73,9 @@
 	Revision uint64
 	// Whole says that Records is all there is.
 	Whole bool
+	// Settled says that targets that the batch removes are gone. A source
+	// cannot tell: entries lapse while it is away.
+	Settled bool
 }
 
 // ErrForgotten says that a source no longer has the changes since a revision.
@@ -190,9 +193,10 @@
 	}
 }
 
-// Heard takes in the beat of a watcher: the newest revision it knows and how
-// long ago the source confirmed it.
-func (f *Follower) Heard(from names.Host, revision uint64, confirmed time.Duration) {
+// Heard takes in the beat of a watcher: the newest revision it knows, how long
+// ago the source confirmed it, and whether the targets it does not list are
+// gone.
+func (f *Follower) Heard(from names.Host, revision uint64, confirmed time.Duration, settled bool) {
 	if confirmed > Recent {
 		return
 	}
@@ -204,6 +208,9 @@
 		return
 	}
 	f.regained(now)
+	if settled && revision == f.revision.Load() {
+		f.settle()
+	}
 	at := now.Add(-confirmed).UnixNano()
 	for known := f.confirmed.Load(); at > known && !f.confirmed.CompareAndSwap(known, at); {
 		known = f.confirmed.Load()
--- a/serving/process/published/published_test.go
+++ b/serving/process/published/published_test.go
@@ -316,7 +316,7 @@
 	listener := New(own, fakeDecoder{}, &fakePeers{of: watcher}, zap.NewNop(), func(uint64) {}, func() bool { return false })
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	listener.Heard("watcher", watcher.Revision(), 0)
+	listener.Heard("watcher", watcher.Revision(), 0, false)
 	go func() {
 		defer close(done)
 		listener.Run(ctx)
@@ -325,7 +325,7 @@
 		cancel()
 		<-done
 	}()
-	beat := func() { listener.Heard("watcher", watcher.Revision(), watcher.Age()) }
+	beat := func() { listener.Heard("watcher", watcher.Revision(), watcher.Age(), false) }
 	s.put("config", "vv")
 	s.put("target/b", "ready")
 	s.put("target/a", "")
@@ -358,11 +358,11 @@
 // TestABeatWithoutConfirmationIsNoBeat is a watcher that the source turns away.
 func TestABeatWithoutConfirmationIsNoBeat(t *testing.T) {
 	f := New(newSource(), fakeDecoder{}, &fakePeers{}, zap.NewNop(), func(uint64) {}, func() bool { return false })
-	f.Heard("watcher", 0, Recent+time.Second)
+	f.Heard("watcher", 0, Recent+time.Second, false)
 	if !f.alone() {
 		t.Fatal("a watcher that is cut off counts")
 	}
-	f.Heard("watcher", 0, 0)
+	f.Heard("watcher", 0, 0, false)
 	if f.alone() || !f.Recent() {
 		t.Fatal("a watcher's beat does not count")
 	}
@@ -415,7 +415,7 @@
 	s.put("config", "v")
 	f := followAs(t, s, &fakePeers{}, false)
 	eventually(t, "version 1", func() bool { return version(f) == 1 })
-	f.Heard("watcher", f.Revision(), 0)
+	f.Heard("watcher", f.Revision(), 0, false)
 	s.put("config", "vvv")
 	began := time.Now()
 	f.Told(f.Revision()+1, "watcher")
@@ -444,10 +444,10 @@
 		defer f.mu.Unlock()
 		return f.lost
 	})
-	f.Heard("watcher", f.Revision(), 0)
+	f.Heard("watcher", f.Revision(), 0, false)
 	until := time.Now().Add(replicas.Return + 100*time.Millisecond)
 	for time.Now().Before(until) {
-		f.Heard("watcher", f.Revision(), 0)
+		f.Heard("watcher", f.Revision(), 0, false)
 		time.Sleep(50 * time.Millisecond)
 	}
 	f.apply(Batch{Revision: 50, Records: []Record{{Key: "target/a", Revision: 50, Deleted: true}}}, "peer")
@@ -472,10 +472,36 @@
 			t.Fatal("not late though nothing came")
 		}
 	}
-	f.Heard("beating", 1, 0)
+	f.Heard("beating", 1, 0, false)
 	f.readPeer(t.Context())
 	f.readPeer(t.Context())
 	if p.asked[0] != "beating" || p.asked[1] != "" {
 		t.Fatalf("asked %q: first who beats, then any", p.asked)
 	}
 }
+
+// TestAnEntryThatPeersKnowToBeGoneIsDropped cuts a daemon off from the source,
+// and lets a target leave: the daemon's own doubt must not keep it, whether it
+// hears of it by the changes or by a beat.
+func TestAnEntryThatPeersKnowToBeGoneIsDropped(t *testing.T) {
+	leave := Batch{Records: []Record{{Key: "target/a", Revision: 9, Deleted: true}}, Revision: 9}
+	for _, settled := range []bool{false, true} {
+		f := New(newSource(), fakeDecoder{}, &fakePeers{}, zap.NewNop(), func(uint64) {}, func() bool { return false })
+		f.apply(Batch{Records: []Record{{Key: "target/a", Value: []byte("x"), Revision: 8}}, Revision: 8}, "source")
+		f.away(t.Context(), errors.New("cut off"))
+		leave.Settled = settled
+		f.apply(leave, "peer")
+		if kept := len(f.directory.List()) == 1; kept == settled {
+			t.Errorf("changes of a peer that is settled (%t): the target is kept: %t", settled, kept)
+		}
+		f.Heard("watcher", 8, 0, true) // it does not know of the change
+		f.Heard("watcher", 9, 0, false)
+		if kept := len(f.directory.List()) == 1; kept == settled {
+			t.Errorf("after beats that prove nothing, settled (%t): the target is kept: %t", settled, kept)
+		}
+		f.Heard("watcher", 9, 0, true)
+		if len(f.directory.List()) != 0 {
+			t.Error("the target is kept after a beat of a watcher that is settled")
+		}
+	}
+}
--- a/serving/process/sharing/sharing.go
+++ b/serving/process/sharing/sharing.go
@@ -38,7 +38,7 @@
 	FirstEvent(k inflight.Key)
 	End(k inflight.Key)
 	// Heard takes in the beat of a daemon that watches what is published.
-	Heard(from names.Host, revision uint64, confirmed time.Duration)
+	Heard(from names.Host, revision uint64, confirmed time.Duration, settled bool)
 }
 
 // Config is what a Sharing is made of.
@@ -104,11 +104,13 @@
 }
 
 // Beat tells some peers the newest published revision that this daemon knows,
-// and how long ago the source confirmed it.
-func (s *Sharing) Beat(peers []netip.AddrPort, revision uint64, confirmed time.Duration) {
+// how long ago the source confirmed it, and whether the targets that it does not
+// list are gone.
+func (s *Sharing) Beat(peers []netip.AddrPort, revision uint64, confirmed time.Duration, settled bool) {
 	batch := s.empty()
 	batch.Revision = revision
 	batch.ConfirmedMs = uint32(confirmed.Milliseconds())
+	batch.Settled = settled
 	s.sendTo(peers, batch)
 }
 
@@ -233,7 +235,7 @@
 		s.config.Sink.Begin(d)
 	}
 	if b.GetRevision() > 0 {
-		s.config.Sink.Heard(key.Host, b.GetRevision(), time.Duration(b.GetConfirmedMs())*time.Millisecond)
+		s.config.Sink.Heard(key.Host, b.GetRevision(), time.Duration(b.GetConfirmedMs())*time.Millisecond, b.GetSettled())
 	}
 	for _, number := range b.GetRead() {
 		key.Number = number
--- a/serving/process/sharing/sharing_test.go
+++ b/serving/process/sharing/sharing_test.go
@@ -20,6 +20,7 @@
 
 	revision  uint64
 	confirmed time.Duration
+	settled   bool
 }
 
 func (s *sink) Begin(d inflight.Dispatch) {
@@ -40,10 +41,10 @@
 	s.table.End(k, time.Now())
 }
 
-func (s *sink) Heard(_ names.Host, revision uint64, confirmed time.Duration) {
+func (s *sink) Heard(_ names.Host, revision uint64, confirmed time.Duration, settled bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision, s.confirmed = revision, confirmed
+	s.revision, s.confirmed, s.settled = revision, confirmed, settled
 }
 
 func (s *sink) at(id names.Target) inflight.Load {
@@ -107,11 +108,11 @@
 	}
 	from.FirstEvent(3)
 	eventually(t, "the first event", func() bool { return learned.at("x").Backlog == 0 })
-	from.Beat(toB, 77, 90*time.Millisecond)
+	from.Beat(toB, 77, 90*time.Millisecond, true)
 	eventually(t, "the beat", func() bool {
 		learned.mu.Lock()
 		defer learned.mu.Unlock()
-		return learned.revision == 77 && learned.confirmed == 90*time.Millisecond
+		return learned.revision == 77 && learned.confirmed == 90*time.Millisecond && learned.settled
 	})
 	from.Ended(3)
 	eventually(t, "the end", func() bool { return learned.at("x") == inflight.Load{} })
