Enforce the published limits of headers and of connections

Cause: the limits of a header's size and time were fixed at 64 KB and 5 s, so that a configuration with higher ones would have refused proper callers and one with lower ones was not kept; a service's bound on connections was decoded and not used. With 77 daemons the idle connections alone could be four times the bound. Ruled out: http.Server's own limits, which cannot change while it runs. Change: a header over the published size is refused with a reason of its own, one that does not come in time ends its connection, and each daemon keeps its share of a target's connections idle. The server's own limits are ceilings.

--- a/core/verdict/reason.go
+++ b/core/verdict/reason.go
@@ -8,6 +8,7 @@
 const (
 	BadRequest        Reason = "bad_request"
 	BodyTooLarge      Reason = "body_too_large"
+	HeaderTooLarge    Reason = "header_too_large"
 	Unauthenticated   Reason = "unauthenticated"
 	NotAllowed        Reason = "not_allowed"
 	UnknownModel      Reason = "unknown_model"
@@ -49,7 +50,7 @@
 // Reasons returns every reason, in the order of their declaration.
 func Reasons() []Reason {
 	return []Reason{
-		BadRequest, BodyTooLarge, Unauthenticated, NotAllowed, UnknownModel,
+		BadRequest, BodyTooLarge, HeaderTooLarge, Unauthenticated, NotAllowed, UnknownModel,
 		UnknownService, PromptTooLong, DeadlineTooShort, Overloaded, QueueFull,
 		QuotaExceeded, NoTarget, TargetLeaving, DaemonDraining, NotReady,
 		CrashSuspect, TicketInvalid, TicketExpired, TicketOwnerGone, TicketUsed,
--- a/serving/connection/upstream/pool.go
+++ b/serving/connection/upstream/pool.go
@@ -11,8 +11,24 @@
 // maxIdle bounds the idle connections to one target.
 const maxIdle = 16
 
+// idleShare is the part of a target's connections that may idle; the rest is
+// left to requests under way.
+const idleShare = 0.5
+
+// IdleShare returns how many connections to a target one of several daemons may
+// keep idle, if the target takes most from all of them; zero is no bound.
+func IdleShare(most, daemons int) int {
+	if most <= 0 {
+		return maxIdle
+	}
+	return min(max(int(idleShare*float64(most))/max(daemons, 1), 1), maxIdle)
+}
+
 // Pool keeps idle connections by target. It is safe for concurrent use.
 type Pool struct {
+	// MostIdle bounds the idle connections to a target; nil means maxIdle.
+	MostIdle func(names.Target) int
+
 	mu   sync.Mutex
 	idle map[names.Target][]*Conn
 	// opened counts connections, for metrics.
@@ -63,9 +79,13 @@
 }
 
 func (p *Pool) put(id names.Target, conn *Conn) {
+	most := maxIdle
+	if p.MostIdle != nil {
+		most = p.MostIdle(id)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[id]) >= maxIdle {
+	if len(p.idle[id]) >= most {
 		_ = conn.Close() // enough are idle
 		return
 	}
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -59,7 +59,7 @@
 	ready      *http.Server
 	metricsSrv *http.Server
 	peerServer *grpc.Server
-	idle       *idleConns
+	conns      *callerConns
 	listeners  []net.Listener
 
 	stopAt atomic.Int64 // Unix nanoseconds of the end, zero while serving
@@ -81,8 +81,9 @@
 		started:     time.Now(),
 		targets:     upstream.NewPool(),
 		pool:        peers.NewPool(nil, noStats{}, nil),
-		idle:        newIdleConns(),
+		conns:       newCallerConns(),
 	}
+	d.targets.MostIdle = d.mostIdle
 	d.metrics = newMetrics(d)
 	if err := d.buildPeers(); err != nil {
 		return nil, err
@@ -149,7 +150,7 @@
 		Handler:           d.counted(handler),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         d.idle.changed,
+		ConnState:         d.conns.changed,
 		ErrorLog:          zap.NewStdLog(d.Log.Named("http")),
 	}
 	readyMux := http.NewServeMux()
@@ -163,10 +164,11 @@
 // Limits of the callers' interface that hold before a configuration is known
 // or whatever it says.
 const (
-	// headerTimeout bounds the reading of a header.
-	headerTimeout = 5 * time.Second
-	// maxHeaderBytes bounds a header; published limits are lower.
-	maxHeaderBytes = 64 << 10
+	// headerTimeout bounds the reading of a header, beyond any published limit.
+	headerTimeout = 30 * time.Second
+	// maxHeaderBytes bounds what a header may hold in memory, beyond any
+	// published limit.
+	maxHeaderBytes = 256 << 10
 )
 
 func (d *Daemon) listen() error {
@@ -236,7 +238,7 @@
 			d.board.Sweep(d.listed, now)
 			d.targets.Sweep(d.listed, now)
 			if view := d.follower.View(); view != nil {
-				d.idle.sweep(view.Table.Limits.IdleTimeout, now)
+				d.conns.sweep(&view.Table.Limits, now)
 			}
 		}
 	}
--- a/serving/process/edge/knowledge.go
+++ b/serving/process/edge/knowledge.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -8,29 +9,40 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/version/routing"
+	"carobspoke.example/serving/connection/upstream"
+	"carobspoke.example/serving/process/published"
 )
 
+// listed reports whether a target is published; before the first list all are
+// taken for it.
 func (d *Daemon) listed(id names.Target) bool {
 	view := d.follower.View()
-	if view == nil {
-		return true
-	}
-	for _, list := range view.Targets {
-		_, found := slices.BinarySearchFunc(list, id, func(t replicas.Target, id names.Target) int {
-			switch {
-			case t.ID < id:
-				return -1
-			case t.ID > id:
-				return 1
-			default:
-				return 0
-			}
-		})
+	return view == nil || serviceOf(view, id) != nil
+}
+
+// serviceOf returns the service of a published target, or nil.
+func serviceOf(view *published.View, id names.Target) *routing.Service {
+	for name, list := range view.Targets {
+		_, found := slices.BinarySearchFunc(list, id, func(t replicas.Target, id names.Target) int { return cmp.Compare(t.ID, id) })
 		if found {
-			return true
+			if service := view.Table.Service(name); service != nil {
+				return service
+			}
+			return &routing.Service{Name: name}
+		}
+	}
+	return nil
+}
+
+// mostIdle returns how many connections to a target may idle here.
+func (d *Daemon) mostIdle(id names.Target) int {
+	most := 0
+	if view := d.follower.View(); view != nil {
+		if service := serviceOf(view, id); service != nil {
+			most = service.MaxConnections
 		}
 	}
-	return false
+	return upstream.IdleShare(most, len(d.members.Live()))
 }
 
 func (d *Daemon) table() (*routing.Table, bool) {
--- a/serving/request/failure/status.go
+++ b/serving/request/failure/status.go
@@ -10,6 +10,7 @@
 var statuses = map[verdict.Reason]int{
 	verdict.BadRequest:       http.StatusBadRequest,
 	verdict.BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	verdict.HeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
 	verdict.Unauthenticated:  http.StatusUnauthorized,
 	verdict.NotAllowed:       http.StatusForbidden,
 	verdict.UnknownModel:     http.StatusNotFound,
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -166,6 +166,9 @@
 		return verdict.New(verdict.NotRun, verdict.NotReady, "no configuration is in force yet").WithRetryAfter(q.relay.ComeBack())
 	}
 	q.table = table
+	if limit := table.Limits.HeaderBytes; limit > 0 && headerSize(q.r) > limit {
+		return verdict.New(verdict.NotRun, verdict.HeaderTooLarge, "the header is over the limit")
+	}
 	if err := q.authorise(); err != nil {
 		if !recent {
 			return verdict.Wrap(err, verdict.NotRun, verdict.NotReady, "the configuration in force may be outdated").WithRetryAfter(q.relay.ComeBack())
@@ -183,6 +186,20 @@
 	return q.checkCrashes()
 }
 
+// headerSize returns the size of a header on the wire, in bytes, without the
+// white space that a caller may have put in.
+func headerSize(r *http.Request) int {
+	const lineEnd, colon = 2, 2
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + 2 + lineEnd
+	size += len("Host") + colon + len(r.Host) + lineEnd
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + colon + len(value) + lineEnd
+		}
+	}
+	return size + lineEnd
+}
+
 func (q *request) authorise() error {
 	host := q.r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/tools/load/caller/gateway.go
+++ b/tools/load/caller/gateway.go
@@ -86,7 +86,7 @@
 // permanent reports whether a reason will be the same for another send.
 func permanent(r verdict.Reason) bool {
 	switch r {
-	case verdict.BadRequest, verdict.BodyTooLarge, verdict.Unauthenticated, verdict.NotAllowed,
+	case verdict.BadRequest, verdict.BodyTooLarge, verdict.HeaderTooLarge, verdict.Unauthenticated, verdict.NotAllowed,
 		verdict.UnknownModel, verdict.UnknownService, verdict.PromptTooLong, verdict.DeadlineTooShort,
 		verdict.DeadlineExceeded, verdict.CrashSuspect, verdict.TicketInvalid, verdict.TicketExpired,
 		verdict.TicketOwnerGone, verdict.TicketUsed, verdict.KeyRequired:
