Release memory that a hanging target does not use

The watchdog's limit follows twice the prediction and the callers' patience, and the probe believed the report. Ruled out: late orders (the reservations were renewed by us), a daemon's death. Change: an attempt for which memory is set aside ends without a first event after 8 s, or 1.3 times its prediction if that is longer.

--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -52,7 +52,11 @@
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
 	id, begun := placed.Decision.Target, a.begun
-	a.watchdog = newWatchdog(a.limits(), func() bool { return a.relay.Board.Silent(id) }, func(fed bool) bool { return a.hang(begun || fed) })
+	wait := a.limits()
+	if holdsMemory(helpers) {
+		wait = wait.holding(placed.Decision.FirstEvent)
+	}
+	a.watchdog = newWatchdog(wait, func() bool { return a.relay.Board.Silent(id) }, func(fed bool) bool { return a.hang(begun || fed) })
 	defer a.watchdog.stop()
 	if holdsMemory(helpers) {
 		go a.probe()
--- a/serving/request/relay/patience.go
+++ b/serving/request/relay/patience.go
@@ -20,6 +20,13 @@
 	// which one of a target that answers others is.
 	silentShare = 0.7
 	stallShare  = 0.85
+	// unusedMost is how long memory that is set aside for a request may wait
+	// for its first event: the users allow 9 s without use, and a target that
+	// hangs and reports that it is well is known by nothing else.
+	unusedMost = 8 * time.Second
+	// unusedFactor is how many times its prediction the first event may take
+	// if that is longer.
+	unusedFactor = 1.3
 	// lastAnswer is how long before the daemon's end an answer must be
 	// whole.
 	lastAnswer = 300 * time.Millisecond
@@ -58,6 +65,13 @@
 	}
 }
 
+// holding returns the limits of the first event of a request for which memory is
+// set aside.
+func (l limits) holding(predicted time.Duration) limits {
+	most := max(unusedMost, time.Duration(unusedFactor*float64(predicted)))
+	return limits{silent: min(l.silent, most), stalled: min(l.stalled, most)}
+}
+
 // gapLimits returns how long the next event may take.
 func gapLimits(r *routing.Route) limits {
 	patience := float64(patienceOf(r))
--- a/serving/request/relay/watchdog_test.go
+++ b/serving/request/relay/watchdog_test.go
@@ -35,6 +35,22 @@
 	}
 }
 
+// TestMemoryIsNotHeldForATargetThatHangs has limits as of a prompt of 500,000
+// tokens whose target hangs and reports that it is well.
+func TestMemoryIsNotHeldForATargetThatHangs(t *testing.T) {
+	const allowed = 9 * time.Second // of the users
+	l := limits{silent: 8400 * time.Millisecond, stalled: 15800 * time.Millisecond}.holding(2800 * time.Millisecond)
+	if l.stalled > allowed-500*time.Millisecond || l.silent > l.stalled {
+		t.Fatalf("memory is held for %s", l.stalled)
+	}
+	if l := (limits{silent: 9 * time.Second, stalled: 20 * time.Second}).holding(8 * time.Second); l.stalled <= 10*time.Second {
+		t.Fatalf("a prompt that takes 8 s is ended after %s", l.stalled)
+	}
+	if l := (limits{silent: time.Second, stalled: 3 * time.Second}).holding(time.Second); l.stalled != 3*time.Second || l.silent != time.Second {
+		t.Fatalf("shorter limits became %+v", l)
+	}
+}
+
 func TestEventsKeepTheWatchdogQuiet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var barks atomic.Int64
