Show stages, prediction errors and budgets as metrics; a line for each change

Cause: the metrics were quantiles by kind of route, without pauses, queue, prediction error, budgets left or ages of what peers say; some changes of state had no line (a target let back, readiness, the steps of a stop, memory set aside), and nothing compared the lines with the operators' page.

--- a/core/process/health/health.go
+++ b/core/process/health/health.go
@@ -14,6 +14,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"carobspoke.example/core/names"
@@ -45,6 +46,9 @@
 	value  float64
 	at     time.Time
 	spared bool
+	// told is true once it was returned that the target is spared, until it
+	// was returned that it is not.
+	told bool
 	// owed is how many answers the target owes, and heard is since when
 	// nothing has come.
 	owed  int
@@ -118,7 +122,9 @@
 	if s.value >= Suspect {
 		s.spared = true
 	}
-	return s.spared && !was
+	begins := s.spared && !was && !s.told
+	s.told = s.told || begins
+	return begins
 }
 
 // Succeeded records a success.
@@ -144,6 +150,31 @@
 	return t.get(id, now).spared
 }
 
+// SparedCount returns how many targets take no requests now.
+func (t *Table) SparedCount(now time.Time) int {
+	count := 0
+	for id := range t.scores {
+		if t.get(id, now).spared {
+			count++
+		}
+	}
+	return count
+}
+
+// LetBack returns the targets that take requests again and did not at the last
+// call.
+func (t *Table) LetBack(now time.Time) []names.Target {
+	var back []names.Target
+	for id, s := range t.scores {
+		if s.told && !t.get(id, now).spared {
+			s.told = false
+			back = append(back, id)
+		}
+	}
+	slices.Sort(back)
+	return back
+}
+
 // Forget drops targets that are no longer listed.
 func (t *Table) Forget(keep func(names.Target) bool) {
 	for id := range t.scores {
--- a/core/process/health/health_test.go
+++ b/core/process/health/health_test.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -86,3 +87,26 @@
 		t.Fatal("silent though it owes nothing")
 	}
 }
+
+func TestTargetsAreToldOnceWhenSparedAndWhenLetBack(t *testing.T) {
+	table := New()
+	if !table.Unreachable("a", at(0)) || table.Unreachable("a", at(0)) {
+		t.Fatal("the begin is not told once")
+	}
+	if got := table.SparedCount(at(0)); got != 1 {
+		t.Fatalf("%d targets spared", got)
+	}
+	if back := table.LetBack(at(0)); len(back) != 0 {
+		t.Fatalf("let back at once: %v", back)
+	}
+	later := 5 * HalfLife
+	if back := table.LetBack(at(later)); !slices.Equal(back, []names.Target{"a"}) {
+		t.Fatalf("let back: %v", back)
+	}
+	if back := table.LetBack(at(later)); len(back) != 0 || table.SparedCount(at(later)) != 0 {
+		t.Fatalf("told again: %v", back)
+	}
+	if !table.Unreachable("a", at(later)) {
+		t.Fatal("the second time is not told")
+	}
+}
--- a/core/request/retry/budget.go
+++ b/core/request/retry/budget.go
@@ -52,6 +52,9 @@
 	b.Earn(b.share)
 }
 
+// Left returns how many retries are saved up.
+func (b *Budget) Left() float64 { return b.saved }
+
 // Take spends a retry, or reports false if there is none.
 func (b *Budget) Take() bool {
 	if b.saved < 1 {
--- a/serving/process/board/board.go
+++ b/serving/process/board/board.go
@@ -262,11 +262,25 @@
 // Sweep drops work whose end was never told, and what is known of targets that
 // are no longer listed.
 func (b *Board) Sweep(listed func(names.Target) bool, now time.Time) {
+	for _, id := range b.sweep(listed, now) {
+		b.config.Log.Info("target let back", zap.String("target", string(id)))
+	}
+}
+
+func (b *Board) sweep(listed func(names.Target) bool, now time.Time) []names.Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.work.Expire(now)
 	b.work.Forget(listed)
 	b.health.Forget(listed)
+	return b.health.LetBack(now)
+}
+
+// Spared returns how many targets take nothing for a while.
+func (b *Board) Spared() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.health.SparedCount(time.Now())
 }
 
 // Size returns how many dispatches of the fleet are known.
--- a/serving/process/edge/budget.go
+++ b/serving/process/edge/budget.go
@@ -62,6 +62,17 @@
 	return found
 }
 
+// left returns how many retries each service's budget holds.
+func (b *budgets) left() map[names.Service]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := make(map[names.Service]float64, len(b.services))
+	for service, budget := range b.services {
+		left[service] = budget.Left()
+	}
+	return left
+}
+
 // Fresh implements relay.Budget.
 func (b *budgets) Fresh(service names.Service) {
 	b.mu.Lock()
--- a/serving/process/edge/drain.go
+++ b/serving/process/edge/drain.go
@@ -9,7 +9,12 @@
 )
 
 func (d *Daemon) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if d.stopAt.Load() != 0 || d.follower.View() == nil {
+	ready := d.stopAt.Load() == 0 && d.follower.View() != nil
+	if d.saidReady.Swap(ready) != ready {
+		d.Log.Info("readiness changed", zap.Bool("ready", ready), zap.Bool("stopping", d.stopAt.Load() != 0),
+			zap.Uint64("revision", d.follower.Revision()), zap.Duration("age", d.follower.Age()))
+	}
+	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -74,6 +79,7 @@
 	d.members.Drain()
 	d.Log.Info("stopping", zap.Int64("in_flight", d.active.Load()), zap.Duration("grace", d.Settings.Grace))
 	time.Sleep(min(turnAway, time.Until(end)))
+	d.Log.Info("taking no more connections", zap.Int64("in_flight", d.active.Load()))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := d.callers.Shutdown(ctx); err != nil {
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -60,11 +60,14 @@
 	metricsSrv *http.Server
 	peerServer *grpc.Server
 	conns      *callerConns
+	budgets    *budgets
 	listeners  []net.Listener
 
 	stopAt atomic.Int64 // Unix nanoseconds of the end, zero while serving
 	active atomic.Int64
-	cancel context.CancelFunc
+	// saidReady is what the last look at the daemon's readiness was told.
+	saidReady atomic.Bool
+	cancel    context.CancelFunc
 	// running are the loops.
 	running sync.WaitGroup
 }
@@ -115,7 +118,7 @@
 		Deliver:  d.delivered,
 		Changed:  d.memberChanged,
 		Log:      d.Log,
-		Registry: d.metrics.registry,
+		Registry: d.metrics.counters.Registry(),
 		Meter:    func(int) {},
 		Worked:   func(time.Duration) {},
 	})
@@ -140,11 +143,12 @@
 type teller struct{ *Daemon }
 
 func (d *Daemon) buildServers() {
+	d.budgets = newBudgets(d.Settings, func() int { return len(d.members.Live()) }, random())
 	handler := relay.New(relay.Deps{
 		Codec: d.Codec, Board: d.board, Crashes: d.board,
-		Budget: newBudgets(d.Settings, func() int { return len(d.members.Live()) }, random()),
+		Budget: d.budgets,
 		Pool:   d.targets, Reserver: d.Reserver, Prober: d.Prober, Observer: d.metrics,
-		Table: d.table, Leaving: d.leaving, ComeBack: d.comeBack, Draw: rand.Float64, Log: d.Log,
+		Table: d.table, Revision: d.follower.Revision, Age: d.follower.Age, Leaving: d.leaving, ComeBack: d.comeBack, Draw: rand.Float64, Log: d.Log,
 	})
 	d.callers = &http.Server{
 		Handler:           d.counted(handler),
@@ -157,7 +161,7 @@
 	readyMux.HandleFunc("GET "+d.Settings.ReadyPath, d.answerReady)
 	d.ready = &http.Server{Handler: readyMux, ReadHeaderTimeout: headerTimeout}
 	metricsMux := http.NewServeMux()
-	metricsMux.HandleFunc("GET "+d.Settings.MetricsPath, d.metrics.serve)
+	metricsMux.Handle("GET "+d.Settings.MetricsPath, d.metrics.handler())
 	d.metricsSrv = &http.Server{Handler: metricsMux, ReadHeaderTimeout: headerTimeout}
 }
 
--- a/serving/process/edge/metrics.go
+++ b/serving/process/edge/metrics.go
@@ -1,25 +1,28 @@
 package edge
 
 import (
-	"fmt"
 	"net/http"
 	"regexp"
-	"slices"
-	"strings"
-	"time"
 
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/routing"
 	"carobspoke.example/serving/process/counters"
-	"github.com/rcrowley/go-metrics"
-	"go.uber.org/zap"
+	"carobspoke.example/serving/request/relay"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	gometrics "github.com/rcrowley/go-metrics"
 )
 
-// sampleSize and sampleAlpha shape the latency histograms: samples of about
-// the last five minutes.
-const (
-	sampleSize  = 512
-	sampleAlpha = 0.015
+// prefix begins the names of all metrics.
+const prefix = "carobspoke_"
+
+// Buckets of the histograms.
+var (
+	// stageBuckets are in seconds: from a hop within a data centre to the
+	// longest deadline of callers.
+	stageBuckets = []float64{.001, .005, .01, .025, .05, .1, .2, .3, .5, .75, 1, 1.5, 2, 3, 5, 10, 20}
+	// errorBuckets are what was seen divided by what was predicted.
+	errorBuckets = []float64{.25, .5, .75, .9, 1.1, 1.25, 1.5, 2, 3, 5, 10}
 )
 
 // Metrics counts what becomes of requests, and shows the ages of what the
@@ -27,12 +30,21 @@
 type Metrics struct {
 	daemon   *Daemon
 	counters *counters.Counters
-	registry metrics.Registry
+	registry *prometheus.Registry
+	stages   *prometheus.HistogramVec
+	errors   *prometheus.HistogramVec
 }
 
 func newMetrics(d *Daemon) *Metrics {
-	c := counters.New()
-	return &Metrics{daemon: d, counters: c, registry: c.Registry()}
+	m := &Metrics{daemon: d, counters: counters.New(), registry: prometheus.NewRegistry()}
+	m.stages = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: prefix + "stage_seconds", Help: "Time of a stage of answered requests, by class.", Buckets: stageBuckets,
+	}, []string{"class", "stage"})
+	m.errors = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: prefix + "first_event_error_ratio", Help: "Time to the first event divided by its prediction, by class.", Buckets: errorBuckets,
+	}, []string{"class"})
+	m.registry.MustRegister(m.stages, m.errors, beliefs{d}, counted{m.counters.Registry()})
+	return m
 }
 
 // Admitted implements relay.Observer.
@@ -47,67 +59,44 @@
 func (m *Metrics) Retried(reason verdict.Reason) { m.counters.Retried(reason) }
 
 // Answered implements relay.Observer.
-func (m *Metrics) Answered(route *routing.Route, first, whole time.Duration) {
-	kind := route.Kind.String()
-	m.counters.Add("answered."+kind, 1)
-	m.histogram("first_ms." + kind).Update(first.Milliseconds())
-	m.histogram("whole_ms." + kind).Update(whole.Milliseconds())
+func (m *Metrics) Answered(t *relay.Timing) {
+	class := string(t.Class)
+	m.counters.Add("answered."+t.Kind.String(), 1)
+	m.stages.WithLabelValues(class, "queue").Observe(t.Queue.Seconds())
+	m.stages.WithLabelValues(class, "first").Observe(t.First.Seconds())
+	m.stages.WithLabelValues(class, "whole").Observe(t.Whole.Seconds())
+	if t.Pause > 0 {
+		m.stages.WithLabelValues(class, "longest_pause").Observe(t.Pause.Seconds())
+	}
+	if t.Predicted > 0 {
+		m.errors.WithLabelValues(class).Observe(float64(t.Sent) / float64(t.Predicted))
+	}
 }
 
-func (m *Metrics) histogram(name string) metrics.Histogram {
-	return metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+// handler writes the metrics in the text form that the ecosystem's scrapers
+// read.
+func (m *Metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
 }
 
 var notName = regexp.MustCompile(`[^a-zA-Z0-9_]`)
 
-// quantiles are those shown of each histogram.
-var quantiles = []float64{0.5, 0.95, 0.99}
+// counted shows the counters and gauges of a go-metrics registry.
+type counted struct{ registry gometrics.Registry }
 
-// serve writes the metrics in the text form that the ecosystem's scrapers
-// read.
-func (m *Metrics) serve(w http.ResponseWriter, _ *http.Request) {
-	var lines []string
-	m.registry.Each(func(name string, metric any) {
-		name = "carobspoke_" + notName.ReplaceAllString(name, "_")
+// Describe implements prometheus.Collector. The registry grows, so that nothing
+// is described beforehand.
+func (counted) Describe(chan<- *prometheus.Desc) {}
+
+// Collect implements prometheus.Collector.
+func (c counted) Collect(out chan<- prometheus.Metric) {
+	c.registry.Each(func(name string, metric any) {
+		desc := prometheus.NewDesc(prefix+notName.ReplaceAllString(name, "_"), "See docs/OPERATIONS.md.", nil, nil)
 		switch metric := metric.(type) {
-		case metrics.Counter:
-			lines = append(lines, fmt.Sprintf("%s %d", name, metric.Count()))
-		case metrics.Gauge:
-			lines = append(lines, fmt.Sprintf("%s %d", name, metric.Value()))
-		case metrics.Histogram:
-			for _, q := range quantiles {
-				lines = append(lines, fmt.Sprintf("%s{quantile=%q} %g", name, fmt.Sprint(q), metric.Percentile(q)))
-			}
-			lines = append(lines, fmt.Sprintf("%s_count %d", name, metric.Count()))
+		case gometrics.Counter:
+			out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(metric.Count()))
+		case gometrics.Gauge:
+			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(metric.Value()))
 		}
 	})
-	lines = append(lines, m.beliefs()...)
-	slices.Sort(lines)
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	if _, err := w.Write([]byte(strings.Join(lines, "\n") + "\n")); err != nil {
-		m.daemon.Log.Debug("metrics not written", zap.String("error", err.Error()))
-	}
-}
-
-// beliefs are gauges of what the daemon believes and how old that is.
-func (m *Metrics) beliefs() []string {
-	d := m.daemon
-	version, targets := uint64(0), 0
-	if view := d.follower.View(); view != nil {
-		version = uint64(view.Table.Version)
-		for _, list := range view.Targets {
-			targets += len(list)
-		}
-	}
-	return []string{
-		fmt.Sprintf("carobspoke_config_version %d", version),
-		fmt.Sprintf("carobspoke_published_revision %d", d.follower.Revision()),
-		fmt.Sprintf("carobspoke_published_age_ms %d", d.follower.Age().Milliseconds()),
-		fmt.Sprintf("carobspoke_targets %d", targets),
-		fmt.Sprintf("carobspoke_peers %d", len(d.peerAddresses())),
-		fmt.Sprintf("carobspoke_requests_in_flight %d", d.active.Load()),
-		fmt.Sprintf("carobspoke_fleet_dispatches %d", d.board.Size()),
-		fmt.Sprintf("carobspoke_target_connections_opened %d", d.targets.Opened()),
-		fmt.Sprintf("carobspoke_log_lines_dropped %d", d.DroppedLines()),
-	}
 }
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -16,9 +16,12 @@
 	return told != nil && told.revision > f.Revision() && time.Since(told.at) > peersLate
 }
 
+// BeatAge returns how long ago a watcher was heard.
+func (f *Follower) BeatAge() time.Duration { return time.Since(time.Unix(0, f.heard.Load())) }
+
 // alone reports whether no watcher was heard of late.
 func (f *Follower) alone() bool {
-	return time.Since(time.Unix(0, f.heard.Load())) > Alone
+	return f.BeatAge() > Alone
 }
 
 // Run follows until ctx ends.
--- a/serving/request/relay/fake_test.go
+++ b/serving/request/relay/fake_test.go
@@ -160,12 +160,12 @@
 	return p.Decide(a, f.budget, time.Now(), rand.New(rand.NewPCG(1, 1)))
 }
 
-type fakeObserver struct{}
+type fakeObserver struct{ timings chan *Timing }
 
-func (fakeObserver) Admitted(*routing.Route)                               {}
-func (fakeObserver) Refused(*verdict.Error)                                {}
-func (fakeObserver) Retried(verdict.Reason)                                {}
-func (fakeObserver) Answered(*routing.Route, time.Duration, time.Duration) {}
+func (fakeObserver) Admitted(*routing.Route) {}
+func (fakeObserver) Refused(*verdict.Error)  {}
+func (fakeObserver) Retried(verdict.Reason)  {}
+func (o fakeObserver) Answered(t *Timing)    { o.timings <- t }
 
 // fakeReserver grants what fits.
 type fakeReserver struct {
@@ -200,11 +200,13 @@
 	recent  bool
 	leaving time.Duration
 	budget  *retry.Budget
+	timings chan *Timing
+	log     *zap.Logger
 }
 
 func newFixture(t *testing.T, targets ...*fakeServer) *fixture {
 	t.Helper()
-	f := &fixture{t: t, board: &fakeBoard{predicted: 10 * time.Millisecond}, recent: true, budget: retry.NewBudget(0)}
+	f := &fixture{t: t, board: &fakeBoard{predicted: 10 * time.Millisecond}, recent: true, budget: retry.NewBudget(0), timings: make(chan *Timing, 100), log: zap.NewNop()}
 	for i, s := range targets {
 		f.board.targets = append(f.board.targets, fakeTarget{id: names.Target(rune('a' + i)), address: s.listener.Addr().String()})
 	}
@@ -236,11 +238,12 @@
 	}
 	f.relay = New(Deps{
 		Codec: fakeCodec{}, Board: f.board, Crashes: f.board, Budget: fakeBudget{budget: f.budget},
-		Pool: upstream.NewPool(), Reserver: &fakeReserver{}, Observer: fakeObserver{},
+		Pool: upstream.NewPool(), Reserver: &fakeReserver{}, Observer: fakeObserver{timings: f.timings},
+		Revision: func() uint64 { return 1 }, Age: func() time.Duration { return 0 },
 		Table:    func() (*routing.Table, bool) { return table, f.recent },
 		Leaving:  func() (time.Duration, bool) { return f.leaving, f.leaving > 0 },
 		ComeBack: func() time.Duration { return time.Second },
-		Draw:     func() float64 { return 0 }, Log: zap.NewNop(),
+		Draw:     func() float64 { return 0 }, Log: f.log,
 	})
 	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.relay.ServeHTTP(w, r) }))
 	f.t.Cleanup(f.server.Close)
--- a/serving/request/relay/place.go
+++ b/serving/request/relay/place.go
@@ -33,11 +33,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if q.firstSend.IsZero() {
+		q.firstSend = time.Now()
+	}
+	q.predicted = placed.Decision.FirstEvent
 	load := &placed.Decision.Load
 	q.relay.Log.Info("placed", zap.String("request", q.facts.ID), zap.String("target", string(placed.Decision.Target)),
 		zap.Int("helpers", len(placed.Helpers)), zap.Duration("predicted", placed.Decision.FirstEvent),
 		zap.Duration("backlog", load.Backlog), zap.Int("at_target", load.Requests), zap.Int("writers", load.Writers),
-		zap.Int("tokens", q.facts.PromptTokens), zap.Duration("left", left), zap.Uint64("version", uint64(q.table.Version)))
+		zap.Int("tokens", q.facts.PromptTokens), zap.Duration("left", left), zap.Uint64("version", uint64(q.table.Version)),
+		zap.Uint64("revision", q.relay.Revision()), zap.Duration("age", q.relay.Age()), zap.String("after", q.lastID))
 	return placed, nil
 }
 
@@ -69,9 +74,13 @@
 		name, err := q.relay.Reserver.Reserve(ctx, address, helper.Target, helper.Reserve)
 		if err != nil {
 			release()
+			q.relay.Log.Info("memory not set aside", zap.String("request", q.facts.ID), zap.String("target", string(helper.Target)),
+				zap.Int("tokens", helper.Reserve), zap.String("error", err.Error()))
 			return nil, nil, verdict.Wrap(err, verdict.NotRun, verdict.SpanUnavailable, "no memory could be set aside")
 		}
 		helpers[i].Reservation = name
+		q.relay.Log.Info("memory set aside", zap.String("request", q.facts.ID), zap.String("target", string(helper.Target)),
+			zap.Int("tokens", helper.Reserve), zap.String("reservation", name))
 	}
 	return helpers, release, nil
 }
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -74,7 +74,7 @@
 	Admitted(route *routing.Route)
 	Refused(err *verdict.Error)
 	Retried(reason verdict.Reason)
-	Answered(route *routing.Route, first, whole time.Duration)
+	Answered(t *Timing)
 }
 
 // Deps are what a Relay is made of.
@@ -90,6 +90,10 @@
 	// Table returns the configuration in force and whether it is known to be
 	// recent; nil before the first.
 	Table func() (*routing.Table, bool)
+	// Revision and Age say what the list of targets is as of, and how long ago
+	// that was confirmed.
+	Revision func() uint64
+	Age      func() time.Duration
 	// Leaving returns how long the daemon will still run, if it is stopping.
 	Leaving func() (time.Duration, bool)
 	// ComeBack returns when a daemon that lacks a recent configuration may have
@@ -145,6 +149,10 @@
 	// begun is true once a part of the answer has gone to the caller.
 	begun      bool
 	firstEvent time.Time
+	// firstSend is when the first target was chosen, predicted the first event
+	// that was predicted for the last one.
+	firstSend time.Time
+	predicted time.Duration
 	// lastEvent is when the newest event came, longestPause the longest time
 	// between two.
 	lastEvent    time.Time
@@ -356,15 +364,14 @@
 
 // finish answers with an error, or logs the answer.
 func (q *request) finish(err error) {
-	took := time.Since(q.started)
+	now := time.Now()
+	took := now.Sub(q.started)
 	if err == nil {
-		first := took
-		if !q.firstEvent.IsZero() {
-			first = q.firstEvent.Sub(q.started)
-		}
-		q.relay.Observer.Answered(q.route, first, took)
+		t := q.timing(now)
+		q.relay.Observer.Answered(t)
 		q.relay.Log.Info("answered", zap.String("request", q.facts.ID), zap.String("route", q.route.Name),
-			zap.Duration("first", first), zap.Duration("took", took), zap.Duration("longest_pause", q.longestPause), zap.Int("sends", q.sends))
+			zap.String("class", string(t.Class)), zap.Duration("queue", t.Queue), zap.Duration("first", t.First),
+			zap.Duration("took", took), zap.Duration("longest_pause", t.Pause), zap.Int("sends", q.sends))
 		return
 	}
 	failure := verdict.From(err)
--- a/serving/request/relay/relay_test.go
+++ b/serving/request/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"carobspoke.example/core/process/crash"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
+	"go.uber.org/zap"
 )
 
 func wantRefusal(t *testing.T, response *received, err error, reason verdict.Reason, v verdict.Verdict) {
@@ -333,7 +334,7 @@
 // TestReservationsAreAllOrNone refuses the second of two.
 func TestReservationsAreAllOrNone(t *testing.T) {
 	reserver := &fakeReserver{free: map[names.Target]int{"x": 100}}
-	q := &request{relay: New(Deps{Reserver: reserver})}
+	q := &request{relay: New(Deps{Reserver: reserver, Log: zap.NewNop()})}
 	placed := &Placed{Helpers: []string{"1", "2"}, Decision: placement.Decision{Helpers: []placement.Helper{
 		{Target: "x", Reserve: 80}, {Target: "y", Reserve: 80},
 	}}}
--- a/tools/adminclient/explain.go
+++ b/tools/adminclient/explain.go
@@ -8,24 +8,35 @@
 	"text/tabwriter"
 
 	"carobspoke.example/serving/gen/admin"
+	"carobspoke.example/tools/trace"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
 
 // ExplainCommand returns `carobspoke explain`.
 func ExplainCommand() *cli.Command {
-	flags := append(commonFlags(),
-		&cli.StringFlag{Name: "customer", Required: true},
-		&cli.StringFlag{Name: "model", Required: true},
-		&cli.IntFlag{Name: "prompt-tokens", Required: true},
+	flags := append(commonFlags(false),
+		&cli.StringSliceFlag{Name: "logs", Usage: "logs of daemons, in which a request that was sent is looked for"},
+		&cli.StringFlag{Name: "customer"},
+		&cli.StringFlag{Name: "model"},
+		&cli.IntFlag{Name: "prompt-tokens"},
 		&cli.IntFlag{Name: "max-tokens", Value: 512},
 		&cli.DurationFlag{Name: "timeout", Usage: "the request's time; 0 means a minute"},
 	)
 	return &cli.Command{
-		Name:  "explain",
-		Usage: "say why a request would go where, without sending it",
-		Flags: flags,
+		Name:      "explain",
+		Usage:     "say why a request would go where, without sending it, or what became of one, from logs",
+		ArgsUsage: "[REQUEST --logs FILE [FILE...]]",
+		Flags:     flags,
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if logs := c.StringSlice("logs"); len(logs) > 0 {
+				return explainLogged(c, logs)
+			}
+			for _, name := range []string{"admin", "key", "customer", "model", "prompt-tokens"} {
+				if !c.IsSet(name) {
+					return cli.Exit("the flag "+name+" is needed, or logs and a request's ID", exitUsage)
+				}
+			}
 			for _, address := range c.StringSlice("admin") {
 				if err := explainAt(ctx, c, address); err != nil {
 					return errors.Wrap(err, address)
@@ -36,6 +47,17 @@
 	}
 }
 
+const exitUsage = 2
+
+// explainLogged shows a request's way through logs. Files may also follow the
+// request.
+func explainLogged(c *cli.Command, logs []string) error {
+	if c.NArg() == 0 {
+		return cli.Exit("the ID of a request is needed", exitUsage)
+	}
+	return trace.Explain(os.Stdout, c.Args().First(), append(logs, c.Args().Tail()...))
+}
+
 func explainAt(ctx context.Context, c *cli.Command, address string) error {
 	maxTokens := c.Int("max-tokens")
 	payload := &admin.ExplainPayload{
--- a/tools/adminclient/status.go
+++ b/tools/adminclient/status.go
@@ -15,10 +15,12 @@
 	"github.com/urfave/cli/v3"
 )
 
-func commonFlags() []cli.Flag {
+// commonFlags are those of commands that ask daemons. They are required unless
+// the command can do without.
+func commonFlags(required bool) []cli.Flag {
 	return []cli.Flag{
-		&cli.StringSliceFlag{Name: "admin", Aliases: []string{"a"}, Required: true, Usage: "`IP:PORT` of a daemon's administration interface; repeat it"},
-		&cli.StringFlag{Name: "key", Sources: cli.EnvVars("CAROBSPOKE_ADMIN_KEY"), Required: true, Usage: "administration key"},
+		&cli.StringSliceFlag{Name: "admin", Aliases: []string{"a"}, Required: required, Usage: "`IP:PORT` of a daemon's administration interface; repeat it"},
+		&cli.StringFlag{Name: "key", Sources: cli.EnvVars("CAROBSPOKE_ADMIN_KEY"), Required: required, Usage: "administration key"},
 		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
 	}
 }
@@ -29,7 +31,7 @@
 		Name:        "status",
 		Usage:       "show daemons, versions in force, targets and drains",
 		Description: "Exit code 1 if a daemon does not answer, is not ready, or has another version in force than the rest.",
-		Flags:       commonFlags(),
+		Flags:       commonFlags(true),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return showStatus(ctx, c, os.Stdout)
 		},
--- a/tools/cmd/carobspoke/main.go
+++ b/tools/cmd/carobspoke/main.go
@@ -16,7 +16,6 @@
 	"carobspoke.example/tools/load"
 	"carobspoke.example/tools/slopes"
 	"carobspoke.example/tools/soak"
-	"carobspoke.example/tools/trace"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
@@ -39,7 +38,6 @@
 			manifestcmd.Command(),
 			slopes.Command(),
 			soak.Command(),
-			trace.Command(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
--- a/tools/trace/trace.go
+++ b/tools/trace/trace.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -13,7 +12,6 @@
 	"strings"
 
 	"github.com/pkg/errors"
-	"github.com/urfave/cli/v3"
 )
 
 // maxLine bounds a log line, in bytes.
@@ -116,28 +114,17 @@
 	return "the logs end before the request does: its daemon died, or the lines were dropped"
 }
 
-// Command is `carobspoke trace`.
-func Command() *cli.Command {
-	return &cli.Command{
-		Name:      "trace",
-		Usage:     "show the way of a request through the daemons' logs, and the cause of its end",
-		ArgsUsage: "REQUEST FILE...",
-		Action: func(_ context.Context, c *cli.Command) error {
-			const least = 2
-			if c.NArg() < least {
-				return cli.Exit("a request's ID and at least one log are needed", least)
-			}
-			var all []Line
-			for _, name := range c.Args().Tail() {
-				lines, err := readFile(name, c.Args().First())
-				if err != nil {
-					return err
-				}
-				all = append(all, lines...)
-			}
-			return Print(os.Stdout, all)
-		},
+// Explain writes the way of a request through the logs in files.
+func Explain(out io.Writer, request string, files []string) error {
+	var all []Line
+	for _, name := range files {
+		lines, err := readFile(name, request)
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
 	}
+	return Print(out, all)
 }
 
 func readFile(name, request string) ([]Line, error) {
