--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -40,8 +40,8 @@
 	// Ends is when the daemon ends, from now; zero if it stays. The whole
 	// answer must be out by then.
 	Ends time.Duration
-	// Begun says that an earlier send may have run. Giving the request up
-	// would break off its answer, so that it is placed whatever is predicted.
+	// Begun says that the caller has a part of the answer. Giving the request
+	// up would break it off, so that it is placed unless it is hopeless.
 	Begun bool
 	// Patience is how long callers wait for the first event before they leave;
 	// zero if that is not known.
--- a/core/request/placement/placement_test.go
+++ b/core/request/placement/placement_test.go
@@ -186,19 +186,24 @@
 	}
 }
 
-// TestBegunAnswersArePlacedWhateverIsPredicted replays a stop of a daemon while
+// TestBegunAnswersArePlacedUnlessHopeless replays a stop of a daemon while
 // a target reads a long prompt: the stream that the target left silent goes on
 // elsewhere.
-func TestBegunAnswersArePlacedWhateverIsPredicted(t *testing.T) {
+func TestBegunAnswersArePlacedUnlessHopeless(t *testing.T) {
 	r := short()
 	r.Ends, r.Begun = 500*time.Millisecond, true
 	if d := placer().Place(r, service(), idle(3)); d.Refusal != nil || d.Target == "" {
 		t.Fatalf("refusal %v", d.Refusal)
 	}
-	r.Ends, r.Left = 0, time.Millisecond
+	first := placer().Place(r, service(), idle(3)).FirstEvent
+	r.Ends, r.Left = 0, first+time.Millisecond
 	if d := placer().Place(r, service(), idle(3)); d.Refusal != nil {
 		t.Fatalf("refusal %v", d.Refusal)
 	}
+	r.Left = first - time.Millisecond
+	if d := placer().Place(r, service(), idle(3)); d.Refusal == nil || d.Refusal.Reason != verdict.Overloaded {
+		t.Fatalf("a hopeless answer was placed: %v", d.Refusal)
+	}
 }
 
 func TestUrgentCallersGoFirstAmongEquals(t *testing.T) {
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -35,7 +35,11 @@
 		d = p.placeHeavy(r, e, usable, alone, room)
 	}
 	switch {
-	case d.Refusal != nil, r.Begun:
+	case d.Refusal != nil:
+	case r.Begun:
+		if d.FirstEvent > r.Left {
+			d.Refusal = p.overloaded()
+		}
 	case d.FirstEvent > p.longestWait(r):
 		d.Refusal = p.overloaded()
 	case r.Ends > 0 && time.Duration(p.settings.EndsFactor*float64(d.Whole)) > r.Ends:
--- a/serving/process/journal/journal_test.go
+++ b/serving/process/journal/journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -61,3 +62,29 @@
 		t.Fatal("the drops were not told")
 	}
 }
+
+// BenchmarkLinesOfARequest writes the two lines of a request that is answered by
+// its first target: with a reader that takes them, one that stalls, and a log
+// that is off.
+func BenchmarkLinesOfARequest(b *testing.B) {
+	_, stalls := io.Pipe()
+	logs := map[string]*zap.Logger{
+		"read":    New(NewWriter(io.Discard), zap.NewAtomicLevel()),
+		"stalled": New(NewWriter(stalls), zap.NewAtomicLevel()),
+		"off":     zap.NewNop(),
+	}
+	for name, log := range logs {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				log.Info("placed", zap.String("request", "cb539b2d9f0e9564"), zap.String("target", "i-ece53ebb05"),
+					zap.Int("helpers", 0), zap.Duration("predicted", 85*time.Millisecond), zap.Duration("backlog", 3*time.Millisecond),
+					zap.Int("at_target", 10), zap.Int("writers", 8), zap.Int("tokens", 1133), zap.Duration("left", 9*time.Second),
+					zap.Uint64("version", 4), zap.Uint64("revision", 77), zap.Duration("age", 40*time.Millisecond), zap.String("after", ""))
+				log.Info("answered", zap.String("request", "cb539b2d9f0e9564"), zap.String("route", "r-nnnt335"),
+					zap.String("class", "short_prompt"), zap.Duration("queue", time.Millisecond), zap.Duration("first", 90*time.Millisecond),
+					zap.Duration("took", time.Second), zap.Duration("longest_pause", 60*time.Millisecond), zap.Int("sends", 1))
+			}
+		})
+	}
+}
--- a/serving/request/relay/place.go
+++ b/serving/request/relay/place.go
@@ -24,7 +24,7 @@
 		GapTarget:     q.route.GapTarget,
 		Left:          left,
 		Ends:          ends,
-		Begun:         q.ran > 0,
+		Begun:         q.begun,
 		Patience:      patienceOf(q.route),
 		Rank:          q.rank(),
 		Exclude:       q.exclude,
--- a/tools/trace/trace.go
+++ b/tools/trace/trace.go
@@ -89,7 +89,7 @@
 		return "no line names this request: it reached no daemon whose log was read, or its lines were dropped"
 	}
 	sends := 0
-	var failure *Line
+	var failure, attempt *Line
 	for i := range lines {
 		l := &lines[i]
 		switch l.Fields["msg"] {
@@ -97,6 +97,8 @@
 			sends++
 		case "send failed":
 			failure = l
+		case "attempt failed":
+			attempt = l
 		case "answered":
 			return fmt.Sprintf("answered after %v ms, the first event after %v ms, the longest pause %v ms, %d sends",
 				l.Fields["took"], l.Fields["first"], l.Fields["longest_pause"], sends)
@@ -108,6 +110,12 @@
 					text += ", which said nothing for too long"
 				}
 			}
+			if attempt != nil && attempt.Fields["outcome"] != "retried" {
+				text += fmt.Sprintf("; no other send followed: %v", attempt.Fields["outcome"])
+			}
+			if why, ok := l.Fields["error"]; ok && failure == nil {
+				text += fmt.Sprintf("; %v", why)
+			}
 			return text
 		}
 	}
