Keep ages on the monotonic clock

Cause: the age of what the store confirmed, of the last beat, the end of a stop and the time of an unanswered order were kept as nanoseconds of the wall clock. A step of 6 s ahead made knowledge look outdated, and ended a stop's time for requests under way; a step back hid an outage for as long. Ruled out: the membership's stamp, which is to notice pauses that the monotonic clock does not count, and stays. Change: one type that keeps the instant with its monotonic reading.

--- a/serving/process/edge/drain.go
+++ b/serving/process/edge/drain.go
@@ -9,9 +9,9 @@
 )
 
 func (d *Daemon) answerReady(w http.ResponseWriter, _ *http.Request) {
-	ready := d.stopAt.Load() == 0 && d.follower.View() != nil
+	ready := !d.stopping() && d.follower.View() != nil
 	if d.saidReady.Swap(ready) != ready {
-		d.Log.Info("readiness changed", zap.Bool("ready", ready), zap.Bool("stopping", d.stopAt.Load() != 0),
+		d.Log.Info("readiness changed", zap.Bool("ready", ready), zap.Bool("stopping", d.stopping()),
 			zap.Uint64("revision", d.follower.Revision()), zap.Duration("age", d.follower.Age()))
 	}
 	if !ready {
@@ -40,7 +40,7 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (c closing) WriteHeader(status int) {
-	if c.daemon.stopAt.Load() != 0 {
+	if c.daemon.stopping() {
 		c.Header().Set("Connection", "close")
 	}
 	c.ResponseWriter.WriteHeader(status)
@@ -49,13 +49,16 @@
 // Unwrap serves http.ResponseController.
 func (c closing) Unwrap() http.ResponseWriter { return c.ResponseWriter }
 
+// stopping reports whether the daemon was asked to stop.
+func (d *Daemon) stopping() bool { return !d.end.Get().IsZero() }
+
 // leaving returns how long the daemon still runs, if it is stopping.
 func (d *Daemon) leaving() (time.Duration, bool) {
-	at := d.stopAt.Load()
-	if at == 0 {
+	end := d.end.Get()
+	if end.IsZero() {
 		return 0, false
 	}
-	return time.Until(time.Unix(0, at)), true
+	return time.Until(end), true
 }
 
 // Stop order of a drain, in times after the signal.
@@ -75,7 +78,7 @@
 // leaves fewer in rotation.
 func (d *Daemon) Drain() {
 	end := time.Now().Add(d.Settings.Grace - endMargin)
-	d.stopAt.Store(end.UnixNano())
+	d.end.Set(end)
 	d.members.Drain()
 	d.Log.Info("stopping", zap.Int64("in_flight", d.active.Load()), zap.Duration("grace", d.Settings.Grace))
 	time.Sleep(min(turnAway, time.Until(end)))
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -18,6 +18,7 @@
 	"carobspoke.example/serving/peerpb"
 	"carobspoke.example/serving/process/board"
 	"carobspoke.example/serving/process/membership"
+	"carobspoke.example/serving/process/moment"
 	"carobspoke.example/serving/process/published"
 	"carobspoke.example/serving/process/sharing"
 	"carobspoke.example/serving/request/relay"
@@ -63,7 +64,7 @@
 	budgets    *budgets
 	listeners  []net.Listener
 
-	stopAt atomic.Int64 // Unix nanoseconds of the end, zero while serving
+	end    moment.Moment // of a daemon that stops, zero while it serves
 	active atomic.Int64
 	// saidReady is what the last look at the daemon's readiness was told.
 	saidReady atomic.Bool
--- a/serving/process/edge/watchers.go
+++ b/serving/process/edge/watchers.go
@@ -30,7 +30,7 @@
 func (d *Daemon) watches() bool {
 	list := d.watchers()
 	at := slices.IndexFunc(list, func(m core.Member) bool { return m.Host == d.self })
-	return at >= 0 || len(list) == 0 || d.stopAt.Load() != 0
+	return at >= 0 || len(list) == 0 || d.stopping()
 }
 
 // watchers returns the first live members of the data centre in an order that
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -17,7 +17,7 @@
 }
 
 // BeatAge returns how long ago a watcher was heard.
-func (f *Follower) BeatAge() time.Duration { return time.Since(time.Unix(0, f.heard.Load())) }
+func (f *Follower) BeatAge() time.Duration { return f.heard.Age() }
 
 // alone reports whether no watcher was heard of late.
 func (f *Follower) alone() bool {
@@ -85,7 +85,7 @@
 
 func (f *Follower) back() {
 	now := time.Now()
-	f.confirmed.Store(now.UnixNano())
+	f.confirmed.Set(now)
 	f.regained(now)
 }
 
@@ -140,7 +140,7 @@
 	if batch.Revision <= f.Revision() {
 		return // it was told of the revision and has not read it yet
 	}
-	f.confirmed.Store(time.Now().UnixNano())
+	f.confirmed.Set(time.Now())
 	f.apply(batch, "peer")
 }
 
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -22,6 +22,7 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/version/routing"
+	"carobspoke.example/serving/process/moment"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -123,10 +124,10 @@
 	watches func() bool
 
 	view      atomic.Pointer[View]
-	confirmed atomic.Int64
+	confirmed moment.Moment
 	revision  atomic.Uint64
 	told      atomic.Pointer[newer]
-	heard     atomic.Int64
+	heard     moment.Moment
 	// watcher is who beat last.
 	watcher atomic.Pointer[names.Host]
 	wake    chan struct{}
@@ -163,11 +164,11 @@
 
 // Recent reports whether the source or a peer confirmed the knowledge of late.
 func (f *Follower) Recent() bool {
-	return time.Since(time.Unix(0, f.confirmed.Load())) < Recent
+	return f.Age() < Recent
 }
 
 // Age returns how long ago the knowledge was confirmed.
-func (f *Follower) Age() time.Duration { return time.Since(time.Unix(0, f.confirmed.Load())) }
+func (f *Follower) Age() time.Duration { return f.confirmed.Age() }
 
 // Revision returns the newest revision known.
 func (f *Follower) Revision() uint64 { return f.revision.Load() }
@@ -201,7 +202,7 @@
 		return
 	}
 	now := time.Now()
-	f.heard.Store(now.UnixNano())
+	f.heard.Set(now)
 	f.watcher.Store(&from)
 	if revision > f.revision.Load() {
 		f.Told(revision, from)
@@ -211,8 +212,5 @@
 	if settled && revision == f.revision.Load() {
 		f.settle()
 	}
-	at := now.Add(-confirmed).UnixNano()
-	for known := f.confirmed.Load(); at > known && !f.confirmed.CompareAndSwap(known, at); {
-		known = f.confirmed.Load()
-	}
+	f.confirmed.Advance(now.Add(-confirmed))
 }
--- a/serving/process/published/published_test.go
+++ b/serving/process/published/published_test.go
@@ -420,7 +420,7 @@
 	began := time.Now()
 	f.Told(f.Revision()+1, "watcher")
 	eventually(t, "version 3", func() bool {
-		f.heard.Store(time.Now().UnixNano())
+		f.heard.Set(time.Now())
 		return version(f) == 3
 	})
 	if took := time.Since(began); took > peersLate+time.Second {
--- a/serving/request/reserve/reserve.go
+++ b/serving/request/reserve/reserve.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/serving/process/moment"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -71,7 +72,7 @@
 	// arrives after the release would set the memory aside again.
 	renewed chan struct{}
 	// unanswered is when the last order without an answer was sent.
-	unanswered atomic.Int64
+	unanswered moment.Moment
 }
 
 // New returns a keeper whose reservations begin with the owner's name, which is
@@ -119,7 +120,7 @@
 	defer cancel()
 	err := k.orders.Reserve(ctx, r.address, r.target, r.id, r.tokens, Hold)
 	if err != nil {
-		r.unanswered.Store(sent.UnixNano())
+		r.unanswered.Set(sent)
 	}
 	return err
 }
@@ -143,7 +144,7 @@
 	ctx := context.Background()
 	began := time.Now()
 	for {
-		late := time.Unix(0, r.unanswered.Load()).Add(LateOrders)
+		late := r.unanswered.Get().Add(LateOrders)
 		err := k.releaseOnce(ctx, r)
 		now := time.Now()
 		wait := againEvery
