--- a/tools/emulator/target.go
+++ b/tools/emulator/target.go
@@ -43,9 +43,12 @@
 	server   *http.Server
 	active   atomic.Int64
 	failures atomic.Int64 // requests in a hundred that fail
+	doubles  atomic.Int64 // calls in a hundred that are answered twice
+	late     atomic.Bool  // orders are carried out late and not answered
 
 	mu           sync.Mutex
 	reservations map[string]time.Time
+	reserved     int
 }
 
 // StartTarget starts a target at an address; port 0 picks one.
@@ -69,6 +72,13 @@
 // answer, or with none.
 func (t *Target) FailShare(percent int) { t.failures.Store(int64(percent)) }
 
+// DoubleShare lets some calls in a hundred be answered twice, the second time a
+// little later.
+func (t *Target) DoubleShare(percent int) { t.doubles.Store(int64(percent)) }
+
+// LateOrders lets orders go without an answer, and be carried out later.
+func (t *Target) LateOrders(late bool) { t.late.Store(late) }
+
 // Reserved returns how many reservations are held.
 func (t *Target) Reserved() int {
 	t.mu.Lock()
@@ -84,6 +94,13 @@
 	return held
 }
 
+// Reservations returns how many were granted or renewed so far.
+func (t *Target) Reservations() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reserved
+}
+
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get(platform.HeaderTarget) != string(t.ID) {
@@ -140,9 +157,38 @@
 		fail(w)
 		return
 	}
+	if rand.Int64N(100) < t.doubles.Load() {
+		t.answerTwice(w, attempt)
+		return
+	}
 	_, _ = io.WriteString(w, CallAnswer(attempt)) // the caller is gone otherwise
 }
 
+// Times of a second answer, and of the end of its connection.
+const (
+	secondAnswer = 5 * time.Millisecond
+	secondEnds   = 300 * time.Millisecond
+)
+
+// answerTwice writes the whole answer twice on the connection, which ends later.
+func (t *Target) answerTwice(w http.ResponseWriter, attempt string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		t.ledger.Break("a connection cannot be taken over: %v", err)
+		return
+	}
+	defer func() { _ = conn.Close() }() // all was written
+	body := CallAnswer(attempt)
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		platform.HeaderAttempt, attempt, platform.HeaderSeal, t.ID, len(body), body)
+	for _, pause := range []time.Duration{secondAnswer, secondEnds} {
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return // the caller is gone
+		}
+		time.Sleep(pause)
+	}
+}
+
 // fail answers with a failure, or breaks the connection.
 func fail(w http.ResponseWriter) {
 	if rand.IntN(2) == 0 {
@@ -208,14 +254,31 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	hold := time.Duration(want.HoldMs) * time.Millisecond
+	switch {
+	case want.Operation != "reserve" && want.Operation != "release":
+		w.WriteHeader(http.StatusBadRequest)
+	case t.late.Load():
+		time.AfterFunc(lateLeast+rand.N(lateSpread), func() { t.carryOut(want.Operation, want.ID, hold) })
+		panic(http.ErrAbortHandler) // no answer
+	default:
+		t.carryOut(want.Operation, want.ID, hold)
+	}
+}
+
+// How late an order may be carried out.
+const (
+	lateLeast  = 300 * time.Millisecond
+	lateSpread = 2 * time.Second
+)
+
+func (t *Target) carryOut(operation, id string, hold time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch want.Operation {
-	case "reserve":
-		t.reservations[want.ID] = time.Now().Add(time.Duration(want.HoldMs) * time.Millisecond)
-	case "release":
-		delete(t.reservations, want.ID)
-	default:
-		w.WriteHeader(http.StatusBadRequest)
+	if operation == "release" {
+		delete(t.reservations, id)
+		return
 	}
+	t.reserved++
+	t.reservations[id] = time.Now().Add(hold)
 }
--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -23,6 +23,15 @@
 	kindOrder  = "order"
 )
 
+// Prompts and answers in tokens, as callers tell them. A giant prompt needs the
+// memory of two engines, of which one is asked to set it aside.
+const (
+	shortTokens = "1000,100"
+	giantTokens = "450000,100"
+	// giantOne of so many streams is giant.
+	giantOne = 8
+)
+
 // Counts are what became of requests.
 type Counts struct {
 	Sent, Served, Refused, Failed, Cut int
@@ -120,7 +129,11 @@
 		kind := kinds[random.IntN(len(kinds))]
 		attempt := fmt.Sprintf("%x-%d-%d", c.world.config.Seed, number, i)
 		leaves := !c.world.config.Planned && random.IntN(20) == 0
-		c.send(client, c.pick(random), kind, attempt, leaves)
+		tokens := shortTokens
+		if random.IntN(giantOne) == 0 {
+			tokens = giantTokens
+		}
+		c.send(client, c.pick(random), &sent{kind: kind, attempt: attempt, tokens: tokens, leaves: leaves})
 		time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
 	}
 }
@@ -128,91 +141,100 @@
 // callTime is how long a caller waits.
 const callTime = 4 * time.Second
 
-func (c *callers) send(client *http.Client, h *host, kind, attempt string, leaves bool) {
+// sent is one request.
+type sent struct {
+	kind, attempt string
+	// tokens are those of a stream.
+	tokens string
+	// leaves says that the caller does not wait for the answer.
+	leaves bool
+}
+
+func (c *callers) send(client *http.Client, h *host, q *sent) {
 	limit := callTime
-	if leaves {
+	if q.leaves {
 		limit = 40 * time.Millisecond
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.settings.Callers.String()+"/"+kind+"/x", strings.NewReader("body "+attempt))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.settings.Callers.String()+"/"+q.kind+"/x", strings.NewReader("body "+q.attempt))
 	if err != nil {
 		c.world.ledger.Break("a request cannot be made: %v", err)
 		return
 	}
 	r.GetBody = nil // net/http must not send it again
 	r.Host = hostname
-	r.Header.Set(platform.HeaderAttempt, attempt)
+	r.Header.Set(platform.HeaderAttempt, q.attempt)
 	r.Header.Set(platform.HeaderKey, key)
 	r.Header.Set(platform.HeaderDeadline, strconv.FormatInt(callTime.Milliseconds(), 10))
 	r.Header.Set(emulator.HeaderCallersCustomer, customer)
-	if kind != kindOrder {
+	if q.kind != kindOrder {
 		r.Header.Set(emulator.HeaderRepeatable, "1")
 	}
-	if kind == kindStream {
-		r.Header.Set(platform.HeaderTokens, "1000,100")
+	if q.kind == kindStream {
+		r.Header.Set(platform.HeaderTokens, q.tokens)
 	}
 	c.count(func(n *Counts) { n.Sent++ })
 	response, err := client.Do(r)
 	if err != nil {
-		c.cut(h, kind, attempt, leaves, err)
+		c.cut(h, q, err)
 		return
 	}
 	defer func() { _ = response.Body.Close() }() // it was read or is of no use
-	c.judge(h, response, kind, attempt, leaves)
+	c.judge(h, response, q)
 }
 
 // cut counts a request without a whole answer. In a run of planned work alone
 // only an order may end so, and only if it never reached a daemon.
-func (c *callers) cut(h *host, kind, attempt string, leaves bool, err error) {
+func (c *callers) cut(h *host, q *sent, err error) {
 	c.count(func(n *Counts) { n.Cut++ })
-	if c.world.config.Planned && !leaves && !strings.Contains(err.Error(), "connection refused") {
-		c.world.ledger.Break("%s %s was cut at %s by planned work: %v", kind, attempt, h.settings.Name, err)
+	if c.world.config.Planned && !q.leaves && !strings.Contains(err.Error(), "connection refused") {
+		c.world.ledger.Break("%s %s was cut at %s by planned work: %v", q.kind, q.attempt, h.settings.Name, err)
 	}
 }
 
-func (c *callers) judge(h *host, response *http.Response, kind, attempt string, leaves bool) {
+func (c *callers) judge(h *host, response *http.Response, q *sent) {
 	switch status := response.StatusCode; {
-	case response.Header.Get(platform.HeaderAttempt) != attempt:
-		c.world.ledger.Break("%s got an answer of %q", attempt, response.Header.Get(platform.HeaderAttempt))
+	case response.Header.Get(platform.HeaderAttempt) != q.attempt:
+		c.world.ledger.Break("%s got an answer of %q", q.attempt, response.Header.Get(platform.HeaderAttempt))
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
-		if kind == kindOrder {
-			c.world.ledger.NotRun(attempt)
+		if q.kind == kindOrder {
+			c.world.ledger.NotRun(q.attempt)
 		}
 		c.count(func(n *Counts) { n.Refused++ })
 	case status != http.StatusOK:
 		c.count(func(n *Counts) { n.Failed++ })
 		if c.world.config.Planned {
-			c.world.ledger.Break("%s %s was answered %d at %s by planned work", kind, attempt, status, h.settings.Name)
+			c.world.ledger.Break("%s %s was answered %d at %s by planned work", q.kind, q.attempt, status, h.settings.Name)
 		}
 	default:
-		c.whole(h, response, kind, attempt, leaves)
+		c.whole(h, response, q)
 	}
 }
 
 // whole checks that an answer that ends as complete is.
-func (c *callers) whole(h *host, response *http.Response, kind, attempt string, leaves bool) {
-	if kind == kindStream {
-		next, err := readStream(response.Body, attempt)
+func (c *callers) whole(h *host, response *http.Response, q *sent) {
+	if q.kind == kindStream {
+		next, err := readStream(response.Body, q.attempt)
 		switch {
 		case err != nil && strings.HasPrefix(err.Error(), "event"):
-			c.world.ledger.Break("stream %s: %v", attempt, err)
+			c.world.ledger.Break("stream %s: %v", q.attempt, err)
 		case err != nil:
-			c.cut(h, kind, attempt, leaves, err)
+			c.cut(h, q, err)
 			return
-		case next != emulator.StreamLength(attempt):
-			c.world.ledger.Break("stream %s ends as complete after %d of %d events", attempt, next, emulator.StreamLength(attempt))
+		case next != emulator.StreamLength(q.attempt):
+			c.world.ledger.Break("stream %s ends as complete after %d of %d events", q.attempt, next, emulator.StreamLength(q.attempt))
 		}
 		c.count(func(n *Counts) { n.Served++ })
 		return
 	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		c.cut(h, kind, attempt, leaves, err)
+		c.cut(h, q, err)
 		return
 	}
-	if string(body) != emulator.CallAnswer(attempt) {
-		c.world.ledger.Break("%s %s was answered %q", kind, attempt, body)
+	if string(body) != emulator.CallAnswer(q.attempt) {
+		c.world.ledger.Break("%s %s was answered %q", q.kind, q.attempt, body)
 	}
 	c.count(func(n *Counts) { n.Served++ })
 }
--- a/tools/soak/checks.go
+++ b/tools/soak/checks.go
@@ -80,6 +80,15 @@
 	}
 }
 
+// reservations counts those at the targets that live.
+func (w *world) reservations() int {
+	count := 0
+	for _, t := range w.targets {
+		count += t.Reservations()
+	}
+	return count
+}
+
 // memoryTime is how long after the last request reservations may be held.
 const memoryTime = 5 * time.Second
 
--- a/tools/soak/checks_test.go
+++ b/tools/soak/checks_test.go
@@ -56,7 +56,7 @@
 			ledger := emulator.NewLedger(time.Second)
 			all := &callers{world: &world{config: Config{Planned: true}, ledger: ledger}}
 			h := &host{settings: &edge.Settings{Callers: netip.MustParseAddrPort(daemon.Listener.Addr().String())}}
-			all.send(http.DefaultClient, h, c.kind, "attempt-1", false)
+			all.send(http.DefaultClient, h, &sent{kind: c.kind, attempt: "attempt-1", tokens: shortTokens})
 			check(t, ledger, c.want)
 		})
 	}
@@ -144,3 +144,27 @@
 	}
 	_ = response.Body.Close() // only the target's view counts
 }
+
+// TestMemoryThatStaysIsCaught has a daemon that never releases, and one that does.
+func TestMemoryThatStaysIsCaught(t *testing.T) {
+	for want, releases := range map[string]bool{"": true, "1 reservations stay": false} {
+		ledger := emulator.NewLedger(time.Second)
+		engine, err := emulator.StartTarget(replicas.Target{ID: "t-1", Address: "127.0.0.1:0", Slots: 2}, ledger)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer engine.Crash()
+		orders := platform.NewOrders()
+		if err := orders.Reserve(t.Context(), engine.Address, "t-1", "memory", 10, 2*memoryTime); err != nil {
+			t.Fatal(err)
+		}
+		if releases {
+			if err := orders.Release(t.Context(), engine.Address, "t-1", "memory"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w := &world{ledger: ledger, targets: []*target{{Target: engine}}}
+		w.checkMemory()
+		check(t, ledger, want)
+	}
+}
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -92,6 +92,16 @@
 			t.FailShare(40)
 			return func() { t.FailShare(0) }, string(t.ID)
 		}},
+		{"target doubles", func(w *world) (func(), string) {
+			t := w.anyTarget()
+			t.DoubleShare(40)
+			return func() { t.DoubleShare(0) }, string(t.ID)
+		}},
+		{"orders late", func(w *world) (func(), string) {
+			t := w.anyTarget()
+			t.LateOrders(true)
+			return func() { t.LateOrders(false) }, string(t.ID)
+		}},
 		{"target reset", func(w *world) (func(), string) {
 			t := w.anyTarget()
 			t.proxy.Reset()
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -20,12 +20,15 @@
 	// Faults are those injected, with their times in seconds.
 	Faults []string
 	Calls  int
+	// Reservations counts memory set aside at targets that live at the end,
+	// renewals among them.
+	Reservations int
 }
 
 // String returns the report in a few lines.
 func (r *Report) String() string {
-	text := fmt.Sprintf("seed %d: sent %d, served %d, refused %d, failed %d, cut %d; %d faults, %d calls to the store, %d promises broken",
-		r.Seed, r.Counts.Sent, r.Counts.Served, r.Counts.Refused, r.Counts.Failed, r.Counts.Cut, len(r.Faults), r.Calls, len(r.Broken))
+	text := fmt.Sprintf("seed %d: sent %d, served %d, refused %d, failed %d, cut %d; %d faults, %d calls to the store, %d reservations, %d promises broken",
+		r.Seed, r.Counts.Sent, r.Counts.Served, r.Counts.Refused, r.Counts.Failed, r.Counts.Cut, len(r.Faults), r.Calls, r.Reservations, len(r.Broken))
 	for _, broken := range r.Broken {
 		text += "\n  broken: " + broken
 	}
@@ -68,7 +71,9 @@
 	stop()
 	running.Wait()
 	w.checkMemory()
-	return &Report{Seed: c.Seed, Counts: all.counts, Broken: w.ledger.Broken(), Faults: w.events, Calls: w.store.Calls()}, nil
+	return &Report{
+		Seed: c.Seed, Counts: all.counts, Broken: w.ledger.Broken(), Faults: w.events, Calls: w.store.Calls(), Reservations: w.reservations(),
+	}, nil
 }
 
 // Fail returns an error if the run broke a promise.
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -27,8 +27,8 @@
 	if err := report.Fail(); err != nil {
 		t.Error(err)
 	}
-	if report.Counts.Served == 0 {
-		t.Error("nothing was served")
+	if report.Counts.Served == 0 || report.Reservations == 0 {
+		t.Error("nothing was served, or no memory was set aside")
 	}
 }
 
