Read events whose lines are as long as the buffer

Cause: found by writing a fuzz test. The event reader looked at the pieces in which a long line comes as if they were lines: a line of 2048 bytes ended its event early, and text in a later piece was taken for an event's number. After a resume the caller would have seen two events joined. Ruled out: loss of bytes (they were passed on whole while nothing broke). Change: a line is looked at once it is whole. Conclusion: mended.

--- a/serving/request/relay/events.go
+++ b/serving/request/relay/events.go
@@ -33,10 +33,11 @@
 // stream ends within an event.
 func (e *eventReader) next() (event, error) {
 	e.buffer = e.buffer[:0]
+	begins := 0 // of the line that is read, in the buffer
 	var found event
 	for {
-		line, err := e.reader.ReadSlice('\n')
-		e.buffer = append(e.buffer, line...)
+		piece, err := e.reader.ReadSlice('\n')
+		e.buffer = append(e.buffer, piece...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(e.buffer) > 0:
@@ -48,8 +49,10 @@
 			return event{}, errors.New("an event is too long")
 		}
 		if err != nil {
-			continue
+			continue // a line longer than the reader's buffer comes in pieces
 		}
+		line := e.buffer[begins:]
+		begins = len(e.buffer)
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			found.id = string(bytes.TrimSpace(id))
 		}
