Give the emulator's targets the queue of the users' services

All refusals came from three engines of the emulator: short prompts are packed onto few engines, and these refused beyond twice their slots. The users' services take three times (slots 16, queue 32; 12 and 24 at the grown sites), by which placement predicts. Ruled out: lost dispatches (at_target was known), faults that went on. Change: the emulator's queue is twice the slots. The check and its bound stay. Conclusion: the fault was the emulator's.

--- a/tools/emulator/target.go
+++ b/tools/emulator/target.go
@@ -24,8 +24,9 @@
 	firstEvent = 15 * time.Millisecond
 	eventGap   = 15 * time.Millisecond
 	callWork   = 10 * time.Millisecond
-	// queueFactor is how many times its slots a target takes.
-	queueFactor = 2
+	// queueFactor is how many times its slots a target takes: the users' services
+	// have a queue of twice their slots.
+	queueFactor = 3
 )
 
 // Headers of callers that only the emulator knows.
