Leave the end of a last attempt to the deadline

For an attempt that none may follow the watchdog's limit was the time left, so that it and the deadline ended the attempt at the same instant, and either could win. Ruled out: a late answer (0.15 s). Change: such an attempt has no limit of its own.

--- a/serving/request/relay/patience.go
+++ b/serving/request/relay/patience.go
@@ -27,6 +27,8 @@
 	// unusedFactor is how many times its prediction the first event may take
 	// if that is longer.
 	unusedFactor = 1.3
+	// noLimit leaves the end of an attempt to the request's deadline.
+	noLimit = time.Hour
 	// lastAnswer is how long before the daemon's end an answer must be
 	// whole.
 	lastAnswer = 300 * time.Millisecond
@@ -53,8 +55,7 @@
 func (a *attempt) limits() limits {
 	switch {
 	case !a.mayRepeat():
-		left := time.Until(a.deadline)
-		return limits{silent: left, stalled: left}
+		return limits{silent: noLimit, stalled: noLimit}
 	case a.route.Kind == routing.Streaming:
 		l := gapLimits(a.route)
 		l.stalled += firstPatience * a.placed.Decision.FirstEvent
