--- a/core/process/health/health.go
+++ b/core/process/health/health.go
@@ -8,7 +8,8 @@
 // still fails is retried at a bounded rate.
 //
 // A target that stops without closing its connections is detected by a timeout:
-// answers are pending, and it has sent nothing for UnresponsiveTimeout.
+// answers are pending, and it has sent nothing for UnresponsiveTimeout, or longer
+// where its activity is reported by other daemons.
 //
 // A Table is not safe for concurrent use.
 package health
@@ -54,9 +55,8 @@
 	// reported is true from the call that returned that the target is
 	// excluded until the call that returned that it is readmitted.
 	reported bool
-	// pending is the number of pending answers. lastActivity is when the
-	// target last sent something, or when the first pending request was sent.
-	pending      int
+	// lastActivity is when the target last sent something, or when a request was
+	// sent to it while no other was pending.
 	lastActivity time.Time
 }
 
@@ -82,34 +82,27 @@
 	return s
 }
 
-// RequestSent records that a request was sent, so that one more answer is pending.
-func (t *Table) RequestSent(id names.Target, now time.Time) {
+// RequestSent records that a request was sent. pending is the number of answers that
+// were pending before.
+func (t *Table) RequestSent(id names.Target, pending int, now time.Time) {
 	s := t.decayed(id, now)
-	if s.pending == 0 {
+	if pending == 0 {
 		s.lastActivity = now
 	}
-	s.pending++
 }
 
-// RecordActivity records that the target sent something.
-func (t *Table) RecordActivity(id names.Target, now time.Time) {
-	if s, ok := t.targets[id]; ok {
-		s.lastActivity = now
-	}
-}
-
-// RequestEnded records that an answer is no longer pending.
-func (t *Table) RequestEnded(id names.Target) {
-	if s, ok := t.targets[id]; ok && s.pending > 0 {
-		s.pending--
+// RecordActivity records that the target sent something at the time at.
+func (t *Table) RecordActivity(id names.Target, at time.Time) {
+	if s, ok := t.targets[id]; ok && at.After(s.lastActivity) {
+		s.lastActivity = at
 	}
 }
 
-// Unresponsive reports whether answers are pending and the target has sent nothing
-// for more than UnresponsiveTimeout.
-func (t *Table) Unresponsive(id names.Target, now time.Time) bool {
+// Unresponsive reports whether the target has sent nothing for more than timeout
+// though answers are pending.
+func (t *Table) Unresponsive(id names.Target, pending int, timeout time.Duration, now time.Time) bool {
 	s, ok := t.targets[id]
-	return ok && s.pending > 0 && now.Sub(s.lastActivity) > UnresponsiveTimeout
+	return ok && pending > 0 && now.Sub(s.lastActivity) > timeout
 }
 
 // Failed records a failed request, and reports whether the target became excluded.
@@ -160,15 +153,16 @@
 	return t.decayed(id, now).excluded
 }
 
-// ExcludedCount returns the number of targets that are excluded from placement.
-func (t *Table) ExcludedCount(now time.Time) int {
-	count := 0
+// ExcludedTargets returns the targets that are excluded from placement, sorted by name.
+func (t *Table) ExcludedTargets(now time.Time) []names.Target {
+	var excluded []names.Target
 	for id := range t.targets {
 		if t.decayed(id, now).excluded {
-			count++
+			excluded = append(excluded, id)
 		}
 	}
-	return count
+	slices.Sort(excluded)
+	return excluded
 }
 
 // Readmitted returns the targets that were reported as excluded and were readmitted
--- a/core/process/inflight/inflight.go
+++ b/core/process/inflight/inflight.go
@@ -1,12 +1,12 @@
-// Package inflight tracks the work that all daemons of the fleet have in flight at
-// each target.
+// Package inflight tracks the work that daemons of the fleet have in flight at each
+// target.
 //
-// Every daemon sends the other daemons a message when it dispatches work, when the
-// first event arrives and when the dispatch ends. From these messages each daemon
-// estimates, for each target, the prefill work ahead of a new prompt, the answers
-// that are being decoded and the memory that they use. Messages may be lost, late
-// or repeated: an entry is removed at its expiry at the latest, and a message
-// about an unknown entry is ignored.
+// A daemon sends the homes of a target a message when it dispatches work, when the
+// first event arrives and when the dispatch ends, and repeats the first one while the
+// dispatch lasts. From these messages a home estimates, for each target, the prefill
+// work ahead of a new prompt, the answers that are being decoded and the memory that
+// they use. Messages may be lost, late or repeated: an entry is removed at its expiry
+// at the latest, and a message about the end of an unknown entry is ignored.
 //
 // A Table is not safe for concurrent use.
 package inflight
@@ -47,9 +47,12 @@
 type Dispatch struct {
 	Key   Key
 	Parts []Part
-	// MaxDuration is the longest time from now to the end of the dispatch. An
-	// entry without an end message is removed after that.
+	// MaxDuration is the longest time from now to the end of the dispatch, or to
+	// the next message that repeats it. An entry without either is removed after
+	// that.
 	MaxDuration time.Duration
+	// Prefilled is true for a repeated message after the first event.
+	Prefilled bool
 }
 
 // GapClassBounds are the upper bounds of the classes of answers by the longest
@@ -75,6 +78,9 @@
 	// decodes now or will decode.
 	Requests int
 	Answers  int
+	// Pending counts the dispatches that the target has to answer. Helpers of a
+	// prompt send nothing to the daemon.
+	Pending int
 	// Deferred counts the deferred parts whose prefill is not done. Backlog does
 	// not include them.
 	Deferred int
@@ -120,16 +126,27 @@
 // still arrive.
 const endMessageGrace = time.Second
 
-// Begin adds a dispatch. A dispatch that is already in the table is ignored.
+// Begin adds a dispatch, or extends the time of one that is already in the table.
 func (t *Table) Begin(d Dispatch, now time.Time) {
-	if _, ok := t.entries[d.Key]; ok {
+	expires := now.Add(d.MaxDuration + endMessageGrace)
+	if known, ok := t.entries[d.Key]; ok {
+		known.expires = expires
+		if d.Prefilled {
+			t.FirstEvent(d.Key, now)
+		}
 		return
 	}
-	t.entries[d.Key] = &entry{dispatch: d, expires: now.Add(d.MaxDuration + endMessageGrace)}
+	t.entries[d.Key] = &entry{dispatch: d, expires: expires, prefilled: d.Prefilled}
 	for i := range d.Parts {
 		p := &d.Parts[i]
 		s := t.advance(p.Target, now)
 		s.add(p, 1)
+		if i == 0 {
+			s.load.Pending++
+		}
+		if d.Prefilled {
+			continue
+		}
 		if p.Deferred {
 			s.load.Deferred++
 			continue
@@ -189,6 +206,9 @@
 		p := &e.dispatch.Parts[i]
 		s := t.advance(p.Target, now)
 		s.add(p, -1)
+		if i == 0 {
+			s.load.Pending--
+		}
 	}
 }
 
@@ -263,6 +283,22 @@
 	return load
 }
 
+// FirstTarget returns the target that answers a dispatch, and whether the dispatch is
+// in the table.
+func (t *Table) FirstTarget(k Key) (names.Target, bool) {
+	e, ok := t.entries[k]
+	if !ok || len(e.dispatch.Parts) == 0 {
+		return "", false
+	}
+	return e.dispatch.Parts[0].Target, true
+}
+
+// Has reports whether a dispatch is in the table.
+func (t *Table) Has(k Key) bool {
+	_, ok := t.entries[k]
+	return ok
+}
+
 // Prune removes the targets without requests for which keep returns false.
 func (t *Table) Prune(keep func(names.Target) bool) {
 	for id, s := range t.targets {
--- a/core/process/replicas/replicas.go
+++ b/core/process/replicas/replicas.go
@@ -1,11 +1,12 @@
 // Package replicas maintains the directory of targets from a published list.
 //
 // The list is a sequence of changes with increasing revisions. The directory
-// compensates for two of its weaknesses. Entries expire while the publisher is
+// compensates for three of its weaknesses. Entries expire while the publisher is
 // unavailable, although their targets are alive: an entry that disappears during
 // or just after an outage remains usable until RepublishGrace after the end of
 // the outage. Addresses are reused by other targets: a target is identified by
-// its ID and start time, never by its address.
+// its ID and start time, never by its address. The publisher may be restored from
+// a copy that is some seconds old, see Restore.
 //
 // A Directory is not safe for concurrent use.
 package replicas
@@ -23,6 +24,39 @@
 // during the outage may be published again.
 const RepublishGrace = 2200 * time.Millisecond
 
+// Times after a restoration of the publisher from a copy.
+const (
+	// RestoreGrace is the time within which entries that the copy lacks may be
+	// published again.
+	RestoreGrace = 5 * time.Second
+	// SuspensionTime is how long an entry of the copy is not used if its target
+	// was draining or gone before the restoration. A target that is alive and
+	// draining publishes that again within it, and the entry of a dead one
+	// expires.
+	SuspensionTime = 6 * time.Second
+	// tombstoneTime is how long a removed target is remembered, which bounds the
+	// age of a copy.
+	tombstoneTime = time.Minute
+)
+
+// Position is a point in the history of the publisher.
+type Position struct {
+	// Era is increased by one each time the publisher is restored from a copy.
+	Era uint64
+	// Revision is increased by one with each change. After a restoration it
+	// continues from that of the copy, so that revisions of different eras
+	// cannot be compared.
+	Revision uint64
+}
+
+// Compare compares two positions by era, then by revision.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
+}
+
+// IsZero reports whether nothing was published or read yet.
+func (p Position) IsZero() bool { return p == Position{} }
+
 // Target is one published entry.
 type Target struct {
 	ID         names.Target
@@ -42,33 +76,79 @@
 // Directory holds the usable targets.
 type Directory struct {
 	entries map[names.Target]*directoryEntry
+	// removed holds the targets that were removed in the last tombstoneTime.
+	removed map[names.Target]tombstone
 	// unavailable is true during an outage of the publisher. During an outage
 	// and until graceUntil, the list may lack entries of live targets.
 	unavailable bool
 	graceUntil  time.Time
 	// firstAvailable is when the publisher first answered.
 	firstAvailable time.Time
+	// copied is the revision up to which entries may be those of a copy, and
+	// suspendUntil the time until which such entries are not used if they
+	// contradict what was known before.
+	copied       uint64
+	suspendUntil time.Time
 }
 
 type directoryEntry struct {
 	target Target
 	// missing is true for an entry that disappeared during or just after an
-	// outage.
-	missing bool
+	// outage, at the revision removedAt.
+	missing   bool
+	removedAt uint64
+	// suspendedUntil is the time until which the entry of a copy is not used.
+	suspendedUntil time.Time
+}
+
+// tombstone is a removed target.
+type tombstone struct {
+	revision uint64
+	started  int64
+	at       time.Time
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{entries: make(map[names.Target]*directoryEntry)}
+	return &Directory{entries: make(map[names.Target]*directoryEntry), removed: make(map[names.Target]tombstone)}
 }
 
 // Put adds or updates an entry. An entry with an older revision than the known
-// one is ignored.
-func (d *Directory) Put(t Target) {
-	if old, ok := d.entries[t.ID]; ok && old.target.Revision > t.Revision {
+// one, or than its removal, is ignored.
+func (d *Directory) Put(t Target, now time.Time) {
+	old, ok := d.entries[t.ID]
+	if ok && max(old.target.Revision, old.removedAt) > t.Revision || d.removed[t.ID].revision > t.Revision {
+		return
+	}
+	entry := &directoryEntry{target: t}
+	if t.Revision <= d.copied && now.Before(d.suspendUntil) {
+		d.reconcile(entry, old)
+	}
+	d.entries[t.ID] = entry
+	delete(d.removed, t.ID)
+}
+
+// reconcile corrects an entry that may be that of a copy by what was known before the
+// restoration; old is the known entry, or nil.
+func (d *Directory) reconcile(entry, old *directoryEntry) {
+	t := &entry.target
+	if old == nil {
+		if gone, ok := d.removed[t.ID]; ok && t.Started <= gone.started {
+			entry.suspendedUntil = d.suspendUntil
+		}
 		return
 	}
-	d.entries[t.ID] = &directoryEntry{target: t}
+	if old.target.Started > t.Started {
+		revision := t.Revision
+		*t = old.target
+		t.Revision = revision
+	}
+	if old.target.Draining && !t.Draining && old.target.Started == t.Started {
+		entry.suspendedUntil = d.suspendUntil
+	}
+	if entry.suspendedUntil.Before(old.suspendedUntil) {
+		entry.suspendedUntil = old.suspendedUntil
+	}
 }
 
 // Remove records that an entry was removed from the list at a revision. During and
@@ -78,19 +158,67 @@
 	if !ok || entry.target.Revision > revision {
 		return
 	}
-	if d.absenceUncertain(now) && !entry.target.Draining {
-		entry.missing = true
+	if d.absenceUncertain(now) && entry.usable(now) {
+		entry.missing, entry.removedAt = true, revision
 		return
 	}
+	d.drop(id, revision, now)
+}
+
+// drop removes an entry and remembers the target.
+func (d *Directory) drop(id names.Target, revision uint64, now time.Time) {
+	d.removed[id] = tombstone{revision: revision, started: d.entries[id].target.Started, at: now}
 	delete(d.entries, id)
 }
 
+// usable reports whether new work may be sent to the target.
+func (e *directoryEntry) usable(now time.Time) bool {
+	return !e.target.Draining && !now.Before(e.suspendedUntil)
+}
+
+// Restore records that the publisher was restored from a copy. Its revisions start
+// again below those that are known, and its list, which is as of the revision copied,
+// may be some seconds old: an entry that it lacks stays usable until RestoreGrace
+// later, one of a target that was draining or gone before is not used until it is
+// published again or until SuspensionTime later, and an earlier start of a target does
+// not replace a later one.
+func (d *Directory) Restore(copied uint64, now time.Time) {
+	d.copied, d.suspendUntil, d.graceUntil = copied, now.Add(SuspensionTime), now.Add(RestoreGrace)
+	for _, entry := range d.entries {
+		entry.target.Revision, entry.removedAt = 0, 0
+	}
+	for id, gone := range d.removed {
+		gone.revision = 0
+		d.removed[id] = gone
+	}
+}
+
+// Suspended returns the entries that are not used because of a restoration, and for
+// how much longer.
+func (d *Directory) Suspended(now time.Time) map[names.Target]time.Duration {
+	suspended := make(map[names.Target]time.Duration)
+	for id, entry := range d.entries {
+		if left := entry.suspendedUntil.Sub(now); left > 0 {
+			suspended[id] = left
+		}
+	}
+	return suspended
+}
+
+// Suspend suspends an entry that a peer with the same list has suspended for a time.
+func (d *Directory) Suspend(id names.Target, left time.Duration, now time.Time) {
+	entry, ok := d.entries[id]
+	if until := now.Add(min(left, SuspensionTime)); ok && until.After(entry.suspendedUntil) {
+		entry.suspendedUntil = until
+	}
+}
+
 // Replace applies the complete list as of a revision.
 func (d *Directory) Replace(list []Target, revision uint64, now time.Time) {
 	present := make(map[names.Target]bool, len(list))
 	for _, t := range list {
 		present[t.ID] = true
-		d.Put(t)
+		d.Put(t, now)
 	}
 	for id := range d.entries {
 		if !present[id] {
@@ -109,17 +237,32 @@
 	}
 	if d.unavailable {
 		d.unavailable = false
-		d.graceUntil = now.Add(RepublishGrace)
+		d.graceUntil = later(d.graceUntil, now.Add(RepublishGrace))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
-// Expire drops the entries that were not published again within RepublishGrace
-// after an outage, and reports whether it dropped any.
+// Expire drops the entries that were not published again after an outage or a
+// restoration, and ends suspensions. It reports whether the usable targets changed.
 func (d *Directory) Expire(now time.Time) bool {
+	maps.DeleteFunc(d.removed, func(_ names.Target, gone tombstone) bool { return now.Sub(gone.at) > tombstoneTime })
+	changed := false
+	for _, entry := range d.entries {
+		if !entry.suspendedUntil.IsZero() && !now.Before(entry.suspendedUntil) {
+			entry.suspendedUntil = time.Time{}
+			changed = true
+		}
+	}
 	if d.absenceUncertain(now) {
-		return false
+		return changed
 	}
-	return d.DropMissing()
+	return d.DropMissing(now) || changed
 }
 
 // Settled reports whether all targets that are not listed are gone. It returns
@@ -131,11 +274,15 @@
 }
 
 // DropMissing drops the missing entries, and reports whether it dropped any. Other
-// packages call it when another directory at the same or a newer revision is
+// packages call it when another directory at the same or a newer position is
 // settled.
-func (d *Directory) DropMissing() bool {
+func (d *Directory) DropMissing(now time.Time) bool {
 	before := len(d.entries)
-	maps.DeleteFunc(d.entries, func(_ names.Target, entry *directoryEntry) bool { return entry.missing })
+	for id, entry := range d.entries {
+		if entry.missing {
+			d.drop(id, entry.removedAt, now)
+		}
+	}
 	return len(d.entries) < before
 }
 
@@ -145,11 +292,12 @@
 	return d.unavailable || now.Before(d.graceUntil)
 }
 
-// List returns the usable targets, sorted by ID. Draining targets are omitted.
-func (d *Directory) List() []Target {
+// List returns the usable targets, sorted by ID. Draining and suspended targets are
+// omitted.
+func (d *Directory) List(now time.Time) []Target {
 	list := make([]Target, 0, len(d.entries))
 	for _, entry := range d.entries {
-		if !entry.target.Draining {
+		if entry.usable(now) {
 			list = append(list, entry.target)
 		}
 	}
--- a/serving/connection/targetapi/client.go
+++ b/serving/connection/targetapi/client.go
@@ -30,6 +30,9 @@
 	ControlTimeout = 2 * time.Second
 	// MaxReplyBytes bounds an answer that is not streamed.
 	MaxReplyBytes = 8 << 20
+	// maxHeaderBytes bounds the header of an answer, interim (1xx) answers
+	// included.
+	maxHeaderBytes = 64 << 10
 	// maxRefusalBytes bounds the part of a refusal's body that is read.
 	maxRefusalBytes = 4 << 10
 	// MaxFrameBytes bounds the size of a frame of a stream.
@@ -79,6 +82,8 @@
 		MaxIdleConnsPerHost: MaxIdlePerTarget,
 		IdleConnTimeout:     IdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
@@ -184,10 +189,13 @@
 		return err
 	}
 	defer response.Body.Close() //nolint:errcheck // the body was read or is discarded
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxReplyBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxReplyBytes+1))
 	if err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.AnswerCut, "the target's answer ended early")
 	}
+	if len(body) > MaxReplyBytes {
+		return verdict.Newf(verdict.MayHaveRun, verdict.AnswerMismatch, "the target's answer exceeds %d bytes", MaxReplyBytes)
+	}
 	if out == nil {
 		return nil
 	}
--- a/serving/connection/upstream/attempt.go
+++ b/serving/connection/upstream/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -12,9 +13,22 @@
 	"github.com/pkg/errors"
 )
 
-// maxStaleAnswers is the maximum number of answers to earlier requests that are
-// skipped on a connection before it is closed.
-const maxStaleAnswers = 2
+// Limits of what a target may send. A faulty target may send without end.
+const (
+	// maxStaleAnswers is the maximum number of answers to earlier requests that are
+	// skipped on a connection before it is closed, and maxStaleBytes the maximum
+	// size of the body of one of them.
+	maxStaleAnswers = 2
+	maxStaleBytes   = 1 << 20
+	// maxHeadBytes is the maximum size of all that precedes the body of an answer:
+	// its status line and header, interim (1xx) answers, and the status lines and
+	// headers of skipped answers.
+	maxHeadBytes = 64 << 10
+)
+
+// errNoAnswer is the cause of a failure where a target sent bytes that are no answer
+// to the request.
+var errNoAnswer = errors.New("the target sent bytes that are no answer")
 
 // Attempt is a single attempt to send a request to a target.
 type Attempt struct {
@@ -29,8 +43,9 @@
 	// be sent on an idle connection that the target may be about to close.
 	NewConnection bool
 	// IsOwnAnswer reports whether an answer belongs to this request rather
-	// than to an earlier one on the connection.
-	IsOwnAnswer func(*http.Response) bool
+	// than to an earlier one on the connection. reused is true if the
+	// connection carried an earlier one.
+	IsOwnAnswer func(response *http.Response, reused bool) bool
 }
 
 // Exchange is an attempt whose answer's header has arrived. Either Release
@@ -41,6 +56,7 @@
 	conn    *Conn
 	pool    *Pool
 	target  names.Target
+	reused  bool // the connection carried another request before
 	written chan error
 	stop    func() bool
 }
@@ -48,11 +64,11 @@
 // Do writes a request and waits for the header of its answer. The connection is
 // closed when ctx ends. Errors are of type *verdict.Error.
 func (p *Pool) Do(ctx context.Context, a *Attempt) (*Exchange, error) {
-	conn, _, err := p.get(ctx, a.Target, a.Address, a.NewConnection)
+	conn, reused, err := p.get(ctx, a.Target, a.Address, a.NewConnection)
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.TargetUnreachable, "the target cannot be reached")
 	}
-	x := &Exchange{conn: conn, pool: p, target: a.Target, written: make(chan error, 1)}
+	x := &Exchange{conn: conn, pool: p, target: a.Target, reused: reused, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks pending reads and writes
 	request := newRequest(a)
 	x.write(request, len(a.Body))
@@ -98,21 +114,40 @@
 
 // readHeader reads the header of the answer to this request. It skips up to
 // maxStaleAnswers answers to earlier requests.
-func (x *Exchange) readHeader(request *http.Request, isOwn func(*http.Response) bool) error {
+func (x *Exchange) readHeader(request *http.Request, isOwn func(*http.Response, bool) bool) error {
+	x.conn.limitHead(maxHeadBytes)
+	defer x.conn.unlimitHead()
 	for range maxStaleAnswers + 1 {
 		response, err := x.readFinalResponse(request) //nolint:bodyclose // the connection is closed or reused as a whole
 		if err != nil {
 			return err
 		}
-		if isOwn(response) {
+		if isOwn(response, x.reused) {
 			x.Response = response
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
-			return errors.New("the connection ended with an answer to an earlier request")
+		if err := x.skipBody(response); err != nil {
+			return err
 		}
 	}
-	return errors.New("too many answers to earlier requests on the connection")
+	return errors.Wrap(errNoAnswer, "too many answers to earlier requests on the connection")
+}
+
+// skipBody reads the body of an answer to an earlier request.
+func (x *Exchange) skipBody(response *http.Response) error {
+	left := x.conn.unlimitHead()
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBytes+1))
+	x.conn.limitHead(left)
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "answer to an earlier request")
+	case n > maxStaleBytes:
+		return errors.Wrapf(errNoAnswer, "an answer to an earlier request exceeds %d bytes", maxStaleBytes)
+	case response.Close:
+		return errors.Wrap(io.ErrUnexpectedEOF, "the connection ended with an answer to an earlier request")
+	default:
+		return nil
+	}
 }
 
 // readFinalResponse reads the next final answer and skips interim (1xx) ones.
@@ -131,10 +166,21 @@
 // attemptError returns the error of a request of which bytes may have been
 // written to the socket.
 func attemptError(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.DeadlineExceeded, "the target did not answer in time")
+	case isConnectionError(err):
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.AnswerCut, "the connection to the target broke")
+	default:
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.AnswerMismatch, "the target sent bytes that are no answer")
 	}
-	return verdict.Wrap(err, verdict.MayHaveRun, verdict.AnswerCut, "the connection to the target broke")
+}
+
+// isConnectionError reports whether an error of reading an answer means that the
+// connection ended. All other errors mean that the bytes are no answer.
+func isConnectionError(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
 }
 
 // BodyError returns an error with a verdict for an error of reading the body.
--- a/serving/connection/upstream/conn.go
+++ b/serving/connection/upstream/conn.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -48,6 +49,8 @@
 type Conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// headLimit bounds what reader takes from the connection.
+	headLimit *headLimit
 	// idleUntil is the time from which an idle connection is no longer
 	// used.
 	idleUntil time.Time
@@ -74,7 +77,41 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return &Conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	limit := &headLimit{reader: raw, left: unlimited}
+	return &Conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), headLimit: limit}, nil
+}
+
+// headLimit is a reader that returns errNoAnswer after a number of bytes.
+// http.ReadResponse bounds neither the status line nor the header.
+type headLimit struct {
+	reader io.Reader
+	// left is the number of bytes that may still be read, or unlimited.
+	left int
+}
+
+const unlimited = -1
+
+// Read implements io.Reader.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if l.left == unlimited {
+		return l.reader.Read(p)
+	}
+	if l.left == 0 {
+		return 0, errors.Wrapf(errNoAnswer, "the header exceeds %d bytes", maxHeadBytes)
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// limitHead bounds the bytes that are read from the connection until unlimitHead.
+func (c *Conn) limitHead(bytes int) { c.headLimit.left = bytes }
+
+// unlimitHead removes the bound, and returns how many bytes were left.
+func (c *Conn) unlimitHead() int {
+	left := c.headLimit.left
+	c.headLimit.left = unlimited
+	return left
 }
 
 // usable reports whether an idle connection can be used for a request: it has
--- /dev/null
+++ b/serving/process/dispatchsync/convert.go
@@ -0,0 +1,184 @@
+package dispatchsync
+
+import (
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/homes"
+	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/core/process/replicas"
+	"carobspoke.example/core/request/placement"
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/serving/peerpb"
+	"carobspoke.example/serving/process/published"
+)
+
+// maxMessageTime bounds the times in messages, so that they fit into 32 bits in
+// microseconds.
+const maxMessageTime = time.Hour
+
+// millis returns a time in milliseconds. A positive time is at least one, since zero
+// stands for no time in some fields.
+func millis(d time.Duration) uint32 {
+	d = min(max(d, 0), maxMessageTime)
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+func micros(d time.Duration) uint32 { return uint32(min(max(d, 0), maxMessageTime).Microseconds()) }
+
+func fromMillis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func fromMicros(us uint32) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func encodeDispatch(d *inflight.Dispatch, idle time.Duration) *peerpb.DispatchBegun {
+	begun := &peerpb.DispatchBegun{
+		Number: d.Key.Number, LastsMs: millis(d.MaxDuration), Parts: encodeParts(d.Parts), Prefilled: d.Prefilled,
+	}
+	if idle >= 0 {
+		begun.IdleMs = millis(idle) + 1
+	}
+	return begun
+}
+
+func decodeDispatch(k inflight.Key, begun *peerpb.DispatchBegun) (inflight.Dispatch, time.Duration) {
+	d := inflight.Dispatch{
+		Key: k, MaxDuration: fromMillis(begun.GetLastsMs()), Parts: decodeParts(begun.GetParts()), Prefilled: begun.GetPrefilled(),
+	}
+	return d, time.Duration(int64(begun.GetIdleMs())-1) * time.Millisecond
+}
+
+func encodeParts(parts []inflight.Part) []*peerpb.DispatchPart {
+	list := make([]*peerpb.DispatchPart, 0, len(parts))
+	for i := range parts {
+		p := &parts[i]
+		list = append(list, &peerpb.DispatchPart{
+			Target: string(p.Target), PrefillMs: millis(p.Prefill), Tokens: uint32(p.Tokens),
+			Writes: p.Decodes, Size: uint32(p.Size), GapMs: millis(p.GapTarget), Deferred: p.Deferred,
+		})
+	}
+	return list
+}
+
+func decodeParts(parts []*peerpb.DispatchPart) []inflight.Part {
+	list := make([]inflight.Part, 0, len(parts))
+	for _, p := range parts {
+		list = append(list, inflight.Part{
+			Target: names.Target(p.GetTarget()), Prefill: fromMillis(p.GetPrefillMs()), Tokens: int(p.GetTokens()),
+			Decodes: p.GetWrites(), Size: int(p.GetSize()), GapTarget: fromMillis(p.GetGapMs()), Deferred: p.GetDeferred(),
+		})
+	}
+	return list
+}
+
+func encodeOutcome(o Outcome) peerpb.TargetOutcome_Kind {
+	switch o {
+	case Succeeded:
+		return peerpb.TargetOutcome_KIND_SUCCEEDED
+	case Failed:
+		return peerpb.TargetOutcome_KIND_FAILED
+	case Unreachable:
+		return peerpb.TargetOutcome_KIND_UNREACHABLE
+	default:
+		return peerpb.TargetOutcome_KIND_UNSPECIFIED
+	}
+}
+
+// decodeOutcome returns false for an outcome that this version does not know.
+func decodeOutcome(kind peerpb.TargetOutcome_Kind) (Outcome, bool) {
+	switch kind {
+	case peerpb.TargetOutcome_KIND_SUCCEEDED:
+		return Succeeded, true
+	case peerpb.TargetOutcome_KIND_FAILED:
+		return Failed, true
+	case peerpb.TargetOutcome_KIND_UNREACHABLE:
+		return Unreachable, true
+	default:
+		return 0, false
+	}
+}
+
+func decodeHeartbeat(b *peerpb.DispatchBatch) published.Heartbeat {
+	return published.Heartbeat{
+		Position:  replicas.Position{Era: b.GetEra(), Revision: b.GetRevision()},
+		Confirmed: fromMillis(b.GetConfirmedMs()), Settled: b.GetSettled(), ConfigVersion: names.Version(b.GetConfigVersion()),
+	}
+}
+
+func encodeAsk(number uint64, a *Ask) *peerpb.PlacementAsk {
+	r := &a.Request
+	return &peerpb.PlacementAsk{
+		Number: number, Service: string(a.Group.Service), Group: uint32(a.Group.Index), Groups: uint32(a.Group.Groups),
+		PromptTokens: uint32(r.PromptTokens), AnswerTokens: uint32(r.AnswerTokens),
+		LatencyTargetMs: millis(r.LatencyTarget), GapTargetMs: millis(r.GapTarget),
+		TimeLeftMs: millis(r.TimeLeft), TimeToShutdownMs: millis(r.TimeToShutdown), AnswerStarted: r.AnswerStarted,
+		FirstEventTimeoutMs: millis(r.FirstEventTimeout), Rank: int32(r.Rank),
+		Exclude: encodeTargets(r.Exclude), Avoid: encodeTargets(a.Avoid),
+	}
+}
+
+func decodeAsk(m *peerpb.PlacementAsk) *Ask {
+	return &Ask{
+		Group: homes.Group{Service: names.Service(m.GetService()), Index: int(m.GetGroup()), Groups: int(m.GetGroups())},
+		Request: placement.Request{
+			PromptTokens: int(m.GetPromptTokens()), AnswerTokens: int(m.GetAnswerTokens()),
+			LatencyTarget: fromMillis(m.GetLatencyTargetMs()), GapTarget: fromMillis(m.GetGapTargetMs()),
+			TimeLeft: fromMillis(m.GetTimeLeftMs()), TimeToShutdown: fromMillis(m.GetTimeToShutdownMs()), AnswerStarted: m.GetAnswerStarted(),
+			FirstEventTimeout: fromMillis(m.GetFirstEventTimeoutMs()), Rank: int(m.GetRank()),
+			Exclude: decodeTargets(m.GetExclude()),
+		},
+		Avoid: decodeTargets(m.GetAvoid()),
+	}
+}
+
+func encodeTargets(list []names.Target) []string {
+	ids := make([]string, 0, len(list))
+	for _, id := range list {
+		ids = append(ids, string(id))
+	}
+	return ids
+}
+
+func decodeTargets(ids []string) []names.Target {
+	list := make([]names.Target, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, names.Target(id))
+	}
+	return list
+}
+
+func encodeAnswer(number uint64, a *Answer) *peerpb.PlacementAnswer {
+	d := &a.Decision
+	m := &peerpb.PlacementAnswer{
+		Number: number, UnknownService: a.UnknownService, Pressure: float32(a.Pressure),
+		Parts: encodeParts(d.Parts), FirstEventUs: micros(d.FirstEvent), CompletionUs: micros(d.Completion), Priority: uint32(d.Priority),
+		BacklogUs: micros(d.Load.Backlog), Requests: uint32(d.Load.Requests), Answers: uint32(d.Load.Answers),
+	}
+	for i := range d.Helpers {
+		m.Parts[i+1].Reserved = uint32(d.Helpers[i].ReservedTokens)
+	}
+	if d.Refusal != nil {
+		m.RefusalReason, m.RefusalMessage = string(d.Refusal.Reason), d.Refusal.Message
+		m.RetryAfterMs = millis(d.Refusal.RetryAfter)
+	}
+	return m
+}
+
+func decodeAnswer(m *peerpb.PlacementAnswer) Answer {
+	a := Answer{UnknownService: m.GetUnknownService(), Pressure: float64(m.GetPressure())}
+	d := &a.Decision
+	d.Parts = decodeParts(m.GetParts())
+	d.FirstEvent, d.Completion = fromMicros(m.GetFirstEventUs()), fromMicros(m.GetCompletionUs())
+	d.Priority = int(m.GetPriority())
+	d.Load = inflight.Load{Backlog: fromMicros(m.GetBacklogUs()), Requests: int(m.GetRequests()), Answers: int(m.GetAnswers())}
+	for i, p := range m.GetParts() {
+		if i == 0 {
+			d.Target = names.Target(p.GetTarget())
+			continue
+		}
+		d.Helpers = append(d.Helpers, placement.Helper{Target: names.Target(p.GetTarget()), ReservedTokens: int(p.GetReserved())})
+	}
+	if m.GetRefusalReason() != "" {
+		d.Refusal = verdict.New(verdict.NotRun, verdict.Reason(m.GetRefusalReason()), m.GetRefusalMessage()).WithRetryAfter(fromMillis(m.GetRetryAfterMs()))
+	}
+	return a
+}
--- a/serving/process/dispatchsync/dispatchsync.go
+++ b/serving/process/dispatchsync/dispatchsync.go
@@ -1,10 +1,11 @@
-// Package dispatchsync exchanges dispatch events between daemons by UDP: it sends
-// the events of this daemon to its peers and receives theirs. It also sends and
-// receives the heartbeats of daemons that watch the published records.
+// Package dispatchsync carries the UDP messages between daemons: questions to the
+// homes of a group of targets and their answers, the progress of dispatches, the
+// outcomes of sends to targets, and the heartbeats of daemons that watch the
+// published records.
 //
-// Events are batched for BatchDelay and sent to all peers in one datagram. A
-// lost datagram only makes the peers' view of the load less accurate, see
-// core/process/inflight.
+// Progress and outcomes are batched for BatchDelay for each receiver. A lost
+// datagram only makes the receiver's view of the load less accurate, see
+// core/process/inflight. A question whose answer is lost is put to another home.
 package dispatchsync
 
 import (
@@ -17,6 +18,7 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/inflight"
 	"carobspoke.example/serving/peerpb"
+	"carobspoke.example/serving/process/published"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -30,19 +32,25 @@
 	// maxPacketBytes is the maximum size of a received datagram, and
 	// fullPacketBytes the size from which a batch is sent without delay. The
 	// largest event takes about 500 bytes, so that a batch stays within a
-	// network packet of 1,400 bytes.
+	// network packet of 1,400 bytes. An answer with all helpers takes about 700.
 	maxPacketBytes  = 2048
 	fullPacketBytes = 900
 )
 
-// Sink receives the events and heartbeats of peers.
+// Sink receives the messages of other daemons. Its methods are called one at a time.
 type Sink interface {
-	Begin(d inflight.Dispatch)
+	// Begin receives a dispatch, or repeats it. idle is how long ago the target
+	// sent something for it; negative if it has sent nothing.
+	Begin(d inflight.Dispatch, idle time.Duration)
 	FirstEvent(k inflight.Key)
 	End(k inflight.Key)
+	// RecordOutcome receives the outcome of a send to a target.
+	RecordOutcome(id names.Target, o Outcome)
+	// Place places a request of another daemon. The dispatch has the key k.
+	Place(k inflight.Key, a *Ask) Answer
 	// ObserveHeartbeat receives the heartbeat of a daemon that watches the
-	// published records; see Exchange.SendHeartbeat for the parameters.
-	ObserveHeartbeat(from names.Host, revision uint64, confirmed time.Duration, settled bool)
+	// published records.
+	ObserveHeartbeat(from names.Host, h published.Heartbeat)
 }
 
 // Config holds the settings and dependencies of an Exchange.
@@ -50,14 +58,13 @@
 	Self        names.Host
 	Incarnation names.Incarnation
 	Conn        *net.UDPConn
-	// Peers returns the addresses to which events are sent.
-	Peers func() []netip.AddrPort
-	Sink  Sink
-	Log   *zap.Logger
+	// Port is the port at which the daemons receive these messages.
+	Port uint16
+	Sink Sink
+	Log  *zap.Logger
 }
 
-// Exchange sends the dispatch events of this daemon and receives those of its peers.
-// It is safe for concurrent use.
+// Exchange sends and receives messages. It is safe for concurrent use.
 type Exchange struct {
 	config Config
 	// packedHost is this daemon's address and port in the binary form that each
@@ -65,84 +72,99 @@
 	packedHost []byte
 
 	mu      sync.Mutex
-	pending *peerpb.DispatchBatch
-	// pendingBytes is the approximate size of the pending batch.
-	pendingBytes int
-	// wake signals to Run that the pending batch is no longer empty.
+	pending map[names.Host]*pendingBatch
+	// asks holds the channels of the questions that wait for an answer, by the
+	// number of the dispatch.
+	asks map[uint64]chan Answer
+	// wake signals to Run that there is a pending batch.
 	wake chan struct{}
 }
 
-// New returns an Exchange. Before Run, it receives nothing and sends only heartbeats
-// and full batches. New panics if Config.Self is not an address with a port.
+// pendingBatch is a batch that is not sent yet, and its approximate size in bytes.
+type pendingBatch struct {
+	batch *peerpb.DispatchBatch
+	bytes int
+}
+
+// New returns an Exchange. Before Run, it receives nothing and sends only heartbeats,
+// questions and full batches. New panics if Config.Self is not an address with a port.
 func New(c Config) *Exchange {
 	host, err := netip.ParseAddrPort(string(c.Self))
 	if err != nil {
 		panic(errors.Wrap(err, "dispatchsync: own host")) // the settings were checked
 	}
 	packed, _ := host.MarshalBinary() // it never returns an error
-	e := &Exchange{config: c, packedHost: packed, wake: make(chan struct{}, 1)}
-	e.pending = e.newBatch()
-	return e
+	return &Exchange{
+		config: c, packedHost: packed, wake: make(chan struct{}, 1),
+		pending: make(map[names.Host]*pendingBatch), asks: make(map[uint64]chan Answer),
+	}
 }
 
-// newBatch returns a batch without events.
+// newBatch returns an empty batch.
 func (e *Exchange) newBatch() *peerpb.DispatchBatch {
 	return &peerpb.DispatchBatch{Host: e.packedHost, Incarnation: uint64(e.config.Incarnation)}
 }
 
-// Begun queues the start event of a dispatch.
-func (e *Exchange) Begun(d *inflight.Dispatch) {
-	begun := &peerpb.DispatchBegun{Number: d.Key.Number, LastsMs: uint32(d.MaxDuration.Milliseconds())}
-	for i := range d.Parts {
-		p := &d.Parts[i]
-		begun.Parts = append(begun.Parts, &peerpb.DispatchPart{
-			Target: string(p.Target), PrefillMs: uint32(p.Prefill.Milliseconds()), Tokens: uint32(p.Tokens),
-			Writes: p.Decodes, Size: uint32(p.Size), GapMs: uint32(p.GapTarget.Milliseconds()), Deferred: p.Deferred,
-		})
-	}
-	e.addEvent(proto.Size(begun), func(b *peerpb.DispatchBatch) { b.Begun = append(b.Begun, begun) })
+// Begin queues a dispatch, or its repetition, for the given daemons; see Sink.Begin.
+func (e *Exchange) Begin(to []names.Host, d *inflight.Dispatch, idle time.Duration) {
+	begun := encodeDispatch(d, idle)
+	e.add(to, proto.Size(begun), func(b *peerpb.DispatchBatch) { b.Begun = append(b.Begun, begun) })
 }
 
 // FirstEvent queues the event that the prefill of a dispatch is done.
-func (e *Exchange) FirstEvent(number uint64) {
-	e.addEvent(maxNumberBytes, func(b *peerpb.DispatchBatch) { b.Read = append(b.Read, number) })
+func (e *Exchange) FirstEvent(to []names.Host, number uint64) {
+	e.add(to, maxNumberBytes, func(b *peerpb.DispatchBatch) { b.Read = append(b.Read, number) })
 }
 
-// Ended queues the end event of a dispatch.
-func (e *Exchange) Ended(number uint64) {
-	e.addEvent(maxNumberBytes, func(b *peerpb.DispatchBatch) { b.Ended = append(b.Ended, number) })
+// End queues the event that a dispatch has ended.
+func (e *Exchange) End(to []names.Host, number uint64) {
+	e.add(to, maxNumberBytes, func(b *peerpb.DispatchBatch) { b.Ended = append(b.Ended, number) })
 }
 
-// SendHeartbeat sends a heartbeat to the given peers: the newest published revision
-// that this daemon knows, how long ago the source confirmed it, and whether the
-// targets that it does not list are gone.
-func (e *Exchange) SendHeartbeat(peers []netip.AddrPort, revision uint64, confirmed time.Duration, settled bool) {
+// RecordOutcome queues the outcome of a send to a target.
+func (e *Exchange) RecordOutcome(to []names.Host, id names.Target, o Outcome) {
+	outcome := &peerpb.TargetOutcome{Target: string(id), Kind: encodeOutcome(o)}
+	e.add(to, proto.Size(outcome), func(b *peerpb.DispatchBatch) { b.Outcomes = append(b.Outcomes, outcome) })
+}
+
+// SendHeartbeat sends a heartbeat to the given daemons.
+func (e *Exchange) SendHeartbeat(to []names.Host, h published.Heartbeat) {
 	batch := e.newBatch()
-	batch.Revision = revision
-	batch.ConfirmedMs = uint32(confirmed.Milliseconds())
-	batch.Settled = settled
-	e.sendTo(peers, batch)
+	batch.Era, batch.Revision = h.Position.Era, h.Position.Revision
+	batch.ConfirmedMs = uint32(h.Confirmed.Milliseconds())
+	batch.Settled = h.Settled
+	batch.ConfigVersion = uint64(h.ConfigVersion)
+	for _, host := range to {
+		e.send(host, batch)
+	}
 }
 
 // maxNumberBytes is the maximum size of a dispatch's number in a batch.
 const maxNumberBytes = 6
 
-// addEvent adds an event of the given size to the pending batch by calling change. It
-// sends the batch if it is full, and wakes Run if the event is its first.
-func (e *Exchange) addEvent(bytes int, change func(*peerpb.DispatchBatch)) {
+// add adds an event of the given size to the pending batches of the receivers by
+// calling change. It sends the batches that are full, and wakes Run if there was no
+// pending batch.
+func (e *Exchange) add(to []names.Host, bytes int, change func(*peerpb.DispatchBatch)) {
 	e.mu.Lock()
-	change(e.pending)
-	first := e.pendingBytes == 0
-	e.pendingBytes += bytes
-	full := e.pendingBytes >= fullPacketBytes
-	var batch *peerpb.DispatchBatch
-	if full {
-		batch = e.takePendingLocked()
+	first := len(e.pending) == 0
+	full := make(map[names.Host]*peerpb.DispatchBatch)
+	for _, host := range to {
+		p, ok := e.pending[host]
+		if !ok {
+			p = &pendingBatch{batch: e.newBatch()}
+			e.pending[host] = p
+		}
+		change(p.batch)
+		p.bytes += bytes
+		if p.bytes >= fullPacketBytes {
+			full[host] = p.batch
+			delete(e.pending, host)
+		}
 	}
 	e.mu.Unlock()
-	if full {
-		e.send(batch)
-		return
+	for host, batch := range full {
+		e.send(host, batch)
 	}
 	if first {
 		select {
@@ -152,40 +174,31 @@
 	}
 }
 
-// takePendingLocked returns the pending batch and replaces it by an empty one. The
-// caller must hold e.mu.
-func (e *Exchange) takePendingLocked() *peerpb.DispatchBatch {
-	batch := e.pending
-	e.pending = e.newBatch()
-	e.pendingBytes = 0
-	return batch
-}
-
-// flush sends the pending batch unless it is empty.
+// flush sends the pending batches.
 func (e *Exchange) flush() {
 	e.mu.Lock()
-	if e.pendingBytes == 0 {
-		e.mu.Unlock()
-		return
-	}
-	batch := e.takePendingLocked()
+	pending := e.pending
+	e.pending = make(map[names.Host]*pendingBatch)
 	e.mu.Unlock()
-	e.send(batch)
-}
-
-func (e *Exchange) send(batch *peerpb.DispatchBatch) {
-	e.sendTo(e.config.Peers(), batch)
+	for host, p := range pending {
+		e.send(host, p.batch)
+	}
 }
 
-func (e *Exchange) sendTo(peers []netip.AddrPort, batch *peerpb.DispatchBatch) {
+// send sends a batch to a daemon. A batch that cannot be sent is treated like a lost
+// datagram.
+func (e *Exchange) send(to names.Host, batch *peerpb.DispatchBatch) {
+	address, err := netip.ParseAddrPort(string(to))
+	if err != nil {
+		e.config.Log.Error("a batch of dispatches cannot be sent", zap.String("host", string(to)), zap.String("error", err.Error()))
+		return
+	}
 	packet, err := proto.Marshal(batch)
 	if err != nil {
 		e.config.Log.Error("a batch of dispatches cannot be encoded", zap.String("error", err.Error()))
 		return
 	}
-	for _, peer := range peers {
-		_, _ = e.config.Conn.WriteToUDPAddrPort(packet, peer) // a failed send is treated like a lost datagram
-	}
+	_, _ = e.config.Conn.WriteToUDPAddrPort(packet, netip.AddrPortFrom(address.Addr(), e.config.Port)) // see above
 }
 
 // Run sends and receives events until ctx is done, then sends the pending batch and
@@ -234,7 +247,8 @@
 	}
 }
 
-// handle passes the events and the heartbeat of a received batch to the sink.
+// handle passes the contents of a received batch to the sink, answers its questions
+// and delivers its answers.
 func (e *Exchange) handle(b *peerpb.DispatchBatch) {
 	var host netip.AddrPort
 	if err := host.UnmarshalBinary(b.GetHost()); err != nil {
@@ -243,17 +257,11 @@
 	key := inflight.Key{Host: names.Host(host.String()), Incarnation: names.Incarnation(b.GetIncarnation())}
 	for _, begun := range b.GetBegun() {
 		key.Number = begun.GetNumber()
-		d := inflight.Dispatch{Key: key, MaxDuration: time.Duration(begun.GetLastsMs()) * time.Millisecond}
-		for _, p := range begun.GetParts() {
-			d.Parts = append(d.Parts, inflight.Part{
-				Target: names.Target(p.GetTarget()), Prefill: time.Duration(p.GetPrefillMs()) * time.Millisecond,
-				Tokens: int(p.GetTokens()), Decodes: p.GetWrites(), Size: int(p.GetSize()), GapTarget: time.Duration(p.GetGapMs()) * time.Millisecond, Deferred: p.GetDeferred(),
-			})
-		}
-		e.config.Sink.Begin(d)
+		d, idle := decodeDispatch(key, begun)
+		e.config.Sink.Begin(d, idle)
 	}
 	if b.GetRevision() > 0 {
-		e.config.Sink.ObserveHeartbeat(key.Host, b.GetRevision(), time.Duration(b.GetConfirmedMs())*time.Millisecond, b.GetSettled())
+		e.config.Sink.ObserveHeartbeat(key.Host, decodeHeartbeat(b))
 	}
 	for _, number := range b.GetRead() {
 		key.Number = number
@@ -263,4 +271,16 @@
 		key.Number = number
 		e.config.Sink.End(key)
 	}
+	for _, outcome := range b.GetOutcomes() {
+		if o, ok := decodeOutcome(outcome.GetKind()); ok {
+			e.config.Sink.RecordOutcome(names.Target(outcome.GetTarget()), o)
+		}
+	}
+	for _, ask := range b.GetAsks() {
+		key.Number = ask.GetNumber()
+		e.answer(key, ask)
+	}
+	for _, answer := range b.GetAnswers() {
+		e.deliver(answer)
+	}
 }
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -47,14 +47,14 @@
 	self        names.Host
 	started     time.Time
 
-	follower    *published.Follower
-	board       *targetstate.Board
-	members     *membership.Membership
-	exchange    *dispatchsync.Exchange
-	peerPool    *peers.Pool
-	targetPool  *upstream.Pool
-	metrics     *Metrics
-	cachedPeers atomic.Pointer[peerList]
+	follower   *published.Follower
+	board      *targetstate.Board
+	members    *membership.Membership
+	exchange   *dispatchsync.Exchange
+	shareConn  *net.UDPConn
+	peerPool   *peers.Pool
+	targetPool *upstream.Pool
+	metrics    *Metrics
 
 	callerServer  *http.Server
 	readyServer   *http.Server
@@ -66,6 +66,8 @@
 
 	// stopAt is when the process ends; zero until it is asked to stop.
 	stopAt atomictime.Time
+	// heartbeatDue signals that a heartbeat is to be sent soon.
+	heartbeatDue chan struct{}
 	// inFlight is the number of callers' requests in flight.
 	inFlight atomic.Int64
 	// lastReady is the result of the last readiness check.
@@ -89,6 +91,8 @@
 		targetPool:  upstream.NewPool(),
 		peerPool:    peers.NewPool(nil, noopStats{}, nil),
 		conns:       newCallerConns(),
+
+		heartbeatDue: make(chan struct{}, 1),
 	}
 	d.targetPool.MaxIdle = d.maxIdleConns
 	d.metrics = newMetrics(d)
@@ -110,8 +114,12 @@
 	if err != nil {
 		return errors.Wrap(err, "sharing")
 	}
+	d.shareConn = share
 	client := &published.Client{Hosts: d.recordHosts, Pool: d.peerPool}
-	d.follower = published.New(d.Source, d.Decoder, client, d.Log, d.gossipRevision, d.mustWatch)
+	d.follower = published.New(published.Config{
+		Source: d.Source, Decoder: d.Decoder, Peers: client, Log: d.Log,
+		OnPosition: d.positionChanged, OnConfirmed: d.wakeHeartbeats, Situation: d.situation, Random: random(),
+	})
 	machine := core.DefaultConfig()
 	machine.Regions = d.Settings.Regions
 	d.members = membership.New(membership.Config{
@@ -129,24 +137,23 @@
 	d.board = targetstate.New(targetstate.Config{
 		Self: d.self, Incarnation: d.incarnation,
 		Placer:         placement.New(placement.Default(), random()),
+		Random:         random(),
+		Service:        d.serviceNamed,
 		Targets:        d.targetsOf,
-		Broadcaster:    broadcaster{d},
-		KnowsPeerWork:  d.knowsPeerWork,
+		Homes:          d.homesOf,
+		Messenger:      messenger{d},
 		BroadcastCrash: d.gossipCrash,
 		Log:            d.Log,
 	})
 	d.exchange = dispatchsync.New(dispatchsync.Config{
-		Self: d.self, Incarnation: d.incarnation, Conn: share, Peers: d.peerAddresses, Sink: exchangeSink{PeerSink: d.board.PeerSink(), Follower: d.follower}, Log: d.Log,
+		Self: d.self, Incarnation: d.incarnation, Conn: share, Port: d.Settings.SharePort,
+		Sink: exchangeSink{PeerSink: d.board.PeerSink(), Follower: d.follower}, Log: d.Log,
 	})
 	d.peerServer = peers.NewServer(nil, noopStats{})
 	peerpb.RegisterPublicationsServer(d.peerServer, &published.Server{Records: d.follower.Records})
 	return nil
 }
 
-// broadcaster forwards dispatch events to the daemon's exchange, which is built
-// after the board.
-type broadcaster struct{ *Daemon }
-
 func (d *Daemon) buildServers() {
 	d.budgets = newBudgets(d.Settings, func() int { return len(d.members.Live()) }, random())
 	handler := relay.New(relay.Deps{
@@ -213,6 +220,7 @@
 	d.running.Go(func() { d.members.Run(ctx) })
 	d.running.Go(func() { d.exchange.Run(ctx) })
 	d.running.Go(func() { d.sweep(ctx) })
+	d.running.Go(func() { d.refresh(ctx) })
 	d.running.Go(func() { d.sendHeartbeats(ctx) })
 	d.serve(d.callerServer, d.listeners[0])
 	d.serve(d.readyServer, d.listeners[1])
@@ -254,6 +262,20 @@
 	}
 }
 
+// refresh repeats this daemon's dispatches to the homes of their targets.
+func (d *Daemon) refresh(ctx context.Context) {
+	ticker := time.NewTicker(targetstate.RefreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.board.Refresh()
+		}
+	}
+}
+
 // Close stops the daemon without waiting for requests in flight, and returns
 // when its goroutines have ended. The daemon must have been started.
 func (d *Daemon) Close() {
--- a/serving/process/edge/peers.go
+++ b/serving/process/edge/peers.go
@@ -2,24 +2,63 @@
 
 import (
 	"encoding/binary"
-	"net/netip"
-	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/crash"
 	"carobspoke.example/core/process/gossip"
+	"carobspoke.example/core/process/homes"
 	core "carobspoke.example/core/process/membership"
+	"carobspoke.example/core/process/replicas"
 	"go.uber.org/zap"
 )
 
-// gossipRevision gossips the revision that this daemon has reached.
-func (d *Daemon) gossipRevision(revision uint64) {
-	d.members.Publish(core.Digest{Kind: gossip.Version, Key: revisionKey, Sequence: revision})
+// Gossip keys of kind gossip.Version. Each era has a key of its own, since a digest with
+// a lower sequence does not replace one with a higher sequence.
+const (
+	// positionKey is the key of the published position, followed by its era unless
+	// that is zero. The sequence is the revision.
+	positionKey = "published"
+	eraMark     = ":"
+	// configKey is the key of the version of the configuration.
+	configKey = "config"
+)
+
+// positionChanged gossips the position that this daemon has reached and the version of
+// the configuration in force, and tells the daemons that depend on this one.
+func (d *Daemon) positionChanged(p replicas.Position) {
+	d.wakeHeartbeats()
+	key := positionKey
+	if p.Era > 0 {
+		key += eraMark + strconv.FormatUint(p.Era, 10)
+	}
+	d.members.Publish(core.Digest{Kind: gossip.Version, Key: key, Sequence: p.Revision})
+	if view := d.follower.View(); view != nil {
+		d.members.Publish(core.Digest{Kind: gossip.Version, Key: configKey, Sequence: uint64(view.Table.Version)})
+	}
 }
 
-// revisionKey is the gossip key of the published revision.
-const revisionKey = "published"
+// handleVersion handles a gossiped position or configuration version. Its sender may not
+// have read it yet.
+func (d *Daemon) handleVersion(digest *core.Digest) {
+	if digest.Key == configKey {
+		d.follower.ObserveConfigVersion(names.Version(digest.Sequence), "")
+		return
+	}
+	p := replicas.Position{Revision: digest.Sequence}
+	if era, ok := strings.CutPrefix(digest.Key, positionKey+eraMark); ok {
+		var err error
+		if p.Era, err = strconv.ParseUint(era, 10, 64); err != nil {
+			d.Log.Warn("a gossiped position cannot be read", zap.String("key", digest.Key))
+			return
+		}
+	} else if digest.Key != positionKey {
+		return // of a later version of the daemon
+	}
+	d.follower.ObservePeerPosition(p, "")
+}
 
 // crashPayloadBytes is the length in bytes of a gossiped crash entry: one byte for
 // the status, four for the seconds until it expires.
@@ -37,7 +76,7 @@
 func (d *Daemon) handleDigest(a core.Deliver) {
 	switch a.Digest.Kind {
 	case gossip.Version:
-		d.follower.ObservePeerRevision(a.Digest.Sequence, "") // the sender may not have read this revision yet
+		d.handleVersion(&a.Digest)
 	case gossip.Crash:
 		var e crash.Entry
 		if len(a.Digest.Payload) != crashPayloadBytes || copy(e.Digest[:], a.Digest.Key) != len(e.Digest) {
@@ -60,41 +99,22 @@
 	}
 }
 
-// peerList is the list of live members, and the addresses at which the peers among
-// them receive dispatch events.
-type peerList struct {
-	members   []core.Member
-	addresses []netip.AddrPort
-}
-
-// peerAddresses returns the addresses at which live peers receive dispatch events.
-// The list is cached until the live members change.
-func (d *Daemon) peerAddresses() []netip.AddrPort {
-	live := d.members.Live()
-	if list := d.cachedPeers.Load(); list != nil && slices.Equal(list.members, live) {
-		return list.addresses
-	}
-	list := &peerList{members: live}
-	for _, m := range live {
-		if address, err := netip.ParseAddrPort(string(m.Host)); err == nil && m.Host != d.self {
-			list.addresses = append(list.addresses, netip.AddrPortFrom(address.Addr(), d.Settings.SharePort))
+// peerCount returns the number of live peers.
+func (d *Daemon) peerCount() int {
+	count := 0
+	for _, m := range d.members.Live() {
+		if m.Host != d.self {
+			count++
 		}
 	}
-	d.cachedPeers.Store(list)
-	return list.addresses
+	return count
 }
 
-// knowsPeerWork reports whether this daemon has peers and has run long enough to
-// have received most of their dispatches.
-func (d *Daemon) knowsPeerWork() bool {
-	return time.Since(d.started) > peerWorkDelay && len(d.peerAddresses()) > 0
+// homesOf returns the homes of a group of targets.
+func (d *Daemon) homesOf(g homes.Group) homes.Homes {
+	return homes.Select(g, d.members.Live(), time.Now())
 }
 
-// peerWorkDelay is how long after its start a daemon knows too few of its peers'
-// dispatches: it joins within one second, and dispatches begun before that are
-// unknown until they end, after two seconds for a short answer.
-const peerWorkDelay = 3 * time.Second
-
 // peerHosts returns the live peers, or the seeds while no live peer is known.
 func (d *Daemon) peerHosts() []names.Host {
 	var hosts []names.Host
--- a/serving/process/edge/state_metrics.go
+++ b/serving/process/edge/state_metrics.go
@@ -11,6 +11,7 @@
 // Descriptors of the metrics of stateCollector.
 var (
 	configVersion     = describe("config_version", "Version of the configuration in force, 0 before the first.")
+	publishedEra      = describe("published_era", "Number of times that the store was restored from a copy, as it says.")
 	publishedRevision = describe("published_revision", "Revision of the store that the list of targets is as of.")
 	publishedAge      = describe("published_age_ms", "Milliseconds since the store or a watcher confirmed that revision.")
 	heartbeatAge      = describe("watcher_beat_age_ms", "Milliseconds since a watcher of the store was heard.")
@@ -18,7 +19,7 @@
 	targetsExcluded   = describe("targets_spared", "Targets that take nothing for a while, after failures.")
 	peerCount         = describe("peers", "Daemons that are alive.")
 	requestsInFlight  = describe("requests_in_flight", "Callers' requests under way.")
-	fleetDispatches   = describe("fleet_dispatches", "Dispatches of all daemons that are known to be under way.")
+	fleetDispatches   = describe("fleet_dispatches", "Known dispatches under way: those of this daemon and, at a home, those of others.")
 	connectionsOpened = describe("target_connections_opened", "Connections opened to targets.")
 	linesDropped      = describe("log_lines_dropped", "Log lines dropped because their reader stalled.")
 	retryBudget       = prometheus.NewDesc(prefix+"retry_budget", "Retries that the budget of a service holds.", []string{"service"}, nil)
@@ -45,12 +46,13 @@
 		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
 	}
 	gauge(configVersion, float64(version))
+	gauge(publishedEra, float64(b.follower.Position().Era))
 	gauge(publishedRevision, float64(b.follower.Revision()))
 	gauge(publishedAge, float64(b.follower.Age().Milliseconds()))
 	gauge(heartbeatAge, float64(b.follower.HeartbeatAge().Milliseconds()))
 	gauge(targetCount, float64(targets))
 	gauge(targetsExcluded, float64(b.board.ExcludedCount()))
-	gauge(peerCount, float64(len(b.peerAddresses())))
+	gauge(peerCount, float64(b.peerCount()))
 	gauge(requestsInFlight, float64(b.inFlight.Load()))
 	gauge(fleetDispatches, float64(b.board.DispatchCount()))
 	out <- prometheus.MustNewConstMetric(connectionsOpened, prometheus.CounterValue, float64(b.targetPool.Opened()))
--- a/serving/process/edge/broadcaster.go
+++ b/serving/process/edge/stats.go
@@ -3,19 +3,9 @@
 import (
 	"context"
 
-	"carobspoke.example/core/process/inflight"
 	"google.golang.org/grpc/stats"
 )
 
-// Begun implements targetstate.Broadcaster.
-func (b broadcaster) Begun(d *inflight.Dispatch) { b.exchange.Begun(d) }
-
-// FirstEvent implements targetstate.Broadcaster.
-func (b broadcaster) FirstEvent(number uint64) { b.exchange.FirstEvent(number) }
-
-// Ended implements targetstate.Broadcaster.
-func (b broadcaster) Ended(number uint64) { b.exchange.Ended(number) }
-
 // noopStats discards gRPC statistics: these daemons rarely call each other.
 type noopStats struct{}
 
--- a/serving/process/edge/view.go
+++ b/serving/process/edge/view.go
@@ -75,6 +75,16 @@
 	return minOutageRetryAfter + time.Duration(rand.Int64N(int64(maxOutageRetryAfter-minOutageRetryAfter)))
 }
 
+// serviceNamed returns the parameters of a service, or nil if the configuration in
+// force does not contain it.
+func (d *Daemon) serviceNamed(name names.Service) *routing.Service {
+	view := d.follower.View()
+	if view == nil {
+		return nil
+	}
+	return view.Table.Service(name)
+}
+
 // targetsOf returns the usable targets of a service.
 func (d *Daemon) targetsOf(service names.Service) []replicas.Target {
 	view := d.follower.View()
--- a/serving/process/logwriter/logwriter.go
+++ b/serving/process/logwriter/logwriter.go
@@ -71,11 +71,11 @@
 	reported := int64(0)
 	for line := range w.lines {
 		_, _ = w.out.Write(line) // an error of the log output cannot be logged
-		w.pending.Done()
 		if dropped := w.dropped.Load(); dropped != reported && len(w.lines) == 0 {
 			_, _ = fmt.Fprintf(w.out, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"total\":%d}\n", dropped)
 			reported = dropped
 		}
+		w.pending.Done() // last, so that Flush also waits for the count of dropped lines
 	}
 }
 
--- a/serving/process/published/apply.go
+++ b/serving/process/published/apply.go
@@ -12,51 +12,125 @@
 	"go.uber.org/zap"
 )
 
-// Records returns the changes after a revision, or all records if the changes
-// since then are no longer kept.
-func (f *Follower) Records(after uint64) Batch {
+// Records returns the changes after a position, or all records if the changes since
+// then are no longer kept.
+func (f *Follower) Records(after replicas.Position) Batch {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	revision, settled := f.revision.Load(), f.directory.Settled(time.Now())
-	if revision <= after {
-		return Batch{Revision: revision, Settled: settled}
-	}
-	if after >= f.historyStart {
-		from, _ := slices.BinarySearchFunc(f.history, after+1, func(r Record, at uint64) int { return cmp.Compare(r.Revision, at) })
-		return Batch{Records: slices.Clone(f.history[from:]), Revision: revision, Settled: settled}
+	position := f.Position()
+	b := Batch{Position: position, Settled: f.directory.Settled(now)}
+	if position.Compare(after) <= 0 {
+		return b
+	}
+	if after.Era == position.Era && after.Revision >= f.historyStart {
+		from, _ := slices.BinarySearchFunc(f.history, after.Revision+1, func(r Record, at uint64) int { return cmp.Compare(r.Revision, at) })
+		b.Records = slices.Clone(f.history[from:])
+		return b
+	}
+	b.Records, b.Complete = slices.Collect(maps.Values(f.records)), true
+	b.Suspended = f.suspended(now)
+	return b
+}
+
+// suspended returns the keys of the targets that are not used because of a restoration.
+// The caller must hold f.mu.
+func (f *Follower) suspended(now time.Time) map[string]time.Duration {
+	list := f.directory.Suspended(now)
+	if len(list) == 0 {
+		return nil
+	}
+	keys := make(map[string]time.Duration)
+	for key := range f.records {
+		if id, ok := f.decoder.TargetOf(key); ok && list[id] > 0 {
+			keys[key] = list[id]
+		}
 	}
-	return Batch{Records: slices.Collect(maps.Values(f.records)), Revision: revision, Complete: true, Settled: settled}
+	return keys
 }
 
-// applyBatch applies a batch unless it is older than the records. from is its
-// origin, for the log.
+// applyBatch applies a batch unless it is older than the records; a newer configuration
+// is taken from any batch. from is its origin, for the log.
 func (f *Follower) applyBatch(b Batch, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.revision.Load()
-	if b.Revision < known || b.Revision == known && len(b.Records) == 0 {
+	known := f.Position()
+	order := b.Position.Compare(known)
+	switch {
+	case order < 0:
+		f.applyConfigs(b.Records)
 		return
+	case order == 0 && len(b.Records) == 0:
+		return
+	case b.Position.Era > known.Era && !known.IsZero() && !b.Complete:
+		return // its revisions cannot be joined to the known ones
 	}
 	now := time.Now()
+	if b.Position.Era > known.Era && !known.IsZero() {
+		f.restore(&b, now)
+	}
 	if b.Complete {
 		f.removeAbsent(&b, now)
-		f.history, f.historyStart = nil, b.Revision
+		f.history, f.historyStart = nil, b.Position.Revision
 	}
 	slices.SortStableFunc(b.Records, func(x, y Record) int { return cmp.Compare(x.Revision, y.Revision) })
 	for i := range b.Records {
 		f.applyRecord(&b.Records[i], now)
 	}
 	if !b.Complete {
-		f.appendHistory(b.Records, known)
+		f.appendHistory(b.Records, known.Revision)
+	}
+	for key, left := range b.Suspended {
+		if id, ok := f.decoder.TargetOf(key); ok {
+			f.directory.Suspend(id, left, now)
+		}
 	}
 	if b.Settled {
-		f.directory.DropMissing()
+		f.directory.DropMissing(now)
 	}
-	f.revision.Store(b.Revision)
+	f.position.Store(&b.Position)
 	f.publishView()
-	f.log.Info("published records taken in", zap.String("from", from), zap.Uint64("revision", b.Revision),
-		zap.Int("records", len(b.Records)), zap.Bool("whole", b.Complete), zap.Int("targets", len(f.directory.List())))
-	f.onRevision(b.Revision)
+	f.log.Info("published records taken in", zap.String("from", from), zap.Uint64("era", b.Position.Era), zap.Uint64("revision", b.Position.Revision),
+		zap.Int("records", len(b.Records)), zap.Bool("whole", b.Complete), zap.Int("targets", len(f.directory.List(now))))
+	f.onPosition(b.Position)
+}
+
+// restore begins a new era with its complete list. Revisions of the era before cannot be
+// compared with those of the list. The caller must hold f.mu.
+func (f *Follower) restore(b *Batch, now time.Time) {
+	f.directory.Restore(b.Position.Revision, now)
+	for key, r := range f.records {
+		r.Revision = 0
+		f.records[key] = r
+	}
+	f.log.Warn("the list of a restored publisher is read", zap.Uint64("era", b.Position.Era), zap.Uint64("revision", b.Position.Revision),
+		zap.Int("records", len(b.Records)))
+}
+
+// applyConfigs puts a configuration of a batch in force if it is newer. The caller must
+// hold f.mu.
+func (f *Follower) applyConfigs(records []Record) {
+	for i := range records {
+		r := records[i]
+		if _, isTarget := f.decoder.TargetOf(r.Key); isTarget || r.Deleted {
+			continue
+		}
+		config, _, err := f.decoder.Decode(&r)
+		if err != nil || config == nil {
+			continue // it was logged when it was first read, or holds no configuration
+		}
+		if f.installConfig(config) {
+			r.Revision = 0 // of another position than the other records
+			f.keepConfig(&r)
+			f.publishView()
+		}
+	}
+}
+
+// keepConfig keeps the record of the configuration in force for peers. The caller must
+// hold f.mu.
+func (f *Follower) keepConfig(r *Record) {
+	f.records[r.Key], f.configKey = *r, r.Key
 }
 
 // appendHistory adds the changes after the revision known to those kept for
@@ -81,50 +155,65 @@
 	}
 	for key := range f.records {
 		if !listed[key] {
-			f.applyRecord(&Record{Key: key, Revision: b.Revision, Deleted: true}, now)
+			f.applyRecord(&Record{Key: key, Revision: b.Position.Revision, Deleted: true}, now)
 		}
 	}
 }
 
 // applyRecord applies one change unless a newer one is known. A record that cannot
-// be decoded is kept for peers, but not put in force.
+// be decoded is kept for peers, but not put in force. The record of a configuration is
+// kept while no newer configuration is in force: a restored publisher lists an older
+// one.
 func (f *Follower) applyRecord(r *Record, now time.Time) {
-	if old, ok := f.records[r.Key]; ok && old.Revision > r.Revision {
-		return
+	if old, ok := f.records[r.Key]; ok && old.Revision > r.Revision && r.Key != f.configKey {
+		return // configurations are ordered by their versions
 	}
 	if r.Deleted {
-		delete(f.records, r.Key)
-		if id, ok := f.decoder.TargetOf(r.Key); ok {
-			f.directory.Remove(id, r.Revision, now)
-			f.log.Info("target entry gone", zap.String("target", string(id)), zap.Uint64("revision", r.Revision))
+		f.applyRemoval(r, now)
+		return
+	}
+	config, target, err := f.decoder.Decode(r)
+	if config != nil {
+		if f.installConfig(config) || r.Key != f.configKey || config.Version == f.table.Version {
+			f.keepConfig(r)
 		}
 		return
 	}
 	f.records[r.Key] = *r
-	config, target, err := f.decoder.Decode(r)
 	switch {
 	case err != nil:
 		f.log.Warn("a published record is not used", zap.String("key", r.Key), zap.Uint64("revision", r.Revision), zap.String("error", err.Error()))
-	case config != nil:
-		f.installConfig(config)
 	case target != nil:
-		f.directory.Put(*target)
+		f.directory.Put(*target, now)
+	}
+}
+
+// applyRemoval applies the removal of a record.
+func (f *Follower) applyRemoval(r *Record, now time.Time) {
+	if r.Key == f.configKey {
+		return // the configuration stays in force
+	}
+	delete(f.records, r.Key)
+	if id, ok := f.decoder.TargetOf(r.Key); ok {
+		f.directory.Remove(id, r.Revision, now)
+		f.log.Info("target entry gone", zap.String("target", string(id)), zap.Uint64("revision", r.Revision))
 	}
 }
 
 // installConfig puts a configuration in force if it is valid and newer than the
-// one in force.
-func (f *Follower) installConfig(c *routing.Config) {
+// one in force, and reports whether it did.
+func (f *Follower) installConfig(c *routing.Config) bool {
 	if f.table != nil && c.Version <= f.table.Version {
-		return
+		return false
 	}
 	table, err := routing.NewTable(c)
 	if err != nil {
 		f.log.Error("configuration refused, the one before stays in force", zap.Uint64("version", uint64(c.Version)), zap.String("error", err.Error()))
-		return
+		return false
 	}
 	f.table = table
 	f.log.Info("configuration in force", zap.Uint64("version", uint64(c.Version)), zap.Int("routes", len(c.Routes)))
+	return true
 }
 
 // publishView makes the current configuration and targets visible to requests.
@@ -133,7 +222,7 @@
 		return
 	}
 	byService := make(map[names.Service][]replicas.Target)
-	for _, t := range f.directory.List() {
+	for _, t := range f.directory.List(time.Now()) {
 		byService[t.Service] = append(byService[t.Service], t)
 	}
 	f.view.Store(&View{Table: f.table, Targets: byService})
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -6,26 +6,42 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/replicas"
+	"carobspoke.example/core/process/watching"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
 
-// peersLagging reports whether a revision that a peer announced could not be read
+// peersLagging reports whether a position that a peer announced could not be read
 // from peers within peerLagTimeout.
 func (f *Follower) peersLagging() bool {
 	pending := f.pending.Load()
-	return pending != nil && pending.revision > f.Revision() && time.Since(pending.since) > peerLagTimeout
+	return pending != nil && f.isNewer(pending.position) && time.Since(pending.since) > peerLagTimeout
 }
 
 // HeartbeatAge returns the time since the last heartbeat of a watcher.
 func (f *Follower) HeartbeatAge() time.Duration { return f.lastHeartbeat.Age() }
 
 // heartbeatsExpired reports whether no heartbeat arrived within the last
-// HeartbeatTimeout.
+// watching.HeartbeatTimeout.
 func (f *Follower) heartbeatsExpired() bool {
-	return f.HeartbeatAge() > HeartbeatTimeout
+	return f.HeartbeatAge() > watching.HeartbeatTimeout
 }
 
+// callIsDue reports whether this daemon is to call the source now.
+func (f *Follower) callIsDue(now time.Time) bool {
+	s := f.situation()
+	s.Empty = f.Position().IsZero()
+	s.HeartbeatAge, s.StaleAge = f.HeartbeatAge(), f.lastStaleHeartbeat.Age()
+	s.Lagging = f.peersLagging()
+	due := f.plan.Due(s, now)
+	f.volunteering.Store(f.plan.Volunteering(now))
+	return due
+}
+
+// Volunteering reports whether this daemon watches the source in place of the watchers.
+func (f *Follower) Volunteering() bool { return f.volunteering.Load() }
+
 // Run follows the source and the peers until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var running sync.WaitGroup
@@ -35,36 +51,54 @@
 	running.Wait()
 }
 
-// followSource lists the records once, then watches the source while this daemon
-// is a watcher, receives no heartbeats or cannot read a revision from peers.
+// followSource lists the records once, then watches the source when its plan says so.
 func (f *Follower) followSource(ctx context.Context) {
-	delay := minRetryDelay
 	relist := true
 	for ctx.Err() == nil {
-		if !relist && !f.isWatcher() && !f.heartbeatsExpired() && !f.peersLagging() {
-			sleep(ctx, checkInterval)
+		if now := time.Now(); !f.callIsDue(now) {
+			pause := checkInterval
+			if wait, planned := f.plan.Wait(now); planned {
+				pause = min(wait, checkInterval)
+			}
+			sleep(ctx, pause)
 			continue
 		}
 		batch, err := f.readSource(ctx, relist)
 		switch {
-		case err == nil:
-			relist = false
-			delay = minRetryDelay
-			f.sourceAnswered()
-			f.applyBatch(batch, "source")
-			if len(batch.Records) > 0 {
-				sleep(ctx, watchPause)
+		case f.restored(&batch):
+			// Whatever the watch says, its revisions cannot be joined to the known ones.
+			relist = true
+			if err == nil {
+				continue
 			}
-			continue
+		case err == nil && batch.Position.Era < f.Position().Era:
+			err = errors.Errorf("published: answer of era %d, the source is in era %d", batch.Position.Era, f.Position().Era)
 		case errors.Is(err, ErrCompacted):
 			f.log.Info("the publisher has forgotten its changes, the list is read again", zap.Uint64("revision", f.Revision()))
 			relist = true
 			continue
 		}
-		f.sourceFailed(ctx, err)
-		sleep(ctx, delay)
-		delay = min(2*delay, maxRetryDelay)
+		if err != nil {
+			f.sourceFailed(ctx, err)
+			continue
+		}
+		relist = false
+		f.sourceAnswered(batch)
+		if len(batch.Records) > 0 {
+			sleep(ctx, watchPause)
+		}
+	}
+}
+
+// restored reports whether a batch of the source that is not the complete list, or the
+// answer with an error, is of a later era than the records.
+func (f *Follower) restored(b *Batch) bool {
+	known := f.Position()
+	if b.Complete || known.IsZero() || b.Position.Era <= known.Era {
+		return false
 	}
+	f.log.Info("the publisher was restored from a copy, the list is read again", zap.Uint64("era", b.Position.Era), zap.Uint64("revision", known.Revision))
+	return true
 }
 
 func (f *Follower) readSource(ctx context.Context, relist bool) (Batch, error) {
@@ -79,6 +113,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	f.plan.Failed(time.Now())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.directory.MarkUnavailable()
@@ -88,12 +123,18 @@
 	}
 }
 
-// sourceAnswered records that the source answered this daemon, which confirms the
+// sourceAnswered applies an answer of the source to this daemon, which confirms the
 // records.
-func (f *Follower) sourceAnswered() {
+func (f *Follower) sourceAnswered(batch Batch) {
 	now := time.Now()
+	if f.plan.Succeeded(now) {
+		f.volunteering.Store(true)
+		f.log.Info("watching the publisher in place of the watchers", zap.Uint64("revision", f.Revision()), zap.Duration("heartbeat_age", f.HeartbeatAge()))
+	}
 	f.lastConfirmed.Set(now)
 	f.markSourceAvailable(now)
+	f.applyBatch(batch, "source")
+	f.announce()
 }
 
 // markSourceAvailable records that the source is available: it answered this
@@ -108,8 +149,8 @@
 	}
 }
 
-// followPeers reads from a peer that announced a newer revision, and from any peer
-// while there are no records.
+// followPeers reads from a peer that announced a newer position or configuration, and
+// from any peer while there are no records.
 func (f *Follower) followPeers(ctx context.Context) {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
@@ -118,7 +159,7 @@
 		case <-ctx.Done():
 			return
 		case <-f.wake:
-			if f.isWatcher() {
+			if f.situation().Watcher {
 				sleep(ctx, ownWatchAllowance)
 			}
 		case <-ticker.C:
@@ -127,37 +168,42 @@
 	}
 }
 
-// readPeer reads once from a peer if a newer revision was announced or there are
-// no records yet.
+// readPeer reads once from a peer if a newer position or configuration was announced
+// or there are no records yet.
 func (f *Follower) readPeer(ctx context.Context) {
 	var from names.Host
-	pending := f.pending.Load()
+	after := f.Position()
+	pending, config := f.pending.Load(), f.missingConfig()
 	switch {
-	case pending != nil && pending.revision > f.Revision():
+	case pending != nil && f.isNewer(pending.position):
 		from = f.selectPeer(pending)
-	case f.Revision() > 0:
+	case config != nil:
+		from, after = config.from, replicas.Position{}
+	case !after.IsZero():
 		return
 	}
-	batch, err := f.peers.Read(ctx, from, f.Revision())
+	batch, err := f.peers.Read(ctx, from, after)
 	if err != nil {
 		f.log.Info("peer not read", zap.String("peer", string(from)), zap.String("error", err.Error()))
 		if pending != nil {
-			f.pending.CompareAndSwap(pending, &pendingRevision{revision: pending.revision, since: pending.since, readFailed: true}) // the next read may go to any peer
+			f.pending.CompareAndSwap(pending, &pendingPosition{position: pending.position, since: pending.since, readFailed: true}) // the next read may go to any peer
+		}
+		if config != nil {
+			f.announced.CompareAndSwap(config, &announcedConfig{version: config.version, until: config.until}) // as above
 		}
 		return
 	}
-	if batch.Revision <= f.Revision() {
-		return // the peer has not read the announced revision yet
+	if f.isNewer(batch.Position) {
+		f.lastConfirmed.Set(time.Now())
 	}
-	f.lastConfirmed.Set(time.Now())
 	f.applyBatch(batch, "peer")
 }
 
-// selectPeer returns the peer to read a pending revision from: the peer that
+// selectPeer returns the peer to read a pending position from: the peer that
 // announced it, else the watcher that sent the last heartbeat. It returns an
 // empty host, which stands for any peer, if there is no current watcher or a read
 // has failed.
-func (f *Follower) selectPeer(pending *pendingRevision) names.Host {
+func (f *Follower) selectPeer(pending *pendingPosition) names.Host {
 	watcher := f.lastWatcher.Load()
 	if pending.announcedBy != "" || pending.readFailed || watcher == nil || f.heartbeatsExpired() {
 		return pending.announcedBy
@@ -178,7 +224,7 @@
 func (f *Follower) dropMissing() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.directory.DropMissing() {
+	if f.directory.DropMissing(time.Now()) {
 		f.log.Info("missing targets were dropped, a watcher says that they are gone", zap.Uint64("revision", f.Revision()))
 		f.publishView()
 	}
--- a/serving/process/published/peers.go
+++ b/serving/process/published/peers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/serving/connection/peers"
 	"carobspoke.example/serving/peerpb"
 	"github.com/pkg/errors"
@@ -35,8 +36,8 @@
 // Server serves the records of a follower to peers.
 type Server struct {
 	peerpb.UnimplementedPublicationsServer
-	// Records returns the records after a revision, as Follower.Records does.
-	Records func(after uint64) Batch
+	// Records returns the records after a position, as Follower.Records does.
+	Records func(after replicas.Position) Batch
 
 	mu         sync.Mutex
 	compressed map[string]compressedValue
@@ -49,8 +50,13 @@
 
 // Read implements peerpb.PublicationsServer.
 func (s *Server) Read(_ context.Context, r *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
-	batch := s.Records(r.GetAfter())
-	reply := &peerpb.PublishedReply{Revision: batch.Revision, Whole: batch.Complete, Settled: batch.Settled}
+	batch := s.Records(replicas.Position{Era: r.GetEra(), Revision: r.GetAfter()})
+	reply := &peerpb.PublishedReply{
+		Era: batch.Position.Era, Revision: batch.Position.Revision, Whole: batch.Complete, Settled: batch.Settled,
+	}
+	for key, left := range batch.Suspended {
+		reply.Suspended = append(reply.Suspended, &peerpb.SuspendedTarget{Key: key, LeftMs: uint32(left.Milliseconds())})
+	}
 	for i := range batch.Records {
 		record, err := s.encodeRecord(&batch.Records[i])
 		if err != nil {
@@ -104,7 +110,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "published: decompress value")
 	}
-	value, err := io.ReadAll(io.LimitReader(reader, maxValueBytes))
+	value, err := io.ReadAll(io.LimitReader(reader, maxValueBytes+1))
+	if err == nil && len(value) > maxValueBytes {
+		return nil, errors.Errorf("published: the value exceeds %d bytes", maxValueBytes)
+	}
 	return value, errors.Wrap(err, "published: decompress value")
 }
 
@@ -116,7 +125,7 @@
 }
 
 // Read implements Peers. An empty host stands for one of Hosts, chosen at random.
-func (c *Client) Read(ctx context.Context, from names.Host, after uint64) (Batch, error) {
+func (c *Client) Read(ctx context.Context, from names.Host, after replicas.Position) (Batch, error) {
 	if from == "" {
 		hosts := c.Hosts()
 		if len(hosts) == 0 {
@@ -130,12 +139,20 @@
 	if err != nil {
 		return Batch{}, err
 	}
-	reply, err := peerpb.NewPublicationsClient(conn).Read(ctx, &peerpb.PublishedRequest{After: after})
+	reply, err := peerpb.NewPublicationsClient(conn).Read(ctx, &peerpb.PublishedRequest{After: after.Revision, Era: after.Era})
 	if err != nil {
 		c.Pool.Remove(from)
 		return Batch{}, errors.Wrapf(err, "published: read from peer %s", from)
 	}
-	batch := Batch{Revision: reply.GetRevision(), Complete: reply.GetWhole(), Settled: reply.GetSettled()}
+	batch := Batch{
+		Position: replicas.Position{Era: reply.GetEra(), Revision: reply.GetRevision()}, Complete: reply.GetWhole(), Settled: reply.GetSettled(),
+	}
+	for _, s := range reply.GetSuspended() {
+		if batch.Suspended == nil {
+			batch.Suspended = make(map[string]time.Duration)
+		}
+		batch.Suspended[s.GetKey()] = time.Duration(s.GetLeftMs()) * time.Millisecond
+	}
 	for _, r := range reply.GetRecords() {
 		if r.GetPacked() {
 			if r.Value, err = decompress(r.GetValue()); err != nil {
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -4,23 +4,31 @@
 // A Source lists the platform's records and watches them for changes; a Decoder
 // decodes them. The Follower puts the newest configuration in force and updates
 // the directory of targets. It never reverts to an older state: it ignores a
-// configuration with a lower version and a list of an older revision.
+// configuration with a lower version and a list of an older position.
+//
+// The source may be restored from a copy that is some seconds old. Its era then
+// rises, and its revisions start again below those that are known. Positions are
+// therefore ordered by era first, also between daemons. A daemon that learns of a
+// higher era reads the complete list. It keeps the configuration in force, and the
+// directory corrects the copy's entries by what was known before.
 //
 // To limit the load on the source, only some daemons, the watchers, watch it.
-// They send heartbeats with the newest revision and the time since the source
-// last confirmed it, and the other daemons read the changes from them. A daemon
-// that receives no heartbeat for HeartbeatTimeout watches the source itself, and
-// a daemon that the source refuses reads from peers.
+// They send heartbeats with the newest position and the time since the source
+// last confirmed it, and the other daemons read the changes from them. Package
+// watching decides when a daemon that receives no heartbeats calls the source
+// itself. A daemon that the source refuses reads from peers.
 package published
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/replicas"
+	"carobspoke.example/core/process/watching"
 	"carobspoke.example/core/version/routing"
 	"carobspoke.example/serving/process/atomictime"
 	"github.com/pkg/errors"
@@ -35,21 +43,15 @@
 	// MaxFreshAge is the age of the last confirmation up to which the records
 	// count as up to date: one watch and the time to detect that it failed.
 	MaxFreshAge = WatchTimeout + 800*time.Millisecond
-	// minRetryDelay and maxRetryDelay bound the backoff after a failed read of
-	// the source.
-	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 400 * time.Millisecond
 	// expiryInterval is the interval at which targets that were not published
 	// again after an outage are dropped.
 	expiryInterval = 200 * time.Millisecond
-	// HeartbeatInterval is the interval of a watcher's heartbeats. A daemon that
-	// has received none for HeartbeatTimeout watches the source itself.
+	// HeartbeatInterval is the interval of a watcher's heartbeats.
 	HeartbeatInterval = 400 * time.Millisecond
-	HeartbeatTimeout  = time.Second
 	// watchPause is the pause after a watch that returned changes, so that changes
 	// in quick succession are read with one call.
 	watchPause = 60 * time.Millisecond
-	// checkInterval is the interval at which a daemon checks whether it must watch
+	// checkInterval is the interval at which a daemon checks whether it must call
 	// the source and whether it must read from a peer.
 	checkInterval = 200 * time.Millisecond
 	// ownWatchAllowance is how long a watcher waits for its own watch to return
@@ -58,6 +60,9 @@
 	// peerLagTimeout is how long a revision that a peer announced may remain unread
 	// from peers before the source is watched instead.
 	peerLagTimeout = 600 * time.Millisecond
+	// announcedConfigTimeout is how long a configuration that a peer announced is
+	// read from peers.
+	announcedConfigTimeout = 5 * time.Second
 	// maxHistory bounds the number of changes that are kept for peers.
 	maxHistory = 512
 )
@@ -73,26 +78,33 @@
 // Batch is a list of changes, or the complete list of records.
 type Batch struct {
 	Records []Record
-	// Revision is the source's revision as of the batch.
-	Revision uint64
+	// Position is the source's position as of the batch. The revisions of the
+	// records are of the same era.
+	Position replicas.Position
 	// Complete is true if Records is the complete list.
 	Complete bool
 	// Settled is true if the targets that the batch removes are gone. A source
 	// never sets it: entries also expire while the source is unavailable, and
 	// their targets may still be alive.
 	Settled bool
+	// Suspended holds, by key, the targets whose records must not be used yet,
+	// and for how much longer; see replicas.Directory.Restore. A source never
+	// sets it.
+	Suspended map[string]time.Duration
 }
 
 // ErrCompacted is returned by Source.Watch if the source no longer has the
 // changes since the revision.
 var ErrCompacted = errors.New("published: the source no longer has the changes since the revision")
 
-// Source reads the platform's records.
+// Source reads the platform's records. With an error, the era of a returned batch is
+// that of the answer if there was one, else zero.
 type Source interface {
 	// List returns all records.
 	List(ctx context.Context) (Batch, error)
 	// Watch returns the changes after a revision. It waits for the first
-	// one up to wait, then returns none.
+	// one up to wait, then returns none. A source of a later era may return the
+	// changes after a revision of its own.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
 }
 
@@ -108,9 +120,9 @@
 
 // Peers reads records from other daemons.
 type Peers interface {
-	// Read returns a peer's records after a revision. An empty host stands for
+	// Read returns a peer's records after a position. An empty host stands for
 	// any peer.
-	Read(ctx context.Context, from names.Host, after uint64) (Batch, error)
+	Read(ctx context.Context, from names.Host, after replicas.Position) (Batch, error)
 }
 
 // View is the state in force.
@@ -126,23 +138,38 @@
 	decoder Decoder
 	peers   Peers
 	log     *zap.Logger
-	// onRevision is called with each new revision, with mu held.
-	onRevision func(revision uint64)
-	// isWatcher reports whether this daemon is to watch the source for other
-	// daemons.
-	isWatcher func() bool
+	// onPosition is called with each new position, with mu held.
+	onPosition func(replicas.Position)
+	// onConfirmed is called, without locks held, when the source or a heartbeat
+	// has confirmed the records at least confirmedStep after the last call of it.
+	onConfirmed func()
+	// situation returns this daemon's part in watching the source. The follower
+	// sets the ages of heartbeats, Empty and Lagging.
+	situation func() watching.Situation
+	plan      *watching.Plan
+	// volunteering is true while this daemon watches the source in place of the
+	// watchers.
+	volunteering atomic.Bool
 
 	view          atomic.Pointer[View]
 	lastConfirmed atomictime.Time
-	revision      atomic.Uint64
-	pending       atomic.Pointer[pendingRevision]
+	position      atomic.Pointer[replicas.Position]
+	pending       atomic.Pointer[pendingPosition]
+	// announced is the newest configuration that a peer has announced, or nil.
+	announced     atomic.Pointer[announcedConfig]
 	lastHeartbeat atomictime.Time
+	// lastStaleHeartbeat is when a daemon that cannot reach the source was heard,
+	// announcedAt when onConfirmed was called.
+	lastStaleHeartbeat atomictime.Time
+	announcedAt        atomictime.Time
 	// lastWatcher is the sender of the last heartbeat.
 	lastWatcher atomic.Pointer[names.Host]
 	wake        chan struct{}
 
 	mu      sync.Mutex
 	records map[string]Record
+	// configKey is the key of the configuration in force.
+	configKey string
 	// history holds all changes after the revision historyStart, sorted by
 	// revision.
 	history      []Record
@@ -152,23 +179,52 @@
 	sourceDown   bool
 }
 
-// pendingRevision is the newest revision that a peer has announced, to be read
-// from peers. It is obsolete once the follower has the revision.
-type pendingRevision struct {
-	revision    uint64
+// pendingPosition is the newest position that a peer has announced, to be read
+// from peers. It is obsolete once the follower has the position.
+type pendingPosition struct {
+	position    replicas.Position
 	announcedBy names.Host
 	since       time.Time
 	// readFailed is true after a failed read from a peer.
 	readFailed bool
 }
 
-// New returns a follower without records. It calls onRevision with each new
-// revision; onRevision must not call Records, Settled or ObserveHeartbeat.
-func New(source Source, decoder Decoder, peers Peers, log *zap.Logger, onRevision func(uint64), isWatcher func() bool) *Follower {
-	return &Follower{
-		source: source, decoder: decoder, peers: peers, log: log, onRevision: onRevision, isWatcher: isWatcher,
+// announcedConfig is a configuration to be read from peers. Its position may be older
+// than that of the records: after a restoration the source may list an older one.
+type announcedConfig struct {
+	version names.Version
+	from    names.Host
+	// until is when the follower gives up.
+	until time.Time
+}
+
+// Config holds the dependencies of a Follower.
+type Config struct {
+	Source  Source
+	Decoder Decoder
+	Peers   Peers
+	Log     *zap.Logger
+	// OnPosition is called with each new position. It must not call Records,
+	// Settled or ObserveHeartbeat.
+	OnPosition func(replicas.Position)
+	// OnConfirmed is called when the records were confirmed again, so that a daemon
+	// on which others depend sends a heartbeat.
+	OnConfirmed func()
+	// Situation returns this daemon's part in watching the source: the fields
+	// Watcher, Leaving, Peers and Age.
+	Situation func() watching.Situation
+	Random    *rand.Rand
+}
+
+// New returns a follower without records.
+func New(c Config) *Follower {
+	f := &Follower{
+		source: c.Source, decoder: c.Decoder, peers: c.Peers, log: c.Log, onPosition: c.OnPosition, onConfirmed: c.OnConfirmed,
+		situation: c.Situation, plan: watching.New(c.Random),
 		wake: make(chan struct{}, 1), records: make(map[string]Record), directory: replicas.New(),
 	}
+	f.position.Store(&replicas.Position{})
+	return f
 }
 
 // View returns the state in force, or nil before the first configuration.
@@ -183,50 +239,126 @@
 // Age returns the time since the records were last confirmed.
 func (f *Follower) Age() time.Duration { return f.lastConfirmed.Age() }
 
-// Revision returns the revision of the records.
-func (f *Follower) Revision() uint64 { return f.revision.Load() }
+// Position returns the position of the records; zero before the first.
+func (f *Follower) Position() replicas.Position { return *f.position.Load() }
+
+// Revision returns the revision of the records within their era.
+func (f *Follower) Revision() uint64 { return f.Position().Revision }
+
+// isNewer reports whether a position is newer than that of the records.
+func (f *Follower) isNewer(p replicas.Position) bool { return p.Compare(f.Position()) > 0 }
 
-// ObservePeerRevision records that a peer announced a revision. The peer may be
-// empty if it is not known to have read the revision. A newer revision that
+// ObservePeerPosition records that a peer announced a position. The peer may be
+// empty if it is not known to have read up to the position. A newer position that
 // follows while one is pending does not restart peerLagTimeout.
-func (f *Follower) ObservePeerRevision(revision uint64, from names.Host) {
+func (f *Follower) ObservePeerPosition(position replicas.Position, from names.Host) {
 	for {
 		old := f.pending.Load()
-		if revision <= f.revision.Load() || old != nil && revision <= old.revision {
+		if !f.isNewer(position) || old != nil && position.Compare(old.position) <= 0 {
 			return
 		}
 		since := time.Now()
-		if old != nil && old.revision > f.revision.Load() {
-			since = old.since // peerLagTimeout runs from the first unread revision
+		if old != nil && f.isNewer(old.position) {
+			since = old.since // peerLagTimeout runs from the first unread position
 		}
-		if f.pending.CompareAndSwap(old, &pendingRevision{revision: revision, announcedBy: from, since: since}) {
+		if f.pending.CompareAndSwap(old, &pendingPosition{position: position, announcedBy: from, since: since}) {
 			break
 		}
 	}
+	f.wakeUp()
+}
+
+// wakeUp makes followPeers check whether a peer has something to read.
+func (f *Follower) wakeUp() {
 	select {
 	case f.wake <- struct{}{}:
 	default:
 	}
 }
 
-// ObserveHeartbeat processes a watcher's heartbeat: the watcher's revision, the
-// time since the source last confirmed it, and whether the targets that the
-// watcher does not list are gone. A heartbeat whose confirmation is older than
-// MaxFreshAge is ignored.
-func (f *Follower) ObserveHeartbeat(from names.Host, revision uint64, confirmed time.Duration, settled bool) {
-	if confirmed > MaxFreshAge {
+// configVersion returns the version of the configuration in force, zero before the
+// first.
+func (f *Follower) configVersion() names.Version {
+	if view := f.View(); view != nil {
+		return view.Table.Version
+	}
+	return 0
+}
+
+// ObserveConfigVersion records that a peer announced a version of the configuration.
+// The peer may be empty if it is not known to have the configuration.
+func (f *Follower) ObserveConfigVersion(version names.Version, from names.Host) {
+	old := f.announced.Load()
+	if version <= f.configVersion() || old != nil && version <= old.version && time.Now().Before(old.until) {
 		return
 	}
+	f.announced.Store(&announcedConfig{version: version, from: from, until: time.Now().Add(announcedConfigTimeout)})
+	f.wakeUp()
+}
+
+// missingConfig returns the announced configuration that is not in force yet, or nil.
+func (f *Follower) missingConfig() *announcedConfig {
+	c := f.announced.Load()
+	if c == nil || c.version <= f.configVersion() || time.Now().After(c.until) {
+		return nil
+	}
+	return c
+}
+
+// Heartbeat is what a watcher tells the daemons of its data centre.
+type Heartbeat struct {
+	// Position is the newest position that the watcher knows, Confirmed the time
+	// since the source last confirmed it.
+	Position  replicas.Position
+	Confirmed time.Duration
+	// Settled is true if the targets that the watcher does not list are gone.
+	Settled bool
+	// ConfigVersion is the version of the configuration in force at the watcher.
+	ConfigVersion names.Version
+}
+
+// Heartbeat returns this daemon's heartbeat, for a daemon that watches the source.
+func (f *Follower) Heartbeat() Heartbeat {
+	return Heartbeat{Position: f.Position(), Confirmed: f.Age(), Settled: f.Settled(), ConfigVersion: f.configVersion()}
+}
+
+// ObserveHeartbeat processes a watcher's heartbeat. One whose confirmation is older
+// than MaxFreshAge, or whose position is of an earlier era, is ignored, except for its
+// configuration: versions of configurations do not depend on eras.
+func (f *Follower) ObserveHeartbeat(from names.Host, h Heartbeat) {
+	f.ObserveConfigVersion(h.ConfigVersion, from)
 	now := time.Now()
+	switch {
+	case h.Position.Era < f.Position().Era:
+		return
+	case h.Confirmed > MaxFreshAge:
+		f.lastStaleHeartbeat.Set(now)
+		return
+	}
 	f.lastHeartbeat.Set(now)
 	f.lastWatcher.Store(&from)
-	if revision > f.revision.Load() {
-		f.ObservePeerRevision(revision, from)
+	if f.isNewer(h.Position) {
+		f.ObservePeerPosition(h.Position, from)
 		return
 	}
 	f.markSourceAvailable(now)
-	if settled && revision == f.revision.Load() {
+	if h.Settled && h.Position == f.Position() {
 		f.dropMissing()
 	}
-	f.lastConfirmed.Advance(now.Add(-confirmed))
+	f.lastConfirmed.Advance(now.Add(-h.Confirmed))
+	f.announce()
+}
+
+// confirmedStep is the least progress of the last confirmation that is announced at
+// once. Less waits for the next heartbeat.
+const confirmedStep = 500 * time.Millisecond
+
+// announce calls onConfirmed if the records were confirmed confirmedStep after what was
+// announced last.
+func (f *Follower) announce() {
+	confirmed := f.lastConfirmed.Get()
+	if confirmed.Sub(f.announcedAt.Get()) >= confirmedStep {
+		f.announcedAt.Set(confirmed)
+		f.onConfirmed()
+	}
 }
--- /dev/null
+++ b/serving/process/targetstate/place.go
@@ -0,0 +1,282 @@
+package targetstate
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/homes"
+	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/core/process/replicas"
+	"carobspoke.example/core/request/placement"
+	"carobspoke.example/core/verdict"
+	"carobspoke.example/core/version/routing"
+	"carobspoke.example/serving/process/dispatchsync"
+	"carobspoke.example/serving/request/relay"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// homeRetryInterval is how long a home that did not answer is not asked again.
+	homeRetryInterval = 3 * time.Second
+	// maxReplacements bounds the answers of homes that name a target which this
+	// daemon does not list. Each is followed by another question.
+	maxReplacements = 2
+	// maxAvoided bounds the targets to avoid that a question names.
+	maxAvoided = 8
+	// pressureValidity is how long the load of a group that its home reported is
+	// used to choose among groups.
+	pressureValidity = 2 * time.Second
+)
+
+// errNoHome is returned if no home of a group has placed a request.
+var errNoHome = errors.New("targetstate: no home placed the request")
+
+// ownDispatch is a dispatch of this daemon.
+type ownDispatch struct {
+	group    homes.Group
+	dispatch inflight.Dispatch
+	// ends is when the dispatch must have ended.
+	ends time.Time
+	// lastActivity is when the target last sent something; zero if it has sent
+	// nothing.
+	lastActivity time.Time
+}
+
+// groupPressure is the load of a group as its home reported it.
+type groupPressure struct {
+	value float64
+	at    time.Time
+}
+
+// Place implements relay.Board. It asks a home of a group of the service's targets. If
+// no home answers, it places the request by what this daemon knows.
+func (b *Board) Place(ctx context.Context, r *placement.Request, service *routing.Service) (*relay.Placement, error) {
+	targets := b.config.Targets(service.Name)
+	groups := homes.Groups(len(targets))
+	chosen, other := b.chooseGroups(service.Name, groups)
+	d, err := b.placeInGroup(ctx, r, homes.Group{Service: service.Name, Index: chosen, Groups: groups}, targets)
+	if err == nil && d.decision.Refusal != nil && d.decision.Refusal.Reason == verdict.Overloaded && other != chosen {
+		d, err = b.placeInGroup(ctx, r, homes.Group{Service: service.Name, Index: other, Groups: groups}, targets)
+	}
+	if err != nil {
+		d = b.placeAlone(r, service, targets)
+	}
+	if d.decision.Refusal != nil {
+		return nil, d.decision.Refusal
+	}
+	return placed(d.key, d.decision, targets), nil
+}
+
+// keyedDecision is a decision with the key of its dispatch.
+type keyedDecision struct {
+	key      inflight.Key
+	decision placement.Decision
+}
+
+// chooseGroups returns the group to ask first, and the one to ask if that refuses.
+func (b *Board) chooseGroups(service names.Service, groups int) (chosen, other int) {
+	if groups <= 1 {
+		return 0, 0
+	}
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	pressure := func(index int) float64 {
+		p := b.pressure[homes.Group{Service: service, Index: index, Groups: groups}]
+		if now.Sub(p.at) > pressureValidity {
+			return 0
+		}
+		return p.value
+	}
+	return homes.Choose(groups, pressure, b.config.Random)
+}
+
+// placeInGroup asks the homes of a group in turn. It returns errNoHome if none places
+// or refuses the request.
+func (b *Board) placeInGroup(ctx context.Context, r *placement.Request, g homes.Group, targets []replicas.Target) (keyedDecision, error) {
+	selected := b.config.Homes(g)
+	asked := *r
+	for _, home := range selected.Deciders {
+		if b.skipped(home) {
+			continue
+		}
+		for range maxReplacements + 1 {
+			d, err := b.askHome(ctx, &asked, g, home, selected.Listeners)
+			if err != nil {
+				break
+			}
+			unlisted := unlistedTargets(&d.decision, targets)
+			if len(unlisted) == 0 {
+				return d, nil
+			}
+			// This daemon has a newer list, in which these targets are leaving or gone.
+			b.End(d.key, d.decision.Target)
+			asked.Exclude = append(slices.Clone(asked.Exclude), unlisted...)
+		}
+	}
+	return keyedDecision{}, errors.WithStack(errNoHome)
+}
+
+// askHome asks one home, which may be this daemon, and counts the dispatch if the
+// request is placed. It returns an error if the home did not answer or cannot decide.
+func (b *Board) askHome(ctx context.Context, r *placement.Request, g homes.Group, home names.Host, listeners []names.Host) (keyedDecision, error) {
+	key := b.newKey()
+	ask := dispatchsync.Ask{Group: g, Request: *r}
+	if home == b.config.Self {
+		return b.decideOwn(key, &ask, without(listeners, home))
+	}
+	ask.Avoid = b.failingTargets(g)
+	answer, err := b.config.Messenger.Ask(ctx, home, key.Number, &ask)
+	if err != nil {
+		b.homeUnanswered(home, g, err)
+		b.config.Messenger.End(without(listeners, b.config.Self), key.Number) // the home may have counted it
+		return keyedDecision{}, err
+	}
+	b.recordPressure(g, answer.Pressure)
+	d := keyedDecision{key: key, decision: answer.Decision}
+	switch refusal := answer.Decision.Refusal; {
+	case answer.UnknownService || refusal != nil && refusal.Reason == verdict.NoTarget:
+		return keyedDecision{}, errors.WithStack(errNoHome) // this daemon may know more
+	case refusal != nil:
+		return d, nil
+	case len(answer.Decision.Parts) == 0:
+		return keyedDecision{}, errors.WithStack(errNoHome)
+	}
+	now := time.Now()
+	b.mu.Lock()
+	leased := b.beginOwn(key, answer.Decision, g, r.TimeLeft, now)
+	b.mu.Unlock()
+	b.config.Messenger.Begin(without(without(listeners, home), b.config.Self), &leased, noActivity)
+	return d, nil
+}
+
+// decideOwn places a request of this daemon as a home, and tells the other listeners.
+func (b *Board) decideOwn(k inflight.Key, a *dispatchsync.Ask, tell []names.Host) (keyedDecision, error) {
+	var leased inflight.Dispatch
+	answer := b.decide(a, func(d placement.Decision, now time.Time) {
+		leased = b.beginOwn(k, d, a.Group, a.Request.TimeLeft, now)
+	})
+	if answer.UnknownService {
+		return keyedDecision{}, errors.WithStack(errNoHome)
+	}
+	if answer.Decision.Refusal == nil {
+		b.config.Messenger.Begin(tell, &leased, noActivity)
+	}
+	return keyedDecision{key: k, decision: answer.Decision}, nil
+}
+
+// beginOwn counts a dispatch of this daemon, and returns it as it is told to homes. The
+// caller must hold b.mu.
+func (b *Board) beginOwn(k inflight.Key, d placement.Decision, g homes.Group, timeLeft time.Duration, now time.Time) inflight.Dispatch {
+	own := &ownDispatch{group: g, dispatch: inflight.Dispatch{Key: k, Parts: d.Parts, MaxDuration: timeLeft}, ends: now.Add(timeLeft)}
+	b.own[k.Number] = own
+	b.beginLocked(&own.dispatch, now)
+	return own.leased(now)
+}
+
+// noActivity is the idle time of a dispatch for which the target has sent nothing.
+const noActivity = -1
+
+// beginLocked adds a dispatch to the work in flight. The caller must hold b.mu.
+func (b *Board) beginLocked(d *inflight.Dispatch, now time.Time) {
+	if len(d.Parts) > 0 && !b.work.Has(d.Key) {
+		id := d.Parts[0].Target
+		b.health.RequestSent(id, b.work.Load(id, now).Pending, now)
+	}
+	b.work.Begin(*d, now)
+}
+
+// placeAlone places a request by what this daemon knows.
+func (b *Board) placeAlone(r *placement.Request, service *routing.Service, targets []replicas.Target) keyedDecision {
+	groups := homes.Groups(len(targets))
+	g := homes.Group{Service: service.Name, Groups: groups}
+	key := b.newKey()
+	now := time.Now()
+	var leased inflight.Dispatch
+	b.mu.Lock()
+	decision := b.config.Placer.Place(r, service, b.candidates(targets, nil, now, string(b.config.Self)))
+	if decision.Refusal == nil {
+		g.Index = homes.GroupOf(decision.Target, groups)
+		leased = b.beginOwn(key, decision, g, r.TimeLeft, now)
+	}
+	b.mu.Unlock()
+	if decision.Refusal == nil {
+		b.config.Messenger.Begin(without(b.config.Homes(g).Listeners, b.config.Self), &leased, noActivity)
+	}
+	return keyedDecision{key: key, decision: decision}
+}
+
+func (b *Board) newKey() inflight.Key {
+	return inflight.Key{Host: b.config.Self, Incarnation: b.config.Incarnation, Number: b.lastNumber.Add(1)}
+}
+
+// skipped reports whether a home is not asked because it did not answer recently.
+func (b *Board) skipped(home names.Host) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.skipUntil[home])
+}
+
+func (b *Board) homeUnanswered(home names.Host, g homes.Group, err error) {
+	b.mu.Lock()
+	b.skipUntil[home] = time.Now().Add(homeRetryInterval)
+	b.mu.Unlock()
+	b.config.Log.Info("home did not answer", zap.String("home", string(home)), zap.String("service", string(g.Service)),
+		zap.Int("group", g.Index), zap.String("error", err.Error()))
+}
+
+func (b *Board) recordPressure(g homes.Group, value float64) {
+	if g.Groups <= 1 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pressure[g] = groupPressure{value: value, at: time.Now()}
+}
+
+// failingTargets returns targets of a group that fail at this daemon.
+func (b *Board) failingTargets(g homes.Group) []names.Target {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []names.Target
+	for _, id := range b.health.ExcludedTargets(now) {
+		if len(list) < maxAvoided && homes.GroupOf(id, g.Groups) == g.Index {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// unlistedTargets returns the targets of a decision that the list does not contain.
+func unlistedTargets(d *placement.Decision, targets []replicas.Target) []names.Target {
+	var unlisted []names.Target
+	for i := range d.Parts {
+		id := d.Parts[i].Target
+		if !slices.ContainsFunc(targets, func(t replicas.Target) bool { return t.ID == id }) {
+			unlisted = append(unlisted, id)
+		}
+	}
+	return unlisted
+}
+
+// without returns the hosts of a list other than host.
+func without(list []names.Host, host names.Host) []names.Host {
+	return slices.DeleteFunc(slices.Clone(list), func(h names.Host) bool { return h == host })
+}
+
+// placed returns the result of a placement with the targets' addresses.
+func placed(k inflight.Key, d placement.Decision, targets []replicas.Target) *relay.Placement {
+	addresses := make(map[names.Target]string, len(targets))
+	for i := range targets {
+		addresses[targets[i].ID] = targets[i].Address
+	}
+	p := &relay.Placement{Key: k, Decision: d, Address: addresses[d.Target]}
+	for _, h := range d.Helpers {
+		p.Helpers = append(p.Helpers, addresses[h.Target])
+	}
+	return p
+}
--- a/serving/process/targetstate/targetstate.go
+++ b/serving/process/targetstate/targetstate.go
@@ -1,31 +1,40 @@
 // Package targetstate holds a daemon's state of the targets: their health, the
-// dispatches of all daemons in flight at them, and the requests suspected of
-// crashing them. It places requests by this state. One lock guards all of it, and
-// no I/O is done while the lock is held.
+// dispatches in flight at them, and the requests suspected of crashing them. It places
+// this daemon's requests by asking the homes of the targets, and those of other
+// daemons as a home; see core/process/homes. One lock guards all of the state, and no
+// I/O is done while the lock is held.
 package targetstate
 
 import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/crash"
 	"carobspoke.example/core/process/health"
+	"carobspoke.example/core/process/homes"
 	"carobspoke.example/core/process/inflight"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/routing"
-	"carobspoke.example/serving/request/relay"
+	"carobspoke.example/serving/process/dispatchsync"
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 )
 
-// Broadcaster sends the dispatch events of this daemon to its peers.
-type Broadcaster interface {
-	Begun(d *inflight.Dispatch)
-	FirstEvent(number uint64)
-	Ended(number uint64)
+// Messenger sends messages to the homes of targets; see dispatchsync.Exchange.
+type Messenger interface {
+	Ask(ctx context.Context, home names.Host, number uint64, a *dispatchsync.Ask) (dispatchsync.Answer, error)
+	Begin(to []names.Host, d *inflight.Dispatch, idle time.Duration)
+	FirstEvent(to []names.Host, number uint64)
+	End(to []names.Host, number uint64)
+	RecordOutcome(to []names.Host, id names.Target, o dispatchsync.Outcome)
 }
 
 // Config holds the settings and dependencies of a Board.
@@ -33,11 +42,16 @@
 	Self        names.Host
 	Incarnation names.Incarnation
 	Placer      *placement.Placer
+	// Random is used with the lock of the board held.
+	Random *rand.Rand
+	// Service returns the parameters of a service, or nil if it is unknown.
+	Service func(names.Service) *routing.Service
 	// Targets returns the usable targets of a service.
-	Targets     func(names.Service) []replicas.Target
-	Broadcaster Broadcaster
-	// KnowsPeerWork reports whether this daemon knows the dispatches of its peers.
-	KnowsPeerWork func() bool
+	Targets func(names.Service) []replicas.Target
+	// Homes returns the homes of a group. It is called with the lock of the board
+	// held.
+	Homes     func(homes.Group) homes.Homes
+	Messenger Messenger
 	// BroadcastCrash sends the crash status of a request to the peers.
 	BroadcastCrash func(crash.Entry)
 	Log            *zap.Logger
@@ -47,13 +61,20 @@
 // relay.Board and relay.Crashes, and is safe for concurrent use.
 type Board struct {
 	config Config
+	// lastNumber is the number of the last dispatch of this daemon.
+	lastNumber atomic.Uint64
 
 	mu sync.Mutex
-	// lastNumber is the number of the last dispatch of this daemon.
-	lastNumber uint64
-	work       *inflight.Table
-	health     *health.Table
-	crashes    *crash.Table
+	// work holds the dispatches of this daemon and, where it is a home, those of
+	// others. own holds the dispatches of this daemon by number.
+	work    *inflight.Table
+	own     map[uint64]*ownDispatch
+	health  *health.Table
+	crashes *crash.Table
+	// skipUntil is the time until which a home that did not answer is not asked.
+	skipUntil map[names.Host]time.Time
+	// pressure holds the loads of groups that their homes reported.
+	pressure map[homes.Group]groupPressure
 	// brokenRuns counts the broken runs of a request at this daemon: those in
 	// which the connection broke while a target ran the request.
 	brokenRuns map[crash.Digest]int
@@ -62,118 +83,106 @@
 // New returns a board with no dispatches.
 func New(c Config) *Board {
 	return &Board{
-		config: c, work: inflight.New(), health: health.New(), crashes: crash.New(), brokenRuns: make(map[crash.Digest]int),
-	}
-}
-
-// Place implements relay.Board.
-func (b *Board) Place(r *placement.Request, service *routing.Service) (*relay.Placement, error) {
-	targets := b.config.Targets(service.Name)
-	now := time.Now()
-	b.mu.Lock()
-	decision := b.config.Placer.Place(r, service, b.candidates(targets, now))
-	if decision.Refusal != nil {
-		b.mu.Unlock()
-		return nil, decision.Refusal
+		config: c, work: inflight.New(), own: make(map[uint64]*ownDispatch), health: health.New(), crashes: crash.New(),
+		skipUntil: make(map[names.Host]time.Time), pressure: make(map[homes.Group]groupPressure), brokenRuns: make(map[crash.Digest]int),
 	}
-	b.lastNumber++
-	dispatch := inflight.Dispatch{
-		Key:   inflight.Key{Host: b.config.Self, Incarnation: b.config.Incarnation, Number: b.lastNumber},
-		Parts: decision.Parts, MaxDuration: r.TimeLeft,
-	}
-	b.work.Begin(dispatch, now)
-	b.health.RequestSent(decision.Target, now)
-	b.mu.Unlock()
-	b.config.Broadcaster.Begun(&dispatch)
-	return b.placed(dispatch.Key, decision, targets), nil
 }
 
-// candidates returns the placement candidates for the targets. The caller must hold
-// b.mu.
-func (b *Board) candidates(targets []replicas.Target, now time.Time) []placement.Candidate {
+// candidates returns the placement candidates for the targets. Targets to avoid count
+// as excluded. salt is mixed into the order of the targets, see order. The caller must
+// hold b.mu.
+func (b *Board) candidates(targets []replicas.Target, avoid []names.Target, now time.Time, salt string) []placement.Candidate {
 	list := make([]placement.Candidate, 0, len(targets))
-	knowsPeerWork := b.config.KnowsPeerWork()
 	for i := range targets {
 		t := &targets[i]
+		load := b.work.Load(t.ID, now)
 		list = append(list, placement.Candidate{
-			Target: t.ID, Slots: t.Slots,
-			Load:        b.work.Load(t.ID, now),
-			BreakerOpen: b.health.Excluded(t.ID, now), FailureScore: b.health.Score(t.ID, now),
-			Unresponsive: b.health.Unresponsive(t.ID, now),
-			Order:        b.order(t.ID, knowsPeerWork),
+			Target: t.ID, Slots: t.Slots, Load: load,
+			BreakerOpen:  b.health.Excluded(t.ID, now) || slices.Contains(avoid, t.ID),
+			FailureScore: b.health.Score(t.ID, now),
+			Unresponsive: b.health.Unresponsive(t.ID, load.Pending, homeUnresponsiveTimeout, now),
+			Order:        order(t.ID, salt),
 		})
 	}
 	return list
 }
 
-// order returns the position of a target among those of its service, in [0, 1). It
-// is a hash of the target's name, and so the same at all daemons that know each
-// other's dispatches. A daemon that does not know them mixes its own name into the
-// hash, so that such daemons do not all fill the same targets first.
-func (b *Board) order(id names.Target, knowsPeerWork bool) float64 {
-	name := string(id)
-	if !knowsPeerWork {
-		name += string(b.config.Self)
-	}
-	return float64(xxhash.Sum64String(name)>>11) / (1 << 53)
+// order returns the position of a target among those of its service, in [0, 1). It is
+// a hash of the target's name and the salt. Homes use no salt, so that the next home
+// continues with the same order. A daemon that places requests alone uses its own
+// name, so that such daemons do not all fill the same targets first.
+func order(id names.Target, salt string) float64 {
+	return float64(xxhash.Sum64String(string(id)+salt)>>11) / (1 << 53)
 }
 
-// placed returns the result of a placement with the targets' addresses.
-func (b *Board) placed(k inflight.Key, d placement.Decision, targets []replicas.Target) *relay.Placement {
-	addresses := make(map[names.Target]string, len(targets))
-	for i := range targets {
-		addresses[targets[i].ID] = targets[i].Address
-	}
-	placed := &relay.Placement{Key: k, Decision: d, Address: addresses[d.Target]}
-	for _, h := range d.Helpers {
-		placed.Helpers = append(placed.Helpers, addresses[h.Target])
+// FirstEvent implements relay.Board.
+func (b *Board) FirstEvent(k inflight.Key) {
+	if to, ok := b.recordOwnFirstEvent(k); ok {
+		b.config.Messenger.FirstEvent(to, k.Number)
 	}
-	return placed
 }
 
-// FirstEvent implements relay.Board.
-func (b *Board) FirstEvent(k inflight.Key) {
-	if b.recordFirstEvent(k) {
-		b.config.Broadcaster.FirstEvent(k.Number)
+// recordOwnFirstEvent records the first event of a dispatch of this daemon, and returns
+// the homes to tell. It returns false if the event was recorded before.
+func (b *Board) recordOwnFirstEvent(k inflight.Key) ([]names.Host, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own, ok := b.own[k.Number]
+	if !ok || own.dispatch.Prefilled {
+		return nil, false
 	}
+	own.dispatch.Prefilled = true
+	b.work.FirstEvent(k, time.Now())
+	return b.listeners(own), true
 }
 
-// recordFirstEvent records the first event of a dispatch. It reports whether the
-// dispatch is known and the event was not recorded before.
-func (b *Board) recordFirstEvent(k inflight.Key) bool {
+// listeners returns the other daemons to tell of the progress of a dispatch. The caller
+// must hold b.mu.
+func (b *Board) listeners(own *ownDispatch) []names.Host {
+	return without(b.config.Homes(own.group).Listeners, b.config.Self)
+}
+
+// recordFirstEvent records the first event of a dispatch of another daemon.
+func (b *Board) recordFirstEvent(k inflight.Key) {
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.work.FirstEvent(k, time.Now())
+	if id, ok := b.work.FirstTarget(k); ok {
+		b.health.RecordActivity(id, now)
+	}
+	b.work.FirstEvent(k, now)
 }
 
 // End implements relay.Board.
-func (b *Board) End(k inflight.Key, id names.Target) {
+func (b *Board) End(k inflight.Key, _ names.Target) {
 	b.mu.Lock()
+	var to []names.Host
+	if own, ok := b.own[k.Number]; ok {
+		to = b.listeners(own)
+		delete(b.own, k.Number)
+	}
 	b.work.End(k, time.Now())
-	b.health.RequestEnded(id)
 	b.mu.Unlock()
-	b.config.Broadcaster.Ended(k.Number)
-}
-
-// Succeeded implements relay.Board.
-func (b *Board) Succeeded(id names.Target) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.health.Succeeded(id, time.Now())
+	b.config.Messenger.End(to, k.Number)
 }
 
 // RecordActivity implements relay.Board.
-func (b *Board) RecordActivity(id names.Target) {
+func (b *Board) RecordActivity(k inflight.Key, id names.Target) {
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.health.RecordActivity(id, time.Now())
+	b.health.RecordActivity(id, now)
+	if own, ok := b.own[k.Number]; ok {
+		own.lastActivity = now
+	}
 }
 
 // Unresponsive implements relay.Board.
 func (b *Board) Unresponsive(id names.Target) bool {
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.health.Unresponsive(id, time.Now())
+	return b.health.Unresponsive(id, b.work.Load(id, now).Pending, health.UnresponsiveTimeout, now)
 }
 
 // RecordRequestCount implements relay.Board.
@@ -183,23 +192,50 @@
 	b.work.SetReportedRequests(id, requests, time.Now())
 }
 
+// Succeeded implements relay.Board.
+func (b *Board) Succeeded(k inflight.Key, id names.Target) {
+	b.recordOwnOutcome(k, id, dispatchsync.Succeeded, "")
+}
+
 // Failed implements relay.Board.
-func (b *Board) Failed(id names.Target, reason verdict.Reason) {
+func (b *Board) Failed(k inflight.Key, id names.Target, reason verdict.Reason) {
+	b.recordOwnOutcome(k, id, dispatchsync.Failed, reason)
+}
+
+// Unreachable implements relay.Board.
+func (b *Board) Unreachable(k inflight.Key, id names.Target) {
+	b.recordOwnOutcome(k, id, dispatchsync.Unreachable, verdict.TargetUnreachable)
+}
+
+// recordOwnOutcome records the outcome of a send of this daemon, and tells the homes.
+func (b *Board) recordOwnOutcome(k inflight.Key, id names.Target, o dispatchsync.Outcome, reason verdict.Reason) {
+	b.recordOutcome(id, o, reason)
 	b.mu.Lock()
-	excluded := b.health.Failed(id, time.Now())
-	b.mu.Unlock()
-	if excluded {
-		b.config.Log.Info("target spared", zap.String("target", string(id)), zap.String("reason", string(reason)))
+	var to []names.Host
+	if own, ok := b.own[k.Number]; ok {
+		to = b.listeners(own)
 	}
+	b.mu.Unlock()
+	b.config.Messenger.RecordOutcome(to, id, o)
 }
 
-// Unreachable implements relay.Board.
-func (b *Board) Unreachable(id names.Target) {
+// recordOutcome records the outcome of a send to a target. The reason of a failure is
+// only logged.
+func (b *Board) recordOutcome(id names.Target, o dispatchsync.Outcome, reason verdict.Reason) {
+	now := time.Now()
+	excluded := false
 	b.mu.Lock()
-	excluded := b.health.Unreachable(id, time.Now())
+	switch o {
+	case dispatchsync.Succeeded:
+		b.health.Succeeded(id, now)
+	case dispatchsync.Failed:
+		excluded = b.health.Failed(id, now)
+	case dispatchsync.Unreachable:
+		excluded = b.health.Unreachable(id, now)
+	}
 	b.mu.Unlock()
 	if excluded {
-		b.config.Log.Info("target spared", zap.String("target", string(id)), zap.String("reason", string(verdict.TargetUnreachable)))
+		b.config.Log.Info("target spared", zap.String("target", string(id)), zap.String("reason", string(reason)))
 	}
 }
 
@@ -242,29 +278,6 @@
 	b.crashes.Merge([]crash.Entry{e}, time.Now())
 }
 
-// PeerSink returns the sink for the dispatch events of peers.
-func (b *Board) PeerSink() PeerSink { return PeerSink{board: b} }
-
-// PeerSink records the dispatch events of peers. It does not forward them.
-type PeerSink struct{ board *Board }
-
-// Begin implements dispatchsync.Sink.
-func (p PeerSink) Begin(d inflight.Dispatch) {
-	p.board.mu.Lock()
-	defer p.board.mu.Unlock()
-	p.board.work.Begin(d, time.Now())
-}
-
-// FirstEvent implements dispatchsync.Sink.
-func (p PeerSink) FirstEvent(k inflight.Key) { p.board.recordFirstEvent(k) }
-
-// End implements dispatchsync.Sink.
-func (p PeerSink) End(k inflight.Key) {
-	p.board.mu.Lock()
-	defer p.board.mu.Unlock()
-	p.board.work.End(k, time.Now())
-}
-
 // RemoveIncarnations drops the dispatches of a daemon's incarnations earlier than
 // before.
 func (b *Board) RemoveIncarnations(h names.Host, before names.Incarnation) {
@@ -288,6 +301,8 @@
 	b.work.Expire(now)
 	b.work.Prune(listed)
 	b.health.Forget(listed)
+	maps.DeleteFunc(b.skipUntil, func(_ names.Host, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(b.pressure, func(_ homes.Group, p groupPressure) bool { return now.Sub(p.at) > pressureValidity })
 	return b.health.Readmitted(now)
 }
 
@@ -295,10 +310,11 @@
 func (b *Board) ExcludedCount() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.health.ExcludedCount(time.Now())
+	return len(b.health.ExcludedTargets(time.Now()))
 }
 
-// DispatchCount returns the number of known dispatches of all daemons.
+// DispatchCount returns the number of known dispatches: those of this daemon and, at
+// a home, those of others.
 func (b *Board) DispatchCount() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -40,7 +40,7 @@
 
 // sendOnce places the request, sends it to the target and forwards the answer.
 func (q *request) sendOnce(ctx context.Context) error {
-	placed, err := q.place()
+	placed, err := q.place(ctx)
 	if err != nil {
 		return err
 	}
@@ -78,7 +78,7 @@
 	d := a.decideRetry(failure, a.possibleRuns+1)
 	if !a.timeoutRecorded {
 		a.timeoutRecorded = true
-		a.relay.Board.Failed(a.placed.Decision.Target, failure.Reason)
+		a.relay.Board.Failed(a.placed.Key, a.placed.Decision.Target, failure.Reason)
 		a.relay.Log.Info("target hangs", zap.String("request", a.info.ID), zap.String("target", string(a.placed.Decision.Target)),
 			zap.String("outcome", string(d.Outcome)))
 	}
@@ -104,13 +104,15 @@
 	exchange, err := a.relay.Pool.Do(a.ctx, &upstream.Attempt{
 		Target: d.Target, Address: a.placed.Address, Request: a.r, Header: header, Body: a.body,
 		NewConnection: !a.route.Repeatable(),
-		IsOwnAnswer:   func(response *http.Response) bool { return a.relay.Codec.MatchesRequest(response, &a.info) },
+		IsOwnAnswer: func(response *http.Response, reused bool) bool {
+			return a.relay.Codec.MatchesRequest(response, &a.info, reused)
+		},
 	})
 	if err != nil {
 		return err
 	}
 	a.exchange = exchange
-	a.relay.Board.RecordActivity(d.Target)
+	a.relay.Board.RecordActivity(a.placed.Key, d.Target)
 	reply := a.relay.Codec.ParseReply(exchange.Response)
 	if reply.Requests != nil {
 		a.relay.Board.RecordRequestCount(d.Target, *reply.Requests)
@@ -139,14 +141,24 @@
 		a.wrongTarget = true
 		return verdict.New(verdict.NotRun, verdict.TargetRefused, "the address belongs to another target")
 	case reply.NotRun:
-		_, _ = io.CopyN(io.Discard, a.exchange.Response.Body, maxEventBytes) // a refusal is short, so its connection can be kept
-		a.exchange.Release()
+		a.discardRefusal()
 		return verdict.New(verdict.NotRun, verdict.TargetRefused, "the target refused the request").WithRetryAfter(refusalRetryAfter)
 	default:
 		return nil
 	}
 }
 
+// discardRefusal reads the rest of a refusal, which is short, so that its connection
+// can be kept.
+func (a *attempt) discardRefusal() {
+	n, err := io.Copy(io.Discard, io.LimitReader(a.exchange.Response.Body, maxEventBytes+1))
+	if err != nil || n > maxEventBytes {
+		a.exchange.Abort()
+		return
+	}
+	a.exchange.Release()
+}
+
 // attributeFailure sets failedTarget to the helper at address. It does nothing
 // if no helper of the request has this address.
 func (a *attempt) attributeFailure(address string) {
@@ -169,7 +181,7 @@
 	id := a.placed.Decision.Target
 	if err == nil {
 		a.possibleRuns++
-		a.relay.Board.Succeeded(id)
+		a.relay.Board.Succeeded(a.placed.Key, id)
 		return nil
 	}
 	failure := verdict.From(err)
@@ -189,11 +201,11 @@
 	switch {
 	case a.r.Context().Err() != nil:
 	case helper || failure.Reason == verdict.TargetUnreachable || a.wrongTarget:
-		a.relay.Board.Unreachable(id)
+		a.relay.Board.Unreachable(a.placed.Key, id)
 	case failure.Reason == verdict.TargetRefused || failure.Reason == verdict.SpanUnavailable:
 	default:
 		if !a.timeoutRecorded {
-			a.relay.Board.Failed(id, failure.Reason)
+			a.relay.Board.Failed(a.placed.Key, id, failure.Reason)
 		}
 		if failure.Reason == verdict.AnswerCut {
 			a.relay.Crashes.RecordConnectionLoss(a.digest, a.crashStatus)
@@ -207,7 +219,8 @@
 	response := a.exchange.Response
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
-		err = errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)
+		a.exchange.Abort()
+		return verdict.Newf(verdict.MayHaveRun, verdict.AnswerMismatch, "the answer exceeds %d bytes", maxAnswerBytes)
 	}
 	if err != nil {
 		a.exchange.Abort()
--- a/serving/request/relay/codec.go
+++ b/serving/request/relay/codec.go
@@ -82,9 +82,10 @@
 	ParseRequest(r *http.Request) (RequestInfo, error)
 	// OutgoingHeader returns the header to send to the target in an attempt.
 	OutgoingHeader(r *http.Request, a *Attempt) http.Header
-	// MatchesRequest reports whether an answer belongs to a request, or names
-	// no request.
-	MatchesRequest(response *http.Response, info *RequestInfo) bool
+	// MatchesRequest reports whether an answer belongs to a request. reused is
+	// true if its connection carried an earlier request: an answer that names
+	// no request may then belong to that one.
+	MatchesRequest(response *http.Response, info *RequestInfo, reused bool) bool
 	// ParseReply parses the header of a target's answer.
 	ParseReply(response *http.Response) Reply
 	// Refuse sets the header of the answer to a request that was refused or
--- a/serving/request/relay/events.go
+++ b/serving/request/relay/events.go
@@ -23,6 +23,8 @@
 type event struct {
 	raw []byte
 	id  string
+	// comment is true if the event has neither an ID nor data.
+	comment bool
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -35,7 +37,7 @@
 func (e *eventReader) next() (event, error) {
 	e.buffer = e.buffer[:0]
 	lineStart := 0 // offset of the current line in the buffer
-	var found event
+	found := event{comment: true}
 	for {
 		piece, err := e.reader.ReadSlice('\n')
 		e.buffer = append(e.buffer, piece...)
@@ -56,6 +58,10 @@
 		lineStart = len(e.buffer)
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			found.id = string(bytes.TrimSpace(id))
+			found.comment = false
+		}
+		if bytes.HasPrefix(line, []byte("data")) {
+			found.comment = false
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(e.buffer) > len(line) {
 			found.raw = e.buffer
--- a/serving/request/relay/place.go
+++ b/serving/request/relay/place.go
@@ -11,7 +11,7 @@
 
 // place asks the board for a target. The answer must be complete before the
 // request's deadline and, if the daemon is stopping, before its shutdown.
-func (q *request) place() (*Placement, error) {
+func (q *request) place(ctx context.Context) (*Placement, error) {
 	timeLeft := time.Until(q.deadline)
 	timeToShutdown := time.Duration(0)
 	if remaining, stopping := q.relay.TimeToShutdown(); stopping {
@@ -30,7 +30,7 @@
 		Rank:              q.priority(),
 		Exclude:           q.exclude,
 	}
-	placed, err := q.relay.Board.Place(in, q.service)
+	placed, err := q.relay.Board.Place(ctx, in, q.service)
 	if err != nil {
 		return nil, err
 	}
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -34,21 +34,22 @@
 type Board interface {
 	// Place chooses where a request runs and records it there. Its errors are
 	// *verdict.Error.
-	Place(r *placement.Request, service *routing.Service) (*Placement, error)
+	Place(ctx context.Context, r *placement.Request, service *routing.Service) (*Placement, error)
 	// FirstEvent and End record the progress of a placed request.
 	FirstEvent(k inflight.Key)
 	End(k inflight.Key, id names.Target)
-	// RecordActivity records that a target sent something. Unresponsive
-	// reports whether answers of a target are pending and it sends nothing.
-	RecordActivity(id names.Target)
+	// RecordActivity records that a target sent something for a placed
+	// request. Unresponsive reports whether answers of a target are pending
+	// and it sends nothing.
+	RecordActivity(k inflight.Key, id names.Target)
 	Unresponsive(id names.Target) bool
 	// RecordRequestCount records the number of requests that a target reports.
 	RecordRequestCount(id names.Target, requests int)
-	// Succeeded, Failed and Unreachable record the outcome of a send to a
-	// target.
-	Succeeded(id names.Target)
-	Failed(id names.Target, reason verdict.Reason)
-	Unreachable(id names.Target)
+	// Succeeded, Failed and Unreachable record the outcome of a send of a
+	// placed request to a target, before End.
+	Succeeded(k inflight.Key, id names.Target)
+	Failed(k inflight.Key, id names.Target, reason verdict.Reason)
+	Unreachable(k inflight.Key, id names.Target)
 }
 
 // Crashes tracks requests that are suspected of crashing targets.
@@ -166,7 +167,10 @@
 	lastEventAt  time.Time
 	longestPause time.Duration
 	lastEventID  string
-	verdict      verdict.Verdict
+	// unnumbered is true once an event without an ID was sent to the caller. The
+	// stream cannot be resumed then: no ID says which events the caller has.
+	unnumbered bool
+	verdict    verdict.Verdict
 }
 
 // admit checks the request against the configuration in force and reads its
@@ -354,10 +358,13 @@
 // attempts is retried.
 func (q *request) decideRetry(failure *verdict.Error, attempts int) retry.Decision {
 	return q.relay.Budget.Decide(q.service.Name, retryPolicy(q.maxAttempts()), retry.Attempt{
-		Count: attempts, Started: attempts > 0, Failure: failure.WithRetryAfter(0), Idempotent: q.route.Repeatable(), Deadline: q.deadline,
+		Count: attempts, Started: attempts > 0, Failure: failure.WithRetryAfter(0), Idempotent: q.repeatable(), Deadline: q.deadline,
 	})
 }
 
+// repeatable reports whether the request may be sent again after it may have run.
+func (q *request) repeatable() bool { return q.route.Repeatable() && !q.unnumbered }
+
 func (q *request) maxAttempts() int { return max(q.route.MaxAttempts, 1) }
 
 // maxRefusals is how many refusals by targets a request may receive before it
--- a/serving/request/relay/stream.go
+++ b/serving/request/relay/stream.go
@@ -14,8 +14,8 @@
 func (a *attempt) forwardStream() error {
 	response := a.exchange.Response
 	events := newEventReader(response.Body)
-	controller := http.NewResponseController(a.w)
 	timeouts := nextEventTimeouts(a.route)
+	limit := streamLimit{answerTokens: a.info.AnswerTokens}
 	for {
 		next, err := events.next()
 		switch {
@@ -25,26 +25,78 @@
 			a.exchange.Abort()
 			return a.exchange.BodyError(a.ctx, err)
 		}
-		a.recordEvent(timeouts)
-		if !isNextEvent(a.lastEventID, next.id) {
+		if err := limit.add(&next); err != nil {
 			a.exchange.Abort()
-			return verdict.Newf(verdict.Ran, verdict.AnswerMismatch, "event %q follows event %q", next.id, a.lastEventID)
+			return err
 		}
-		a.startAnswer(response)
-		if _, err := a.w.Write(next.raw); err != nil {
+		if next.comment && !a.answerStarted {
+			continue
+		}
+		if err := a.forwardEvent(&next, timeouts); err != nil {
 			a.exchange.Abort()
-			return verdict.Wrap(err, verdict.Ran, verdict.CallerGone, "the caller has gone")
+			return err
+		}
+	}
+}
+
+// forwardEvent forwards one event. A comment is no sign that the target works on the
+// answer, so it does not reset the watchdog.
+func (a *attempt) forwardEvent(next *event, timeouts eventTimeouts) error {
+	if !next.comment {
+		a.recordEvent(timeouts)
+		if !isNextEvent(a.lastEventID, next.id) {
+			return verdict.Newf(verdict.Ran, verdict.AnswerMismatch, "event %q follows event %q", next.id, a.lastEventID)
 		}
-		_ = controller.Flush() // the next write returns the error
+		a.startAnswer(a.exchange.Response)
+	}
+	if _, err := a.w.Write(next.raw); err != nil {
+		return verdict.Wrap(err, verdict.Ran, verdict.CallerGone, "the caller has gone")
+	}
+	_ = http.NewResponseController(a.w).Flush() // the next write returns the error
+	switch {
+	case next.id != "":
 		a.lastEventID = next.id
+	case !next.comment:
+		a.unnumbered = true
 	}
+	return nil
+}
+
+// streamLimit bounds what a target may send as a stream. A faulty target may send
+// events or comments without end.
+type streamLimit struct {
+	// answerTokens is the maximum length of the answer, zero if unknown. Each
+	// event holds at least one token.
+	answerTokens int
+	events       int
+	commentBytes int
+}
+
+// extraEvents is the number of events without a token that an answer may have.
+const extraEvents = 16
+
+// add counts an event. It returns an error if the stream exceeds its bounds.
+func (l *streamLimit) add(next *event) error {
+	if next.comment {
+		l.commentBytes += len(next.raw)
+		if l.commentBytes > maxEventBytes {
+			return verdict.Newf(verdict.Ran, verdict.AnswerMismatch, "over %d bytes of comments without an event", maxEventBytes)
+		}
+		return nil
+	}
+	l.commentBytes = 0
+	l.events++
+	if l.answerTokens > 0 && l.events > l.answerTokens+extraEvents {
+		return verdict.Newf(verdict.Ran, verdict.AnswerMismatch, "more than %d events for %d tokens", l.events, l.answerTokens)
+	}
+	return nil
 }
 
 // recordEvent records the arrival of an event. If no other attempt may follow,
 // it stops the watchdog: a slow target still answers, and no other target
 // would.
 func (a *attempt) recordEvent(next eventTimeouts) {
-	a.relay.Board.RecordActivity(a.placed.Decision.Target)
+	a.relay.Board.RecordActivity(a.placed.Key, a.placed.Decision.Target)
 	now := time.Now()
 	if !a.lastEventAt.IsZero() {
 		a.longestPause = max(a.longestPause, now.Sub(a.lastEventAt))
--- a/serving/request/relay/timeouts.go
+++ b/serving/request/relay/timeouts.go
@@ -85,5 +85,5 @@
 
 // mayRetry reports whether another attempt may follow if this one fails.
 func (a *attempt) mayRetry() bool {
-	return a.route.Repeatable() && a.possibleRuns+1 < a.route.MaxAttempts
+	return a.repeatable() && a.possibleRuns+1 < a.route.MaxAttempts
 }
--- a/tools/emulator/store.go
+++ b/tools/emulator/store.go
@@ -50,8 +50,11 @@
 	history   []record
 	revision  uint64
 	compacted uint64
-	changed   chan struct{}
-	mode      Mode
+	era       uint64
+	// log has all changes with their times, from which a copy is rebuilt.
+	log     []loggedChange
+	changed chan struct{}
+	mode    Mode
 	// refusedClients are the addresses whose requests are answered with status
 	// 503.
 	refusedClients map[netip.Addr]bool
@@ -94,6 +97,53 @@
 	s.notify()
 }
 
+// loggedChange is a change and when it was made.
+type loggedChange struct {
+	record
+	at time.Time
+}
+
+// Restore replaces the contents by those of a copy of the given age, and begins a new
+// era. It returns the lost changes, the last one of each key, which their writers are to
+// write again.
+func (s *Store) Restore(age time.Duration) []Lost {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := time.Now().Add(-age)
+	lost := make(map[string]record)
+	clear(s.records)
+	kept := s.log[:0]
+	s.history, s.revision = nil, 1
+	for _, change := range s.log {
+		if change.at.After(copied) {
+			lost[change.Key] = change.record
+			continue
+		}
+		kept = append(kept, change)
+		s.apply(change.record)
+		s.revision = change.Revision
+	}
+	s.log = kept
+	s.history = slices.DeleteFunc(s.history, func(r record) bool { return r.Revision <= s.compacted })
+	s.compacted = min(s.compacted, s.revision)
+	s.era++
+	s.notify()
+	list := make([]Lost, 0, len(lost))
+	for _, r := range lost {
+		list = append(list, Lost{key: r.Key, value: r.Value})
+	}
+	return list
+}
+
+// Lost is a change that a restoration lost.
+type Lost struct {
+	key   string
+	value []byte
+}
+
+// Rewrite writes a lost change again.
+func (s *Store) Rewrite(l Lost) { s.put(l.key, l.value) }
+
 // Requests returns how many requests the store has received.
 func (s *Store) Requests() int {
 	s.mu.Lock()
@@ -132,13 +182,19 @@
 	defer s.mu.Unlock()
 	s.revision++
 	r := record{Key: key, Value: value, Revision: s.revision, Deleted: value == nil}
+	s.log = append(s.log, loggedChange{record: r, at: time.Now()})
+	s.apply(r)
+	s.notify()
+}
+
+// apply makes a change. The caller holds mu.
+func (s *Store) apply(r record) {
 	s.history = append(s.history, r)
 	if r.Deleted {
-		delete(s.records, key)
-	} else {
-		s.records[key] = r
+		delete(s.records, r.Key)
+		return
 	}
-	s.notify()
+	s.records[r.Key] = r
 }
 
 // notify wakes all waiting requests. The caller holds mu.
@@ -164,6 +220,7 @@
 	s.requests++
 	s.mu.Unlock()
 	if mode, _ := s.modeFor(r); mode == Busy {
+		s.setEra(w, s.currentEra())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -189,6 +246,7 @@
 		return
 	}
 	s.mu.Lock()
+	era := s.era
 	body := response{Revision: s.revision}
 	for key, entry := range s.records {
 		if strings.HasPrefix(key, r.URL.Query().Get("prefix")) {
@@ -197,6 +255,7 @@
 	}
 	s.mu.Unlock()
 	slices.SortFunc(body.Entries, func(x, y record) int { return strings.Compare(x.Key, y.Key) })
+	s.setEra(w, era)
 	_ = json.NewEncoder(w).Encode(&body) // fails only if the caller has gone
 }
 
@@ -233,18 +292,21 @@
 		if !s.waitResponsive(r) {
 			return
 		}
-		body, changed, err := s.eventsAfter(after)
+		body, era, changed, err := s.eventsAfter(after)
 		if err != nil {
+			s.setEra(w, era)
 			w.WriteHeader(http.StatusGone)
 			return
 		}
 		if len(body.Events) > 0 {
+			s.setEra(w, era)
 			_ = json.NewEncoder(w).Encode(&body) // fails only if the caller has gone
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
+			s.setEra(w, era)
 			_ = json.NewEncoder(w).Encode(&body) // fails only if the caller has gone
 			return
 		case <-r.Context().Done():
@@ -255,13 +317,25 @@
 
 var errCompacted = errors.New("emulator: the revision has been compacted")
 
-// eventsAfter returns the changes after a revision, and a channel that is closed
-// at the next change of the store.
-func (s *Store) eventsAfter(after uint64) (response, chan struct{}, error) {
+func (s *Store) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// setEra sets the header of an answer as of an era.
+func (*Store) setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set(platform.HeaderEra, strconv.FormatUint(era, 10))
+}
+
+// eventsAfter returns the changes after a revision, the era, and a channel that is closed
+// at the next change of the store. The store has no changes after a revision that it
+// has not reached, or that it has dropped.
+func (s *Store) eventsAfter(after uint64) (response, uint64, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compacted {
-		return response{}, nil, errCompacted
+	if after < s.compacted || after > s.revision {
+		return response{}, s.era, nil, errCompacted
 	}
 	body := response{Revision: s.revision}
 	for _, r := range s.history {
@@ -269,5 +343,5 @@
 			body.Events = append(body.Events, r)
 		}
 	}
-	return body, s.changed, nil
+	return body, s.era, s.changed, nil
 }
