--- a/tools/emulator/store.go
+++ b/tools/emulator/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -52,7 +53,10 @@
 	compacted uint64
 	era       uint64
 	// log has all changes with their times, from which a copy is rebuilt.
-	log     []loggedChange
+	log []loggedChange
+	// lost holds the last changes that restorations lost and that were not written
+	// again.
+	lost    map[string]record
 	changed chan struct{}
 	mode    Mode
 	// refusedClients are the addresses whose requests are answered with status
@@ -63,7 +67,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{records: make(map[string]record), revision: 1, changed: make(chan struct{}), refusedClients: make(map[netip.Addr]bool)}
+	return &Store{records: make(map[string]record), lost: make(map[string]record), revision: 1, changed: make(chan struct{}), refusedClients: make(map[netip.Addr]bool)}
 }
 
 // SetMode changes how requests are answered. Requests that wait in mode
@@ -104,19 +108,18 @@
 }
 
 // Restore replaces the contents by those of a copy of the given age, and begins a new
-// era. It returns the lost changes, the last one of each key, which their writers are to
-// write again.
-func (s *Store) Restore(age time.Duration) []Lost {
+// era. It returns the keys whose last change is lost, of this restoration and of earlier
+// ones, sorted. Their writers are to write them again, see Rewrite.
+func (s *Store) Restore(age time.Duration) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	copied := time.Now().Add(-age)
-	lost := make(map[string]record)
 	clear(s.records)
 	kept := s.log[:0]
 	s.history, s.revision = nil, 1
 	for _, change := range s.log {
 		if change.at.After(copied) {
-			lost[change.Key] = change.record
+			s.lost[change.Key] = change.record
 			continue
 		}
 		kept = append(kept, change)
@@ -128,22 +131,19 @@
 	s.compacted = min(s.compacted, s.revision)
 	s.era++
 	s.notify()
-	list := make([]Lost, 0, len(lost))
-	for _, r := range lost {
-		list = append(list, Lost{key: r.Key, value: r.Value})
-	}
-	return list
+	return slices.Sorted(maps.Keys(s.lost))
 }
 
-// Lost is a change that a restoration lost.
-type Lost struct {
-	key   string
-	value []byte
+// Rewrite writes the lost change of a key again, unless the key was written since.
+func (s *Store) Rewrite(key string) {
+	s.mu.Lock()
+	r, ok := s.lost[key]
+	s.mu.Unlock()
+	if ok {
+		s.put(key, r.Value)
+	}
 }
 
-// Rewrite writes a lost change again.
-func (s *Store) Rewrite(l Lost) { s.put(l.key, l.value) }
-
 // Requests returns how many requests the store has received.
 func (s *Store) Requests() int {
 	s.mu.Lock()
@@ -181,6 +181,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
+	delete(s.lost, key)
 	r := record{Key: key, Value: value, Revision: s.revision, Deleted: value == nil}
 	s.log = append(s.log, loggedChange{record: r, at: time.Now()})
 	s.apply(r)
--- a/tools/soak/command.go
+++ b/tools/soak/command.go
@@ -28,6 +28,7 @@
 			&cli.IntFlag{Name: "engines", Value: defaults.Engines, Usage: "`NUMBER` of engines"},
 			&cli.IntFlag{Name: "callers", Value: defaults.Callers, Usage: "`NUMBER` of callers"},
 			&cli.BoolFlag{Name: "planned", Usage: "planned work alone: no request may be cut"},
+			&cli.BoolFlag{Name: "restore", Usage: "the store is also restored from a copy"},
 			&cli.StringFlag{Name: "folder", Value: filepath.Join(os.TempDir(), "carobspoke-soak"), Usage: "`FOLDER` for settings and logs"},
 		},
 		Action: runCommand,
@@ -47,7 +48,7 @@
 	for i := range c.Int("seeds") {
 		config := Config{
 			Seed: c.Uint64("seed") + uint64(i), FaultTime: c.Duration("for"), Daemons: c.Int("daemons"), Engines: c.Int("engines"),
-			Services: DefaultConfig().Services, Callers: c.Int("callers"), PlannedOnly: c.Bool("planned"), Program: program,
+			Services: DefaultConfig().Services, Callers: c.Int("callers"), PlannedOnly: c.Bool("planned"), RestoreStore: c.Bool("restore"), Program: program,
 		}
 		config.Folder = filepath.Join(folder, strconv.FormatUint(config.Seed, 10))
 		report, err := Run(ctx, config)
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -122,6 +123,31 @@
 	}
 }
 
+// A restored store comes back with the contents that it had copyAge before. What was
+// written since is written again in any order, each within rewriteSpread after the one
+// before.
+const (
+	copyAge       = 3 * time.Second
+	rewriteSpread = 300 * time.Millisecond
+)
+
+// restoreFault returns the fault that the store is unavailable for a moment and comes back
+// from a copy.
+func restoreFault() fault {
+	return fault{"store restored from a copy", func(b *testbed) (func(), string) {
+		b.store.SetMode(emulator.Busy)
+		order := rand.New(rand.NewPCG(b.random.Uint64(), 0))
+		return func() {
+			lost := b.store.Restore(copyAge)
+			b.store.SetMode(emulator.Serving)
+			for _, i := range order.Perm(len(lost)) {
+				time.Sleep(time.Duration(order.Int64N(int64(rewriteSpread))))
+				b.store.Rewrite(lost[i])
+			}
+		}, ""
+	}}
+}
+
 // Bounds of the time between the starts of two faults and of the duration of a
 // fault, in ms. Each is a minimum and the width of a uniform distribution.
 const (
@@ -136,6 +162,9 @@
 	if !b.config.PlannedOnly {
 		kinds = append(kinds, unplannedFaults()...)
 	}
+	if b.config.RestoreStore {
+		kinds = append(kinds, restoreFault(), restoreFault())
+	}
 	end := time.After(b.config.FaultTime)
 	var active sync.WaitGroup
 	defer active.Wait()
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -19,10 +19,10 @@
 }
 
 // runSeed runs one seed and fails the test if a guarantee was violated.
-func runSeed(t *testing.T, program string, seed uint64, planned bool) {
+func runSeed(t *testing.T, program string, seed uint64, planned, restore bool) {
 	t.Helper()
 	c := DefaultConfig()
-	c.Seed, c.PlannedOnly, c.FaultTime = seed, planned, 5*time.Second
+	c.Seed, c.PlannedOnly, c.RestoreStore, c.FaultTime = seed, planned, restore, 5*time.Second
 	c.Program, c.Folder = program, filepath.Join(t.TempDir(), strconv.FormatUint(seed, 10))
 	report, err := Run(t.Context(), c)
 	if err != nil {
@@ -43,9 +43,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Run("planned work", func(t *testing.T) { runSeed(t, program, 1, true) })
-	t.Run("faults", func(t *testing.T) { runSeed(t, program, 2, false) })
+	t.Run("planned work", func(t *testing.T) { runSeed(t, program, 1, true, false) })
+	t.Run("faults", func(t *testing.T) { runSeed(t, program, 2, false, false) })
+	t.Run("restored store", func(t *testing.T) { runSeed(t, program, 3, true, true) })
 	for _, r := range regressions {
-		t.Run(r.cause, func(t *testing.T) { runSeed(t, program, r.seed, r.planned) })
+		t.Run(r.cause, func(t *testing.T) { runSeed(t, program, r.seed, r.planned, false) })
 	}
 }
--- a/tools/soak/testbed.go
+++ b/tools/soak/testbed.go
@@ -42,6 +42,8 @@
 	// PlannedOnly limits the faults to planned work: stops of daemons, new
 	// configurations and replaced targets. Then no request may be cut.
 	PlannedOnly bool
+	// RestoreStore adds restorations of the store from a copy to the faults.
+	RestoreStore bool
 	// Program is the path of carobspoked. Folder receives settings and logs.
 	Program string
 	Folder  string
