Place by seeds after a common start, tell at once that the store is lost

Change: daemons ask the seeds in their first 5 s, and a seed that is no home names the homes; one retry from 0.5 s after the start, if the slack suffices for three times the members known; Retry-After of a starting daemon covers the start (bootTime); heartbeats say that the source is lost, and others probe it after 0.5 s.

--- a/core/process/homes/homes.go
+++ b/core/process/homes/homes.go
@@ -8,6 +8,11 @@
 // place without delay, and the number of messages of a request does not depend on
 // the number of daemons.
 //
+// A daemon that has just started knows few members. It asks the seeds, which all daemons
+// know. A seed that knows the members names the homes instead of placing the request; one
+// that has just started itself places it. After a common start all requests are thus
+// placed by one daemon, before any daemon knows all members.
+//
 // # Load patterns
 //
 // Many entry daemons receive requests within the time in which they could tell each
@@ -38,6 +43,8 @@
 	// not know most of the group's work yet. The age follows from the
 	// incarnation, so that it is wrong where wall clocks differ.
 	minAge = 3 * time.Second
+	// JoinTime is how long after its start a daemon asks the seeds.
+	JoinTime = 5 * time.Second
 )
 
 // Groups returns the number of groups of a service with this many targets.
@@ -99,6 +106,20 @@
 	return Homes{Deciders: deciders, Listeners: listeners}
 }
 
+// SelectSeeds returns the homes of a group for a daemon that has just started: the seeds
+// decide, and the homes among the members that it knows listen too.
+func SelectSeeds(g Group, seeds []names.Host, live []membership.Member, now time.Time) Homes {
+	deciders := slices.Clone(seeds)
+	slices.SortFunc(deciders, func(a, b names.Host) int { return cmp.Compare(rank(g, a), rank(g, b)) })
+	listeners := slices.Clone(deciders[:min(len(deciders), Count)])
+	for _, host := range Select(g, live, now).Listeners {
+		if !slices.Contains(listeners, host) {
+			listeners = append(listeners, host)
+		}
+	}
+	return Homes{Deciders: deciders, Listeners: listeners}
+}
+
 // first returns the first Count hosts of an order.
 func first(list []candidate, compare func(a, b *candidate) int) []names.Host {
 	best := make([]*candidate, 0, Count+1)
--- a/core/process/homes/homes_test.go
+++ b/core/process/homes/homes_test.go
@@ -131,3 +131,25 @@
 		t.Fatalf("group %d of one", chosen)
 	}
 }
+
+// All daemons have just started and know different members. They must ask the same
+// daemon.
+func TestSeedsDecideForDaemonsThatKnowFewMembers(t *testing.T) {
+	live := fleet(40)
+	seeds := []names.Host{live[0].Host, live[1].Host, live[2].Host}
+	a, b := SelectSeeds(group, seeds, live[:20], now), SelectSeeds(group, seeds, live[20:], now)
+	if !slices.Equal(a.Deciders, b.Deciders) || len(a.Deciders) != len(seeds) {
+		t.Fatalf("deciders %v and %v", a.Deciders, b.Deciders)
+	}
+	for _, host := range Select(group, live[:20], now).Listeners {
+		if !slices.Contains(a.Listeners, host) {
+			t.Fatalf("listeners %v do not include the home %s", a.Listeners, host)
+		}
+	}
+	if !slices.Contains(a.Listeners, a.Deciders[0]) {
+		t.Fatalf("listeners %v do not include the first seed", a.Listeners)
+	}
+	if lone := SelectSeeds(group, nil, live[:1], now); len(lone.Deciders) != 0 || len(lone.Listeners) != 1 {
+		t.Fatalf("homes %+v without seeds", lone)
+	}
+}
--- a/core/process/watching/watching.go
+++ b/core/process/watching/watching.go
@@ -23,6 +23,10 @@
 	// HeartbeatTimeout is how long a daemon waits for a heartbeat before it takes
 	// the watchers for lost.
 	HeartbeatTimeout = time.Second
+	// probeAfter is how long a daemon waits for a heartbeat while it hears daemons
+	// that cannot reach the source. That is shorter than HeartbeatTimeout: they
+	// tell at once that the source refuses them.
+	probeAfter = 500 * time.Millisecond
 	// leavingTimeout applies instead to a daemon that is shutting down, which gets
 	// no heartbeats. It ends within seconds, and learns of changes by gossip.
 	leavingTimeout = 4 * time.Second
@@ -126,10 +130,10 @@
 		return watch
 	case s.Lagging:
 		return takeOver
+	case s.StaleAge <= timeout && s.HeartbeatAge > probeAfter && s.Age >= StartTime && !s.Leaving:
+		return probe
 	case s.HeartbeatAge <= timeout || s.Age < StartTime:
 		return idle
-	case s.StaleAge <= timeout:
-		return probe
 	default:
 		return takeOver
 	}
--- a/core/request/placement/placement_test.go
+++ b/core/request/placement/placement_test.go
@@ -233,3 +233,15 @@
 		t.Fatal("an adjusted priority is out of range")
 	}
 }
+
+// The configuration does not publish how much memory the engines have. Guards against a
+// division by zero, and against refusing all prompts for lack of memory.
+func TestEnginesOfUnknownMemoryTakePrompts(t *testing.T) {
+	s := service()
+	s.Engine.MemoryTokens = 0
+	for _, r := range []*Request{short(), long(300_000)} {
+		if d := placer().Place(r, s, idle(12)); d.Refusal != nil || d.Target == "" {
+			t.Fatalf("prompt of %d tokens: %v", r.PromptTokens, d.Refusal)
+		}
+	}
+}
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -30,6 +30,9 @@
 	prefill := PrefillTime(e, r.PromptTokens)
 	tokens := r.PromptTokens + r.AnswerTokens
 	capacity := int(p.settings.MemoryShare * float64(e.MemoryTokens))
+	if e.MemoryTokens <= 0 {
+		capacity = math.MaxInt32 // the engine's memory is not published
+	}
 	var d Decision
 	switch {
 	case tokens <= capacity && (prefill < p.settings.HeavyPrefill || !e.ParallelPrefill):
@@ -85,6 +88,9 @@
 		slotTime := DecodeTime(e, e.MeanAnswerTokens, slots, e.MeanPromptTokens)
 		wait += time.Duration(ahead-slots+1) * slotTime / time.Duration(slots)
 	}
+	if e.MemoryTokens <= 0 {
+		return wait
+	}
 	if excess := c.Load.Tokens + r.PromptTokens + r.AnswerTokens - int(p.settings.MemoryShare*float64(e.MemoryTokens)); excess > 0 {
 		wait += memoryTurnover * time.Duration(excess) / time.Duration(max(e.MemoryTokens, 1))
 	}
--- a/serving/process/dispatchsync/ask.go
+++ b/serving/process/dispatchsync/ask.go
@@ -24,6 +24,8 @@
 	// Avoid lists the targets that failed recently at the asking daemon. They are
 	// used if there is no other.
 	Avoid []names.Target
+	// Redirected is true if another daemon has named the asked one as a home.
+	Redirected bool
 }
 
 // Answer is the answer of a home.
@@ -31,7 +33,10 @@
 	// UnknownService is true if the home does not know the service. The other
 	// fields are then empty.
 	UnknownService bool
-	Decision       placement.Decision
+	// Homes are the daemons to ask instead, if the asked one is no home of the
+	// group. The other fields are then empty.
+	Homes    []names.Host
+	Decision placement.Decision
 	// Pressure is the mean time of work ahead of a new prompt in the group, in
 	// seconds.
 	Pressure float64
--- a/serving/process/dispatchsync/convert.go
+++ b/serving/process/dispatchsync/convert.go
@@ -101,6 +101,7 @@
 	return published.Heartbeat{
 		Position:  replicas.Position{Era: b.GetEra(), Revision: b.GetRevision()},
 		Confirmed: fromMillis(b.GetConfirmedMs()), Settled: b.GetSettled(), ConfigVersion: names.Version(b.GetConfigVersion()),
+		Lost: b.GetSourceLost(),
 	}
 }
 
@@ -112,7 +113,7 @@
 		LatencyTargetMs: millis(r.LatencyTarget), GapTargetMs: millis(r.GapTarget),
 		TimeLeftMs: millis(r.TimeLeft), TimeToShutdownMs: millis(r.TimeToShutdown), AnswerStarted: r.AnswerStarted,
 		FirstEventTimeoutMs: millis(r.FirstEventTimeout), Rank: int32(r.Rank),
-		Exclude: encodeTargets(r.Exclude), Avoid: encodeTargets(a.Avoid),
+		Exclude: encodeTargets(r.Exclude), Avoid: encodeTargets(a.Avoid), Redirected: a.Redirected,
 	}
 }
 
@@ -126,7 +127,7 @@
 			FirstEventTimeout: fromMillis(m.GetFirstEventTimeoutMs()), Rank: int(m.GetRank()),
 			Exclude: decodeTargets(m.GetExclude()),
 		},
-		Avoid: decodeTargets(m.GetAvoid()),
+		Avoid: decodeTargets(m.GetAvoid()), Redirected: m.GetRedirected(),
 	}
 }
 
@@ -153,6 +154,9 @@
 		Parts: encodeParts(d.Parts), FirstEventUs: micros(d.FirstEvent), CompletionUs: micros(d.Completion), Priority: uint32(d.Priority),
 		BacklogUs: micros(d.Load.Backlog), Requests: uint32(d.Load.Requests), Answers: uint32(d.Load.Answers),
 	}
+	for _, host := range a.Homes {
+		m.Homes = append(m.Homes, string(host))
+	}
 	for i := range d.Helpers {
 		m.Parts[i+1].Reserved = uint32(d.Helpers[i].ReservedTokens)
 	}
@@ -165,6 +169,9 @@
 
 func decodeAnswer(m *peerpb.PlacementAnswer) Answer {
 	a := Answer{UnknownService: m.GetUnknownService(), Pressure: float64(m.GetPressure())}
+	for _, host := range m.GetHomes() {
+		a.Homes = append(a.Homes, names.Host(host))
+	}
 	d := &a.Decision
 	d.Parts = decodeParts(m.GetParts())
 	d.FirstEvent, d.Completion = fromMicros(m.GetFirstEventUs()), fromMicros(m.GetCompletionUs())
--- a/serving/process/dispatchsync/dispatchsync.go
+++ b/serving/process/dispatchsync/dispatchsync.go
@@ -134,6 +134,7 @@
 	batch.ConfirmedMs = uint32(h.Confirmed.Milliseconds())
 	batch.Settled = h.Settled
 	batch.ConfigVersion = uint64(h.ConfigVersion)
+	batch.SourceLost = h.Lost
 	for _, host := range to {
 		e.send(host, batch)
 	}
--- a/serving/process/edge/budget.go
+++ b/serving/process/edge/budget.go
@@ -16,8 +16,15 @@
 	budgetShare = 0.85
 	// peerDiscoveryTime is how long after its start a daemon may not know all
 	// peers yet. Until then it takes no share of the slack, because the slack
-	// is divided by the number of known daemons.
+	// is divided by the number of known daemons, except for firstRetries.
 	peerDiscoveryTime = 5 * time.Second
+	// firstRetries is the number of retries that a daemon has from firstRetryTime
+	// after its start: the seconds after a common start are those in which targets
+	// refuse most. It has them only if the slack suffices for unknownFactor times the
+	// daemons that it knows by then.
+	firstRetries   = 1
+	firstRetryTime = 500 * time.Millisecond
+	unknownFactor  = 3
 )
 
 // budgets holds this daemon's share of the fleet's retry budget of each service.
@@ -39,6 +46,8 @@
 	*retry.Budget
 	// updated is when the slack was last added.
 	updated time.Time
+	// hasFirst is true once the first retries were added.
+	hasFirst bool
 }
 
 func newBudgets(s *Settings, hosts func() int, random *rand.Rand) *budgets {
@@ -59,7 +68,12 @@
 		b.services[service] = found
 	}
 	found.SetCapacity(max(slack/2, 1))
-	if now.Sub(b.started) > peerDiscoveryTime {
+	age := now.Sub(b.started)
+	if !found.hasFirst && age > firstRetryTime && firstRetries <= slack/unknownFactor {
+		found.Add(firstRetries)
+		found.hasFirst = true
+	}
+	if age > peerDiscoveryTime {
 		found.Add(slack / 2 * now.Sub(found.updated).Seconds() / b.settings.RetryWindow.Seconds())
 	}
 	found.updated = now
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -45,6 +45,7 @@
 	Options
 	incarnation names.Incarnation
 	self        names.Host
+	seeds       []names.Host
 	started     time.Time
 
 	follower   *published.Follower
@@ -95,6 +96,9 @@
 		heartbeatDue: make(chan struct{}, 1),
 	}
 	d.targetPool.MaxIdle = d.maxIdleConns
+	for _, seed := range o.Settings.Seeds {
+		d.seeds = append(d.seeds, names.Host(seed.String()))
+	}
 	d.metrics = newMetrics(d)
 	if err := d.buildPeers(); err != nil {
 		return nil, err
@@ -118,7 +122,7 @@
 	client := &published.Client{Hosts: d.recordHosts, Pool: d.peerPool}
 	d.follower = published.New(published.Config{
 		Source: d.Source, Decoder: d.Decoder, Peers: client, Log: d.Log,
-		OnPosition: d.positionChanged, OnConfirmed: d.wakeHeartbeats, Situation: d.situation, Random: random(),
+		OnPosition: d.positionChanged, OnNews: d.wakeHeartbeats, Situation: d.situation, Random: random(),
 	})
 	machine := core.DefaultConfig()
 	machine.Regions = d.Settings.Regions
@@ -211,11 +215,7 @@
 func (d *Daemon) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	seeds := make([]names.Host, 0, len(d.Settings.Seeds))
-	for _, seed := range d.Settings.Seeds {
-		seeds = append(seeds, names.Host(seed.String()))
-	}
-	d.members.SetSeeds(seeds)
+	d.members.SetSeeds(d.seeds)
 	d.running.Go(func() { d.follower.Run(ctx) })
 	d.running.Go(func() { d.members.Run(ctx) })
 	d.running.Go(func() { d.exchange.Run(ctx) })
@@ -231,7 +231,7 @@
 	})
 	d.serve(d.metricsServer, d.listeners[3])
 	d.Log.Info("started", zap.String("host", d.Settings.Name), zap.String("peer", string(d.self)),
-		zap.Uint64("incarnation", uint64(d.incarnation)), zap.Int("seeds", len(seeds)))
+		zap.Uint64("incarnation", uint64(d.incarnation)), zap.Int("seeds", len(d.seeds)))
 }
 
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
--- a/serving/process/edge/peers.go
+++ b/serving/process/edge/peers.go
@@ -112,6 +112,9 @@
 
 // homesOf returns the homes of a group of targets.
 func (d *Daemon) homesOf(g homes.Group) homes.Homes {
+	if time.Since(d.started) < homes.JoinTime {
+		return homes.SelectSeeds(g, d.seeds, d.members.Live(), time.Now())
+	}
 	return homes.Select(g, d.members.Live(), time.Now())
 }
 
--- a/serving/process/edge/view.go
+++ b/serving/process/edge/view.go
@@ -56,9 +56,13 @@
 
 // Retry-After times of a daemon that has no recent configuration.
 const (
-	// bootRetryAfter is how long a starting daemon takes to read a
-	// configuration if the store or a peer answers, with a margin.
-	bootRetryAfter = 400 * time.Millisecond
+	// bootTime is how long a starting daemon takes to read a configuration if the
+	// store or a peer answers: hundreds of daemons that start together share the
+	// store's link. Until then a caller is to retry once that time has passed, after
+	// a random further time between minBootMargin and maxBootMargin.
+	bootTime      = 900 * time.Millisecond
+	minBootMargin = 100 * time.Millisecond
+	maxBootMargin = 500 * time.Millisecond
 	// minOutageRetryAfter and maxOutageRetryAfter bound the random time after
 	// which a caller retries during an outage of the store. Outages last
 	// seconds, and a caller retries only once.
@@ -69,10 +73,20 @@
 // retryAfter returns the time after which a caller may retry, because the daemon is
 // likely to have a recent configuration then.
 func (d *Daemon) retryAfter() time.Duration {
-	if time.Since(d.started) < bootRetryAfter {
-		return bootRetryAfter
+	return retryAfter(time.Since(d.started))
+}
+
+// retryAfter returns the time after which a caller may retry at a daemon of the given age.
+func retryAfter(age time.Duration) time.Duration {
+	if age < bootTime {
+		return bootTime - age + between(minBootMargin, maxBootMargin)
 	}
-	return minOutageRetryAfter + time.Duration(rand.Int64N(int64(maxOutageRetryAfter-minOutageRetryAfter)))
+	return between(minOutageRetryAfter, maxOutageRetryAfter)
+}
+
+// between returns a random time in [low, high).
+func between(low, high time.Duration) time.Duration {
+	return low + time.Duration(rand.Int64N(int64(high-low)))
 }
 
 // serviceNamed returns the parameters of a service, or nil if the configuration in
--- a/serving/process/edge/watchers.go
+++ b/serving/process/edge/watchers.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -47,7 +46,7 @@
 // only the seeds watch.
 func (d *Daemon) mustWatch() bool {
 	if time.Since(d.started) < watching.StartTime {
-		return slices.ContainsFunc(d.Settings.Seeds, func(seed netip.AddrPort) bool { return names.Host(seed.String()) == d.self })
+		return slices.Contains(d.seeds, d.self)
 	}
 	return containsHost(d.firstMembers(d.regionMembers(), storeWatchers), d.self)
 }
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -114,13 +114,21 @@
 		return
 	}
 	f.plan.Failed(time.Now())
+	if f.markSourceLost() {
+		f.log.Warn("publisher lost", zap.Uint64("revision", f.Revision()), zap.String("error", err.Error()))
+		f.onNews()
+	}
+}
+
+// markSourceLost records that the source does not answer, and reports whether it did
+// before.
+func (f *Follower) markSourceLost() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.directory.MarkUnavailable()
-	if !f.sourceDown {
-		f.sourceDown = true
-		f.log.Warn("publisher lost", zap.Uint64("revision", f.Revision()), zap.String("error", err.Error()))
-	}
+	answered := !f.sourceDown
+	f.sourceDown = true
+	return answered
 }
 
 // sourceAnswered applies an answer of the source to this daemon, which confirms the
--- a/serving/process/published/listener_test.go
+++ b/serving/process/published/listener_test.go
@@ -177,3 +177,53 @@
 		}
 	}
 }
+
+// All watchers are refused by the source, and say so. Guards against waiting until their
+// last confirmation is old: a daemon that the source would answer must call it soon, and
+// hear of the changes.
+func TestListenerCallsSourceIfWatchersAreRefused(t *testing.T) {
+	s := newSource()
+	s.put("config", "v")
+	s.put("target/a", "ready")
+	f := followAs(t, s, &fakePeers{}, false)
+	eventually(t, "version 1", func() bool { return f.View() != nil && version(f) == 1 })
+	heartbeat := Heartbeat{Position: f.Position(), Confirmed: 100 * time.Millisecond, ConfigVersion: 1}
+	for range 10 {
+		f.ObserveHeartbeat("watcher", heartbeat)
+		time.Sleep(50 * time.Millisecond)
+	}
+	s.put("config", "vv")
+	heartbeat.Lost = true
+	began := time.Now()
+	eventually(t, "version 2", func() bool {
+		f.ObserveHeartbeat("watcher", heartbeat)
+		return version(f) == 2
+	})
+	// Ten peers wait for up to 1 s after the heartbeats ended.
+	if took := time.Since(began); took > 2*time.Second {
+		t.Fatalf("in force after %s", took)
+	}
+	if f.Heartbeat().Lost {
+		t.Fatal("a volunteer that the source answers calls it lost")
+	}
+}
+
+// A daemon that hears only daemons which the source refuses must say so to those that
+// depend on it.
+func TestRelayTellsThatSourceIsLost(t *testing.T) {
+	f := newFollower(newSource(), &fakePeers{}, false)
+	f.ObserveHeartbeat("watcher", Heartbeat{})
+	if f.Heartbeat().Lost {
+		t.Fatal("lost while a watcher confirms the records")
+	}
+	time.Sleep(HeartbeatInterval + 50*time.Millisecond)
+	f.ObserveHeartbeat("watcher", Heartbeat{Lost: true})
+	if !f.Heartbeat().Lost {
+		t.Fatal("not lost though the only watcher is refused")
+	}
+	refused := newFollower(newSource(), &fakePeers{}, true)
+	refused.sourceFailed(t.Context(), errors.New("refused"))
+	if !refused.Heartbeat().Lost {
+		t.Fatal("a watcher that is refused does not say so")
+	}
+}
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -140,9 +140,10 @@
 	log     *zap.Logger
 	// onPosition is called with each new position, with mu held.
 	onPosition func(replicas.Position)
-	// onConfirmed is called, without locks held, when the source or a heartbeat
-	// has confirmed the records at least confirmedStep after the last call of it.
-	onConfirmed func()
+	// onNews is called, without locks held, when the source or a heartbeat has
+	// confirmed the records at least confirmedStep after the last such call, and when
+	// the source is lost.
+	onNews func()
 	// situation returns this daemon's part in watching the source. The follower
 	// sets the ages of heartbeats, Empty and Lagging.
 	situation func() watching.Situation
@@ -159,7 +160,7 @@
 	announced     atomic.Pointer[announcedConfig]
 	lastHeartbeat atomictime.Time
 	// lastStaleHeartbeat is when a daemon that cannot reach the source was heard,
-	// announcedAt when onConfirmed was called.
+	// announcedAt the last confirmation with which onNews was called.
 	lastStaleHeartbeat atomictime.Time
 	announcedAt        atomictime.Time
 	// lastWatcher is the sender of the last heartbeat.
@@ -207,9 +208,9 @@
 	// OnPosition is called with each new position. It must not call Records,
 	// Settled or ObserveHeartbeat.
 	OnPosition func(replicas.Position)
-	// OnConfirmed is called when the records were confirmed again, so that a daemon
-	// on which others depend sends a heartbeat.
-	OnConfirmed func()
+	// OnNews is called when the records were confirmed again or the source was lost,
+	// so that a daemon on which others depend sends a heartbeat.
+	OnNews func()
 	// Situation returns this daemon's part in watching the source: the fields
 	// Watcher, Leaving, Peers and Age.
 	Situation func() watching.Situation
@@ -219,7 +220,7 @@
 // New returns a follower without records.
 func New(c Config) *Follower {
 	f := &Follower{
-		source: c.Source, decoder: c.Decoder, peers: c.Peers, log: c.Log, onPosition: c.OnPosition, onConfirmed: c.OnConfirmed,
+		source: c.Source, decoder: c.Decoder, peers: c.Peers, log: c.Log, onPosition: c.OnPosition, onNews: c.OnNews,
 		situation: c.Situation, plan: watching.New(c.Random),
 		wake: make(chan struct{}, 1), records: make(map[string]Record), directory: replicas.New(),
 	}
@@ -315,24 +316,42 @@
 	Settled bool
 	// ConfigVersion is the version of the configuration in force at the watcher.
 	ConfigVersion names.Version
+	// Lost is true if the source refuses the sender, or if the sender hears only
+	// daemons that the source refuses.
+	Lost bool
+}
+
+// lost reports whether the source refuses this daemon or, for one that does not call it,
+// those that it hears.
+func (f *Follower) lost() bool {
+	if f.Volunteering() || f.situation().Watcher {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.sourceDown
+	}
+	return f.lastStaleHeartbeat.Age() < watching.HeartbeatTimeout && f.HeartbeatAge() > HeartbeatInterval
 }
 
 // Heartbeat returns this daemon's heartbeat, for a daemon that watches the source.
 func (f *Follower) Heartbeat() Heartbeat {
-	return Heartbeat{Position: f.Position(), Confirmed: f.Age(), Settled: f.Settled(), ConfigVersion: f.configVersion()}
+	return Heartbeat{
+		Position: f.Position(), Confirmed: f.Age(), Settled: f.Settled(), ConfigVersion: f.configVersion(), Lost: f.lost(),
+	}
 }
 
-// ObserveHeartbeat processes a watcher's heartbeat. One whose confirmation is older
-// than MaxFreshAge, or whose position is of an earlier era, is ignored, except for its
-// configuration: versions of configurations do not depend on eras.
+// ObserveHeartbeat processes a watcher's heartbeat. One whose sender has lost the source
+// or whose confirmation is older than MaxFreshAge confirms nothing. One of an earlier era
+// is ignored, except for its configuration: versions of configurations do not depend on
+// eras.
 func (f *Follower) ObserveHeartbeat(from names.Host, h Heartbeat) {
 	f.ObserveConfigVersion(h.ConfigVersion, from)
 	now := time.Now()
 	switch {
 	case h.Position.Era < f.Position().Era:
 		return
-	case h.Confirmed > MaxFreshAge:
+	case h.Lost || h.Confirmed > MaxFreshAge:
 		f.lastStaleHeartbeat.Set(now)
+		f.ObservePeerPosition(h.Position, from)
 		return
 	}
 	f.lastHeartbeat.Set(now)
@@ -353,12 +372,12 @@
 // once. Less waits for the next heartbeat.
 const confirmedStep = 500 * time.Millisecond
 
-// announce calls onConfirmed if the records were confirmed confirmedStep after what was
+// announce calls onNews if the records were confirmed confirmedStep after what was
 // announced last.
 func (f *Follower) announce() {
 	confirmed := f.lastConfirmed.Get()
 	if confirmed.Sub(f.announcedAt.Get()) >= confirmedStep {
 		f.announcedAt.Set(confirmed)
-		f.onConfirmed()
+		f.onNews()
 	}
 }
--- a/serving/process/targetstate/home.go
+++ b/serving/process/targetstate/home.go
@@ -1,6 +1,7 @@
 package targetstate
 
 import (
+	"slices"
 	"time"
 
 	"carobspoke.example/core/names"
@@ -66,9 +67,24 @@
 	p.board.recordOutcome(id, o, "")
 }
 
+// otherHomes returns the homes of a group if this daemon is none of them and knows the
+// members, else nil.
+func (b *Board) otherHomes(g homes.Group) []names.Host {
+	selected := b.config.Homes(g)
+	if slices.Contains(selected.Listeners, b.config.Self) || slices.Contains(selected.Deciders, b.config.Self) {
+		return nil
+	}
+	return selected.Deciders
+}
+
 // decide places a request on the targets of a group by the work that this daemon
 // knows. It calls begin with the lock of the board held if the request is placed.
 func (b *Board) decide(a *dispatchsync.Ask, begin func(placement.Decision, time.Time)) dispatchsync.Answer {
+	if !a.Redirected {
+		if others := b.otherHomes(a.Group); len(others) > 0 {
+			return dispatchsync.Answer{Homes: others}
+		}
+	}
 	service := b.config.Service(a.Group.Service)
 	if service == nil {
 		return dispatchsync.Answer{UnknownService: true}
--- a/serving/process/targetstate/place.go
+++ b/serving/process/targetstate/place.go
@@ -98,64 +98,100 @@
 // or refuses the request.
 func (b *Board) placeInGroup(ctx context.Context, r *placement.Request, g homes.Group, targets []replicas.Target) (keyedDecision, error) {
 	selected := b.config.Homes(g)
-	asked := *r
+	question := question{request: *r, group: g, targets: targets, listeners: selected.Listeners}
 	for _, home := range selected.Deciders {
 		if b.skipped(home) {
 			continue
 		}
-		for range maxReplacements + 1 {
-			d, err := b.askHome(ctx, &asked, g, home, selected.Listeners)
-			if err != nil {
-				break
-			}
-			unlisted := unlistedTargets(&d.decision, targets)
-			if len(unlisted) == 0 {
+		d, named, err := b.askUntilListed(ctx, &question, home)
+		if err == nil {
+			return d, nil
+		}
+		question.redirected = true
+		for _, other := range named {
+			if d, _, err := b.askUntilListed(ctx, &question, other); err == nil {
 				return d, nil
 			}
-			// This daemon has a newer list, in which these targets are leaving or gone.
-			b.End(d.key, d.decision.Target)
-			asked.Exclude = append(slices.Clone(asked.Exclude), unlisted...)
 		}
+		question.redirected = false
 	}
 	return keyedDecision{}, errors.WithStack(errNoHome)
 }
 
+// question is what a daemon asks the homes of a group.
+type question struct {
+	request    placement.Request
+	group      homes.Group
+	targets    []replicas.Target
+	listeners  []names.Host
+	redirected bool
+}
+
+// errRedirected is returned for a daemon that is no home of the group.
+var errRedirected = errors.New("targetstate: the daemon is no home of the group")
+
+// askUntilListed asks a home until it answers with targets that this daemon lists. If the
+// asked daemon is no home, it returns errRedirected and the hosts that are, as that daemon
+// knows them.
+func (b *Board) askUntilListed(ctx context.Context, q *question, home names.Host) (keyedDecision, []names.Host, error) {
+	for range maxReplacements + 1 {
+		d, named, err := b.askHome(ctx, q, home)
+		if err != nil {
+			return keyedDecision{}, named, err
+		}
+		unlisted := unlistedTargets(&d.decision, q.targets)
+		if len(unlisted) == 0 {
+			return d, nil, nil
+		}
+		// This daemon has a newer list, in which these targets are leaving or gone.
+		b.End(d.key, d.decision.Target)
+		q.request.Exclude = append(slices.Clone(q.request.Exclude), unlisted...)
+	}
+	return keyedDecision{}, nil, errors.WithStack(errNoHome)
+}
+
 // askHome asks one home, which may be this daemon, and counts the dispatch if the
-// request is placed. It returns an error if the home did not answer or cannot decide.
-func (b *Board) askHome(ctx context.Context, r *placement.Request, g homes.Group, home names.Host, listeners []names.Host) (keyedDecision, error) {
+// request is placed. It returns an error if the home did not answer or cannot decide, with
+// the hosts to ask instead if it named some.
+func (b *Board) askHome(ctx context.Context, q *question, home names.Host) (keyedDecision, []names.Host, error) {
 	key := b.newKey()
-	ask := dispatchsync.Ask{Group: g, Request: *r}
+	ask := dispatchsync.Ask{Group: q.group, Request: q.request, Redirected: q.redirected}
 	if home == b.config.Self {
-		return b.decideOwn(key, &ask, without(listeners, home))
+		d, err := b.decideOwn(key, &ask, without(q.listeners, home))
+		return d, nil, err
 	}
-	ask.Avoid = b.failingTargets(g)
+	ask.Avoid = b.failingTargets(q.group)
 	answer, err := b.config.Messenger.Ask(ctx, home, key.Number, &ask)
 	if err != nil {
-		b.homeUnanswered(home, g, err)
-		b.config.Messenger.End(without(listeners, b.config.Self), key.Number) // the home may have counted it
-		return keyedDecision{}, err
+		b.homeUnanswered(home, q.group, err)
+		b.config.Messenger.End(without(q.listeners, b.config.Self), key.Number) // the home may have counted it
+		return keyedDecision{}, nil, err
+	}
+	if len(answer.Homes) > 0 {
+		return keyedDecision{}, answer.Homes, errors.WithStack(errRedirected)
 	}
-	b.recordPressure(g, answer.Pressure)
+	b.recordPressure(q.group, answer.Pressure)
 	d := keyedDecision{key: key, decision: answer.Decision}
 	switch refusal := answer.Decision.Refusal; {
 	case answer.UnknownService || refusal != nil && refusal.Reason == verdict.NoTarget:
-		return keyedDecision{}, errors.WithStack(errNoHome) // this daemon may know more
+		return keyedDecision{}, nil, errors.WithStack(errNoHome) // this daemon may know more
 	case refusal != nil:
-		return d, nil
+		return d, nil, nil
 	case len(answer.Decision.Parts) == 0:
-		return keyedDecision{}, errors.WithStack(errNoHome)
+		return keyedDecision{}, nil, errors.WithStack(errNoHome)
 	}
 	now := time.Now()
 	b.mu.Lock()
-	leased := b.beginOwn(key, answer.Decision, g, r.TimeLeft, now)
+	leased := b.beginOwn(key, answer.Decision, q.group, q.request.TimeLeft, now)
 	b.mu.Unlock()
-	b.config.Messenger.Begin(without(without(listeners, home), b.config.Self), &leased, noActivity)
-	return d, nil
+	b.config.Messenger.Begin(without(without(q.listeners, home), b.config.Self), &leased, noActivity)
+	return d, nil, nil
 }
 
 // decideOwn places a request of this daemon as a home, and tells the other listeners.
 func (b *Board) decideOwn(k inflight.Key, a *dispatchsync.Ask, tell []names.Host) (keyedDecision, error) {
 	var leased inflight.Dispatch
+	a.Redirected = true // there is no other daemon to name
 	answer := b.decide(a, func(d placement.Decision, now time.Time) {
 		leased = b.beginOwn(k, d, a.Group, a.Request.TimeLeft, now)
 	})
