--- a/serving/process/targetstate/home.go
+++ b/serving/process/targetstate/home.go
@@ -89,7 +89,7 @@
 	if service == nil {
 		return dispatchsync.Answer{UnknownService: true}
 	}
-	targets := groupTargets(b.config.Targets(a.Group.Service), a.Group)
+	targets := b.groupTargets(b.config.Targets(a.Group.Service), a.Group)
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -104,18 +104,39 @@
 	return answer
 }
 
-// groupTargets returns the targets of a group among those of its service.
-func groupTargets(targets []replicas.Target, g homes.Group) []replicas.Target {
-	if g.Groups <= 1 {
+// groupTargets returns the targets of a group among those of its service. The targets of
+// a group are computed once for each list.
+func (b *Board) groupTargets(targets []replicas.Target, g homes.Group) []replicas.Target {
+	if g.Groups <= 1 || len(targets) == 0 {
 		return targets
 	}
-	var list []replicas.Target
+	b.groupsMu.Lock()
+	defer b.groupsMu.Unlock()
+	if cached, ok := b.groups[g]; ok && cached.list == &targets[0] && cached.length == len(targets) {
+		return cached.members
+	}
+	var members []replicas.Target
 	for i := range targets {
 		if homes.GroupOf(targets[i].ID, g.Groups) == g.Index {
-			list = append(list, targets[i])
+			members = append(members, targets[i])
 		}
 	}
-	return list
+	if len(b.groups) >= maxCachedGroups {
+		clear(b.groups)
+	}
+	b.groups[g] = groupMembers{list: &targets[0], length: len(targets), members: members}
+	return members
+}
+
+// maxCachedGroups bounds the groups whose targets are cached. A daemon is a home of a few.
+const maxCachedGroups = 64
+
+// groupMembers holds the targets of a group as of a list, which is not changed once it is
+// published.
+type groupMembers struct {
+	list    *replicas.Target
+	length  int
+	members []replicas.Target
 }
 
 // pressure returns the mean prefill backlog in seconds plus the mean answers per slot.
--- a/serving/process/targetstate/place.go
+++ b/serving/process/targetstate/place.go
@@ -1,6 +1,7 @@
 package targetstate
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -295,7 +296,7 @@
 	var unlisted []names.Target
 	for i := range d.Parts {
 		id := d.Parts[i].Target
-		if !slices.ContainsFunc(targets, func(t replicas.Target) bool { return t.ID == id }) {
+		if _, ok := find(targets, id); !ok {
 			unlisted = append(unlisted, id)
 		}
 	}
@@ -309,13 +310,22 @@
 
 // placed returns the result of a placement with the targets' addresses.
 func placed(k inflight.Key, d placement.Decision, targets []replicas.Target) *relay.Placement {
-	addresses := make(map[names.Target]string, len(targets))
-	for i := range targets {
-		addresses[targets[i].ID] = targets[i].Address
+	address := func(id names.Target) string {
+		at, ok := find(targets, id)
+		if !ok {
+			return ""
+		}
+		return targets[at].Address
 	}
-	p := &relay.Placement{Key: k, Decision: d, Address: addresses[d.Target]}
+	p := &relay.Placement{Key: k, Decision: d, Address: address(d.Target)}
 	for _, h := range d.Helpers {
-		p.Helpers = append(p.Helpers, addresses[h.Target])
+		p.Helpers = append(p.Helpers, address(h.Target))
 	}
 	return p
 }
+
+// find returns the index of a target in a list that is sorted by ID, and whether it is
+// listed.
+func find(targets []replicas.Target, id names.Target) (int, bool) {
+	return slices.BinarySearchFunc(targets, id, func(t replicas.Target, id names.Target) int { return cmp.Compare(t.ID, id) })
+}
--- a/serving/process/targetstate/targetstate.go
+++ b/serving/process/targetstate/targetstate.go
@@ -46,7 +46,7 @@
 	Random *rand.Rand
 	// Service returns the parameters of a service, or nil if it is unknown.
 	Service func(names.Service) *routing.Service
-	// Targets returns the usable targets of a service.
+	// Targets returns the usable targets of a service, sorted by ID.
 	Targets func(names.Service) []replicas.Target
 	// Homes returns the homes of a group. It is called with the lock of the board
 	// held.
@@ -75,6 +75,10 @@
 	skipUntil map[names.Host]time.Time
 	// pressure holds the loads of groups that their homes reported.
 	pressure map[homes.Group]groupPressure
+	// groupsMu guards groups, the targets of the groups that this daemon is a home
+	// of. It is a leaf lock.
+	groupsMu sync.Mutex
+	groups   map[homes.Group]groupMembers
 	// brokenRuns counts the broken runs of a request at this daemon: those in
 	// which the connection broke while a target ran the request.
 	brokenRuns map[crash.Digest]int
@@ -84,7 +88,7 @@
 func New(c Config) *Board {
 	return &Board{
 		config: c, work: inflight.New(), own: make(map[uint64]*ownDispatch), health: health.New(), crashes: crash.New(),
-		skipUntil: make(map[names.Host]time.Time), pressure: make(map[homes.Group]groupPressure), brokenRuns: make(map[crash.Digest]int),
+		skipUntil: make(map[names.Host]time.Time), pressure: make(map[homes.Group]groupPressure), groups: make(map[homes.Group]groupMembers), brokenRuns: make(map[crash.Digest]int),
 	}
 }
 
--- a/serving/process/targetstate/targetstate_test.go
+++ b/serving/process/targetstate/targetstate_test.go
@@ -1,9 +1,11 @@
 package targetstate
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -101,6 +103,7 @@
 	for i := range targets {
 		list = append(list, replicas.Target{ID: names.Target(fmt.Sprint("t-", i)), Service: service.Name, Address: fmt.Sprint("10.0.0.1:", i), Slots: 4})
 	}
+	slices.SortFunc(list, func(a, b replicas.Target) int { return cmp.Compare(a.ID, b.ID) })
 	c.homes = homes.Homes{Deciders: []names.Host{host(0), host(1)}, Listeners: []names.Host{host(0), host(1)}}
 	for i := range n {
 		self := host(i)
@@ -345,3 +348,20 @@
 		t.Fatalf("questions by daemon: %v", c.asks)
 	}
 }
+
+// The list of targets changes. Guards against placing on targets of the list before.
+func TestGroupFollowsNewList(t *testing.T) {
+	c := newCluster(1, 3*homes.GroupTargets)
+	board, g := c.boards[host(0)], homes.Group{Service: "s", Index: 1, Groups: 3}
+	list := slices.Clone(c.lists[host(0)])
+	slices.SortFunc(list, func(a, b replicas.Target) int { return cmp.Compare(a.ID, b.ID) })
+	before := board.groupTargets(list, g)
+	if again := board.groupTargets(list, g); len(before) == 0 || &again[0] != &before[0] {
+		t.Fatalf("group of %d targets is computed again", len(before))
+	}
+	shorter := slices.DeleteFunc(slices.Clone(list), func(target replicas.Target) bool { return target.ID == before[0].ID })
+	after := board.groupTargets(shorter, g)
+	if len(after) != len(before)-1 || after[0].ID == before[0].ID {
+		t.Fatalf("%d targets after one of %d was removed", len(after), len(before))
+	}
+}
