--- a/serving/process/distribution/distribution_test.go
+++ b/serving/process/distribution/distribution_test.go
@@ -131,9 +131,9 @@
 	holder *version.Holder
 	stop   func()
 	// late counts the versions that were in force before the status showed them.
-	late atomic.Int32
-	mutex  sync.Mutex
-	conns  map[names.Host]*grpc.ClientConn
+	late  atomic.Int32
+	mutex sync.Mutex
+	conns map[names.Host]*grpc.ClientConn
 }
 
 func newFleet() *fleet {
