--- a/serving/process/distribution/distribution.go
+++ b/serving/process/distribution/distribution.go
@@ -224,7 +224,7 @@
 }
 
 // step passes an event to the machine, updates the status and performs the resulting
-// actions. The status comes first: whoever sees a version in force finds it there.
+// actions. The status is stored first, so that it never lags behind the version in force.
 func (d *Distributor) step(ctx context.Context, e core.Event) {
 	actions := d.machine.Step(d.config.Now(), e)
 	status := &Status{
--- a/serving/process/published/era_test.go
+++ b/serving/process/published/era_test.go
@@ -154,8 +154,8 @@
 	}
 }
 
-// An answer of the era before arrives after the restoration was seen, and a failed call
-// tells of a new era.
+// An answer of the previous era arrives after the restoration was seen, and the answer of
+// a failed call has a higher era.
 func TestErasOfAnswers(t *testing.T) {
 	s := newSource()
 	s.put("config", "v")
--- a/serving/process/published/listener_test.go
+++ b/serving/process/published/listener_test.go
@@ -179,8 +179,8 @@
 }
 
 // All watchers are refused by the source, and say so. Guards against waiting until their
-// last confirmation is old: a daemon that the source would answer must call it soon, and
-// hear of the changes.
+// last confirmation is old: a daemon that the source would answer must call it and apply
+// the changes soon.
 func TestListenerCallsSourceIfWatchersAreRefused(t *testing.T) {
 	s := newSource()
 	s.put("config", "v")
--- a/serving/process/targetstate/targetstate.go
+++ b/serving/process/targetstate/targetstate.go
@@ -140,7 +140,7 @@
 	return b.listeners(own), true
 }
 
-// listeners returns the other daemons to tell of the progress of a dispatch. The caller
+// listeners returns the other daemons to report the progress of a dispatch to. The caller
 // must hold b.mu.
 func (b *Board) listeners(own *ownDispatch) []names.Host {
 	return without(b.config.Homes(own.group).Listeners, b.config.Self)
