Read the limits that targets name, and log their changes

What callers saw: nothing.

The logs could not tell whether the header is read and its limit kept by each host, or not read at all. Daemons now read it, keep it (core/process/ ratelimits) and log each change with the value, its age, the request whose answer said so and the host that heard it. Nothing acts on it yet.

Only the answer to a request itself sets or lifts a limit: a late answer to an earlier request on a kept connection is older than what is known, and the one of another target (421) is about that. Answers overtake each other, so that one that lifts or raises a limit counts only if its request was sent after the limit was last named.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -15,7 +15,7 @@
 
 # The platform's names are decoded in platform/ alone; the emulator takes them
 # from there.
-leak=$(git grep -lE 'X-(Attempt-Id|Replica-|Expect-Replica|Helpers|Token-Counts|Not-Executed|Tenant|Deadline-Ms|Request-Priority)|Api-Key|op/config|Server-Leaving|api/(kv-|report|order|ready)|traffic_split|seed_addrs' -- '*.go' ':!platform/' || true)
+leak=$(git grep -lE 'X-(Attempt-Id|Replica-|Expect-Replica|Helpers|Token-Counts|Not-Executed|Tenant|Deadline-Ms|Request-Priority)|Api-Key|op/config|Server-(Leaving|Limit)|api/(kv-|report|order|ready)|traffic_split|seed_addrs' -- '*.go' ':!platform/' || true)
 if [ -n "$leak" ]; then
   printf 'names of the platform outside platform/:\n%s\n' "$leak"
   exit 1
--- a/serving/process/targetstate/orders.go
+++ b/serving/process/targetstate/orders.go
@@ -84,7 +84,8 @@
 // as listed now.
 func (o *Orders) observed(ctx context.Context, id names.Target) context.Context {
 	i := o.board.incarnation(id)
-	return relay.WithStatementObserver(ctx, func(s relay.Statement) { o.board.recordStatement(i, s, source{}) })
+	sentAt := time.Now()
+	return relay.WithStatementObserver(ctx, func(s relay.Statement) { o.board.recordStatement(i, s, sentAt, source{}) })
 }
 
 // incarnation returns the start of a target as listed now. It is unknown if the target
--- a/serving/process/targetstate/statement.go
+++ b/serving/process/targetstate/statement.go
@@ -6,6 +6,7 @@
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/homes"
+	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
@@ -31,11 +32,12 @@
 
 // RecordStatement implements relay.Board.
 func (b *Board) RecordStatement(p *relay.Placement, s relay.Statement, request string) {
-	b.recordStatement(p.Incarnation, s, source{request: request})
+	b.recordStatement(p.Incarnation, s, p.SentAt, source{request: request})
 }
 
-// recordStatement records what a target has stated in an answer to this daemon.
-func (b *Board) recordStatement(i replicas.Incarnation, s relay.Statement, from source) {
+// recordStatement records what a target has stated in the answer to a request that this
+// daemon sent at sentAt.
+func (b *Board) recordStatement(i replicas.Incarnation, s relay.Statement, sentAt time.Time, from source) {
 	if s.Leaving {
 		b.recordLeaving(i, from)
 	}
@@ -45,6 +47,13 @@
 	if s.RetryAfterInvalid {
 		b.config.Count(countInvalid)
 	}
+	if s.Limit.Invalid {
+		b.config.Count(countLimitInvalid)
+	}
+	if s.Limit.Named {
+		b.config.Count(countLimits)
+		b.recordRate(i, ratelimits.Statement{Rate: max(s.Limit.Rate, ratelimits.MinRate), SentAt: sentAt, ReadAt: time.Now()}, from)
+	}
 }
 
 // Names of counters.
@@ -55,6 +64,12 @@
 	countAsked   = "target_retry_after"
 	countBounded = "target_retry_after_bounded"
 	countInvalid = "target_retry_after_invalid"
+	// countLimits counts the answers in which targets named a limit, countLimitBounded
+	// those of them that changed it to a rate out of bounds, and countLimitInvalid those
+	// with a limit that cannot be used.
+	countLimits       = "target_limit"
+	countLimitBounded = "target_limit_bounded"
+	countLimitInvalid = "target_limit_invalid"
 	// countWithheld counts the orders and probes that were not sent because a target has
 	// asked for time.
 	countWithheld = "target_orders_withheld"
@@ -118,6 +133,7 @@
 			return refusal
 		}
 	}
+	p.SentAt = now
 	return nil
 }
 
@@ -239,4 +255,8 @@
 		target, ok := b.config.Listed(id)
 		return target.Started, ok
 	}, now)
+	b.limits.Sweep(func(id names.Target) (int64, bool) {
+		target, ok := b.config.Listed(id)
+		return target.Started, ok
+	}, now)
 }
--- a/serving/process/targetstate/statement_test.go
+++ b/serving/process/targetstate/statement_test.go
@@ -159,7 +159,7 @@
 	if err := board.MaySend(p); err != nil {
 		t.Fatal(err)
 	}
-	board.recordStatement(replicas.Incarnation{ID: "t-2"}, leavingTarget, source{})
+	board.recordStatement(replicas.Incarnation{ID: "t-2"}, leavingTarget, time.Now(), source{})
 	if failure := verdict.From(board.MaySend(p)); failure == nil || failure.Verdict != verdict.NotRun {
 		t.Fatalf("failure %v", failure)
 	}
@@ -170,7 +170,7 @@
 	c := newCluster(3, 2)
 	board := c.boards[host(2)]
 	for _, target := range c.lists[host(2)] {
-		board.recordStatement(target.Incarnation(), leavingTarget, source{})
+		board.recordStatement(target.Incarnation(), leavingTarget, time.Now(), source{})
 	}
 	clear(c.asks)
 	_, err := board.Place(t.Context(), call(), &service)
@@ -249,7 +249,7 @@
 func TestHomeUsesTargetThatAskedItForOthersOnly(t *testing.T) {
 	c := newCluster(4, 3)
 	home := c.boards[host(0)]
-	home.recordStatement(replicas.Incarnation{ID: "t-2"}, asksFor(time.Minute), source{})
+	home.recordStatement(replicas.Incarnation{ID: "t-2"}, asksFor(time.Minute), time.Now(), source{})
 	wantNoneOn(t, home, "t-2")
 	placeUntil(t, c.boards[host(3)], "t-2")
 }
@@ -259,7 +259,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(3, 2)
 		board := c.boards[host(2)]
-		board.recordStatement(replicas.Incarnation{ID: "t-1"}, asksFor(1500*time.Millisecond), source{})
+		board.recordStatement(replicas.Incarnation{ID: "t-1"}, asksFor(1500*time.Millisecond), time.Now(), source{})
 		time.Sleep(1499 * time.Millisecond)
 		wantNoneOn(t, board, "t-1")
 		time.Sleep(time.Millisecond)
@@ -278,7 +278,7 @@
 	c := newCluster(4, targets)
 	board := c.boards[host(3)]
 	for i := range targets - 1 {
-		board.recordStatement(c.lists[host(3)][i].Incarnation(), asksFor(time.Minute), source{})
+		board.recordStatement(c.lists[host(3)][i].Incarnation(), asksFor(time.Minute), time.Now(), source{})
 	}
 	last := c.lists[host(3)][targets-1].ID
 	for range 10 {
@@ -304,7 +304,7 @@
 		if got := board.RoomAfter(service.Name); got != 0 {
 			t.Fatalf("room after %s though a target is free", got)
 		}
-		board.recordStatement(c.lists[host(2)][i].Incarnation(), statement, source{})
+		board.recordStatement(c.lists[host(2)][i].Incarnation(), statement, time.Now(), source{})
 	}
 	clear(c.asks)
 	delays := make(map[time.Duration]bool)
@@ -328,11 +328,11 @@
 func TestUnusableTimesAreCounted(t *testing.T) {
 	c := newCluster(2, 2)
 	board, i := c.boards[host(0)], replicas.Incarnation{ID: "t-1"}
-	board.recordStatement(i, relay.Statement{RetryAfterInvalid: true}, source{})
+	board.recordStatement(i, relay.Statement{RetryAfterInvalid: true}, time.Now(), source{})
 	if c.counts[countInvalid] != 1 || board.AskedCount() != 0 {
 		t.Fatalf("counters %v", c.counts)
 	}
-	board.recordStatement(i, asksFor(100*time.Hour), source{})
+	board.recordStatement(i, asksFor(100*time.Hour), time.Now(), source{})
 	if c.counts[countBounded] != 1 || c.counts[countAsked] != 1 {
 		t.Fatalf("counters %v", c.counts)
 	}
@@ -365,7 +365,7 @@
 	c := newCluster(2, 2)
 	board, client := c.boards[host(0)], countingClient{sent: make(map[string]int)}
 	orders := NewOrders(board, client)
-	board.recordStatement(replicas.Incarnation{ID: "t-1"}, asksFor(time.Minute), source{})
+	board.recordStatement(replicas.Incarnation{ID: "t-1"}, asksFor(time.Minute), time.Now(), source{})
 	for n := range 5 {
 		if err := orders.Probe(t.Context(), "", "t-1"); err != nil {
 			t.Errorf("the probe fails: %v", err)
--- a/serving/process/targetstate/targetstate.go
+++ b/serving/process/targetstate/targetstate.go
@@ -20,6 +20,7 @@
 	"carobspoke.example/core/process/homes"
 	"carobspoke.example/core/process/inflight"
 	"carobspoke.example/core/process/leaving"
+	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
@@ -82,6 +83,8 @@
 	leaving *leaving.Table
 	// asked holds the targets that have asked this daemon for time.
 	asked *backoff.Table
+	// limits holds the rates that targets have named.
+	limits *ratelimits.Table
 	// skipUntil is the time until which a home that did not answer is not asked.
 	skipUntil map[names.Host]time.Time
 	// pressure holds the loads of groups that their homes reported.
@@ -95,7 +98,7 @@
 // New returns a board with no dispatches.
 func New(c Config) *Board {
 	return &Board{
-		config: c, work: inflight.New(), own: make(map[uint64]*ownDispatch), health: health.New(), leaving: leaving.New(), asked: backoff.New(),
+		config: c, work: inflight.New(), own: make(map[uint64]*ownDispatch), health: health.New(), leaving: leaving.New(), asked: backoff.New(), limits: ratelimits.New(),
 		skipUntil: make(map[names.Host]time.Time), pressure: make(map[homes.Group]groupPressure), groups: make(map[homes.Group]groupMembers),
 	}
 }
--- a/serving/request/relay/codec.go
+++ b/serving/request/relay/codec.go
@@ -93,6 +93,20 @@
 	// RetryAfterInvalid reports whether the target states a time that cannot be read or
 	// is negative.
 	RetryAfterInvalid bool
+	// Limit is the limit that the target names; zero if it names none. Only the answer to
+	// the request itself says which limit is in force.
+	Limit Limit
+}
+
+// Limit is the rate of requests that a target takes from all daemons together.
+type Limit struct {
+	// Named reports whether the target names a limit, and Rate is it in requests per
+	// second, which may be zero.
+	Named bool
+	Rate  float64
+	// Invalid reports whether the target names a limit that cannot be read or is
+	// negative. It neither sets nor lifts one.
+	Invalid bool
 }
 
 // Codec parses and builds the headers of callers and targets.
--- a/serving/request/relay/fake_test.go
+++ b/serving/request/relay/fake_test.go
@@ -63,11 +63,22 @@
 	return Reply{
 		FaultAddress: response.Header.Get("At"),
 		NotRun:       response.Header.Get("Not-Run") != "", WrongTarget: response.StatusCode == http.StatusMisdirectedRequest,
-		Sealed:    response.Header.Get("Seal") != "",
-		Statement: Statement{Leaving: response.Header.Get("Leaving") != "", RetryAfter: time.Duration(len(response.Header.Get("Ask"))) * time.Second},
+		Sealed: response.Header.Get("Seal") != "",
+		Statement: Statement{
+			Leaving: response.Header.Get("Leaving") != "", RetryAfter: time.Duration(len(response.Header.Get("Ask"))) * time.Second,
+			Limit: fakeLimit(response.Header.Get("Limit")),
+		},
 	}
 }
 
+func fakeLimit(text string) Limit {
+	if text == "" {
+		return Limit{}
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	return Limit{Named: err == nil, Rate: rate, Invalid: err != nil}
+}
+
 func (fakeCodec) Refuse(h http.Header, _ *RequestInfo, err *verdict.Error) int {
 	h.Set("Reason", string(err.Reason))
 	h.Set("Verdict", err.Verdict.String())
@@ -103,7 +114,9 @@
 	maxStale int
 	// statements holds what targets have stated, in the order of their answers.
 	statements []string
-	roomAfter  time.Duration
+	// unlimited holds the targets whose answers named no limit.
+	unlimited []names.Target
+	roomAfter time.Duration
 }
 
 type fakeTarget struct {
@@ -180,7 +193,17 @@
 func (b *fakeBoard) RecordStatement(p *Placement, s Statement, _ string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.statements = append(b.statements, string(p.Decision.Target)+fmt.Sprint(s))
+	text := fmt.Sprintf("%s{%v %v %v}", p.Decision.Target, s.Leaving, s.RetryAfter, s.RetryAfterInvalid)
+	if s.Limit != (Limit{}) {
+		text += fmt.Sprintf(" limit %v", s.Limit)
+	}
+	b.statements = append(b.statements, text)
+}
+
+func (b *fakeBoard) RecordNoLimit(p *Placement, _ string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unlimited = append(b.unlimited, p.Decision.Target)
 }
 
 func (b *fakeBoard) Refusal(*suspects.Request) *verdict.Error {
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -33,6 +33,9 @@
 	// HelperIncarnations are those of the helpers.
 	Incarnation        replicas.Incarnation
 	HelperIncarnations []replicas.Incarnation
+	// SentAt is when the board permitted the request to be written, see Board.MaySend;
+	// zero before that.
+	SentAt time.Time
 }
 
 // Board holds the daemon's state of the targets and the requests placed on
@@ -63,6 +66,9 @@
 	// RecordStatement records what the target of a placement has stated. request is
 	// the ID of the request that received the answer.
 	RecordStatement(p *Placement, s Statement, request string)
+	// RecordNoLimit records that the target of a placement has named no limit in the
+	// answer to the request with this ID.
+	RecordNoLimit(p *Placement, request string)
 	// RoomAfter returns the time after which a target of the service may take requests
 	// again, if all of them ask for time or are leaving, and zero otherwise. The time
 	// has a random part, so that callers do not return at the same moment.
--- a/serving/request/relay/statement.go
+++ b/serving/request/relay/statement.go
@@ -18,17 +18,31 @@
 const maxReplacements = 8
 
 // isOwnAnswer reports whether an answer belongs to the request. It records what the
-// target states in any answer, also in one that belongs to an earlier request.
+// target states in any answer, also in one that belongs to an earlier request. That of an
+// earlier request says nothing about the limit in force.
 func (a *attempt) isOwnAnswer(response *http.Response, reused bool) bool {
 	reply := a.relay.Codec.ParseReply(response)
-	if reply.Statement != (Statement{}) && !reply.WrongTarget {
-		a.relay.Board.RecordStatement(a.placed, reply.Statement, a.info.ID)
+	own := a.relay.Codec.MatchesRequest(response, &a.info, reused)
+	if !own {
+		reply.Statement.Limit = Limit{}
 	}
-	if !a.relay.Codec.MatchesRequest(response, &a.info, reused) {
-		return false
+	if !reply.WrongTarget {
+		a.recordStatement(reply.Statement, own)
+	}
+	if own {
+		a.reply = reply
+	}
+	return own
+}
+
+// recordStatement records what an answer states at the board.
+func (a *attempt) recordStatement(s Statement, own bool) {
+	if s != (Statement{}) {
+		a.relay.Board.RecordStatement(a.placed, s, a.info.ID)
+	}
+	if own && s.Limit == (Limit{}) {
+		a.relay.Board.RecordNoLimit(a.placed, a.info.ID)
 	}
-	a.reply = reply
-	return true
 }
 
 // permit reports whether the request may still be sent to its target.
--- a/serving/request/relay/statement_test.go
+++ b/serving/request/relay/statement_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -50,6 +51,47 @@
 	}
 }
 
+// Guards against a limit that is lost with the kind of answer in which it comes, and against
+// one that is set or lifted by the answer of another request or target.
+func TestOnlyOwnAnswersSetAndLiftLimits(t *testing.T) {
+	names := func(status int, more string) responder {
+		return func(conn net.Conn, r *http.Request, _ int) { writeAnswer(conn, r, status, more, "x") }
+	}
+	earlier := func(own string) responder {
+		return func(conn net.Conn, r *http.Request, n int) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 X\r\nId: earlier\r\nLimit: 7\r\nContent-Length: 0\r\n\r\n") // the next write shows an error
+			names(http.StatusOK, own+"Seal: s\r\n")(conn, r, n)
+		}
+	}
+	cases := map[string]struct {
+		respond responder
+		path    string
+		limits  int
+		lifts   int
+	}{
+		"complete answer": {names(http.StatusOK, "Limit: 2\r\nSeal: s\r\n"), "/read/x", 1, 0},
+		"failure":         {names(http.StatusInternalServerError, "Limit: 2\r\n"), "/order/x", 1, 0},
+		"refusal":         {names(http.StatusServiceUnavailable, "Limit: 2\r\nNot-Run: 1\r\n"), "/order/x", 1, 0},
+		"stream":          {names(http.StatusOK, "Limit: 2\r\nSeal: s\r\n"), "/stream/x", 1, 0},
+		"invalid":         {names(http.StatusOK, "Limit: x\r\nSeal: s\r\n"), "/read/x", 1, 0},
+		"other target":    {names(http.StatusMisdirectedRequest, "Limit: 2\r\n"), "/order/x", 0, 0},
+		"earlier request": {earlier(""), "/read/x", 0, 1},
+		"both":            {earlier("Limit: 2\r\n"), "/read/x", 1, 0},
+		"none":            {answersOK("x"), "/read/x", 0, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, newFakeServer(t, c.respond))
+			_, _, _ = f.call(c.path, nil) // the statement counts whatever the request ends with
+			f.board.mu.Lock()
+			defer f.board.mu.Unlock()
+			if len(f.board.statements) != c.limits || len(f.board.unlimited) != c.lifts {
+				t.Fatalf("statements %q, want %d; lifted %v, want %d", f.board.statements, c.limits, f.board.unlimited, c.lifts)
+			}
+		})
+	}
+}
+
 // A target states that it is leaving after a request was placed there. The request must
 // be placed again, with nothing sent and no retry taken from the budget.
 func TestRequestIsPlacedAgainIfItsTargetLeaves(t *testing.T) {
