Let the homes of a target count the requests of its limit

What callers saw: nothing; targets in need were flooded. The users' record: a target that had named a limit of 1.9 requests a second got 24 in 4 s from hosts that it had told, where 16 are allowed; 1.2 got 13 where 12 are.

Cause: the header Server-Limit reached nobody who decides. Ruled out: orders, probes and retries as the excess (29 of 30 arrivals are placements). Read at each host alone it would not have helped, since the limit is about the sum.

Change: the homes, which place all requests of a target's group, keep a bucket for each limited target (core/process/ratelimits). Their decision is a leave for one request, checked right before the write. Questions name the limits that their daemon knows, so that a home that has restarted learns them.

--- a/core/process/ratelimits/statements.go
+++ b/core/process/ratelimits/statements.go
@@ -18,6 +18,11 @@
 	MaxRate = 1e6
 	// Retention is how long a statement is kept after its target was last listed.
 	Retention = 10 * time.Minute
+	// repeatInterval is the time between two messages to the homes about a limit that
+	// does not change.
+	repeatInterval = time.Second
+	// liftedFor is how long Claims returns that a limit was lifted.
+	liftedFor = 30 * time.Second
 	// maxTargets bounds the statements. Beyond it, the one whose target was listed least
 	// recently is dropped.
 	maxTargets = 16384
@@ -41,6 +46,9 @@
 	Before, After float64
 	// Bounded reports whether the rate was outside MinRate and MaxRate.
 	Bounded bool
+	// Tell reports whether the homes are to be told: of a change, or that the target goes
+	// on naming its limit, which they were told repeatInterval ago.
+	Tell bool
 }
 
 // Record records a statement. Answers overtake each other, so that a statement does not
@@ -56,7 +64,7 @@
 		if s.Rate == 0 {
 			return Change{}
 		}
-		known = &limit{started: i.Started, listedAt: now}
+		known = &limit{started: i.Started, listedAt: now, filledAt: now}
 		t.put(i.ID, known)
 	}
 	before := known.rate
@@ -70,8 +78,14 @@
 	if raises(before, after) && s.SentAt.Before(known.readAt) {
 		return Change{Before: before, After: before}
 	}
+	t.fill(known, now)
 	known.rate, known.readAt = after, s.ReadAt
-	return Change{Changed: before != after, Before: before, After: after, Bounded: after != s.Rate}
+	known.tokens = min(known.tokens, burst(after))
+	c := Change{Changed: before != after, Before: before, After: after, Bounded: after != s.Rate}
+	if c.Changed || after > 0 && now.Sub(known.toldAt) >= repeatInterval {
+		c.Tell, known.toldAt = true, now
+	}
+	return c
 }
 
 // raises reports whether a rate allows more than the one before. Zero is no limit.
@@ -110,22 +124,24 @@
 	return known.rate, now.Sub(known.readAt)
 }
 
-// Named is a limit that a target has named.
-type Named struct {
+// Claim is what a daemon knows of a limit, as it tells others.
+type Claim struct {
 	replicas.Incarnation
+	// Rate is in requests per second; zero if the limit was lifted.
 	Rate   float64
 	ReadAt time.Time
 }
 
-// Current returns the limits in force, those that were read last first.
-func (t *Table) Current() []Named {
-	var list []Named
+// Claims returns the limits in force and those that were lifted recently, the ones that
+// were read last first.
+func (t *Table) Claims(now time.Time) []Claim {
+	var list []Claim
 	for id, known := range t.targets {
-		if known.rate > 0 {
-			list = append(list, Named{Incarnation: replicas.Incarnation{ID: id, Started: known.started}, Rate: known.rate, ReadAt: known.readAt})
+		if known.rate > 0 || now.Sub(known.readAt) < liftedFor {
+			list = append(list, Claim{Incarnation: replicas.Incarnation{ID: id, Started: known.started}, Rate: known.rate, ReadAt: known.readAt})
 		}
 	}
-	slices.SortFunc(list, func(a, b Named) int { return cmp.Or(b.ReadAt.Compare(a.ReadAt), cmp.Compare(a.ID, b.ID)) })
+	slices.SortFunc(list, func(a, b Claim) int { return cmp.Or(b.ReadAt.Compare(a.ReadAt), cmp.Compare(a.ID, b.ID)) })
 	return list
 }
 
--- a/core/process/ratelimits/statements_test.go
+++ b/core/process/ratelimits/statements_test.go
@@ -43,8 +43,8 @@
 				fmt.Fprintf(&out, "%s: %g, %s old\n", line, rate, age)
 			case line == "all":
 				fmt.Fprintf(&out, "%d in force:", table.Len())
-				for _, named := range table.Current() {
-					fmt.Fprintf(&out, " %s %d %g", named.ID, named.Started, named.Rate)
+				for _, c := range table.Claims(now) {
+					fmt.Fprintf(&out, " %s %d %g", c.ID, c.Started, c.Rate)
 				}
 				out.WriteByte('\n')
 			default:
--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -75,6 +75,8 @@
 	// Unresponsive reports whether the target has requests in flight but has
 	// sent nothing for too long.
 	Unresponsive bool
+	// Limited reports whether the target has named how many requests a second it takes.
+	Limited bool
 	// Order is the target's position among those of its service, in [0, 1). It
 	// is the same at all daemons that know each other's dispatches.
 	Order float64
@@ -103,6 +105,11 @@
 	// Priority is the priority to request from the engine, from 0 (highest)
 	// to 9.
 	Priority int
+	// Limit is the rate that Target has named, in requests per second, and LimitAge the
+	// time since it did so. Limit is zero if the target has named none. Otherwise the
+	// decision is a leave to send one request, see package ratelimits.
+	Limit    float64
+	LimitAge time.Duration
 	// Refusal is set if the request is refused: no target is available, none
 	// can serve it in time, its prompt does not fit into the available engines,
 	// or the daemon shuts down before the answer would end.
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -229,9 +229,17 @@
 // with any number of targets gets few, so that it delays few other answers. A
 // prompt that exceeds the memory of one engine gets at least as many targets as
 // are needed to hold it together.
+//
+// A target that has named a limit is no helper, since orders to reserve and renew memory
+// there would count. It prefills a prompt alone if there is no other target.
 func (p *Placer) placeHeavy(r *Request, e *routing.Engine, usable []Candidate, prefill time.Duration, capacity int) Decision {
 	minTargets := (r.PromptTokens + r.AnswerTokens + capacity - 1) / capacity
 	maxTargets := min(len(usable), p.settings.MaxHelpers+1)
+	if unlimited := withoutLimited(usable); len(unlimited) > 0 {
+		usable, maxTargets = unlimited, min(maxTargets, len(unlimited))
+	} else {
+		maxTargets = min(maxTargets, 1)
+	}
 	if minTargets > maxTargets {
 		return Decision{Refusal: p.overloaded()}
 	}
@@ -249,6 +257,11 @@
 	return best
 }
 
+// withoutLimited returns the candidates that have named no limit.
+func withoutLimited(list []Candidate) []Candidate {
+	return slices.DeleteFunc(slices.Clone(list), func(c Candidate) bool { return c.Limited })
+}
+
 // splitMemory divides the memory of a prompt that does not fit into one engine
 // evenly among the first targets, with reservations at the helpers.
 func splitMemory(d *Decision, targets, tokens int) {
--- a/core/verdict/reason.go
+++ b/core/verdict/reason.go
@@ -21,6 +21,7 @@
 	QuotaExceeded     Reason = "quota_exceeded"
 	NoTarget          Reason = "no_target"
 	TargetLeaving     Reason = "target_leaving"
+	TargetLimited     Reason = "target_limited"
 	DaemonDraining    Reason = "daemon_draining"
 	NotReady          Reason = "not_ready"
 	CrashSuspect      Reason = "crash_suspect"
@@ -53,7 +54,7 @@
 	return []Reason{
 		BadRequest, BodyTooLarge, HeaderTooLarge, Unauthenticated, NotAllowed, UnknownModel,
 		UnknownService, PromptTooLong, DeadlineTooShort, Overloaded, QueueFull,
-		QuotaExceeded, NoTarget, TargetLeaving, DaemonDraining, NotReady,
+		QuotaExceeded, NoTarget, TargetLeaving, TargetLimited, DaemonDraining, NotReady,
 		CrashSuspect, TicketInvalid, TicketExpired, TicketOwnerGone, TicketUsed,
 		KeyInUse, KeyHomeUnsettled, KeyRequired, TargetRefused, TargetUnreachable,
 		TargetFailed, TargetCrashed, AnswerCut, AnswerMismatch, PeerUnreachable,
--- a/serving/process/dispatchsync/ask.go
+++ b/serving/process/dispatchsync/ask.go
@@ -7,6 +7,7 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/homes"
 	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/serving/peerpb"
 	"github.com/pkg/errors"
@@ -24,6 +25,8 @@
 	// Avoid lists the targets that failed recently at the asking daemon. They are
 	// used if there is no other.
 	Avoid []names.Target
+	// Limits are what the asking daemon knows of the limits of targets.
+	Limits []ratelimits.Claim
 	// Redirected is true if another daemon has named the asked one as a home.
 	Redirected bool
 }
@@ -37,6 +40,9 @@
 	// group. The other fields are then empty.
 	Homes    []names.Host
 	Decision placement.Decision
+	// LimitsKnown is true if the home has taken Ask.Limits into account. One of an
+	// earlier release of the daemon has not.
+	LimitsKnown bool
 	// Pressure is the mean time of work ahead of a new prompt in the group, in
 	// seconds.
 	Pressure float64
--- a/serving/process/dispatchsync/convert.go
+++ b/serving/process/dispatchsync/convert.go
@@ -1,11 +1,13 @@
 package dispatchsync
 
 import (
+	"math"
 	"time"
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/homes"
 	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/process/suspects"
 	"carobspoke.example/core/request/placement"
@@ -124,17 +126,28 @@
 
 func encodeAsk(number uint64, a *Ask) *peerpb.PlacementAsk {
 	r := &a.Request
+	now := time.Now()
+	var limits []*peerpb.TargetLimit
+	for _, c := range a.Limits {
+		limits = append(limits, encodeLimit(c.Incarnation, ratelimits.Statement{Rate: c.Rate, SentAt: c.ReadAt, ReadAt: c.ReadAt}, now))
+	}
 	return &peerpb.PlacementAsk{
 		Number: number, Service: string(a.Group.Service), Group: uint32(a.Group.Index), Groups: uint32(a.Group.Groups),
 		PromptTokens: uint32(r.PromptTokens), AnswerTokens: uint32(r.AnswerTokens),
 		LatencyTargetMs: millis(r.LatencyTarget), GapTargetMs: millis(r.GapTarget),
 		TimeLeftMs: millis(r.TimeLeft), TimeToShutdownMs: millis(r.TimeToShutdown), AnswerStarted: r.AnswerStarted,
 		FirstEventTimeoutMs: millis(r.FirstEventTimeout), Rank: int32(r.Rank),
-		Exclude: encodeTargets(r.Exclude), Avoid: encodeTargets(a.Avoid), Redirected: a.Redirected,
+		Exclude: encodeTargets(r.Exclude), Avoid: encodeTargets(a.Avoid), Redirected: a.Redirected, Limits: limits,
 	}
 }
 
 func decodeAsk(m *peerpb.PlacementAsk) *Ask {
+	now := time.Now()
+	var limits []ratelimits.Claim
+	for _, l := range m.GetLimits() {
+		i, s := decodeLimit(l, now)
+		limits = append(limits, ratelimits.Claim{Incarnation: i, Rate: s.Rate, ReadAt: s.ReadAt})
+	}
 	return &Ask{
 		Group: homes.Group{Service: names.Service(m.GetService()), Index: int(m.GetGroup()), Groups: int(m.GetGroups())},
 		Request: placement.Request{
@@ -144,8 +157,29 @@
 			FirstEventTimeout: fromMillis(m.GetFirstEventTimeoutMs()), Rank: int(m.GetRank()),
 			Exclude: decodeTargets(m.GetExclude()),
 		},
-		Avoid: decodeTargets(m.GetAvoid()), Redirected: m.GetRedirected(),
+		Avoid: decodeTargets(m.GetAvoid()), Redirected: m.GetRedirected(), Limits: limits,
+	}
+}
+
+func encodeLimit(i replicas.Incarnation, s ratelimits.Statement, now time.Time) *peerpb.TargetLimit {
+	return &peerpb.TargetLimit{
+		Target: string(i.ID), Started: i.Started, Rate: float32(s.Rate), ReadMs: millis(now.Sub(s.ReadAt)), SentMs: millis(now.Sub(s.SentAt)),
+	}
+}
+
+func decodeLimit(m *peerpb.TargetLimit, now time.Time) (replicas.Incarnation, ratelimits.Statement) {
+	s := ratelimits.Statement{
+		Rate: decodeRate(m.GetRate()), ReadAt: now.Add(-fromMillis(m.GetReadMs())), SentAt: now.Add(-fromMillis(m.GetSentMs())),
+	}
+	return replicas.Incarnation{ID: names.Target(m.GetTarget()), Started: m.GetStarted()}, s
+}
+
+// decodeRate returns a rate, or zero for a value that is none.
+func decodeRate(rate float32) float64 {
+	if !(rate > 0) || math.IsInf(float64(rate), 1) {
+		return 0
 	}
+	return float64(rate)
 }
 
 func encodeTargets(list []names.Target) []string {
@@ -170,6 +204,7 @@
 		Number: number, UnknownService: a.UnknownService, Pressure: float32(a.Pressure),
 		Parts: encodeParts(d.Parts), FirstEventUs: micros(d.FirstEvent), CompletionUs: micros(d.Completion), Priority: uint32(d.Priority),
 		BacklogUs: micros(d.Load.Backlog), Requests: uint32(d.Load.Requests), Answers: uint32(d.Load.Answers),
+		Limit: float32(d.Limit), LimitAgeMs: millis(d.LimitAge), LimitsKnown: a.LimitsKnown,
 	}
 	for _, host := range a.Homes {
 		m.Homes = append(m.Homes, string(host))
@@ -185,7 +220,7 @@
 }
 
 func decodeAnswer(m *peerpb.PlacementAnswer) Answer {
-	a := Answer{UnknownService: m.GetUnknownService(), Pressure: float64(m.GetPressure())}
+	a := Answer{UnknownService: m.GetUnknownService(), Pressure: float64(m.GetPressure()), LimitsKnown: m.GetLimitsKnown()}
 	for _, host := range m.GetHomes() {
 		a.Homes = append(a.Homes, names.Host(host))
 	}
@@ -193,6 +228,7 @@
 	d.Parts = decodeParts(m.GetParts())
 	d.FirstEvent, d.Completion = fromMicros(m.GetFirstEventUs()), fromMicros(m.GetCompletionUs())
 	d.Priority = int(m.GetPriority())
+	d.Limit, d.LimitAge = decodeRate(m.GetLimit()), fromMillis(m.GetLimitAgeMs())
 	d.Load = inflight.Load{Backlog: fromMicros(m.GetBacklogUs()), Requests: int(m.GetRequests()), Answers: int(m.GetAnswers())}
 	for i, p := range m.GetParts() {
 		if i == 0 {
--- a/serving/process/dispatchsync/dispatchsync.go
+++ b/serving/process/dispatchsync/dispatchsync.go
@@ -17,6 +17,7 @@
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/process/suspects"
 	"carobspoke.example/serving/peerpb"
@@ -50,6 +51,12 @@
 	RecordOutcome(id names.Target, o Outcome)
 	// RecordLeaving receives that a target has stated to a daemon that it is leaving.
 	RecordLeaving(i replicas.Incarnation, from names.Host)
+	// RecordLimit receives what a target has said to a daemon about the rate that it
+	// takes.
+	RecordLimit(i replicas.Incarnation, s ratelimits.Statement, from names.Host)
+	// RecordUse receives that a request of a daemon reached a limited target which no
+	// home had placed there.
+	RecordUse(i replicas.Incarnation)
 	// Place places a request of another daemon. The dispatch has the key k.
 	Place(k inflight.Key, a *Ask) Answer
 	// RecordEnd receives the end of a target that cut off requests of another daemon.
@@ -145,6 +152,18 @@
 	e.add(to, proto.Size(statement), func(b *peerpb.DispatchBatch) { b.Outcomes = append(b.Outcomes, statement) })
 }
 
+// RecordLimit queues what a target has said about the rate that it takes.
+func (e *Exchange) RecordLimit(to []names.Host, i replicas.Incarnation, s ratelimits.Statement) {
+	limit := encodeLimit(i, s, time.Now())
+	e.add(to, proto.Size(limit), func(b *peerpb.DispatchBatch) { b.Limits = append(b.Limits, limit) })
+}
+
+// RecordUse queues that a request reached a limited target which no home had placed there.
+func (e *Exchange) RecordUse(to []names.Host, i replicas.Incarnation) {
+	use := &peerpb.TargetLimit{Target: string(i.ID), Started: i.Started, Used: 1}
+	e.add(to, proto.Size(use), func(b *peerpb.DispatchBatch) { b.Limits = append(b.Limits, use) })
+}
+
 // SendHeartbeat sends a heartbeat to the given daemons.
 func (e *Exchange) SendHeartbeat(to []names.Host, h published.Heartbeat) {
 	batch := e.newBatch()
@@ -299,6 +318,7 @@
 			e.config.Sink.RecordOutcome(names.Target(outcome.GetTarget()), o)
 		}
 	}
+	e.handleLimits(b.GetLimits(), key.Host)
 	for _, end := range b.GetEnds() {
 		e.config.Sink.RecordEnd(decodeEnd(end))
 	}
@@ -310,3 +330,21 @@
 		e.deliver(answer)
 	}
 }
+
+// maxUses bounds the requests that one message reports, see RecordUse.
+const maxUses = 8
+
+// handleLimits passes what a peer knows of the limits of targets to the sink.
+func (e *Exchange) handleLimits(limits []*peerpb.TargetLimit, from names.Host) {
+	now := time.Now()
+	for _, m := range limits {
+		i, s := decodeLimit(m, now)
+		if m.GetUsed() == 0 {
+			e.config.Sink.RecordLimit(i, s, from)
+			continue
+		}
+		for range min(m.GetUsed(), maxUses) {
+			e.config.Sink.RecordUse(i)
+		}
+	}
+}
--- a/serving/process/dispatchsync/dispatchsync_test.go
+++ b/serving/process/dispatchsync/dispatchsync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"reflect"
@@ -13,6 +14,7 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/homes"
 	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/process/suspects"
 	"carobspoke.example/core/request/placement"
@@ -34,8 +36,13 @@
 	leaving   replicas.Incarnation
 	// leavingFrom is the daemon that sent leaving.
 	leavingFrom names.Host
-	asks        []Ask
-	answer      Answer
+	// limited is the target of the last limit, which limitFrom sent.
+	limited   replicas.Incarnation
+	limit     ratelimits.Statement
+	limitFrom names.Host
+	used      []replicas.Incarnation
+	asks      []Ask
+	answer    Answer
 	// silent makes Place block, so that the daemon does not answer.
 	silent chan struct{}
 }
@@ -78,6 +85,18 @@
 	s.leaving, s.leavingFrom = i, from
 }
 
+func (s *sink) RecordLimit(i replicas.Incarnation, limit ratelimits.Statement, from names.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limited, s.limit, s.limitFrom = i, limit, from
+}
+
+func (s *sink) RecordUse(i replicas.Incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.used = append(s.used, i)
+}
+
 func (s *sink) RecordEnd(a *suspects.Accusation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -217,6 +236,70 @@
 	})
 }
 
+// Guards against a limit that reaches the homes with another rate, of another start or with
+// another age: a late statement must not replace a later one.
+func TestHomesReceiveLimits(t *testing.T) {
+	from, home := pair(t)
+	to := []names.Host{home.host}
+	i := replicas.Incarnation{ID: "z", Started: 1_790_000_000_123}
+	now := time.Now()
+	from.exchange.RecordLimit(to, i, ratelimits.Statement{Rate: 2.5, SentAt: now.Add(-time.Minute), ReadAt: now.Add(-30 * time.Second)})
+	from.exchange.RecordUse(to, i)
+	eventually(t, "the use", func() bool {
+		home.sink.mu.Lock()
+		defer home.sink.mu.Unlock()
+		return slices.Equal(home.sink.used, []replicas.Incarnation{i})
+	})
+	home.sink.set(func(s *sink) {
+		if s.limited != i || s.limit.Rate != 2.5 || s.limitFrom != from.host {
+			t.Errorf("%+v has the limit %+v as of %s", s.limited, s.limit, s.limitFrom)
+		}
+		wantNear(t, s.limit.SentAt, now.Add(-time.Minute))
+		wantNear(t, s.limit.ReadAt, now.Add(-30*time.Second))
+	})
+}
+
+// wantNear checks a time that was sent as an age.
+func wantNear(t *testing.T, got, want time.Time) {
+	t.Helper()
+	if got.Sub(want).Abs() > time.Second {
+		t.Errorf("%s, want %s", got, want)
+	}
+}
+
+// A home is asked by a daemon that knows limits, and answers with one.
+func TestQuestionsAndAnswersNameLimits(t *testing.T) {
+	from, home := pair(t)
+	i := replicas.Incarnation{ID: "z", Started: 1_790_000_000_123}
+	now := time.Now()
+	home.sink.set(func(s *sink) {
+		s.answer = Answer{LimitsKnown: true, Decision: placement.Decision{
+			Target: "z", Parts: []inflight.Part{{Target: "z"}}, Limit: 2.5, LimitAge: 40 * time.Millisecond,
+		}}
+	})
+	ask := &Ask{Limits: []ratelimits.Claim{{Incarnation: i, Rate: 2.5, ReadAt: now.Add(-30 * time.Second)}, {Incarnation: replicas.Incarnation{ID: "y"}, ReadAt: now}}}
+	answer, err := from.exchange.Ask(t.Context(), home.host, 9, ask)
+	if err != nil || answer.Decision.Limit != 2.5 || answer.Decision.LimitAge != 40*time.Millisecond || !answer.LimitsKnown {
+		t.Fatalf("answer %+v, %v", answer, err)
+	}
+	home.sink.set(func(s *sink) {
+		claims := s.asks[0].Limits
+		if len(claims) != 2 || claims[0].Incarnation != i || claims[0].Rate != 2.5 || claims[1].ID != "y" || claims[1].Rate != 0 {
+			t.Fatalf("claims %+v", claims)
+		}
+		wantNear(t, claims[0].ReadAt, now.Add(-30*time.Second))
+	})
+}
+
+// Guards against rates from the network that are no rates.
+func TestInvalidRatesAreNoLimits(t *testing.T) {
+	for _, rate := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 0} {
+		if got := decodeRate(float32(rate)); got != 0 {
+			t.Errorf("%g is taken for %g", rate, got)
+		}
+	}
+}
+
 // A home places a prompt with helpers. Question and answer must arrive unchanged, with
 // all that the daemon needs to send the prompt.
 func TestHomeAnswers(t *testing.T) {
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -14,11 +14,13 @@
 
 	"carobspoke.example/core/names"
 	core "carobspoke.example/core/process/membership"
+	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/serving/connection/peers"
 	"carobspoke.example/serving/connection/upstream"
 	"carobspoke.example/serving/peerpb"
 	"carobspoke.example/serving/process/atomictime"
+	"carobspoke.example/serving/process/boottime"
 	"carobspoke.example/serving/process/dispatchsync"
 	"carobspoke.example/serving/process/membership"
 	"carobspoke.example/serving/process/published"
@@ -52,11 +54,13 @@
 	seeds       []names.Host
 	started     time.Time
 
-	follower   *published.Follower
-	board      *targetstate.Board
-	orders     *targetstate.Orders
-	reserver   *reserve.Manager
-	index      targetIndex
+	follower *published.Follower
+	board    *targetstate.Board
+	orders   *targetstate.Orders
+	reserver *reserve.Manager
+	index    targetIndex
+	// fleet is used by the goroutine of sweep alone.
+	fleet      ratelimits.Fleet
 	suspects   *suspects.Guard
 	members    *membership.Membership
 	exchange   *dispatchsync.Exchange
@@ -161,9 +165,9 @@
 		Listed:    d.listedTarget,
 		StopReuse: d.targetPool.CloseIdle,
 		Homes:     d.homesOf,
-		Messenger: messenger{d},
-		Count:     func(name string) { d.metrics.counters.Add(name, 1) },
-		Log:       d.Log,
+		Messenger: messenger{d}, FleetShare: d.fleetShare, BootTime: boottime.Now,
+		Count: func(name string) { d.metrics.counters.Add(name, 1) },
+		Log:   d.Log,
 	})
 	d.suspects = suspects.New(suspects.Config{
 		Ended: upstream.NewEndChecker().Ended, Accuse: d.accuse, Publish: d.gossipSuspects, Log: d.Log,
--- a/serving/process/edge/messenger.go
+++ b/serving/process/edge/messenger.go
@@ -6,6 +6,7 @@
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/serving/process/dispatchsync"
 )
@@ -39,3 +40,11 @@
 func (m messenger) RecordLeaving(to []names.Host, i replicas.Incarnation) {
 	m.exchange.RecordLeaving(to, i)
 }
+
+// RecordLimit implements targetstate.Messenger.
+func (m messenger) RecordLimit(to []names.Host, i replicas.Incarnation, s ratelimits.Statement) {
+	m.exchange.RecordLimit(to, i, s)
+}
+
+// RecordUse implements targetstate.Messenger.
+func (m messenger) RecordUse(to []names.Host, i replicas.Incarnation) { m.exchange.RecordUse(to, i) }
--- a/serving/process/edge/peers.go
+++ b/serving/process/edge/peers.go
@@ -134,3 +134,7 @@
 	}
 	return hosts
 }
+
+// fleetShare returns the share of the targets' limits that this daemon may let through as a
+// home.
+func (d *Daemon) fleetShare() float64 { return d.fleet.Share(len(d.members.Live()), time.Now()) }
--- a/serving/process/targetstate/home.go
+++ b/serving/process/targetstate/home.go
@@ -33,7 +33,7 @@
 
 // Place implements dispatchsync.Sink.
 func (p PeerSink) Place(k inflight.Key, a *dispatchsync.Ask) dispatchsync.Answer {
-	return p.board.decide(a, func(d placement.Decision, now time.Time) {
+	return p.board.decide(a, k.Host, func(d placement.Decision, now time.Time) {
 		p.board.beginLocked(&inflight.Dispatch{Key: k, Parts: d.Parts, MaxDuration: min(a.Request.TimeLeft, lease)}, now)
 	})
 }
@@ -87,7 +87,7 @@
 
 // decide places a request on the targets of a group by the work that this daemon
 // knows. It calls begin with the lock of the board held if the request is placed.
-func (b *Board) decide(a *dispatchsync.Ask, begin func(placement.Decision, time.Time)) dispatchsync.Answer {
+func (b *Board) decide(a *dispatchsync.Ask, from names.Host, begin func(placement.Decision, time.Time)) dispatchsync.Answer {
 	if !a.Redirected {
 		if others := b.otherHomes(a.Group); len(others) > 0 {
 			return dispatchsync.Answer{Homes: others}
@@ -98,11 +98,12 @@
 		return dispatchsync.Answer{UnknownService: true}
 	}
 	targets := b.groupTargets(b.config.Targets(a.Group.Service), a.Group)
+	b.recordClaims(a.Limits, from)
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	candidates := b.candidates(targets, a.Avoid, now, "")
-	answer := dispatchsync.Answer{Decision: b.config.Placer.Place(&a.Request, service, candidates)}
+	answer := dispatchsync.Answer{Decision: b.placeWithinLimits(a, service, targets, candidates, now), LimitsKnown: true}
 	if a.Group.Groups > 1 {
 		answer.Pressure = pressure(candidates)
 	}
--- a/serving/process/targetstate/orders.go
+++ b/serving/process/targetstate/orders.go
@@ -61,23 +61,32 @@
 // withheld counts an order that is not sent, and returns its error.
 func (o *Orders) withheld(id names.Target) error {
 	o.board.config.Count(countWithheld)
-	return errors.Wrapf(reserve.ErrNotSent, "target %s has asked for time", id)
+	return errors.Wrapf(reserve.ErrNotSent, "target %s has asked for time or named a limit", id)
 }
 
 // takeRequest reports whether an order that keeps running work alive may be sent.
 func (b *Board) takeRequest(id names.Target) bool {
 	i := b.incarnation(id)
+	now := time.Now()
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.asked.Take(i, time.Now())
+	taken := b.asked.Take(i, now)
+	rate, _ := b.limits.Rate(i, now)
+	b.mu.Unlock()
+	if taken && rate > 0 {
+		b.chargeOrder(i, now)
+	}
+	return taken
 }
 
-// wantsNothing reports whether a target has asked this daemon for time.
+// wantsNothing reports whether a target has asked this daemon for time, or takes a limited
+// number of requests, which are left to callers.
 func (b *Board) wantsNothing(id names.Target) bool {
 	i := b.incarnation(id)
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.asked.Left(i, time.Now()) > 0
+	rate, _ := b.limits.Rate(i, now)
+	return rate > 0 || b.asked.Left(i, now) > 0
 }
 
 // observed returns a context in which statements of a target are recorded for its start
--- a/serving/process/targetstate/place.go
+++ b/serving/process/targetstate/place.go
@@ -66,7 +66,7 @@
 	groups := homes.Groups(len(targets))
 	chosen, other := b.chooseGroups(service.Name, groups)
 	d, err := b.placeInGroup(ctx, r, homes.Group{Service: service.Name, Index: chosen, Groups: groups}, targets)
-	if err == nil && d.decision.Refusal != nil && d.decision.Refusal.Reason == verdict.Overloaded && other != chosen {
+	if err == nil && other != chosen && isFull(d.decision.Refusal) {
 		d, err = b.placeInGroup(ctx, r, homes.Group{Service: service.Name, Index: other, Groups: groups}, targets)
 	}
 	if err != nil {
@@ -77,13 +77,15 @@
 	if d.decision.Refusal != nil {
 		return nil, d.decision.Refusal
 	}
-	return placed(d.key, d.decision, targets), nil
+	return placed(&d, targets), nil
 }
 
 // keyedDecision is a decision with the key of its dispatch.
 type keyedDecision struct {
 	key      inflight.Key
 	decision placement.Decision
+	// askedAt is when the home was asked, by Config.BootTime.
+	askedAt time.Duration
 }
 
 // chooseGroups returns the group to ask first, and the one to ask if that refuses.
@@ -159,8 +161,8 @@
 		if len(rejected) == 0 {
 			return d, nil, nil
 		}
-		// These targets are leaving or gone, or have asked this daemon for time, which
-		// the home does not know.
+		// These targets are leaving or gone, have asked this daemon for time or have
+		// named it a limit, which the home does not know.
 		b.End(d.key, d.decision.Target)
 		q.request.Exclude = append(slices.Clone(q.request.Exclude), rejected...)
 	}
@@ -172,14 +174,17 @@
 // the hosts to ask instead if it named some.
 func (b *Board) askHome(ctx context.Context, q *question, home names.Host) (keyedDecision, []names.Host, error) {
 	key := b.newKey()
+	asked, askedBoot := time.Now(), b.config.BootTime()
 	ask := dispatchsync.Ask{Group: q.group, Request: q.request, Redirected: q.redirected}
 	ask.Request.Exclude = slices.Concat(q.request.Exclude, q.unusable)
 	if home == b.config.Self {
 		d, err := b.decideOwn(key, &ask, without(q.listeners, home))
+		d.askedAt = askedBoot
 		return d, nil, err
 	}
 	ask.Request.Exclude = ask.Request.Exclude[:min(len(ask.Request.Exclude), len(q.request.Exclude)+maxUnusableNamed)]
 	ask.Avoid = b.failingTargets(q.group)
+	ask.Limits = b.claims(q.group)
 	answer, err := b.config.Messenger.Ask(ctx, home, key.Number, &ask)
 	if err != nil {
 		b.homeUnanswered(home, q.group, err)
@@ -190,7 +195,7 @@
 		return keyedDecision{}, answer.Homes, errors.WithStack(errRedirected)
 	}
 	b.recordPressure(q.group, answer.Pressure)
-	d := keyedDecision{key: key, decision: answer.Decision}
+	d := keyedDecision{key: key, decision: answer.Decision, askedAt: askedBoot}
 	switch refusal := answer.Decision.Refusal; {
 	case answer.UnknownService || refusal != nil && refusal.Reason == verdict.NoTarget:
 		return keyedDecision{}, nil, errors.WithStack(errNoHome) // this daemon may know more
@@ -199,6 +204,7 @@
 	case len(answer.Decision.Parts) == 0:
 		return keyedDecision{}, nil, errors.WithStack(errNoHome)
 	}
+	b.learnLimit(q, &ask, &answer, home, asked)
 	now := time.Now()
 	b.mu.Lock()
 	leased := b.beginOwn(key, answer.Decision, q.group, q.request.TimeLeft, now)
@@ -211,7 +217,7 @@
 func (b *Board) decideOwn(k inflight.Key, a *dispatchsync.Ask, tell []names.Host) (keyedDecision, error) {
 	var leased inflight.Dispatch
 	a.Redirected = true // there is no other daemon to name
-	answer := b.decide(a, func(d placement.Decision, now time.Time) {
+	answer := b.decide(a, "", func(d placement.Decision, now time.Time) {
 		leased = b.beginOwn(k, d, a.Group, a.Request.TimeLeft, now)
 	})
 	if answer.UnknownService {
@@ -240,6 +246,7 @@
 	if len(d.Parts) > 0 && !b.work.Has(d.Key) {
 		id := d.Parts[0].Target
 		b.health.RequestSent(id, b.work.Load(id, now).Pending, now)
+		b.chargeLimit(d, now)
 	}
 	b.work.Begin(*d, now)
 }
@@ -252,7 +259,7 @@
 	now := time.Now()
 	var leased inflight.Dispatch
 	b.mu.Lock()
-	decision := b.config.Placer.Place(r, service, b.candidates(targets, nil, now, string(b.config.Self)))
+	decision := b.placeUnlimited(r, service, b.candidates(targets, nil, now, string(b.config.Self)))
 	if decision.Refusal == nil {
 		g.Index = homes.GroupOf(decision.Target, groups)
 		leased = b.beginOwn(key, decision, g, r.TimeLeft, now)
@@ -312,7 +319,7 @@
 }
 
 // placed returns the result of a placement with the targets' addresses.
-func placed(k inflight.Key, d placement.Decision, targets []replicas.Target) *relay.Placement {
+func placed(d *keyedDecision, targets []replicas.Target) *relay.Placement {
 	listed := func(id names.Target) replicas.Target {
 		at, ok := find(targets, id)
 		if !ok {
@@ -320,9 +327,9 @@
 		}
 		return targets[at]
 	}
-	target := listed(d.Target)
-	p := &relay.Placement{Key: k, Decision: d, Address: target.Address, Incarnation: target.Incarnation()}
-	for _, h := range d.Helpers {
+	target := listed(d.decision.Target)
+	p := &relay.Placement{Key: d.key, Decision: d.decision, AskedAt: d.askedAt, Address: target.Address, Incarnation: target.Incarnation()}
+	for _, h := range d.decision.Helpers {
 		helper := listed(h.Target)
 		p.Helpers = append(p.Helpers, helper.Address)
 		p.HelperIncarnations = append(p.HelperIncarnations, helper.Incarnation())
--- a/serving/process/targetstate/statement.go
+++ b/serving/process/targetstate/statement.go
@@ -113,13 +113,18 @@
 	if !ok {
 		return nil
 	}
-	groups := homes.Groups(len(b.config.Targets(target.Service)))
-	group := homes.Group{Service: target.Service, Index: homes.GroupOf(id, groups), Groups: groups}
+	group := b.groupOf(&target)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return without(b.config.Homes(group).Listeners, b.config.Self)
 }
 
+// groupOf returns the group of a listed target.
+func (b *Board) groupOf(t *replicas.Target) homes.Group {
+	groups := homes.Groups(len(b.config.Targets(t.Service)))
+	return homes.Group{Service: t.Service, Index: homes.GroupOf(t.ID, groups), Groups: groups}
+}
+
 // MaySend implements relay.Board.
 func (b *Board) MaySend(p *relay.Placement) error {
 	now := time.Now()
@@ -128,6 +133,9 @@
 	if refusal := b.refusal(p.Incarnation, now); refusal != nil {
 		return refusal
 	}
+	if refusal := b.limitRefusal(p, now); refusal != nil {
+		return refusal
+	}
 	for _, helper := range p.HelperIncarnations {
 		if refusal := b.refusal(helper, now); refusal != nil {
 			return refusal
@@ -241,7 +249,7 @@
 	var rejected []names.Target
 	for i := range d.Parts {
 		at, ok := find(targets, d.Parts[i].Target)
-		if !ok || b.refusal(targets[at].Incarnation(), now) != nil {
+		if !ok || b.refusal(targets[at].Incarnation(), now) != nil || b.lacksLeave(d, targets[at].Incarnation(), now) {
 			rejected = append(rejected, d.Parts[i].Target)
 		}
 	}
--- a/serving/process/targetstate/targetstate.go
+++ b/serving/process/targetstate/targetstate.go
@@ -38,6 +38,8 @@
 	End(to []names.Host, number uint64)
 	RecordOutcome(to []names.Host, id names.Target, o dispatchsync.Outcome)
 	RecordLeaving(to []names.Host, i replicas.Incarnation)
+	RecordLimit(to []names.Host, i replicas.Incarnation, s ratelimits.Statement)
+	RecordUse(to []names.Host, i replicas.Incarnation)
 }
 
 // Config holds the settings and dependencies of a Board.
@@ -61,6 +63,11 @@
 	// held.
 	Homes     func(homes.Group) homes.Homes
 	Messenger Messenger
+	// FleetShare returns the share of the targets' limits that this daemon may let
+	// through as a home, see ratelimits.Fleet.
+	FleetShare func() float64
+	// BootTime returns a clock that also runs while the host is suspended.
+	BootTime func() time.Duration
 	// Count adds one to a counter.
 	Count func(name string)
 	Log   *zap.Logger
@@ -85,6 +92,8 @@
 	asked *backoff.Table
 	// limits holds the rates that targets have named.
 	limits *ratelimits.Table
+	// promises spreads the callers that this daemon refuses as a home.
+	promises ratelimits.Promises
 	// skipUntil is the time until which a home that did not answer is not asked.
 	skipUntil map[names.Host]time.Time
 	// pressure holds the loads of groups that their homes reported.
@@ -114,11 +123,13 @@
 			continue
 		}
 		load := b.work.Load(t.ID, now)
+		rate, _ := b.limits.Rate(t.Incarnation(), now)
 		list = append(list, placement.Candidate{
 			Target: t.ID, Slots: t.Slots, Load: load,
 			BreakerOpen:  b.health.Excluded(t.ID, now) || slices.Contains(avoid, t.ID),
 			FailureScore: b.health.Score(t.ID, now),
 			Unresponsive: b.health.Unresponsive(t.ID, load.Pending, homeUnresponsiveTimeout, now),
+			Limited:      rate > 0,
 			Order:        order(t.ID, salt),
 		})
 	}
@@ -281,6 +292,8 @@
 	b.work.Prune(listed)
 	b.health.Forget(listed)
 	b.sweepStatements(now)
+	b.limits.SetHomes(b.isHome, now)
+	b.limits.SetShare(b.config.FleetShare(), now, b.config.Random.Float64)
 	maps.DeleteFunc(b.skipUntil, func(_ names.Host, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(b.pressure, func(_ homes.Group, p groupPressure) bool { return now.Sub(p.at) > pressureValidity })
 	return b.health.Readmitted(now)
--- a/serving/process/targetstate/targetstate_test.go
+++ b/serving/process/targetstate/targetstate_test.go
@@ -12,6 +12,7 @@
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/homes"
 	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
@@ -38,10 +39,22 @@
 	asks map[names.Host]int
 	// stopped holds the targets whose idle connections were closed, by daemon.
 	stopped map[names.Host][]names.Target
+	// shares holds the shares of the limits that daemons may let through, if not all.
+	shares map[names.Host]float64
+	// suspended is how long the host of a daemon was suspended.
+	suspended map[names.Host]time.Duration
 	// counts holds the counters of all daemons.
 	counts map[string]int
 }
 
+// share returns the share of the limits that a daemon may let through.
+func (c *cluster) share(h names.Host) float64 {
+	if share, ok := c.shares[h]; ok {
+		return share
+	}
+	return 1
+}
+
 // link is one daemon's messenger.
 type link struct {
 	cluster *cluster
@@ -100,6 +113,18 @@
 	}
 }
 
+func (l link) RecordLimit(to []names.Host, i replicas.Incarnation, s ratelimits.Statement) {
+	for _, sink := range l.sinks(to) {
+		sink.RecordLimit(i, s, l.self)
+	}
+}
+
+func (l link) RecordUse(to []names.Host, i replicas.Incarnation) {
+	for _, sink := range l.sinks(to) {
+		sink.RecordUse(i)
+	}
+}
+
 var service = routing.Service{Name: "s"}
 
 // newCluster returns a fleet of n daemons, of which the first two are the homes.
@@ -107,6 +132,7 @@
 	c := &cluster{
 		boards: make(map[names.Host]*Board), lists: make(map[names.Host][]replicas.Target),
 		service: &service, silent: make(map[names.Host]bool), asks: make(map[names.Host]int),
+		shares: make(map[names.Host]float64), suspended: make(map[names.Host]time.Duration),
 		stopped: make(map[names.Host][]names.Target), counts: make(map[string]int),
 	}
 	var list []replicas.Target
@@ -114,6 +140,7 @@
 		list = append(list, replicas.Target{ID: names.Target(fmt.Sprint("t-", i)), Service: service.Name, Address: fmt.Sprint("10.0.0.1:", i), Slots: 4})
 	}
 	slices.SortFunc(list, func(a, b replicas.Target) int { return cmp.Compare(a.ID, b.ID) })
+	started := time.Now()
 	c.homes = homes.Homes{Deciders: []names.Host{host(0), host(1)}, Listeners: []names.Host{host(0), host(1)}}
 	for i := range n {
 		self := host(i)
@@ -142,7 +169,8 @@
 				}
 				return c.homes
 			},
-			Messenger: link{cluster: c, self: self}, Count: func(name string) { c.counts[name]++ }, Log: zap.NewNop(),
+			Messenger: link{cluster: c, self: self}, FleetShare: func() float64 { return c.share(self) },
+			BootTime: func() time.Duration { return time.Since(started) + c.suspended[self] }, Count: func(name string) { c.counts[name]++ }, Log: zap.NewNop(),
 		})
 	}
 	return c
--- a/serving/request/failure/status.go
+++ b/serving/request/failure/status.go
@@ -23,6 +23,7 @@
 	verdict.QuotaExceeded:    http.StatusTooManyRequests,
 	verdict.NoTarget:         http.StatusServiceUnavailable,
 	verdict.TargetLeaving:    http.StatusServiceUnavailable,
+	verdict.TargetLimited:    http.StatusServiceUnavailable,
 	verdict.DaemonDraining:   http.StatusServiceUnavailable,
 	verdict.NotReady:         http.StatusServiceUnavailable,
 	verdict.SpanUnavailable:  http.StatusServiceUnavailable,
--- a/serving/request/relay/place.go
+++ b/serving/request/relay/place.go
@@ -43,7 +43,8 @@
 		zap.Int("helpers", len(placed.Helpers)), zap.Duration("predicted", placed.Decision.FirstEvent),
 		zap.Duration("backlog", load.Backlog), zap.Int("at_target", load.Requests), zap.Int("writers", load.Answers),
 		zap.Int("tokens", q.info.PromptTokens), zap.Duration("left", timeLeft), zap.Uint64("version", uint64(q.table.Version)),
-		zap.Uint64("revision", q.relay.TargetListRevision()), zap.Duration("age", q.relay.TargetListAge()), zap.String("after", q.lastEventID))
+		zap.Uint64("revision", q.relay.TargetListRevision()), zap.Duration("age", q.relay.TargetListAge()), zap.String("after", q.lastEventID),
+		limitField(&placed.Decision))
 	return placed, nil
 }
 
@@ -87,3 +88,12 @@
 	}
 	return helpers, release, nil
 }
+
+// limitField returns the log field of the limit of a placement's target. It is omitted if
+// the target has named none.
+func limitField(d *placement.Decision) zap.Field {
+	if d.Limit == 0 {
+		return zap.Skip()
+	}
+	return zap.Float64("limit", d.Limit)
+}
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -33,6 +33,8 @@
 	// HelperIncarnations are those of the helpers.
 	Incarnation        replicas.Incarnation
 	HelperIncarnations []replicas.Incarnation
+	// AskedAt is when the board asked for the placement, by its own clock.
+	AskedAt time.Duration
 	// SentAt is when the board permitted the request to be written, see Board.MaySend;
 	// zero before that.
 	SentAt time.Time
