--- a/serving/connection/upstream/conn.go
+++ b/serving/connection/upstream/conn.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"carobspoke.example/core/names"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
@@ -56,8 +57,11 @@
 	idleUntil time.Time
 }
 
-// dial opens a connection to a target.
-func dial(ctx context.Context, address string) (*Conn, error) {
+// Dialer opens a connection to a target at an address, "IP:port".
+type Dialer func(ctx context.Context, id names.Target, address string) (net.Conn, error)
+
+// DialTCP is a Dialer that opens a TCP connection within ConnectTimeout.
+func DialTCP(ctx context.Context, _ names.Target, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, ConnectTimeout)
 	defer cancel()
 	dialer := net.Dialer{
@@ -74,11 +78,13 @@
 		},
 	}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
+	return raw, errors.WithStack(err)
+}
+
+// newConn returns the connection of a pool for an open connection to a target.
+func newConn(raw net.Conn) *Conn {
 	limit := &headLimit{reader: raw, left: unlimited}
-	return &Conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), headLimit: limit}, nil
+	return &Conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), headLimit: limit}
 }
 
 // headLimit is a reader that returns errNoAnswer after a number of bytes.
--- a/serving/connection/upstream/end.go
+++ b/serving/connection/upstream/end.go
@@ -104,7 +104,7 @@
 }
 
 func refused(ctx context.Context, address string) bool {
-	conn, err := dial(ctx, address)
+	conn, err := DialTCP(ctx, "", address)
 	if err == nil {
 		_ = conn.Close() // nothing was sent
 		return false
--- a/serving/connection/upstream/pool.go
+++ b/serving/connection/upstream/pool.go
@@ -32,6 +32,8 @@
 	// none is to be kept.
 	// If it is nil, maxIdlePerTarget applies.
 	MaxIdle func(names.Target) int
+	// Dial opens connections. If it is nil, DialTCP does.
+	Dial Dialer
 
 	mu   sync.Mutex
 	idle map[names.Target][]*Conn
@@ -62,13 +64,18 @@
 		}
 		_ = conn.Close() // it can no longer be used
 	}
-	conn, err := dial(ctx, address)
-	if err == nil {
-		p.mu.Lock()
-		p.opened++
-		p.mu.Unlock()
+	dial := p.Dial
+	if dial == nil {
+		dial = DialTCP
 	}
-	return conn, false, err
+	raw, err := dial(ctx, id, address)
+	if err != nil {
+		return nil, false, err
+	}
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	return newConn(raw), false, nil
 }
 
 // take removes and returns the idle connection to a target that was used last,
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -41,7 +41,10 @@
 	Decoder  published.Decoder
 	// Orders sends orders and probes to targets.
 	Orders targetstate.OrderClient
-	Log    *zap.Logger
+	// DialTarget opens connections of this host to targets. If it is nil,
+	// upstream.DialTCP does.
+	DialTarget upstream.Dialer
+	Log        *zap.Logger
 	// DroppedLines returns how many log lines have been dropped.
 	DroppedLines func() int64
 }
@@ -107,7 +110,7 @@
 
 		heartbeatDue: make(chan struct{}, 1),
 	}
-	d.targetPool.MaxIdle = d.maxIdleConns
+	d.targetPool.MaxIdle, d.targetPool.Dial = d.maxIdleConns, o.DialTarget
 	for _, seed := range o.Settings.Seeds {
 		d.seeds = append(d.seeds, names.Host(seed.String()))
 	}
