Reach targets through peers where this host cannot

Cause: a daemon had one way to a target, its own. Each request searched anew, up to four timeouts of 0.7 s, and the failures were held against the targets at the homes, which refused requests of sound hosts (35 in 10 s). Ruled out as the main cause: the retry budget (3 of 68 failed attempts).

Change: a connection that fails, or does not open within 120 ms, is also opened through a peer that reaches the target; bytes pass, the request stays where it is. The same cause elsewhere: a cut that refuses connections passed for the ends of targets under the prompts in flight. docs/design/cut-off.md.

--- a/serving/cmd/carobspoked/edge.go
+++ b/serving/cmd/carobspoked/edge.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"carobspoke.example/platform"
+	"carobspoke.example/serving/connection/upstream"
 	"carobspoke.example/serving/process/edge"
 	"carobspoke.example/serving/process/logwriter"
+	"carobspoke.example/serving/process/targetstate"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 )
@@ -51,7 +53,7 @@
 	log := logwriter.New(logWriter, level)
 	daemon, err := edge.New(edge.Options{
 		Settings: settings, Codec: platform.Codec{}, Source: platform.NewStore(settings.StoreAddress), Decoder: platform.Decoder{},
-		Orders: platform.NewOrders(), Log: log, DroppedLines: logWriter.Dropped,
+		NewOrders: func(dial upstream.Dialer) targetstate.OrderClient { return platform.NewOrders(dial) }, Log: log, DroppedLines: logWriter.Dropped,
 	})
 	if err != nil {
 		log.Error("not started", zap.Error(err))
--- a/serving/connection/upstream/attempt.go
+++ b/serving/connection/upstream/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"carobspoke.example/core/names"
@@ -63,13 +64,31 @@
 	reused  bool // the connection carried another request before
 	written chan error
 	stop    func() bool
+	// ended records the end of the exchange, once.
+	ended func()
+}
+
+// Through returns the peer through which the target is reached; empty if it is reached
+// directly.
+func (x *Exchange) Through() names.Host { return x.conn.through }
+
+// pending records that the answer is pending until ended is called.
+func (x *Exchange) pending() {
+	x.ended = func() {}
+	if x.conn.through == "" {
+		x.pool.quiet.begin()
+		x.ended = sync.OnceFunc(x.pool.quiet.end)
+	}
 }
 
 // Do writes a request and waits for the header of its answer. The connection is
 // closed when ctx ends. Errors are of type *verdict.Error.
 func (p *Pool) Do(ctx context.Context, a *Attempt) (*Exchange, error) {
 	conn, reused, err := p.get(ctx, a.Target, a.Address, a.NewConnection)
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrNoPath):
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.PeerUnreachable, "this host and others are cut off from targets")
+	case err != nil:
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.TargetUnreachable, "the target cannot be reached")
 	}
 	if a.Permit != nil {
@@ -80,6 +99,7 @@
 	}
 	x := &Exchange{conn: conn, pool: p, target: a.Target, reused: reused, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks pending reads and writes
+	x.pending()
 	request := newRequest(a)
 	x.write(request, len(a.Body))
 	if err := x.readHeader(request, a.IsOwnAnswer); err != nil {
@@ -203,6 +223,7 @@
 
 // Abort closes the connection, so that the target stops working on the request.
 func (x *Exchange) Abort() {
+	x.ended()
 	x.stop()
 	_ = x.conn.Close() // the connection is not reused
 }
@@ -214,6 +235,7 @@
 		x.Abort()
 		return
 	}
+	x.ended()
 	x.conn.idleUntil = time.Now().Add(idleTimeout(x.Response))
 	x.pool.put(x.target, x.conn)
 }
@@ -223,7 +245,7 @@
 func (x *Exchange) reusable() bool {
 	select {
 	case err := <-x.written:
-		return err == nil && !x.Response.Close && x.conn.reader.Buffered() == 0
+		return err == nil && !x.Response.Close && x.conn.through == "" && x.conn.reader.Buffered() == 0
 	default:
 		return false
 	}
--- a/serving/connection/upstream/conn.go
+++ b/serving/connection/upstream/conn.go
@@ -52,6 +52,9 @@
 	reader *bufio.Reader
 	// headLimit bounds what reader takes from the connection.
 	headLimit *headLimit
+	// through is the peer through which the target is reached; empty for a direct
+	// connection. A connection through a peer is used for one request.
+	through names.Host
 	// idleUntil is the time from which an idle connection is no longer
 	// used.
 	idleUntil time.Time
@@ -60,6 +63,10 @@
 // Dialer opens a connection to a target at an address, "IP:port".
 type Dialer func(ctx context.Context, id names.Target, address string) (net.Conn, error)
 
+// ErrNoPath is the cause of a failure to connect that says nothing about the target: neither
+// this daemon nor a peer that could pass bytes on reaches targets.
+var ErrNoPath = errors.New("no path to targets")
+
 // DialTCP is a Dialer that opens a TCP connection within ConnectTimeout.
 func DialTCP(ctx context.Context, _ names.Target, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, ConnectTimeout)
@@ -82,9 +89,15 @@
 }
 
 // newConn returns the connection of a pool for an open connection to a target.
-func newConn(raw net.Conn) *Conn {
+func (p *Pool) newConn(raw net.Conn) *Conn {
 	limit := &headLimit{reader: raw, left: unlimited}
-	return &Conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), headLimit: limit}
+	conn := &Conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), headLimit: limit}
+	if tunnelled, ok := raw.(interface{ Through() names.Host }); ok {
+		conn.through = tunnelled.Through()
+		return conn
+	}
+	limit.heard = p.heard
+	return conn
 }
 
 // headLimit is a reader that returns errNoAnswer after a number of bytes.
@@ -93,20 +106,27 @@
 	reader io.Reader
 	// left is the number of bytes that may still be read, or unlimited.
 	left int
+	// heard is called when something was read. It may be nil.
+	heard func()
 }
 
 const unlimited = -1
 
 // Read implements io.Reader.
 func (l *headLimit) Read(p []byte) (int, error) {
-	if l.left == unlimited {
-		return l.reader.Read(p)
-	}
 	if l.left == 0 {
 		return 0, errors.Wrapf(errNoAnswer, "the header exceeds %d bytes", maxHeadBytes)
 	}
-	n, err := l.reader.Read(p[:min(len(p), l.left)])
-	l.left -= n
+	if l.left != unlimited {
+		p = p[:min(len(p), l.left)]
+	}
+	n, err := l.reader.Read(p)
+	if l.left != unlimited {
+		l.left -= n
+	}
+	if n > 0 && l.heard != nil {
+		l.heard()
+	}
 	return n, err
 }
 
--- a/serving/connection/upstream/end.go
+++ b/serving/connection/upstream/end.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/replicas"
 	"github.com/pkg/errors"
 )
@@ -23,6 +24,8 @@
 // EndChecker tells the end of a target from the end of a single connection to it: a
 // target that has ended refuses connections. It is safe for concurrent use.
 type EndChecker struct {
+	dial Dialer
+
 	mu     sync.Mutex
 	checks map[replicas.Incarnation]*endCheck
 }
@@ -34,9 +37,11 @@
 	at    time.Time
 }
 
-// NewEndChecker returns an EndChecker.
-func NewEndChecker() *EndChecker {
-	return &EndChecker{checks: make(map[replicas.Incarnation]*endCheck)}
+// NewEndChecker returns an EndChecker that connects with dial. An error that is
+// syscall.ECONNREFUSED must be proof that the target refuses connections, not only those of
+// this host.
+func NewEndChecker(dial Dialer) *EndChecker {
+	return &EndChecker{dial: dial, checks: make(map[replicas.Incarnation]*endCheck)}
 }
 
 // Ended reports whether a target refuses connections after one to it broke. Concurrent
@@ -58,7 +63,7 @@
 
 // run performs a check and keeps the result if the target has ended.
 func (c *EndChecker) run(check *endCheck, i replicas.Incarnation, address string) {
-	ended := refusesConnections(address)
+	ended := c.refusesConnections(i.ID, address)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	check.ended, check.at = ended, time.Now()
@@ -86,25 +91,25 @@
 	return check, true
 }
 
-// refusesConnections reports whether an address refuses one of two connections.
-func refusesConnections(address string) bool {
+// refusesConnections reports whether a target refuses one of two connections.
+func (c *EndChecker) refusesConnections(id names.Target, address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), EndCheckTimeout)
 	defer cancel()
-	if refused(ctx, address) {
+	if c.refused(ctx, id, address) {
 		return true
 	}
 	timer := time.NewTimer(secondDialDelay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return refused(ctx, address)
+		return c.refused(ctx, id, address)
 	case <-ctx.Done():
 		return false
 	}
 }
 
-func refused(ctx context.Context, address string) bool {
-	conn, err := DialTCP(ctx, "", address)
+func (c *EndChecker) refused(ctx context.Context, id names.Target, address string) bool {
+	conn, err := c.dial(ctx, id, address)
 	if err == nil {
 		_ = conn.Close() // nothing was sent
 		return false
--- a/serving/connection/upstream/end_test.go
+++ b/serving/connection/upstream/end_test.go
@@ -18,7 +18,7 @@
 		t.Fatal(err)
 	}
 	address, unusable := listener.Addr().String(), "127.0.0.1:99999" // no error of dialling but a refusal is an end
-	checker := NewEndChecker()
+	checker := NewEndChecker(DialTCP)
 	i := replicas.Incarnation{ID: "t", Started: 1}
 	if checker.Ended(t.Context(), i, address) {
 		t.Fatal("a target that accepts connections counts as ended")
--- a/serving/connection/upstream/pool.go
+++ b/serving/connection/upstream/pool.go
@@ -34,6 +34,10 @@
 	MaxIdle func(names.Target) int
 	// Dial opens connections. If it is nil, DialTCP does.
 	Dial Dialer
+	// Heard is called when a target has sent something on a direct connection. It may be
+	// nil.
+	Heard func()
+	quiet quietClock
 
 	mu   sync.Mutex
 	idle map[names.Target][]*Conn
@@ -75,7 +79,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return newConn(raw), false, nil
+	return p.newConn(raw), false, nil
 }
 
 // take removes and returns the idle connection to a target that was used last,
@@ -117,6 +121,30 @@
 	delete(p.idle, id)
 }
 
+// CloseAllIdle closes the idle connections to all targets.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, conn := range list {
+			_ = conn.Close() // no request is in flight on it
+		}
+	}
+	clear(p.idle)
+}
+
+// heard records that a target has sent something on a direct connection.
+func (p *Pool) heard() {
+	p.quiet.heard()
+	if p.Heard != nil {
+		p.Heard()
+	}
+}
+
+// Quiet returns how long nothing has come from any target while answers are pending on
+// direct connections; zero if none is.
+func (p *Pool) Quiet() time.Duration { return p.quiet.quiet() }
+
 // Sweep closes the idle connections that have expired, and all those to targets
 // for which keep returns false.
 func (p *Pool) Sweep(keep func(names.Target) bool, now time.Time) {
--- a/serving/process/edge/drain.go
+++ b/serving/process/edge/drain.go
@@ -91,4 +91,5 @@
 	if err := d.callerServer.Shutdown(ctx); err != nil {
 		d.Log.Warn("stopped with requests in flight", zap.Int64("in_flight", d.inFlight.Load()), zap.String("error", err.Error()))
 	}
+	d.awaitTunnels(ctx)
 }
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -17,12 +17,14 @@
 	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/serving/connection/peers"
+	"carobspoke.example/serving/connection/tunnel"
 	"carobspoke.example/serving/connection/upstream"
 	"carobspoke.example/serving/peerpb"
 	"carobspoke.example/serving/process/atomictime"
 	"carobspoke.example/serving/process/boottime"
 	"carobspoke.example/serving/process/dispatchsync"
 	"carobspoke.example/serving/process/membership"
+	"carobspoke.example/serving/process/paths"
 	"carobspoke.example/serving/process/published"
 	"carobspoke.example/serving/process/suspects"
 	"carobspoke.example/serving/process/targetstate"
@@ -39,8 +41,9 @@
 	Codec    relay.Codec
 	Source   published.Source
 	Decoder  published.Decoder
-	// Orders sends orders and probes to targets.
-	Orders targetstate.OrderClient
+	// NewOrders returns a client that sends orders and probes to targets over
+	// connections of a dialer.
+	NewOrders func(upstream.Dialer) targetstate.OrderClient
 	// DialTarget opens connections of this host to targets. If it is nil,
 	// upstream.DialTCP does.
 	DialTarget upstream.Dialer
@@ -70,6 +73,8 @@
 	shareConn  *net.UDPConn
 	peerPool   *peers.Pool
 	targetPool *upstream.Pool
+	paths      *paths.Dialer
+	tunnels    *tunnel.Server
 	metrics    *Metrics
 
 	callerServer  *http.Server
@@ -110,7 +115,7 @@
 
 		heartbeatDue: make(chan struct{}, 1),
 	}
-	d.targetPool.MaxIdle, d.targetPool.Dial = d.maxIdleConns, o.DialTarget
+	d.buildPaths()
 	for _, seed := range o.Settings.Seeds {
 		d.seeds = append(d.seeds, names.Host(seed.String()))
 	}
@@ -168,14 +173,14 @@
 		Listed:    d.listedTarget,
 		StopReuse: d.targetPool.CloseIdle,
 		Homes:     d.homesOf,
-		Messenger: messenger{d}, FleetShare: d.fleetShare, BootTime: boottime.Now,
+		Messenger: messenger{d}, FleetShare: d.fleetShare, BootTime: boottime.Now, CutOff: d.paths.IsCutOff,
 		Count: func(name string) { d.metrics.counters.Add(name, 1) },
 		Log:   d.Log,
 	})
 	d.suspects = suspects.New(suspects.Config{
-		Ended: upstream.NewEndChecker().Ended, Accuse: d.accuse, Publish: d.gossipSuspects, Log: d.Log,
+		Ended: upstream.NewEndChecker(d.paths.Dial).Ended, Accuse: d.accuse, Publish: d.gossipSuspects, Log: d.Log,
 	})
-	d.orders = targetstate.NewOrders(d.board, d.Orders)
+	d.orders = targetstate.NewOrders(d.board, d.NewOrders(d.paths.Dial))
 	d.reserver = reserve.New(d.orders, d.reservationOwner(), d.Log)
 	d.exchange = dispatchsync.New(dispatchsync.Config{
 		Self: d.self, Incarnation: d.incarnation, Conn: share, Port: d.Settings.SharePort,
@@ -183,6 +188,8 @@
 	})
 	d.peerServer = peers.NewServer(nil, noopStats{})
 	peerpb.RegisterPublicationsServer(d.peerServer, &published.Server{Records: d.follower.Records})
+	d.tunnels = &tunnel.Server{Gate: gate{d}, Dial: d.dialDirect()}
+	peerpb.RegisterTunnelsServer(d.peerServer, d.tunnels)
 	return nil
 }
 
@@ -252,6 +259,7 @@
 	d.running.Go(func() { d.refresh(ctx) })
 	d.running.Go(func() { d.sendHeartbeats(ctx) })
 	d.running.Go(func() { d.suspects.Run(ctx) })
+	d.running.Go(func() { d.paths.Watch(ctx, d.targetPool.Quiet, d.randomTargets, d.targetAddress) })
 	d.serve(d.callerServer, d.listeners[0])
 	d.serve(d.readyServer, d.listeners[1])
 	d.running.Go(func() {
@@ -285,6 +293,7 @@
 		case now := <-ticker.C:
 			d.board.Sweep(d.isPublished, now)
 			d.targetPool.Sweep(d.isPublished, now)
+			d.paths.Sweep(d.isPublished, now)
 			if view := d.follower.View(); view != nil {
 				d.conns.closeExpired(&view.Table.Limits, now)
 			}
--- a/serving/process/edge/edge_test.go
+++ b/serving/process/edge/edge_test.go
@@ -20,6 +20,7 @@
 	"carobspoke.example/core/request/retry"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/routing"
+	"carobspoke.example/serving/connection/upstream"
 	"carobspoke.example/serving/process/published"
 	"carobspoke.example/serving/process/targetstate"
 	"carobspoke.example/serving/request/relay"
@@ -145,6 +146,7 @@
 	var list []*Daemon
 	for i := range n {
 		d, err := New(Options{
+			NewOrders: func(upstream.Dialer) targetstate.OrderClient { return nil }, // no test sends orders
 			Settings: &Settings{
 				Name: fmt.Sprint("host-", i), DataCentre: "dc", Regions: map[names.DataCentre]names.Region{"dc": "region"},
 				CallerAddress: address(i, 0), ReadyAddress: address(i, 1), MetricsAddress: address(i, 2), PeerAddress: address(i, 3), SharePort: p[4],
--- a/serving/process/edge/state_metrics.go
+++ b/serving/process/edge/state_metrics.go
@@ -20,6 +20,9 @@
 	targetsLeaving    = describe("targets_leaving", "Targets that have said that they are leaving, until 10 minutes after they were last listed.")
 	targetsAsked      = describe("targets_asked_for_time", "Targets that have asked this daemon for no requests for a while.")
 	targetsLimited    = describe("targets_limited", "Targets that have named the requests a second that they take from all daemons together.")
+	cutOff            = describe("cut_off", "1 while this daemon is cut off from all targets, else 0.")
+	targetDetours     = describe("target_detours", "Targets that are reached through peers first.")
+	peerConnections   = describe("peer_target_connections", "Connections to targets that are open for peers.")
 	suspectItems      = describe("suspect_items", "Parts of prompts and requests that a target ended under.")
 	refusedItems      = describe("refused_items", "Parts of prompts and requests that are refused since targets ended under them.")
 	targetEnds        = describe("target_ends", "Ends of targets that cut off requests of this daemon.")
@@ -61,6 +64,9 @@
 	gauge(targetsLeaving, float64(b.board.LeavingCount()))
 	gauge(targetsAsked, float64(b.board.AskedCount()))
 	gauge(targetsLimited, float64(b.board.LimitedCount()))
+	gauge(cutOff, number(b.paths.IsCutOff()))
+	gauge(targetDetours, float64(b.paths.Detours()))
+	gauge(peerConnections, float64(b.tunnels.InUse()))
 	counts := b.suspects.Counts()
 	gauge(suspectItems, float64(counts.Accused))
 	gauge(refusedItems, float64(counts.Refused))
@@ -74,3 +80,11 @@
 		gauge(retryBudget, left, string(service))
 	}
 }
+
+// number returns 1 for true and 0 for false.
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/serving/process/targetstate/statement_test.go
+++ b/serving/process/targetstate/statement_test.go
@@ -390,3 +390,60 @@
 		}
 	}
 }
+
+// A daemon is cut off from all targets. Guards against failures of its requests that take
+// sound targets from all other daemons.
+func TestFailuresOfCutOffDaemonAreNotHeldAgainstTargets(t *testing.T) {
+	c := newCluster(4, 2)
+	board := c.boards[host(3)]
+	c.cutOff[host(3)] = true
+	for range 5 {
+		p, err := board.Place(t.Context(), call(), &service)
+		if err != nil {
+			t.Fatal(err)
+		}
+		board.Unreachable(p.Key, p.Decision.Target)
+		board.Failed(p.Key, p.Decision.Target, verdict.TargetFailed)
+		board.End(p.Key, p.Decision.Target)
+	}
+	for h, other := range c.boards {
+		if got := other.ExcludedCount(); got != 0 {
+			t.Errorf("%s excludes %d targets", h, got)
+		}
+	}
+	c.cutOff[host(3)] = false
+	p := placeUntil(t, board, "t-1")
+	board.Unreachable(p.Key, "t-1")
+	if got := c.boards[host(0)].ExcludedCount(); got != 1 {
+		t.Errorf("the home excludes %d targets after the cut", got)
+	}
+}
+
+// A daemon connects to a target for a peer, and the target refuses the peer's request with
+// a time. Guards against more requests from this host, which the target takes for the sender.
+func TestStatementsToPeersBindTheHostThatPassesOn(t *testing.T) {
+	c := newCluster(4, 3)
+	board := c.boards[host(2)]
+	if err := board.MayPassOn("t-1"); err != nil {
+		t.Fatal(err)
+	}
+	board.RecordPassedOn("t-1", asksFor(time.Minute), time.Now())
+	if err := board.MayPassOn("t-1"); err == nil || err.Verdict != verdict.NotRun {
+		t.Fatalf("a peer's request may be passed on: %v", err)
+	}
+	wantNoneOn(t, board, "t-1")
+	board.RecordPassedOn("t-2", leavingTarget, time.Now())
+	if board.MayPassOn("t-2") == nil {
+		t.Fatal("a peer's request may be passed on to a leaving target")
+	}
+	wantNoneOn(t, c.boards[host(0)], "t-2")
+}
+
+// A daemon cannot connect to a target for a peer.
+func TestTargetThatIsUnreachableForPeersIsExcluded(t *testing.T) {
+	c := newCluster(4, 3)
+	c.boards[host(2)].RecordUnreachable("t-1")
+	if got := c.boards[host(0)].ExcludedCount(); got != 1 {
+		t.Errorf("the home excludes %d targets", got)
+	}
+}
--- a/serving/process/targetstate/targetstate.go
+++ b/serving/process/targetstate/targetstate.go
@@ -66,6 +66,9 @@
 	// FleetShare returns the share of the targets' limits that this daemon may let
 	// through as a home, see ratelimits.Fleet.
 	FleetShare func() float64
+	// CutOff reports whether this daemon is cut off from all targets, so that failures of
+	// its requests say nothing about them.
+	CutOff func() bool
 	// BootTime returns a clock that also runs while the host is suspended.
 	BootTime func() time.Duration
 	// Count adds one to a counter.
@@ -238,6 +241,9 @@
 
 // recordOwnOutcome records the outcome of a send of this daemon, and tells the homes.
 func (b *Board) recordOwnOutcome(k inflight.Key, id names.Target, o dispatchsync.Outcome, reason verdict.Reason) {
+	if o != dispatchsync.Succeeded && b.config.CutOff() {
+		return
+	}
 	b.recordOutcome(id, o, reason)
 	b.mu.Lock()
 	var to []names.Host
--- a/serving/process/targetstate/targetstate_test.go
+++ b/serving/process/targetstate/targetstate_test.go
@@ -41,6 +41,8 @@
 	stopped map[names.Host][]names.Target
 	// shares holds the shares of the limits that daemons may let through, if not all.
 	shares map[names.Host]float64
+	// cutOff daemons are cut off from all targets.
+	cutOff map[names.Host]bool
 	// suspended is how long the host of a daemon was suspended.
 	suspended map[names.Host]time.Duration
 	// counts holds the counters of all daemons.
@@ -132,7 +134,7 @@
 	c := &cluster{
 		boards: make(map[names.Host]*Board), lists: make(map[names.Host][]replicas.Target),
 		service: &service, silent: make(map[names.Host]bool), asks: make(map[names.Host]int),
-		shares: make(map[names.Host]float64), suspended: make(map[names.Host]time.Duration),
+		shares: make(map[names.Host]float64), cutOff: make(map[names.Host]bool), suspended: make(map[names.Host]time.Duration),
 		stopped: make(map[names.Host][]names.Target), counts: make(map[string]int),
 	}
 	var list []replicas.Target
@@ -170,6 +172,7 @@
 				return c.homes
 			},
 			Messenger: link{cluster: c, self: self}, FleetShare: func() float64 { return c.share(self) },
+			CutOff:   func() bool { return c.cutOff[self] },
 			BootTime: func() time.Duration { return time.Since(started) + c.suspended[self] }, Count: func(name string) { c.counts[name]++ }, Log: zap.NewNop(),
 		})
 	}
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -107,24 +107,24 @@
 // run sends the request to the placed target and forwards the answer.
 func (a *attempt) run(helpers []HelperAddress) error {
 	d := &a.placed.Decision
-	timeLeft := time.Until(a.deadline)
-	if timeLeft <= 0 {
+	if time.Until(a.deadline) <= 0 {
 		return verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the request's time is over")
 	}
-	header := a.relay.Codec.OutgoingHeader(a.r, &Attempt{
-		Target: d.Target, Customer: a.customerName(), TimeLeft: timeLeft, Priority: d.Priority, HasPrompt: a.info.PromptTokens > 0,
-		Helpers: helpers, ResumeAfter: cmp.Or(a.lastEventID, a.callersLastEventID()),
-	})
-	exchange, err := a.relay.Pool.Do(a.ctx, &upstream.Attempt{
-		Target: d.Target, Address: a.placed.Address, Request: a.r, Header: header, Body: a.body,
-		NewConnection: !a.route.Repeatable(),
-		IsOwnAnswer:   a.isOwnAnswer, Permit: a.permit,
-	})
+	send := &upstream.Attempt{
+		Target: d.Target, Address: a.placed.Address, Request: a.r, Body: a.body,
+		NewConnection: !a.route.Repeatable(), IsOwnAnswer: a.isOwnAnswer,
+	}
+	send.Permit = func() error {
+		send.Header = a.outgoingHeader(helpers) // the connection may have taken some of the time left
+		return a.permit()
+	}
+	exchange, err := a.relay.Pool.Do(a.ctx, send)
 	if err != nil {
 		return err
 	}
 	a.exchange = exchange
 	a.lastReply = summarise(exchange.Response)
+	a.lastReply.through = exchange.Through()
 	a.relay.Board.RecordActivity(a.placed.Key, d.Target)
 	reply := a.reply
 	if reply.Requests != nil {
@@ -147,6 +147,15 @@
 	return a.forwardComplete()
 }
 
+// outgoingHeader returns the header to send now.
+func (a *attempt) outgoingHeader(helpers []HelperAddress) http.Header {
+	d := &a.placed.Decision
+	return a.relay.Codec.OutgoingHeader(a.r, &Attempt{
+		Target: d.Target, Customer: a.customerName(), TimeLeft: max(time.Until(a.deadline), 0), Priority: d.Priority, HasPrompt: a.info.PromptTokens > 0,
+		Helpers: helpers, ResumeAfter: cmp.Or(a.lastEventID, a.callersLastEventID()),
+	})
+}
+
 // isStream reports whether the answer is a stream of events.
 func (a *attempt) isStream() bool {
 	status := a.exchange.Response.StatusCode
@@ -233,7 +242,7 @@
 	case a.r.Context().Err() != nil:
 	case helper || failure.Reason == verdict.TargetUnreachable || a.wrongTarget:
 		a.relay.Board.Unreachable(a.placed.Key, id)
-	case failure.Reason == verdict.TargetRefused || failure.Reason == verdict.SpanUnavailable:
+	case failure.Reason == verdict.TargetRefused || failure.Reason == verdict.SpanUnavailable || failure.Reason == verdict.PeerUnreachable:
 	default:
 		if !a.timeoutRecorded {
 			a.relay.Board.Failed(a.placed.Key, id, failure.Reason)
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -378,12 +378,19 @@
 // decision, while no byte of the request was sent.
 const maxUnreachableTargets = 4
 
+// noPathRetryAfter is the delay after which a caller may retry at a host that was cut off
+// from all targets, or at another one.
+const noPathRetryAfter = time.Second
+
 // awaitRetry returns nil when the next attempt may start, after its backoff. It
 // returns an error if no attempt may follow.
 func (q *request) awaitRetry(ctx context.Context, failure *verdict.Error) error {
 	if errors.Is(failure, errNotSent) {
 		return q.placeAgain(failure)
 	}
+	if failure.Reason == verdict.PeerUnreachable {
+		return failure.WithVerdict(q.verdict).WithRetryAfter(noPathRetryAfter) // it would fail at any target
+	}
 	if failure.Reason == verdict.TargetUnreachable && failure.Verdict == verdict.NotRun && len(q.exclude) < maxUnreachableTargets {
 		return nil
 	}
--- a/serving/request/relay/reply.go
+++ b/serving/request/relay/reply.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"carobspoke.example/core/names"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -11,6 +12,9 @@
 type replySummary struct {
 	status  int
 	framing string
+	// through is the peer through which the target was reached; empty if it was reached
+	// directly.
+	through names.Host
 	// events is the number of events that the attempt has forwarded.
 	events int
 }
@@ -49,5 +53,8 @@
 	e.AddInt("status", s.status)
 	e.AddString("framing", s.framing)
 	e.AddInt("events", s.events)
+	if s.through != "" {
+		e.AddString("through", string(s.through))
+	}
 	return nil
 }
--- a/tools/soak/checks_test.go
+++ b/tools/soak/checks_test.go
@@ -12,6 +12,7 @@
 
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/platform"
+	"carobspoke.example/serving/connection/upstream"
 	"carobspoke.example/serving/process/edge"
 	"carobspoke.example/tools/emulator"
 )
@@ -161,7 +162,7 @@
 			t.Fatal(err)
 		}
 		defer engine.Crash()
-		orders := platform.NewOrders()
+		orders := platform.NewOrders(upstream.DialTCP)
 		if err := orders.Reserve(t.Context(), engine.Address, "t-1", "memory", 10, 2*maxReleaseTime); err != nil {
 			t.Fatal(err)
 		}
