Vouch for a dead target by a connection to another one always

What callers saw: nothing yet.

Cause of the first: a peer that was asked whether a target is down connects to up to three random targets to see whether it reaches any. If all three picks were the target itself, an earlier connection counted, of before the cut (1 of 216 for each question, dozens of them in the test). The others are picked without it now. Cause of the second, a fault of the test's network: an idle connection that it had reset looked usable, since the pool looked only at connections of type TCPConn. The pool asks any connection for its socket now.

--- a/serving/connection/upstream/conn.go
+++ b/serving/connection/upstream/conn.go
@@ -146,11 +146,11 @@
 	if !now.Before(c.idleUntil) || c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/serving/connection/upstream/reset.go
+++ b/serving/connection/upstream/reset.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"syscall"
 
@@ -73,11 +72,11 @@
 
 // closedByKernel reports whether the connection was reset or has timed out.
 func (c *Conn) closedByKernel() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/serving/process/edge/paths.go
+++ b/serving/process/edge/paths.go
@@ -8,6 +8,7 @@
 
 	"carobspoke.example/core/names"
 	core "carobspoke.example/core/process/membership"
+	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/serving/connection/tunnel"
 	"carobspoke.example/serving/connection/upstream"
 	"carobspoke.example/serving/peerpb"
@@ -52,25 +53,28 @@
 
 // randomTargets returns up to count random targets with their addresses.
 func (d *Daemon) randomTargets(count int) map[names.Target]string {
+	return d.randomOthers(count, "")
+}
+
+// randomOthers is randomTargets without one target.
+func (d *Daemon) randomOthers(count int, without names.Target) map[names.Target]string {
 	view := d.follower.View()
 	if view == nil {
 		return nil
 	}
-	all := 0
+	var all []*replicas.Target
 	for _, list := range view.Targets {
-		all += len(list)
-	}
-	picked := make(map[names.Target]string)
-	for range min(count, all) {
-		at := rand.IntN(all)
-		for _, list := range view.Targets {
-			if at < len(list) {
-				picked[list[at].ID] = list[at].Address
-				break
+		for i := range list {
+			if list[i].ID != without {
+				all = append(all, &list[i])
 			}
-			at -= len(list)
 		}
 	}
+	picked := make(map[names.Target]string)
+	for range min(count, len(all)) {
+		target := all[rand.IntN(len(all))]
+		picked[target.ID] = target.Address
+	}
 	return picked
 }
 
@@ -113,8 +117,7 @@
 	if ctx.Err() != nil {
 		return false // the peer has gone, which may have ended the connection
 	}
-	targets := g.randomTargets(vouchTargets)
-	delete(targets, other)
+	targets := g.randomOthers(vouchTargets, other)
 	if len(targets) == 0 {
 		return g.paths.ReachesTargets()
 	}
