--- a/tools/emulator/checker.go
+++ b/tools/emulator/checker.go
@@ -27,7 +27,9 @@
 	// leavingSince when daemons first passed one on.
 	leavingAnswers map[answer]bool
 	leavingSince   map[link]time.Time
-	violations     []string
+	// limits are the limits that targets name.
+	limits     map[names.Target]*namedLimit
+	violations []string
 	// recorded has the violations that recordOnce has recorded.
 	recorded map[violationKey]bool
 }
@@ -37,6 +39,7 @@
 	return &Checker{
 		DrainBound: drainBound, executions: make(map[string]int), reportedNotRun: make(map[string]bool), drainingSince: make(map[names.Target]time.Time),
 		parts: make(map[string]*crashingPart), leavingAnswers: make(map[answer]bool), leavingSince: make(map[link]time.Time),
+		limits:   make(map[names.Target]*namedLimit),
 		recorded: make(map[violationKey]bool),
 	}
 }
--- a/tools/emulator/senders.go
+++ b/tools/emulator/senders.go
@@ -92,6 +92,7 @@
 func (c *Checker) PassedOn(daemon string, id names.Target, attempt string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.limitPassedOn(daemon, id, attempt)
 	known := link{daemon, id}
 	if c.leavingAnswers[answer{id, attempt}] && c.leavingSince[known].IsZero() {
 		c.leavingSince[known] = time.Now()
@@ -105,6 +106,9 @@
 	if slices.ContainsFunc(c.askedTimes, func(a *askedTime) bool { return a.target == id }) {
 		return true
 	}
+	if c.limits[id] != nil {
+		return true
+	}
 	for known := range c.leavingSince {
 		if known.target == id {
 			return true
@@ -127,6 +131,7 @@
 			c.recordOnce(a.link, "more than %d requests reached target %s from %s, the last one %s before the end of the time that it had asked for", maxEarlyRequests, id, daemon, a.until.Sub(now))
 		}
 	}
+	c.checkLimit(daemon, id, now)
 	since := c.leavingSince[link{daemon, id}]
 	if !since.IsZero() && sentAt.Sub(since) > c.DrainBound {
 		c.recordOnce(link{daemon, id}, "request %s reached target %s, sent %s after %s had passed on that the target leaves", attempt, id, sentAt.Sub(since), daemon)
--- a/tools/emulator/target.go
+++ b/tools/emulator/target.go
@@ -60,6 +60,8 @@
 	mu sync.Mutex
 	// reservations maps the IDs of reservations to their expiry.
 	reservations map[string]time.Time
+	// limit is the limit that the target names, in requests per second; zero for none.
+	limit float64
 	// granted counts reservations granted or renewed since the start.
 	granted int
 }
@@ -109,6 +111,7 @@
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	t.markLeaving(w.Header())
+	t.markLimited(w.Header())
 	if r.Header.Get(platform.HeaderTarget) != string(t.ID) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -207,6 +210,9 @@
 	if w.Header().Get(platform.HeaderLeaving) != "" {
 		t.checker.answeredLeaving(t.ID, attempt)
 	}
+	if t.markLimited(w.Header()) {
+		t.checker.answeredLimited(t.ID, attempt)
+	}
 	t.writeAnswer(w, r, attempt)
 }
 
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -70,6 +70,29 @@
 	}
 }
 
+// limitTime is how long a target names a limit at least. It exceeds the time from which the
+// limit binds by a window in which requests are counted.
+const limitTime = 8 * time.Second
+
+// limitFault returns the fault that a target names a limit of 0.5 to 8 requests a second,
+// and lowers it after half of the time in half of the cases.
+func limitFault() fault {
+	return fault{"target names a limit", func(b *testbed) (func(), string) {
+		t := b.randomTarget()
+		rate := 0.5 * float64(int(1)<<b.random.IntN(5))
+		lowers := b.random.IntN(2) == 0
+		end := t.Limit(rate)
+		return func() {
+			time.Sleep(limitTime / 2)
+			if lowers {
+				end = t.Limit(rate / 2)
+			}
+			time.Sleep(limitTime)
+			end()
+		}, string(t.ID)
+	}}
+}
+
 // unplannedFaults returns the kinds of crashes, pauses, failures and network
 // faults.
 func unplannedFaults() []fault {
@@ -187,6 +210,9 @@
 	if b.config.Leaving {
 		kinds = append(kinds, leavingFaults()...)
 	}
+	if b.config.Limits {
+		kinds = append(kinds, limitFault(), limitFault())
+	}
 	end := time.After(b.config.FaultTime)
 	defer b.active.Wait()
 	for {
--- a/tools/soak/senders_test.go
+++ b/tools/soak/senders_test.go
@@ -107,6 +107,26 @@
 	}
 }
 
+// TestDaemonThatExceedsTheLimitOfATargetIsDetected sends requests through a daemon that
+// ignores the limit that the target names: more than it allows, or just as many.
+func TestDaemonThatExceedsTheLimitOfATargetIsDetected(t *testing.T) {
+	for want, requests := range map[string]int{"": 11, "which has named a limit of 1 a second, got 12 requests": 12} {
+		checker := emulator.NewChecker(time.Second)
+		target := startTarget(t, checker)
+		defer target.Limit(1)()
+		all, h := startNaiveDaemon(t, target, checker)
+		send := func(i int) {
+			all.send(&http.Client{}, h, &request{kind: kindRead, attempt: fmt.Sprintf("attempt-%d", i)})
+		}
+		send(0)
+		time.Sleep(emulator.StableTime + 100*time.Millisecond)
+		for i := range requests {
+			send(i + 1)
+		}
+		checkViolations(t, checker, want)
+	}
+}
+
 // TestDaemonIsIdentifiedByItsSocket sends requests from this process, which stands for
 // a daemon, through the proxy of a target.
 func TestDaemonIsIdentifiedByItsSocket(t *testing.T) {
--- a/tools/soak/testbed.go
+++ b/tools/soak/testbed.go
@@ -53,6 +53,9 @@
 	// Leaving adds targets that state in their answers that they leave, or for how
 	// long they want no requests.
 	Leaving bool
+	// Limits adds targets that name in their answers how many requests a second they
+	// take.
+	Limits bool
 	// Program is the path of carobspoked. Folder receives settings and logs.
 	Program string
 	Folder  string
