--- a/serving/process/edge/paths.go
+++ b/serving/process/edge/paths.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -26,12 +27,21 @@
 // buildPaths builds the ways by which this daemon reaches targets.
 func (d *Daemon) buildPaths() {
 	d.paths = paths.New(paths.Config{
-		Direct: d.dialDirect(), Tunnel: &tunnel.Client{Pool: d.peerPool}, Peers: d.tunnelPeers,
+		Direct: d.dialDirect(), Through: d.dialThrough, Peers: d.tunnelPeers,
 		CutOff: d.targetPool.CloseAllIdle, Count: func(name string) { d.metrics.counters.Add(name, 1) }, Log: d.Log,
 	})
 	d.targetPool.MaxIdle, d.targetPool.Dial, d.targetPool.Heard = d.maxIdleConns, d.paths.Dial, d.paths.Heard
 }
 
+// dialThrough opens a connection to a target through a peer.
+func (d *Daemon) dialThrough(ctx context.Context, peer names.Host, id names.Target, address string) (net.Conn, error) {
+	conn, err := (&tunnel.Client{Pool: d.peerPool}).Dial(ctx, peer, id, address)
+	if err != nil {
+		return nil, err // a nil *tunnel.Conn is no nil net.Conn
+	}
+	return conn, nil
+}
+
 // tunnelPeers returns the live peers that may pass connections on, in random order: those of
 // this data centre first, since bytes between data centres are dear.
 func (d *Daemon) tunnelPeers() []names.Host {
--- a/serving/process/paths/paths.go
+++ b/serving/process/paths/paths.go
@@ -29,16 +29,15 @@
 	badPeerTime = 2 * time.Second
 )
 
-// PeerDialer opens connections to targets through peers; see tunnel.Client.
-type PeerDialer interface {
-	Dial(ctx context.Context, peer names.Host, id names.Target, address string) (*tunnel.Conn, error)
-}
+// PeerDialer opens a connection to a target through a peer; see tunnel.Client.
+type PeerDialer func(ctx context.Context, peer names.Host, id names.Target, address string) (net.Conn, error)
 
 // Config holds the dependencies of a Dialer.
 type Config struct {
 	// Direct opens direct connections.
 	Direct upstream.Dialer
-	Tunnel PeerDialer
+	// Through opens connections through peers.
+	Through PeerDialer
 	// Peers returns the peers that may be asked, the preferred ones first.
 	Peers func() []names.Host
 	// CutOff is called when the daemon has found that it is cut off from all targets.
@@ -148,13 +147,7 @@
 	}
 	peer := a.peers[a.asked]
 	a.asked++
-	a.start(ctx, peer, func() (net.Conn, error) {
-		conn, err := a.dialer.config.Tunnel.Dial(ctx, peer, a.id, a.address)
-		if err != nil {
-			return nil, err // a nil *tunnel.Conn is no nil net.Conn
-		}
-		return conn, nil
-	})
+	a.start(ctx, peer, func() (net.Conn, error) { return a.dialer.config.Through(ctx, peer, a.id, a.address) })
 }
 
 // race returns the first connection that opens, and begins others while none does.
@@ -184,8 +177,12 @@
 	return nil, a.failure(ctx)
 }
 
-// more begins the next connection: through a peer, and directly if none is left.
+// more begins the next connection: through a peer, and directly if none is left. It does
+// nothing once a peer vouches that the target is down.
 func (a *attempt) more(ctx context.Context) {
+	if a.downErr != nil {
+		return
+	}
 	before := a.asked
 	a.nextPeer(ctx)
 	if !a.triedDirect && (a.asked == before || a.asked > 1) {
