Stop telling peers of a limit 30 s after it was lifted

Each answer without a limit renewed the time of the statement, so that the questions of a daemon to the homes went on naming targets whose limits had long been lifted: up to 12 entries of some 30 bytes a question. No caller saw it; found in review. The time of the change counts now.

--- a/core/process/ratelimits/ratelimits.go
+++ b/core/process/ratelimits/ratelimits.go
@@ -63,6 +63,8 @@
 	// statement was read that is in force.
 	rate   float64
 	readAt time.Time
+	// changedAt is when the rate last changed.
+	changedAt time.Time
 	// toldAt is when Record last returned that the homes are to be told.
 	toldAt time.Time
 	// listedAt is when the target was last known to be listed.
--- a/core/process/ratelimits/statements.go
+++ b/core/process/ratelimits/statements.go
@@ -81,6 +81,9 @@
 	t.fill(known, now)
 	known.rate, known.readAt = after, s.ReadAt
 	known.tokens = min(known.tokens, burst(after))
+	if before != after {
+		known.changedAt = now
+	}
 	c := Change{Changed: before != after, Before: before, After: after, Bounded: after != s.Rate}
 	if c.Changed || after > 0 && now.Sub(known.toldAt) >= repeatInterval {
 		c.Tell, known.toldAt = true, now
@@ -137,7 +140,7 @@
 func (t *Table) Claims(now time.Time) []Claim {
 	var list []Claim
 	for id, known := range t.targets {
-		if known.rate > 0 || now.Sub(known.readAt) < liftedFor {
+		if known.rate > 0 || now.Sub(known.changedAt) < liftedFor {
 			list = append(list, Claim{Incarnation: replicas.Incarnation{ID: id, Started: known.started}, Rate: known.rate, ReadAt: known.readAt})
 		}
 	}
