Give daemons of the process tests a loopback address of their own

What was seen: a daemon that is killed in a test frees its ports until it is started again. Another test, or a daemon of another fleet, may take one at 127.0.0.1 meanwhile, and the daemon does not come back.

--- a/tools/dev/dev.go
+++ b/tools/dev/dev.go
@@ -3,6 +3,7 @@
 package dev
 
 import (
+	"cmp"
 	"context"
 	"crypto/ed25519"
 	"crypto/rand"
@@ -42,6 +43,9 @@
 	// CallerAddress is the first daemon's listen address for callers,
 	// "IP:port"; empty means a free port.
 	CallerAddress string
+	// Loopback is the IP address at which daemons listen; empty means 127.0.0.1. Ports of
+	// an address of its own are not taken by other processes while daemons restart.
+	Loopback string
 	// Authority signs the daemons' TLS certificates; nil means plain TCP.
 	Authority *Authority
 	// AdjustManifest, if set, modifies the first manifest before it is published.
@@ -179,7 +183,8 @@
 
 func (d *Environment) settings(number int) (*settings.Settings, daemon.Listeners, error) {
 	var listeners daemon.Listeners
-	callerAddress := "127.0.0.1:0"
+	freeAddress := net.JoinHostPort(cmp.Or(d.config.Loopback, "127.0.0.1"), "0")
+	callerAddress := freeAddress
 	if number == 0 && d.config.CallerAddress != "" {
 		callerAddress = d.config.CallerAddress
 	}
@@ -188,8 +193,8 @@
 		address  string
 	}{
 		{&listeners.Caller, callerAddress},
-		{&listeners.Admin, "127.0.0.1:0"},
-		{&listeners.Peer, "127.0.0.1:0"},
+		{&listeners.Admin, freeAddress},
+		{&listeners.Peer, freeAddress},
 	}
 	for _, socket := range sockets {
 		listener, err := net.Listen("tcp", socket.address)
--- a/tools/joint/schedule_test.go
+++ b/tools/joint/schedule_test.go
@@ -86,7 +86,7 @@
 		t.Fatal(err)
 	}
 	d, err := dev.Start(t.Context(), dev.Config{
-		Fleet: fleet.Config{Size: fleet.Dev, Speedup: 8}, Daemons: daemons, SeparateProcesses: true, Log: zap.NewNop(),
+		Fleet: fleet.Config{Size: fleet.Dev, Speedup: 8}, Daemons: daemons, SeparateProcesses: true, Loopback: processes.RandomLoopback(), Log: zap.NewNop(),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/tools/processes/processes_test.go
+++ b/tools/processes/processes_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -33,7 +34,7 @@
 		t.Fatal(err)
 	}
 	d, err := dev.Start(t.Context(), dev.Config{
-		Fleet: fleet.Config{Size: fleet.Dev, Speedup: speedup}, SeparateProcesses: true, Log: zap.NewNop(),
+		Fleet: fleet.Config{Size: fleet.Dev, Speedup: speedup}, SeparateProcesses: true, Loopback: RandomLoopback(), Log: zap.NewNop(),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -279,3 +280,28 @@
 		t.Fatal(err)
 	}
 }
+
+// TestPortsOfKilledDaemonAreNotTaken has a listener at 127.0.0.1 take a port of a daemon
+// that was killed, as another test may. The daemon must start again.
+func TestPortsOfKilledDaemonAreNotTaken(t *testing.T) {
+	cluster := startCluster(t, 50)
+	cluster.waitReady(t)
+	killed := cluster.daemons[0]
+	if err := killed.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	_, port, err := net.SplitHostPort(killed.Settings.Admin.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", port))
+	if err == nil { // otherwise another process has taken it, which is as good
+		defer func() { _ = other.Close() }()
+	}
+	if err := killed.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	if err := killed.WaitReady(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
