--- a/serving/connection/tunnel/tunnel_test.go
+++ b/serving/connection/tunnel/tunnel_test.go
@@ -174,6 +174,12 @@
 			if complete := errors.Is(err, io.EOF); n != 0 || complete != c.complete {
 				t.Fatalf("read %d bytes, %v", n, err)
 			}
+			f.gate.mu.Lock()
+			heads, connected := f.gate.heads, f.gate.connected
+			f.gate.mu.Unlock()
+			if heads != 1 || connected != 1 {
+				t.Errorf("%d heads, %d connections were recorded", heads, connected)
+			}
 			var network net.Error
 			if !c.complete && !errors.As(err, &network) {
 				t.Fatalf("%v is no error of a connection", err)
