Reword comments of the limits and of the ways to targets

A peer "confirms" in place of "vouches"; names of two constants and of test cases follow. No logic changes.

--- a/core/process/ratelimits/ratelimits.go
+++ b/core/process/ratelimits/ratelimits.go
@@ -7,7 +7,7 @@
 //
 // The homes of a target's group place all requests there, see core/process/homes, so that
 // they count them: each home has a bucket for each limited target, which fills at the
-// rate, and each request that is placed there by whatever daemon takes a token. A daemon
+// rate, and each request that is placed there by any daemon takes a token. A daemon
 // that is no home sends nothing to a limited target without the leave of a home.
 //
 // # Load patterns
--- a/core/process/reach/reach.go
+++ b/core/process/reach/reach.go
@@ -37,7 +37,7 @@
 	// number. They notice the end of a cut.
 	ProbeInterval = 500 * time.Millisecond
 	maxProbes     = 2
-	// soundTime is how long after it connected to a target a daemon vouches that another
+	// soundTime is how long after it connected to a target a daemon confirms that another
 	// one to which it cannot connect is down.
 	soundTime = 2 * time.Second
 )
--- a/core/process/reach/reach_test.go
+++ b/core/process/reach/reach_test.go
@@ -38,7 +38,7 @@
 			case scan(line, "removed %s", &id):
 				table.Sweep(func(listed names.Target) bool { return listed != id })
 			case line == "state":
-				fmt.Fprintf(&out, "cut off %v, %d detours, vouches %v\n", table.IsCutOff(), table.Detours(), table.ReachesTargets(now))
+				fmt.Fprintf(&out, "cut off %v, %d detours, confirms %v\n", table.IsCutOff(), table.Detours(), table.ReachesTargets(now))
 			default:
 				t.Fatalf("unknown step %q", line)
 			}
--- a/serving/process/edge/paths.go
+++ b/serving/process/edge/paths.go
@@ -115,10 +115,10 @@
 }
 
 const (
-	// vouchTimeout bounds the connections that show whether this host reaches targets.
-	vouchTimeout = 100 * time.Millisecond
-	// vouchTargets is the number of targets to which they are opened.
-	vouchTargets = 3
+	// confirmTimeout bounds the connections that show whether this host reaches targets.
+	confirmTimeout = 100 * time.Millisecond
+	// confirmTargets is the number of targets to which they are opened.
+	confirmTargets = 3
 )
 
 // ReachesTargets implements tunnel.Gate. It connects to other targets now: a cut may have
@@ -127,11 +127,11 @@
 	if ctx.Err() != nil {
 		return false // the peer has gone, which may have ended the connection
 	}
-	targets := g.randomOthers(vouchTargets, other)
+	targets := g.randomOthers(confirmTargets, other)
 	if len(targets) == 0 {
 		return g.paths.ReachesTargets()
 	}
-	ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	reached := make(chan bool, len(targets))
 	for id, address := range targets {
--- a/serving/process/paths/attempt.go
+++ b/serving/process/paths/attempt.go
@@ -33,7 +33,7 @@
 	// triedDirect is true once a direct connection was begun, and directErr is its error.
 	triedDirect bool
 	directErr   error
-	// downErr is the error of a peer that vouches that the target is down.
+	// downErr is the error of a peer that confirms that the target is down.
 	downErr error
 }
 
@@ -95,7 +95,7 @@
 }
 
 // more begins the next connection: through a peer, and directly if none is left. It does
-// nothing once a peer vouches that the target is down.
+// nothing once a peer confirms that the target is down.
 func (a *attempt) more(ctx context.Context) {
 	if a.downErr != nil {
 		return
--- a/serving/process/paths/paths_test.go
+++ b/serving/process/paths/paths_test.go
@@ -95,7 +95,7 @@
 	refused   = way{after: time.Millisecond, err: syscall.ECONNREFUSED}
 	opens     = way{after: 2 * time.Millisecond}
 	isCutOff  = way{after: time.Millisecond, err: &tunnel.Error{Status: peerpb.TunnelDown_STATUS_CUT_OFF}}
-	vouches   = way{after: 2 * time.Millisecond, err: &tunnel.Error{Status: peerpb.TunnelDown_STATUS_REFUSED, ReachesTargets: true}}
+	confirms  = way{after: 2 * time.Millisecond, err: &tunnel.Error{Status: peerpb.TunnelDown_STATUS_REFUSED, ReachesTargets: true}}
 	cannotSay = way{after: 2 * time.Millisecond, err: &tunnel.Error{Status: peerpb.TunnelDown_STATUS_REFUSED}}
 )
 
@@ -116,13 +116,13 @@
 		"refused":                         {refused, []way{opens}, "p0", 3 * time.Millisecond, false},
 		"refused, first peers cut off":    {refused, []way{isCutOff, isCutOff, isCutOff, opens}, "p3", 6 * time.Millisecond, false},
 		"hangs, first peer hangs":         {hangs, []way{hangs, opens}, "p1", hedgeDelay + peerDelay + 2*time.Millisecond, false},
-		"target down":                     {refused, []way{vouches, opens}, "", 3 * time.Millisecond, true},
-		"target down, first cannot say":   {refused, []way{cannotSay, vouches}, "", 5 * time.Millisecond, true},
+		"target down":                     {refused, []way{confirms, opens}, "", 3 * time.Millisecond, true},
+		"target down, first cannot say":   {refused, []way{cannotSay, confirms}, "", 5 * time.Millisecond, true},
 		"nobody can say":                  {refused, []way{cannotSay, isCutOff}, "", 4 * time.Millisecond, false},
 		"no peers":                        {refused, nil, "", time.Millisecond, true},
 		"hangs, no peers":                 {hangs, nil, "", upstream.ConnectTimeout, false},
 		"all hang":                        {hangs, []way{hangs, hangs}, "", upstream.ConnectTimeout, false},
-		"hangs, the peer says it is down": {hangs, []way{vouches, opens}, "", upstream.ConnectTimeout, true},
+		"hangs, the peer says it is down": {hangs, []way{confirms, opens}, "", upstream.ConnectTimeout, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/serving/process/targetstate/limit_test.go
+++ b/serving/process/targetstate/limit_test.go
@@ -55,7 +55,7 @@
 	named    map[names.Target]time.Time
 	arrivals map[names.Target][]time.Time
 	// told holds when each daemon was first told of a limit. If toldOnly is set, only the
-	// arrivals from daemons that were told toldTime before are counted, as users do.
+	// arrivals from daemons that were told toldTime before are counted, as in the users' rule.
 	told     map[toldOf]time.Time
 	toldOnly bool
 	refused  []time.Duration
--- a/tools/processes/processes_test.go
+++ b/tools/processes/processes_test.go
@@ -295,7 +295,7 @@
 		t.Fatal(err)
 	}
 	other, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", port))
-	if err == nil { // otherwise another process has taken it, which is as good
+	if err == nil { // otherwise another process has the port already
 		defer func() { _ = other.Close() }()
 	}
 	if err := killed.Restart(); err != nil {
