--- a/tools/soak/command.go
+++ b/tools/soak/command.go
@@ -31,6 +31,8 @@
 			&cli.BoolFlag{Name: "restore", Usage: "the store is also restored from a copy"},
 			&cli.BoolFlag{Name: "unframed", Usage: "targets also answer with neither a length nor chunks, and break answers off"},
 			&cli.BoolFlag{Name: "parts", Usage: "prompts with a part that crashes targets come, for at least " + minPartsTime.String()},
+			&cli.BoolFlag{Name: "turning", Usage: "with --parts: requests with the part complete until it begins to crash targets"},
+			&cli.DurationFlag{Name: "crash-every", Value: defaults.CrashingInterval, Usage: "with --parts: `TIME` between two requests with the part"},
 			&cli.BoolFlag{Name: "leaving", Usage: "targets also state in their answers that they leave, or for how long they want no requests"},
 			&cli.BoolFlag{Name: "limits", Usage: "targets also name how many requests a second they take from all daemons"},
 			&cli.StringFlag{Name: "folder", Value: filepath.Join(os.TempDir(), "carobspoke-soak"), Usage: "`FOLDER` for settings and logs, with a folder of its own for each process"},
@@ -54,7 +56,8 @@
 		config := Config{
 			Seed: c.Uint64("seed") + uint64(i), FaultTime: c.Duration("for"), Daemons: c.Int("daemons"), Engines: c.Int("engines"),
 			Services: DefaultConfig().Services, Callers: c.Int("callers"), PlannedOnly: c.Bool("planned"), RestoreStore: c.Bool("restore"),
-			Unframed: c.Bool("unframed"), Parts: c.Bool("parts"), Leaving: c.Bool("leaving"), Limits: c.Bool("limits"), Program: program,
+			Unframed: c.Bool("unframed"), Parts: c.Bool("parts"), Leaving: c.Bool("leaving"), Limits: c.Bool("limits"),
+			Turning: c.Bool("turning"), CrashingInterval: c.Duration("crash-every"), Program: program,
 		}
 		config.Folder = filepath.Join(folder, strconv.FormatUint(config.Seed, 10))
 		report, err := Run(ctx, config)
--- a/tools/soak/parts.go
+++ b/tools/soak/parts.go
@@ -12,12 +12,14 @@
 	"carobspoke.example/tools/emulator"
 )
 
-// A run with a part that crashes targets: for baselineTime there is none, then a
-// request with it comes every crashingInterval until the faults end.
+// A run with a part that crashes targets: for baselineTime there is none, or its requests
+// complete from turningFrom on, see Config.Turning. Then a request with it comes every
+// Config.CrashingInterval until the faults end.
 const (
-	baselineTime     = 6 * time.Second
-	crashingInterval = 200 * time.Millisecond
-	minPartsTime     = 25 * time.Second
+	turningFrom             = time.Second
+	baselineTime            = 6 * time.Second
+	defaultCrashingInterval = 200 * time.Millisecond
+	minPartsTime            = 25 * time.Second
 )
 
 // Parts of prompts. All prompts share firstPart, and each caller has its own part
@@ -44,25 +46,36 @@
 	return text + fmt.Sprintf("%x:%d", attempt, total-len(parts)*sharedTokens)
 }
 
-// sendCrashing sends requests with crashingPart from baselineTime until the end of
-// the faults. They share all parts but that and their last one with other requests.
+// sendCrashing sends requests with crashingPart, which share all parts but that and their
+// last one with other requests. The part crashes targets from baselineTime until the end of
+// the faults.
 func (c *callers) sendCrashing(ctx context.Context) {
 	b := c.testbed
-	random := rand.New(rand.NewPCG(b.config.Seed, 3))
-	end := time.After(b.config.FaultTime)
-	ticker := time.NewTicker(crashingInterval)
-	defer ticker.Stop()
+	began := time.Now()
+	first := baselineTime
+	if b.config.Turning {
+		first = turningFrom
+	}
+	ctx, cancel := context.WithTimeout(ctx, b.config.FaultTime)
+	defer cancel()
 	select {
-	case <-time.After(baselineTime):
+	case <-time.After(first):
 	case <-ctx.Done():
 		return
 	}
-	b.checker.AddCrashingPart(crashingPart)
-	b.recordFault("part crashes targets")
-	c.setCrashing(time.Now(), time.Time{})
+	ticker := time.NewTicker(b.config.CrashingInterval)
+	defer ticker.Stop()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}
 	defer client.CloseIdleConnections()
-	for i := 0; ; i++ {
+	random := rand.New(rand.NewPCG(b.config.Seed, 3))
+	crashes := false
+	for i := 0; ctx.Err() == nil; i++ {
+		if !crashes && time.Since(began) >= baselineTime {
+			crashes = true
+			b.checker.AddCrashingPart(crashingPart)
+			b.recordFault("part crashes targets")
+			c.setCrashing(time.Now(), time.Time{})
+		}
 		attempt := fmt.Sprintf("%x-c-%d", b.config.Seed, i)
 		parts := promptParts(random.IntN(b.config.Callers), attempt, shortTokens, crashingPart)
 		q := &request{kind: kindStream, attempt: attempt, tokens: shortTokens, parts: parts, crashes: true}
@@ -70,13 +83,12 @@
 		b.active.Go(func() { c.send(client, h, q) })
 		select {
 		case <-ticker.C:
-		case <-end:
-			c.setCrashing(c.crashingFrom, time.Now())
-			return
 		case <-ctx.Done():
-			return
 		}
 	}
+	if crashes {
+		c.setCrashing(c.crashingFrom, time.Now())
+	}
 }
 
 // setCrashing sets when requests with crashingPart begin and end to come.
--- a/tools/soak/testbed.go
+++ b/tools/soak/testbed.go
@@ -50,6 +50,10 @@
 	// Parts adds prompts with a part that crashes targets. FaultTime is then at
 	// least minPartsTime.
 	Parts bool
+	// Turning lets requests with the part complete before it begins to crash targets.
+	Turning bool
+	// CrashingInterval is the time between two requests with the part.
+	CrashingInterval time.Duration
 	// Leaving adds targets that state in their answers that they leave, or for how
 	// long they want no requests.
 	Leaving bool
@@ -63,7 +67,7 @@
 
 // DefaultConfig returns the configuration of a run of the usual size.
 func DefaultConfig() Config {
-	return Config{FaultTime: 10 * time.Second, Daemons: 5, Engines: 4, Services: 3, Callers: 12}
+	return Config{FaultTime: 10 * time.Second, Daemons: 5, Engines: 4, Services: 3, Callers: 12, CrashingInterval: defaultCrashingInterval}
 }
 
 // mayNotCut reports whether no fault of the run excuses a request without a
