Log the parts that an accusation leaves out as cleared

"target ended" gave the number of suspects only, so that the log could not tell a part that is never accused from one whose refusal is lost or lifted. It now names the parts that a completed request has cleared.

--- a/core/process/suspects/table.go
+++ b/core/process/suspects/table.go
@@ -62,6 +62,9 @@
 	End      End
 	Service  ServiceHash
 	Suspects []Suspect
+	// Cleared are the items that a completed request clears, at most MaxSuspects. They are
+	// for the log of this daemon.
+	Cleared []Item
 }
 
 // Refusal is a refused item, or one that is not sent again after it was cut off.
@@ -88,6 +91,8 @@
 	at      time.Time
 	// own are the suspects of this daemon's requests.
 	own []ownSuspect
+	// cleared are the items of these requests that a completed request clears.
+	cleared []Item
 }
 
 // ownSuspect is a suspect with its position among the items of its request.
@@ -164,6 +169,8 @@
 	for _, item := range r.Items {
 		if _, cleared := t.ClearedAgo(item, now); !cleared {
 			suspects = append(suspects, item)
+		} else if len(record.cleared) < MaxSuspects && !slices.Contains(record.cleared, item) {
+			record.cleared = append(record.cleared, item)
 		}
 	}
 	slices.SortFunc(suspects, func(a, b Item) int { return cmp.Compare(rank(a, e), rank(b, e)) })
@@ -176,7 +183,7 @@
 	t.sortSuspects(e, record.own)
 	record.own = record.own[:min(len(record.own), maxOwnSuspects)]
 	t.ends[e] = record
-	a := Accusation{End: e, Service: service}
+	a := Accusation{End: e, Service: service, Cleared: record.cleared}
 	for _, s := range record.own[:min(len(record.own), MaxSuspects)] {
 		a.Suspects = append(a.Suspects, s.Suspect)
 	}
--- a/serving/process/suspects/suspects.go
+++ b/serving/process/suspects/suspects.go
@@ -114,7 +114,7 @@
 		a := &accusations[i]
 		g.ends.Add(1)
 		g.config.Log.Info("target ended", zap.Uint64("end", uint64(a.End)), zap.String("service", string(services[a.Service])),
-			zap.Int("suspects", len(a.Suspects)))
+			zap.Int("suspects", len(a.Suspects)), zap.Stringers("cleared", a.Cleared))
 		if g.config.Accuse(services[a.Service], a) {
 			g.RecordEnd(a)
 		}
