Test that parts that turn stop reaching targets, known red

What callers could see: one target after the other ends under requests with one part, and the sound requests beside them are cut off or refused.

Requests with the part complete until a moment before it crashes targets, in simulated fleets of 8, 295 and 830 daemons with a request each 50 ms to 2 s, beside other prompts, and through eight daemons and 16 emulated engines.

--- a/core/process/suspects/fleet_test.go
+++ b/core/process/suspects/fleet_test.go
@@ -29,11 +29,20 @@
 	cut                    int
 	// soundEvery is the time between two sound requests that complete.
 	soundEvery time.Duration
+	// groups is the number of parts of which each request has one: 4 if zero.
+	groups int
 	// madeUp is the number of made-up parts of each request that is cut off.
 	madeUp int
 	// together is a further part of each crashing request.
 	together string
-	customer func(n int) names.Customer
+	// parts are the crashing parts, of which each crashing request has one: "bad" if empty.
+	parts []string
+	// turned lets requests with the parts complete for turnedFor before they crash targets.
+	turned bool
+	// answerTime is how long a sound request lasts. It is recorded as sound at its end, or
+	// before that once its answer has been coming for AccusedFor.
+	answerTime time.Duration
+	customer   func(n int) names.Customer
 }
 
 // simulation is a fleet of daemons that gossip over a simulated network.
@@ -44,6 +53,8 @@
 	exchanges map[*fakenet.Node]*Exchange
 	random    *rand.Rand
 	requests  int
+	// running holds the sound requests in flight at targets.
+	running []soundRequest
 	// ends holds the crashing requests in flight at targets.
 	ends        []crashingSend
 	accusations []accusationInFlight
@@ -53,7 +64,6 @@
 	sound, soundRefused int
 	// refusedAt is when a sound request was last refused.
 	refusedAt time.Time
-	groups    int
 }
 
 type crashingSend struct {
@@ -63,6 +73,20 @@
 	resent bool
 }
 
+// soundRequest is a request that is recorded as sound at some time.
+type soundRequest struct {
+	sent, recorded time.Time
+	node           *fakenet.Node
+	r              *Request
+}
+
+const (
+	// turnedFor is how long requests with a part complete before it crashes targets.
+	turnedFor = 3 * time.Second
+	// firstEventTime is the time from a send to the first event.
+	firstEventTime = 300 * time.Millisecond
+)
+
 const simulationStep = 10 * time.Millisecond
 
 func newSimulation(t *testing.T, l load) *simulation {
@@ -70,10 +94,13 @@
 	if l.customer == nil {
 		l.customer = func(int) names.Customer { return "c" }
 	}
+	if l.groups == 0 {
+		l.groups = 4
+	}
 	config := membership.DefaultConfig()
 	config.Regions = map[names.DataCentre]names.Region{"dc0": "r0", "dc1": "r0", "dc2": "r1"}
 	s := &simulation{
-		load: l, t: t, exchanges: make(map[*fakenet.Node]*Exchange), random: rand.New(rand.NewPCG(uint64(l.daemons), 5)), groups: 4,
+		load: l, t: t, exchanges: make(map[*fakenet.Node]*Exchange), random: rand.New(rand.NewPCG(uint64(l.daemons), 5)),
 		net: fakenet.New(fakenet.Options{Seed: 9, Config: config, Delay: func(*fakenet.Node, *fakenet.Node) time.Duration { return 15 * time.Millisecond }}),
 	}
 	s.net.RecordActions = true
@@ -88,12 +115,33 @@
 	}); !ok {
 		t.Fatal("the fleet did not form")
 	}
+	if len(s.parts) == 0 {
+		s.parts = []string{"bad"}
+	}
 	for range 100 {
 		s.complete()
 	}
+	if s.turned {
+		crashing := s.crashingEvery
+		s.crashingEvery = 0
+		for until := s.net.Now.Add(turnedFor); s.net.Now.Before(until); {
+			s.sendSound(s.node(), s.request(s.crashingParts()...))
+			s.run(max(crashing, simulationStep))
+		}
+		s.crashingEvery = crashing
+	}
 	return s
 }
 
+// crashingParts returns the parts of a crashing request that sound ones do not have.
+func (s *simulation) crashingParts() []string {
+	parts := []string{s.parts[s.requests%len(s.parts)]}
+	if s.together != "" {
+		parts = append(parts, s.together)
+	}
+	return parts
+}
+
 func (s *simulation) exchange(node *fakenet.Node) *Exchange {
 	x, ok := s.exchanges[node]
 	if !ok {
@@ -121,14 +169,33 @@
 
 // complete sends a sound request, which completes unless it is refused.
 func (s *simulation) complete() {
-	node, r := s.node(), s.request()
+	node := s.node()
+	s.sendSound(node, s.request())
+}
+
+func (s *simulation) sendSound(node *fakenet.Node, r *Request) {
 	s.sound++
 	if _, ok := s.exchange(node).Check(r, s.net.Now); ok {
 		s.soundRefused++
 		s.refusedAt = s.net.Now
 		return
 	}
-	s.publish(node, s.exchange(node).Completed(r, s.net.Now))
+	known := min(s.answerTime, firstEventTime+AccusedFor)
+	s.running = append(s.running, soundRequest{sent: s.net.Now, recorded: s.net.Now.Add(known), node: node, r: r})
+	s.recordSound()
+}
+
+// recordSound records the requests in flight that are known to be sound by now.
+func (s *simulation) recordSound() {
+	running := s.running
+	s.running = nil
+	for _, q := range running {
+		if s.net.Now.Before(q.recorded) {
+			s.running = append(s.running, q)
+			continue
+		}
+		s.publish(q.node, s.exchange(q.node).Completed(q.r, s.net.Now))
+	}
 }
 
 // send sends a crashing request to a target unless the daemon refuses it.
@@ -219,6 +286,7 @@
 	for until := s.net.Now.Add(d); s.net.Now.Before(until); {
 		s.net.Run(simulationStep)
 		s.deliver()
+		s.recordSound()
 		due := s.ends
 		s.ends = nil
 		for _, c := range due {
@@ -229,11 +297,7 @@
 			s.end(c)
 		}
 		for ; s.crashingEvery > 0 && !s.net.Now.Before(nextCrash); nextCrash = nextCrash.Add(s.crashingEvery) {
-			parts := []string{"bad"}
-			if s.together != "" {
-				parts = append(parts, s.together)
-			}
-			s.send(s.node(), s.request(parts...), false)
+			s.send(s.node(), s.request(s.crashingParts()...), false)
 		}
 		for ; s.soundEvery > 0 && !s.net.Now.Before(nextSound); nextSound = nextSound.Add(s.soundEvery) {
 			s.complete()
@@ -303,6 +367,50 @@
 	}
 }
 
+// Requests with the part complete until a moment before it crashes targets. Guards against
+// completed requests that clear the part for longer than they prove anything about it.
+func TestFleetStopsSendingPartThatTurns(t *testing.T) {
+	for _, n := range sizes {
+		for _, every := range []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 900 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprint(n, " daemons, a request each ", every), func(t *testing.T) {
+				s := newSimulation(t, load{daemons: n, crashingEvery: every, runTime: 100 * time.Millisecond, cut: 14, soundEvery: 20 * time.Millisecond, turned: true, answerTime: 2 * time.Second})
+				before, began := s.sentBytes(), s.net.Now
+				s.run(20 * time.Second)
+				s.check()
+				if rate := float64(s.sentBytes()-before) / s.net.Now.Sub(began).Seconds(); rate > maxControlPerSec {
+					t.Errorf("%.0f bytes a second, want %d at most", rate, maxControlPerSec)
+				}
+			})
+		}
+	}
+}
+
+// The same with other prompts, in a fleet of today's size.
+func TestFleetStopsSendingPartThatTurnsBesideOthers(t *testing.T) {
+	base := load{daemons: 9, crashingEvery: 100 * time.Millisecond, runTime: 100 * time.Millisecond, cut: 14, soundEvery: 20 * time.Millisecond, turned: true, answerTime: 2 * time.Second}
+	cases := map[string]func(*load){
+		"two parts, either in a request": func(l *load) { l.parts = []string{"bad", "worse"} },
+		"two parts together":             func(l *load) { l.together = "always" },
+		"in most prompts":                func(l *load) { l.soundEvery = 200 * time.Millisecond },
+		"many customers": func(l *load) {
+			l.customer = func(n int) names.Customer { return names.Customer(fmt.Sprint("c-", n%50)) }
+		},
+		"flood of made-up parts": func(l *load) { l.madeUp = MaxParts },
+		"short answers":          func(l *load) { l.answerTime = 200 * time.Millisecond },
+		"few requests cut off":   func(l *load) { l.cut = 2 },
+		"60 groups":              func(l *load) { l.groups = 60 },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := base
+			change(&l)
+			s := newSimulation(t, l)
+			s.run(20 * time.Second)
+			s.check()
+		})
+	}
+}
+
 // The same with other loads, in a fleet of today's size.
 func TestFleetStopsSendingCrashingPartOfOtherLoads(t *testing.T) {
 	base := load{daemons: 9, crashingEvery: 100 * time.Millisecond, runTime: 100 * time.Millisecond, cut: 14, soundEvery: 70 * time.Millisecond}
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -69,3 +69,15 @@
 	}
 	runSeed(t, program, 5, func(c *Config) { c.PlannedOnly, c.Parts = true, true })
 }
+
+// TestSeedWithPartThatTurns has requests with the part complete before it crashes targets.
+func TestSeedWithPartThatTurns(t *testing.T) {
+	program, err := Build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	runSeed(t, program, 32, func(c *Config) {
+		c.PlannedOnly, c.Parts, c.Turning = true, true, true
+		c.Daemons, c.Engines, c.Callers, c.CrashingInterval = 8, 16, 24, 100*time.Millisecond
+	})
+}
