Announce refusals again when a daemon starts

What callers could see: a daemon that has started sends requests with a refused part to targets, which end.

Cause: a refusal is announced every 2 s by one wave of gossip, and a wave that runs while a daemon joins may miss it. In a fleet of 295, 3 of 20 daemons knew no refusal 3 s after their start; they are bound by it from then on.

Each daemon that hears of a start, a return or a departure now makes the refusals in force due at once.

--- a/core/process/suspects/exchange.go
+++ b/core/process/suspects/exchange.go
@@ -42,6 +42,8 @@
 	made        map[byte]int
 	windowStart time.Time
 	lastExpiry  time.Time
+	// peerChanged is when a daemon was last known to have started, returned or left.
+	peerChanged time.Time
 }
 
 // subject is what an announcement is about.
@@ -199,6 +201,21 @@
 	return list
 }
 
+// PeerChanged records that a daemon has started, returned or left. The refusals in force are
+// due to be announced, since a wave of gossip may have missed it.
+func (x *Exchange) PeerChanged(now time.Time) {
+	if now.Sub(x.peerChanged) < firstRepeat {
+		return
+	}
+	x.peerChanged = now
+	for about, a := range x.announcements {
+		if about.kind == refusalKind || about.kind == generalRefusalKind {
+			a.at = time.Time{}
+			x.announcements[about] = a
+		}
+	}
+}
+
 // Refusals returns the refusals in force, ordered by item.
 func (x *Exchange) Refusals(now time.Time) []Refusal { return x.table.Refusals(now) }
 
--- a/core/process/suspects/fleet_test.go
+++ b/core/process/suspects/fleet_test.go
@@ -265,6 +265,9 @@
 	}
 	for _, node := range s.net.Nodes {
 		arrived := node.Delivered
+		if len(node.Changes) > 0 {
+			s.exchange(node).PeerChanged(s.net.Now)
+		}
 		node.Delivered, node.Changes = nil, nil
 		for _, d := range arrived {
 			if d.Digest.Kind != gossip.Crash {
--- a/serving/process/edge/peers.go
+++ b/serving/process/edge/peers.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// memberChanged drops the dispatches of dead incarnations of a member.
+// memberChanged drops the dispatches of dead incarnations of a member, and has the refusals
+// in force announced to one that has started.
 func (d *Daemon) memberChanged(m core.Member) {
 	switch m.State {
 	case core.Dead, core.Left:
@@ -95,6 +96,7 @@
 	default:
 		d.board.RemoveIncarnations(m.Host, m.Incarnation)
 	}
+	d.suspects.PeerChanged()
 }
 
 // peerCount returns the number of live peers.
--- a/serving/process/suspects/suspects.go
+++ b/serving/process/suspects/suspects.go
@@ -126,6 +126,13 @@
 	g.step(func(now time.Time) []core.Message { return g.exchange.Accused(a, now) })
 }
 
+// PeerChanged records that a peer has started, returned or left.
+func (g *Guard) PeerChanged() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.exchange.PeerChanged(time.Now())
+}
+
 // Receive handles an announcement of another daemon. It returns an error if the
 // announcement cannot be read.
 func (g *Guard) Receive(m *core.Message) error {
