--- a/core/process/suspects/doc.go
+++ b/core/process/suspects/doc.go
@@ -7,11 +7,15 @@
 // set of ends for each item, so that their order and repetition do not matter. An end is
 // that of an incarnation: it counts once, however many requests and daemons it hits.
 //
-// An item is refused from its third end on if no request with it has completed in
-// between and it is in a third of the ends of its services since its first. Ends that a
-// refused item with more ends is in do not count. Items that are in the same ends are refused
-// together. A completed request clears all its items for ClearedFor. So a part that nearly all requests of a
-// route share is never refused while any of them completes, and the simultaneous end of
+// A request that a target completed, or has been answering for AccusedFor, is sound as of the
+// time at which it was sent: its items lose the ends from before that time. Later ones stay,
+// since an item may begin to crash targets at any time.
+//
+// An item is refused from its third end on, once sound requests with it would be known if
+// it did not crash targets, and if it is in a third of the ends of its services since its
+// first. Ends that a more suspicious refused item is in, or one in more ends, do not count.
+// Items that are in the same ends are refused together. So a part that nearly all requests of
+// a route share is not refused while its requests are sound, and the simultaneous end of
 // many targets by another cause refuses no part.
 //
 // Customers are kept apart: an item is refused only for customers that it was accused
@@ -20,9 +24,7 @@
 // # Load
 //
 // Per request: one lookup for each of at most MaxParts + 1 items, at arrival and at
-// completion. Per end and daemon: one accusation of at most MaxSuspects items. Items of
-// completed requests are seldom accused, so that the usual accusation holds the crashing
-// part and the digests of the requests that were cut off. In the recorded incident 14
+// its end. Per end and daemon: one accusation of at most MaxSuspects items. In the recorded incident 14
 // targets served 15 requests a second with nine daemons; an end cut off 4 to 20 requests
 // of all daemons, the first five ends came within 0.6 s, and 28 within 8.5 s.
 //
--- a/core/process/suspects/exchange.go
+++ b/core/process/suspects/exchange.go
@@ -15,10 +15,18 @@
 	// firstRepeat is the time after which an announcement is repeated for the first
 	// time. It doubles up to RepeatInterval: a single wave of gossip misses some daemons.
 	firstRepeat = 250 * time.Millisecond
-	// suspicionRepeat is the time after which a suspicion is announced anew.
-	suspicionRepeat = 5 * RepeatInterval
+	// clearanceRepeat is the time after which a clearance is repeated.
+	clearanceRepeat = 400 * time.Millisecond
+	// suspicionRepeat is the time after which a suspicion is announced anew, and
+	// suspicionRepeatLately the same while the last end is not suspectedLately ago.
+	suspicionRepeat       = 5 * RepeatInterval
+	suspicionRepeatLately = 900 * time.Millisecond
+	suspectedLately       = 3 * time.Second
 	// TickInterval is the time between two calls of Tick.
 	TickInterval = 50 * time.Millisecond
+	// gossipTime is how long an announcement may take. A sound request that is announced
+	// counts as sent earlier by that.
+	gossipTime = 200 * time.Millisecond
 	// MaxAnnouncements is the maximum number of announcements of each kind that a daemon
 	// makes in RepeatInterval.
 	MaxAnnouncements = 8
@@ -38,6 +46,10 @@
 	unsent map[End]Accusation
 	// announcements are the last ones, this daemon's or not.
 	announcements map[subject]announcement
+	// decided are the refusals that this daemon has announced by its own decision, and
+	// withdrawn those of them that it has withdrawn since, with the time.
+	decided   map[subject]bool
+	withdrawn map[subject]time.Time
 	// made counts the announcements of this daemon by kind since windowStart.
 	made        map[byte]int
 	windowStart time.Time
@@ -55,12 +67,15 @@
 type announcement struct {
 	sequence uint64
 	at       time.Time
+	// until is when an announced refusal expires.
+	until time.Time
 }
 
 // NewExchange returns an Exchange with an empty table.
 func NewExchange() *Exchange {
 	return &Exchange{
-		table: New(), unsent: make(map[End]Accusation), announcements: make(map[subject]announcement), made: make(map[byte]int),
+		table: New(), unsent: make(map[End]Accusation), announcements: make(map[subject]announcement),
+		decided: make(map[subject]bool), withdrawn: make(map[subject]time.Time), made: make(map[byte]int),
 	}
 }
 
@@ -86,16 +101,14 @@
 	return list
 }
 
-// Completed records that a request of this daemon completed, and returns the messages to
-// send.
-func (x *Exchange) Completed(r *Request, now time.Time) []Message {
-	return x.clearAll(x.table.Completed(r, now), now)
+// Sound records a request of this daemon that was sent at sentAt and that a target completed
+// or has been answering for AccusedFor, and returns the messages to send.
+func (x *Exchange) Sound(r *Request, sentAt, now time.Time) []Message {
+	return x.clearAll(x.table.Sound(r, sentAt, now), now)
 }
 
-// Accused handles an accusation as a collector, and returns the messages to send.
-func (x *Exchange) Accused(a *Accusation, now time.Time) []Message {
-	return x.clearAll(x.table.Merge(a, now), now)
-}
+// Accused handles an accusation as a collector.
+func (x *Exchange) Accused(a *Accusation, now time.Time) { x.table.Merge(a, now) }
 
 // Receive handles a message of another daemon, and returns the messages to send. It
 // returns an error if the message cannot be read. Messages of earlier releases are
@@ -106,17 +119,24 @@
 		return nil, err
 	}
 	about := subject{kind: d.kind, item: d.Item}
-	x.announcements[about] = announcement{sequence: max(m.Sequence, x.announcements[about].sequence), at: now}
-	known := true
+	x.announcements[about] = announcement{sequence: max(m.Sequence, x.announcements[about].sequence), at: now, until: now.Add(d.Remaining)}
+	contested := false
 	switch d.kind {
 	case clearanceKind:
-		x.table.Clear(d.Item, d.ago, now)
+		x.table.HearSound(d.Item, d.ago+gossipTime, now)
 	case suspicionKind:
-		known = x.table.MergeSuspicion(&d.Refusal, now)
+		contested = x.table.MergeSuspicion(&d.Refusal, now)
 	default:
-		known = x.table.MergeRefusal(&d.Refusal, now)
+		if d.Remaining == 0 {
+			x.table.Withdraw(d.Item, d.kind == despiteSoundKind)
+			break
+		}
+		if !lastEndOf(now.Add(d.Remaining), now).After(x.withdrawn[about]) {
+			return x.announce(nil, &notice{kind: d.kind, Refusal: Refusal{Item: d.Item}}, now), nil // it has missed the withdrawal
+		}
+		contested = x.table.MergeRefusal(&d.Refusal, d.kind == despiteSoundKind, now)
 	}
-	if known {
+	if !contested {
 		return nil, nil
 	}
 	return x.clearAll([]Item{d.Item}, now), nil
@@ -126,7 +146,7 @@
 func (x *Exchange) clearAll(items []Item, now time.Time) []Message {
 	var list []Message
 	for _, item := range items {
-		if ago, cleared := x.table.ClearedAgo(item, now); cleared {
+		if ago, sound := x.table.OwnSoundAgo(item, now); sound {
 			list = x.announce(list, &notice{kind: clearanceKind, Refusal: Refusal{Item: item}, ago: ago}, now)
 		}
 	}
@@ -134,7 +154,8 @@
 }
 
 // announce appends the message of a notice to a list, unless it was announced within
-// RepeatInterval or too many others were.
+// RepeatInterval or too many others were. A refusal that has become longer, or is withdrawn,
+// is announced at once.
 func (x *Exchange) announce(list []Message, d *notice, now time.Time) []Message {
 	if now.Sub(x.windowStart) >= RepeatInterval {
 		x.windowStart = now
@@ -142,23 +163,42 @@
 	}
 	about := subject{kind: d.kind, item: d.Item}
 	last, announced := x.announcements[about]
-	if x.made[d.kind] >= MaxAnnouncements || announced && now.Sub(last.at) < repeatAfter(d.kind, last.sequence) {
+	until := now.Add(d.Remaining)
+	changed := d.isRefusal() && (d.Remaining == 0 || until.Sub(last.until) > RepeatInterval)
+	if x.made[d.kind] >= MaxAnnouncements || announced && !changed && now.Sub(last.at) < repeatAfter(d, last.sequence) {
 		return list
 	}
 	x.made[d.kind]++
-	next := announcement{sequence: last.sequence + 1, at: now}
+	next := announcement{sequence: last.sequence + d.sequenceStep(), at: now, until: until}
 	x.announcements[about] = next
 	return append(list, encode(d, next.sequence))
 }
 
-// repeatAfter returns the time after which the announcement with a sequence is repeated.
-// A suspicion is repeated once before the item is refused, since the daemons that know a
-// completed request with it have to answer, and then seldom: it saves retries only.
-func repeatAfter(kind byte, sequence uint64) time.Duration {
+// sequenceStep returns by how much the sequence of an announcement exceeds the last one. Of
+// several clearances at a time the one of the latest sound request has the highest sequence.
+func (d *notice) sequenceStep() uint64 {
+	if d.kind != clearanceKind {
+		return 1
+	}
+	return 1 + uint64(max(SoundFor-d.ago, 0)/sequenceInterval)
+}
+
+// sequenceInterval is the time between the sends of two sound requests from which their
+// clearances have different sequences.
+const sequenceInterval = 50 * time.Millisecond
+
+// repeatAfter returns the time after which an announcement with a sequence is repeated. A
+// suspicion is repeated while targets end, since the daemons that have sent sound requests
+// meanwhile have to answer, and then seldom: it saves retries only.
+func repeatAfter(d *notice, sequence uint64) time.Duration {
 	switch {
-	case kind == suspicionKind && sequence%2 == 1:
+	case d.kind == clearanceKind:
+		return clearanceRepeat // later requests are sound, too
+	case d.kind == suspicionKind && sequence == 1:
 		return SettleTime / 3
-	case kind == suspicionKind:
+	case d.kind == suspicionKind && EndsKeptFor-d.Remaining < suspectedLately:
+		return suspicionRepeatLately
+	case d.kind == suspicionKind:
 		return suspicionRepeat
 	}
 	interval := firstRepeat
@@ -175,17 +215,28 @@
 		x.lastExpiry = now
 		x.table.Expire(now)
 		maps.DeleteFunc(x.announcements, func(_ subject, a announcement) bool { return now.Sub(a.at) > EndsKeptFor })
+		maps.DeleteFunc(x.withdrawn, func(_ subject, at time.Time) bool { return now.Sub(at) > EndsKeptFor })
 	}
+	list := x.withdraw(now)
 	if x.table.Size() == 0 {
-		return nil
+		return list
 	}
 	var due []notice
 	for _, r := range x.table.Refusals(now) {
-		kind := refusalKind
+		kinds := []byte{refusalKind}
 		if len(r.Customers) > 1 {
-			kind = generalRefusalKind
+			kinds[0] = generalRefusalKind
+		}
+		if x.table.IsRefusedDespiteSound(r.Item) {
+			kinds = append(kinds, despiteSoundKind)
+		}
+		for _, kind := range kinds {
+			due = append(due, notice{kind: kind, Refusal: r})
+			if about := (subject{kind: kind, item: r.Item}); x.table.Decides(r.Item, now) {
+				x.decided[about] = true
+				delete(x.withdrawn, about)
+			}
 		}
-		due = append(due, notice{kind: kind, Refusal: r})
 	}
 	for _, r := range x.table.Suspicions(now) {
 		if !slices.ContainsFunc(due, func(d notice) bool { return d.Item == r.Item }) {
@@ -193,14 +244,31 @@
 		}
 	}
 	at := func(d *notice) time.Time { return x.announcements[subject{kind: d.kind, item: d.Item}].at }
-	slices.SortStableFunc(due, func(a, b notice) int { return cmp.Or(at(&a).Compare(at(&b)), cmp.Compare(a.Item, b.Item)) })
-	var list []Message
+	slices.SortStableFunc(due, func(a, b notice) int { return at(&a).Compare(at(&b)) })
 	for i := range due {
 		list = x.announce(list, &due[i], now)
 	}
 	return list
 }
 
+// withdraw returns the withdrawals of this daemon's refusals that its ends no longer show.
+func (x *Exchange) withdraw(now time.Time) []Message {
+	var list []Message
+	for _, about := range slices.SortedFunc(maps.Keys(x.decided), func(a, b subject) int { return cmp.Compare(a.item, b.item) }) {
+		if x.table.Decides(about.item, now) {
+			continue
+		}
+		delete(x.decided, about)
+		x.withdrawn[about] = now
+		if !now.Before(x.announcements[about].until) {
+			continue
+		}
+		x.table.Withdraw(about.item, about.kind == despiteSoundKind)
+		list = x.announce(list, &notice{kind: about.kind, Refusal: Refusal{Item: about.item}}, now)
+	}
+	return list
+}
+
 // PeerChanged records that a daemon has started, returned or left. The refusals in force are
 // due to be announced, since a wave of gossip may have missed it.
 func (x *Exchange) PeerChanged(now time.Time) {
@@ -209,7 +277,7 @@
 	}
 	x.peerChanged = now
 	for about, a := range x.announcements {
-		if about.kind == refusalKind || about.kind == generalRefusalKind {
+		if (&notice{kind: about.kind}).isRefusal() {
 			a.at = time.Time{}
 			x.announcements[about] = a
 		}
--- a/core/process/suspects/fleet_test.go
+++ b/core/process/suspects/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -194,7 +195,7 @@
 			s.running = append(s.running, q)
 			continue
 		}
-		s.publish(q.node, s.exchange(q.node).Completed(q.r, s.net.Now))
+		s.publish(q.node, s.exchange(q.node).Sound(q.r, q.sent, s.net.Now))
 	}
 }
 
@@ -230,7 +231,7 @@
 	for _, a := range x.Flush() {
 		for _, collector := range s.net.Nodes[:collectors] {
 			if collector == node {
-				s.publish(node, x.Accused(&a, s.net.Now))
+				x.Accused(&a, s.net.Now)
 			} else if s.net.Blocked == nil || !s.net.Blocked(node, collector) {
 				s.accusations = append(s.accusations, accusationInFlight{at: s.net.Now.Add(accusationDelay), to: collector, accusation: a})
 			}
@@ -261,7 +262,7 @@
 			s.accusations = append(s.accusations, a)
 			continue
 		}
-		s.publish(a.to, s.exchange(a.to).Accused(&a.accusation, s.net.Now))
+		s.exchange(a.to).Accused(&a.accusation, s.net.Now)
 	}
 	for _, node := range s.net.Nodes {
 		arrived := node.Delivered
@@ -375,6 +376,9 @@
 func TestFleetStopsSendingPartThatTurns(t *testing.T) {
 	for _, n := range sizes {
 		for _, every := range []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 900 * time.Millisecond, 2 * time.Second} {
+			if n == slices.Max(sizes) && every != 50*time.Millisecond {
+				continue // the smaller fleets show the rest
+			}
 			t.Run(fmt.Sprint(n, " daemons, a request each ", every), func(t *testing.T) {
 				s := newSimulation(t, load{daemons: n, crashingEvery: every, runTime: 100 * time.Millisecond, cut: 14, soundEvery: 20 * time.Millisecond, turned: true, answerTime: 2 * time.Second})
 				before, began := s.sentBytes(), s.net.Now
--- a/core/process/suspects/item.go
+++ b/core/process/suspects/item.go
@@ -65,6 +65,8 @@
 // Request holds the items of a request.
 type Request struct {
 	Customer CustomerHash
+	// Service is the service that runs the request.
+	Service ServiceHash
 	// Items are the parts of the prompt, and last the whole request.
 	Items []Item
 }
--- a/core/process/suspects/message.go
+++ b/core/process/suspects/message.go
@@ -22,6 +22,9 @@
 	refusalKind        byte = 'r'
 	generalRefusalKind byte = 'g'
 	clearanceKind      byte = 'c'
+	// despiteSoundKind is that of a refusal, in addition to one of the others, whose daemon
+	// knows that requests with the item were sound of late. Earlier releases do not know it.
+	despiteSoundKind byte = 'd'
 )
 
 // Lengths in bytes. All numbers are big endian.
@@ -36,8 +39,12 @@
 	MaxPayloadBytes = timeBytes + MaxCustomers*customerBytes
 )
 
+// earlierAnswerTime is the time that an answer may have taken whose end an earlier release
+// announces. This one announces when the request was sent.
+const earlierAnswerTime = 3 * time.Second
+
 // notice is a decoded announcement. ago is set in a clearance alone: how long ago a
-// request with the item completed. The remaining time and the customers are set in the
+// sound request with the item was sent. The remaining time and the customers are set in the
 // others.
 type notice struct {
 	Refusal
@@ -45,12 +52,21 @@
 	ago  time.Duration
 }
 
+// isRefusal reports whether the notice is about a refusal. One that has no time remaining
+// withdraws it.
+func (d *notice) isRefusal() bool {
+	return d.kind == refusalKind || d.kind == generalRefusalKind || d.kind == despiteSoundKind
+}
+
 func encode(d *notice, sequence uint64) Message {
 	t := d.Remaining
 	if d.kind == clearanceKind {
 		t = d.ago
 	}
 	payload := binary.BigEndian.AppendUint32(nil, uint32(t.Milliseconds()))
+	if d.kind == clearanceKind {
+		payload = binary.BigEndian.AppendUint32(payload, uint32(t.Milliseconds())) // earlier releases read the first
+	}
 	for _, c := range d.Customers {
 		payload = binary.BigEndian.AppendUint32(payload, uint32(c))
 	}
@@ -69,8 +85,12 @@
 	t := time.Duration(binary.BigEndian.Uint32(m.Payload)) * time.Millisecond
 	switch d.kind {
 	case clearanceKind:
-		d.ago = t
-	case suspicionKind, refusalKind, generalRefusalKind:
+		d.ago = t + earlierAnswerTime
+		if len(m.Payload) > timeBytes {
+			d.ago = time.Duration(binary.BigEndian.Uint32(m.Payload[timeBytes:])) * time.Millisecond
+		}
+		return d, nil
+	case suspicionKind, refusalKind, generalRefusalKind, despiteSoundKind:
 		d.Remaining = t
 	default:
 		return nil, errors.Errorf("suspects: a message of kind %q", d.kind)
--- a/core/process/suspects/message_test.go
+++ b/core/process/suspects/message_test.go
@@ -12,7 +12,7 @@
 		{kind: suspicionKind, Refusal: Refusal{Item: 1 << 63, Remaining: time.Minute, Customers: []CustomerHash{1, 1 << 31}}},
 		{kind: refusalKind, Refusal: Refusal{Item: 2, Remaining: RefusedFor, Customers: []CustomerHash{3}}},
 		{kind: generalRefusalKind, Refusal: Refusal{Item: 2, Remaining: RefusedFor, Customers: []CustomerHash{1, 2, 3, 4}}},
-		{kind: clearanceKind, Refusal: Refusal{Item: 3}, ago: ClearedFor - time.Millisecond},
+		{kind: clearanceKind, Refusal: Refusal{Item: 3}, ago: SoundFor - time.Millisecond},
 	} {
 		m := encode(&want, 7)
 		got, err := decode(&m)
@@ -20,6 +20,10 @@
 			t.Errorf("%+v, want %+v, error %v", got, want, err)
 		}
 	}
+	earlier := &Message{Key: "c12345678", Payload: []byte{0, 0, 1, 0}}
+	if got, err := decode(earlier); err != nil || got.ago != 256*time.Millisecond+earlierAnswerTime {
+		t.Errorf("a clearance of an earlier release: %+v, %v", got, err)
+	}
 	if got, err := decode(&Message{Key: "0123456789abcdef", Payload: make([]byte, 5)}); got != nil || err != nil {
 		t.Errorf("a message of an earlier release: %+v, %v", got, err)
 	}
@@ -31,7 +35,7 @@
 	f.Add("0123456789abcdef", []byte{1})
 	f.Fuzz(func(t *testing.T, key string, payload []byte) {
 		x := NewExchange()
-		x.Completed(request("c", 1, "first"), start)
+		x.Sound(request("c", 1, "first"), start, start)
 		list, err := x.Receive(&Message{Key: key, Payload: payload}, start)
 		if err != nil && len(list) > 0 || len(list) > 1 {
 			t.Fatalf("%d messages, error %v", len(list), err)
@@ -73,6 +77,6 @@
 	for b.Loop() {
 		r := NewRequest("c", "POST", "/x", nil, []string{"a", "b", "c"})
 		x.Check(&r, start)
-		x.Completed(&r, start)
+		x.Sound(&r, start, start)
 	}
 }
--- a/core/process/suspects/replay_test.go
+++ b/core/process/suspects/replay_test.go
@@ -42,8 +42,8 @@
 	}
 	now := start.Add(time.Duration(seconds * float64(time.Second)))
 	if r.ends == 0 {
-		r.table.Completed(r.request(), now.Add(-time.Second)) // one of each group
-		r.table.Completed(r.request(), now.Add(-time.Second))
+		sound(r.table, r.request(), now.Add(-time.Second)) // one of each group
+		sound(r.table, r.request(), now.Add(-time.Second))
 	}
 	r.ends++
 	_, first := r.table.Check(request("c", 0, "first", "group-0", "group-1"), now)
--- a/core/process/suspects/table.go
+++ b/core/process/suspects/table.go
@@ -14,23 +14,35 @@
 	// not sent again.
 	EndsToStopRetries = 2
 	// SettleTime is how long an item waits for its refusal after the last end that it
-	// needs. Other ends of the same moment are known then, and clearances of the daemons
-	// at which it completed.
+	// needs. Other ends of the same moment are known then, and what other daemons know of
+	// sound requests with it.
 	SettleTime = 300 * time.Millisecond
+	// SoundSettleTime is the same for an item with which requests were sound of late. A
+	// sound request that was sent after the last of these ends has had its first event and
+	// has lasted AccusedFor by then.
+	SoundSettleTime = 1800 * time.Millisecond
+	// LongSettleTime is how long such an item waits after the EndsToRefuseLong-th end at
+	// most, however seldom requests with it come.
+	LongSettleTime = 2200 * time.Millisecond
+	// overdueRequests is how many requests with such an item must have become sound in
+	// the meantime, by their usual rate, had the item not crashed targets.
+	overdueRequests = 6
+	// usualSoundTime is the time from a send until a request is known to be sound.
+	usualSoundTime = 1500 * time.Millisecond
 	// minShare is the least part of the ends of its services since its first end, as
 	// one in minShare, that an item must be in to be refused.
 	minShare = 3
 	// AccusedFor is how long after its first event a request is accused of the end of
-	// its target.
+	// its target. After that it is sound.
 	AccusedFor = time.Second
-	// ClearedFor is how long a completed request clears its items.
-	ClearedFor = 30 * time.Second
+	// SoundFor is how long a sound request makes its items slower to be refused.
+	SoundFor = 30 * time.Second
 	// EndsToRefuseLong is the number of ends from which an item is refused for long.
 	EndsToRefuseLong = 5
 	// RefusedFor is how long an item is refused after its last end.
 	RefusedFor = 10 * time.Minute
 	// RefusedShortlyFor is the same under fewer ends than EndsToRefuseLong: they may have
-	// other causes, and no completed request can clear a refused item.
+	// other causes, and no request with a refused item runs, so that none can be sound.
 	RefusedShortlyFor = 15 * time.Second
 	// EndsKeptFor is how long ends are kept.
 	EndsKeptFor = 10 * time.Minute
@@ -41,7 +53,7 @@
 	MaxItems = 4096
 	MaxEnds  = 512
 	// MaxSuspects is the maximum number of suspects of an accusation.
-	MaxSuspects = 16
+	MaxSuspects = 24
 	// MaxCustomers is the maximum number of customers that are kept for an item.
 	MaxCustomers = 4
 	// maxOwnSuspects is the maximum number of suspects of an end at one daemon. The
@@ -55,6 +67,13 @@
 type Suspect struct {
 	Item     Item
 	Customer CustomerHash
+	// SoundAgo is how long ago the accusing daemon sent its last sound request with the item,
+	// zero if it has sent none of late.
+	SoundAgo  time.Duration
+	Frequency Frequency
+	// SoundRate is how many sound requests with the item a second the accusing daemon had
+	// of late, zero if it had fewer than two.
+	SoundRate float64
 }
 
 // Accusation names the suspects of an end at one daemon.
@@ -62,9 +81,6 @@
 	End      End
 	Service  ServiceHash
 	Suspects []Suspect
-	// Cleared are the items that a completed request clears, at most MaxSuspects. They are
-	// for the log of this daemon.
-	Cleared []Item
 }
 
 // Refusal is a refused item, or one that is not sent again after it was cut off.
@@ -79,9 +95,9 @@
 
 // Table holds the ends of targets and the items accused of them.
 type Table struct {
-	ends      map[End]endRecord
-	items     map[Item]*itemRecord
-	completed *recent
+	ends  map[End]endRecord
+	items map[Item]*itemRecord
+	sound *recent
 	// version counts the changes of the ends and refusals of items.
 	version uint64
 }
@@ -91,8 +107,6 @@
 	at      time.Time
 	// own are the suspects of this daemon's requests.
 	own []ownSuspect
-	// cleared are the items of these requests that a completed request clears.
-	cleared []Item
 }
 
 // ownSuspect is a suspect with its position among the items of its request.
@@ -101,90 +115,88 @@
 	position int
 }
 
-type itemRecord struct {
-	ends      []End
-	services  []ServiceHash
-	customers []CustomerHash
-	// firstEnd and lastEnd are the times of the first and the last end, and countedAt
-	// that of the one that made their number EndsToRefuse.
-	firstEnd, lastEnd, countedAt time.Time
-	refusedUntil                 time.Time
-	// suspectUntil is until when another daemon says that the item is under
-	// EndsToStopRetries or more ends.
-	suspectUntil time.Time
-	// explained is the result of isExplained as of the version explainedAt of the table.
-	explained   bool
-	explainedAt uint64
-}
-
 // New returns an empty table.
 func New() *Table {
-	return &Table{ends: make(map[End]endRecord), items: make(map[Item]*itemRecord), completed: newRecent()}
+	return &Table{ends: make(map[End]endRecord), items: make(map[Item]*itemRecord), sound: newRecent()}
 }
 
-// Completed records that a request completed. It returns those of its items that were
-// accused; they are cleared at this daemon, and the other daemons have to be told.
-func (t *Table) Completed(r *Request, now time.Time) []Item {
-	var cleared []Item
+// Sound records a request that a target completed, or has been answering for AccusedFor, and
+// that was sent at sentAt: its items did not crash targets at that time. It returns those of
+// its items that are suspect; other daemons have to be told.
+func (t *Table) Sound(r *Request, sentAt, now time.Time) []Item {
+	t.sound.count(r, sentAt)
+	var suspect []Item
 	for _, item := range r.Items {
-		t.completed.add(item, now)
+		t.sound.add(item, sentAt, now)
 		if _, ok := t.items[item]; ok {
-			t.drop(item)
-			cleared = append(cleared, item)
+			t.dropEndsBefore(item)
+			suspect = append(suspect, item)
 		}
 	}
-	return cleared
+	return suspect
 }
 
-// Clear records that a request with an item completed some time ago at another daemon.
-func (t *Table) Clear(item Item, ago time.Duration, now time.Time) {
-	at := now.Add(-max(ago, 0))
-	if ago >= ClearedFor || !at.After(t.completed.last(item)) {
+// HearSound records that a sound request with an item was sent some time ago at another
+// daemon.
+func (t *Table) HearSound(item Item, ago time.Duration, now time.Time) {
+	if ago >= SoundFor {
 		return
 	}
-	t.completed.add(item, at)
-	t.drop(item)
+	t.sound.add(item, now.Add(-max(ago, 0)), now)
+	t.dropEndsBefore(item)
 }
 
-// drop removes the record of an item.
-func (t *Table) drop(item Item) {
-	delete(t.items, item)
-	t.version++
+// dropEndsBefore drops what is known against an item from before the last sound request
+// with it was sent.
+func (t *Table) dropEndsBefore(item Item) {
+	record, ok := t.items[item]
+	if !ok {
+		return
+	}
+	if record.dropBefore(t.sound.last(item)) {
+		t.version++
+	}
+	if record.isEmpty() {
+		delete(t.items, item)
+	}
 }
 
-// ClearedAgo returns how long ago a request with the item completed, and false if that
-// does not clear it any more.
-func (t *Table) ClearedAgo(item Item, now time.Time) (time.Duration, bool) {
-	at := t.completed.last(item)
-	return now.Sub(at), !at.IsZero() && now.Sub(at) < ClearedFor
+// SoundAgo returns how long ago the last sound request with the item was sent, and false if
+// that was SoundFor ago or more.
+func (t *Table) SoundAgo(item Item, now time.Time) (time.Duration, bool) {
+	at := t.sound.last(item)
+	return now.Sub(at), !at.IsZero() && now.Sub(at) < SoundFor
+}
+
+// OwnSoundAgo is SoundAgo of the requests of this daemon. Other daemons are told of these
+// alone: the time of a message would add to that of an earlier one.
+func (t *Table) OwnSoundAgo(item Item, now time.Time) (time.Duration, bool) {
+	at := t.sound.lastOwn(item)
+	return now.Sub(at), !at.IsZero() && now.Sub(at) < SoundFor
 }
 
 // Cut records that an end cut off a request of this daemon. It returns the accusation of
-// this end by this daemon: the items of this and of earlier calls, but not those that a
-// completed request clears. The accusation counts where it is merged, since a daemon alone
-// knows too few ends to tell the crashing part from those beside it.
+// this end by this daemon: the items of this and of earlier calls. The accusation counts
+// where it is merged, since a daemon alone knows too few ends to tell the crashing part from
+// those beside it.
 func (t *Table) Cut(e End, service ServiceHash, r *Request, now time.Time) Accusation {
 	record := t.end(e, service, now)
-	var suspects []Item
-	for _, item := range r.Items {
-		if _, cleared := t.ClearedAgo(item, now); !cleared {
-			suspects = append(suspects, item)
-		} else if len(record.cleared) < MaxSuspects && !slices.Contains(record.cleared, item) {
-			record.cleared = append(record.cleared, item)
-		}
-	}
+	suspects := slices.Clone(r.Items)
 	slices.SortFunc(suspects, func(a, b Item) int { return cmp.Compare(rank(a, e), rank(b, e)) })
 	for position, item := range suspects {
-		suspect := Suspect{Item: item, Customer: r.Customer}
-		if !slices.ContainsFunc(record.own, func(s ownSuspect) bool { return s.Suspect == suspect }) {
+		if !slices.ContainsFunc(record.own, func(s ownSuspect) bool { return s.Item == item && s.Customer == r.Customer }) {
+			suspect := Suspect{Item: item, Customer: r.Customer, Frequency: t.sound.frequency(item, r.Service), SoundRate: t.sound.rate(item)}
 			record.own = append(record.own, ownSuspect{Suspect: suspect, position: position})
 		}
 	}
 	t.sortSuspects(e, record.own)
 	record.own = record.own[:min(len(record.own), maxOwnSuspects)]
 	t.ends[e] = record
-	a := Accusation{End: e, Service: service, Cleared: record.cleared}
+	a := Accusation{End: e, Service: service}
 	for _, s := range record.own[:min(len(record.own), MaxSuspects)] {
+		if ago, ok := t.OwnSoundAgo(s.Item, now); ok {
+			s.SoundAgo = max(ago, 1)
+		}
 		a.Suspects = append(a.Suspects, s.Suspect)
 	}
 	return a
@@ -212,64 +224,27 @@
 	if !ok {
 		return 0
 	}
-	if slices.Contains(record.ends, e) {
+	if record.hasEnd(e) {
 		return len(record.ends) - 1
 	}
 	return len(record.ends)
 }
 
-// Merge adds an accusation of this or another daemon. It returns the items under
-// EndsToStopRetries or more ends that a completed request clears: the other daemons have
-// to be told.
-func (t *Table) Merge(a *Accusation, now time.Time) (contested []Item) {
+// Merge adds an accusation of this or another daemon.
+func (t *Table) Merge(a *Accusation, now time.Time) {
 	end := t.end(a.End, a.Service, now)
 	for _, s := range a.Suspects[:min(len(a.Suspects), MaxSuspects)] {
-		if !end.at.After(t.completed.last(s.Item)) {
-			contested = append(contested, s.Item)
+		if s.SoundAgo > 0 {
+			t.HearSound(s.Item, s.SoundAgo, now)
+		}
+		if !end.at.After(t.sound.last(s.Item)) {
 			continue
 		}
-		record := t.item(s.Item, now)
-		record.accuse(a, s.Customer, end.at, now)
+		t.item(s.Item, now).accuse(a, &s, end.at)
 		t.version++
-		if _, cleared := t.ClearedAgo(s.Item, now); cleared && len(record.ends) >= EndsToStopRetries {
-			contested = append(contested, s.Item)
-		}
-	}
-	return contested
-}
-
-// accuse adds an end to a record, unless it is known.
-func (r *itemRecord) accuse(a *Accusation, c CustomerHash, at, now time.Time) {
-	if !slices.Contains(r.customers, c) && len(r.customers) < MaxCustomers {
-		r.customers = append(r.customers, c)
-	}
-	if slices.Contains(r.ends, a.End) || len(r.ends) >= maxItemEnds {
-		return
-	}
-	r.ends = append(r.ends, a.End)
-	if !slices.Contains(r.services, a.Service) {
-		r.services = append(r.services, a.Service)
-	}
-	if r.firstEnd.IsZero() || at.Before(r.firstEnd) {
-		r.firstEnd = at
-	}
-	if len(r.ends) == EndsToRefuse {
-		r.countedAt = now
-	}
-	r.lastEnd = now
-	if !r.refusedUntil.IsZero() {
-		r.refusedUntil = now.Add(r.refusalTime())
 	}
 }
 
-// refusalTime returns how long the item is refused after its last end.
-func (r *itemRecord) refusalTime() time.Duration {
-	if len(r.ends) < EndsToRefuseLong {
-		return RefusedShortlyFor
-	}
-	return RefusedFor
-}
-
 // Check returns the refusal that applies to a request, and whether there is one. Of
 // several refusals it returns the one that expires last.
 func (t *Table) Check(r *Request, now time.Time) (Refusal, bool) {
@@ -289,23 +264,24 @@
 	return len(accusers) > 1 || slices.Contains(accusers, c)
 }
 
-// MayRetry reports whether a request that was cut off may be sent again.
+// MayRetry reports whether a request that was cut off may be sent again. A common item with
+// which requests were sound of late stops no retries: it is in most ends.
 func (t *Table) MayRetry(r *Request, now time.Time) bool {
 	return !slices.ContainsFunc(r.Items, func(item Item) bool {
+		if _, sound := t.SoundAgo(item, now); sound && t.sound.frequency(item, r.Service) == Common {
+			return false
+		}
 		suspect, ok := t.suspicion(item, now)
-		return ok && visible(suspect.Customers, r.Customer) || t.ownEnds(Suspect{Item: item, Customer: r.Customer}, now) >= EndsToStopRetries
+		return ok && visible(suspect.Customers, r.Customer) || t.ownEnds(item, r.Customer) >= EndsToStopRetries
 	})
 }
 
-// ownEnds returns the number of ends that cut off requests of this daemon with a suspect,
-// zero if a completed request clears its item.
-func (t *Table) ownEnds(s Suspect, now time.Time) int {
-	if _, cleared := t.ClearedAgo(s.Item, now); cleared {
-		return 0
-	}
-	count := 0
+// ownEnds returns the number of ends that cut off requests of this daemon with an item of a
+// customer, since the last sound request with the item was sent.
+func (t *Table) ownEnds(item Item, c CustomerHash) int {
+	count, sound := 0, t.sound.last(item)
 	for _, e := range t.ends {
-		if slices.ContainsFunc(e.own, func(own ownSuspect) bool { return own.Suspect == s }) {
+		if e.at.After(sound) && slices.ContainsFunc(e.own, func(own ownSuspect) bool { return own.Item == item && own.Customer == c }) {
 			count++
 		}
 	}
@@ -319,12 +295,9 @@
 	if !ok {
 		return Refusal{}, false
 	}
-	if _, cleared := t.ClearedAgo(item, now); cleared {
-		return Refusal{}, false
-	}
-	until := record.suspectUntil
-	if len(record.ends) >= EndsToStopRetries && record.lastEnd.Add(EndsKeptFor).After(until) {
-		until = record.lastEnd.Add(EndsKeptFor)
+	until := record.suspectUntil()
+	if len(record.ends) >= EndsToStopRetries && record.lastEnd().Add(EndsKeptFor).After(until) {
+		until = record.lastEnd().Add(EndsKeptFor)
 	}
 	return Refusal{Item: item, Remaining: until.Sub(now), Customers: slices.Clone(record.customers)}, now.Before(until)
 }
@@ -335,60 +308,133 @@
 	if !ok {
 		return Refusal{}, false
 	}
-	if _, cleared := t.ClearedAgo(item, now); cleared {
+	until := record.announcedUntil()
+	if own := t.decided(item, record, now); own.After(until) {
+		until = own
+	}
+	if !now.Before(until) || t.isExplained(item, record, now) {
 		return Refusal{}, false
 	}
-	if record.refusedUntil.IsZero() && t.proven(record, now) {
-		record.refusedUntil = now.Add(record.refusalTime())
+	return Refusal{Item: item, Remaining: until.Sub(now), Customers: slices.Clone(record.customers)}, true
+}
+
+// Decides reports whether this daemon refuses an item by the ends that it knows.
+func (t *Table) Decides(item Item, now time.Time) bool {
+	record, ok := t.items[item]
+	return ok && now.Before(t.decided(item, record, now)) && !t.isExplained(item, record, now)
+}
+
+// Withdraw drops the refusal of an item by another daemon. A daemon that does not know that
+// requests with the item were sound of late withdraws no refusal of one that does.
+func (t *Table) Withdraw(item Item, despiteSound bool) {
+	if record, ok := t.items[item]; ok && (despiteSound || !record.announcedDespite) {
+		record.withdraw()
 		t.version++
 	}
-	if !now.Before(record.refusedUntil) || t.isExplained(record, now) {
-		return Refusal{}, false
+}
+
+// decided returns until when this daemon refuses an item by the ends that it knows, zero if
+// it does not.
+func (t *Table) decided(item Item, r *itemRecord, now time.Time) time.Time {
+	if len(r.ends) < EndsToRefuse {
+		r.refused = false
+		return time.Time{}
+	}
+	_, sound := t.SoundAgo(item, now)
+	if r.refused && r.refusedUnseen && sound {
+		r.refused = false // another daemon knows of sound requests
+		t.version++
 	}
-	return Refusal{Item: item, Remaining: record.refusedUntil.Sub(now), Customers: slices.Clone(record.customers)}, true
+	if !r.refused {
+		if !t.isSettled(item, r, now) || !t.isInEnoughEnds(r) {
+			return time.Time{}
+		}
+		r.refused, r.refusedUnseen = true, !sound
+		t.version++
+	}
+	if len(r.ends) < EndsToRefuseLong {
+		return r.lastEnd().Add(RefusedShortlyFor)
+	}
+	return r.lastEnd().Add(RefusedFor)
 }
 
-// proven reports whether an item is under enough ends, and in enough of all ends.
-func (t *Table) proven(r *itemRecord, now time.Time) bool {
-	if len(r.ends) < EndsToRefuse || now.Sub(r.countedAt) < SettleTime {
-		return false
+// isSettled reports whether a sound request with an item would be known by now if the item
+// did not crash targets.
+func (t *Table) isSettled(item Item, r *itemRecord, now time.Time) bool {
+	sinceEnd := func(n int) time.Duration { return now.Sub(r.ends[n-1].at) }
+	soundAgo, sound := t.SoundAgo(item, now)
+	switch {
+	case !sound:
+		return sinceEnd(EndsToRefuse) >= SettleTime
+	case len(r.ends) >= EndsToRefuseLong && sinceEnd(EndsToRefuseLong) >= LongSettleTime:
+		return true
+	default:
+		return !r.isCommon() && sinceEnd(EndsToRefuse) >= SoundSettleTime && r.soundRate()*(soundAgo-usualSoundTime).Seconds() >= overdueRequests
 	}
+}
+
+// isInEnoughEnds reports whether an item is in enough of the ends of its services since its
+// first one.
+func (t *Table) isInEnoughEnds(r *itemRecord) bool {
 	all := 0
 	for _, end := range t.ends {
-		if !end.at.Before(r.firstEnd) && slices.Contains(r.services, end.service) {
+		if !end.at.Before(r.ends[0].at) && slices.Contains(r.services, end.service) {
 			all++
 		}
 	}
 	return len(r.ends)*minShare >= all
 }
 
-// isExplained reports whether too few ends of a record are left without those that another
-// refused item is in, which is in more ends.
-func (t *Table) isExplained(r *itemRecord, now time.Time) bool {
+// isExplained reports whether too few ends of a record are left without those of other
+// refused items that account for them.
+func (t *Table) isExplained(item Item, r *itemRecord, now time.Time) bool {
+	if len(r.ends) == 0 {
+		return false
+	}
 	if r.explainedAt == t.version {
 		return r.explained
 	}
-	r.explainedAt = t.version
 	left := slices.Clone(r.ends)
-	for item, other := range t.items {
-		if len(other.ends) <= len(r.ends) {
-			continue
-		}
-		inForce := now.Before(other.refusedUntil) || t.proven(other, now)
-		if _, cleared := t.ClearedAgo(item, now); cleared || !inForce {
+	for candidate, other := range t.items {
+		if other == r || !t.accountsFor(candidate, item, now) || !now.Before(t.decided(candidate, other, now)) {
 			continue
 		}
-		left = slices.DeleteFunc(left, func(e End) bool { return slices.Contains(other.ends, e) })
+		left = slices.DeleteFunc(left, func(e itemEnd) bool { return other.hasEnd(e.end) })
 	}
 	r.explained = len(left) < min(len(r.ends), EndsToRefuse)
+	r.explainedAt = t.version
 	return r.explained
 }
 
+// accountsFor reports whether the ends of an item, if it is refused, are no evidence against
+// another one: it is more suspicious, or it is as suspicious and in more ends.
+func (t *Table) accountsFor(item, other Item, now time.Time) bool {
+	byPrior := cmp.Compare(t.prior(item, now), t.prior(other, now))
+	return byPrior > 0 || byPrior == 0 && len(t.items[item].ends) > len(t.items[other].ends)
+}
+
+// prior returns how suspicious an item is whatever its ends, higher numbers more.
+func (t *Table) prior(item Item, now time.Time) int {
+	_, sound := t.SoundAgo(item, now)
+	switch {
+	case !sound:
+		return 2 // it may never have been sound
+	case !t.items[item].isCommon():
+		return 1
+	default:
+		return 0 // it is in most ends, whatever their cause
+	}
+}
+
 // Refusals returns the refusals in force, ordered by item.
 func (t *Table) Refusals(now time.Time) []Refusal { return t.list(t.refusal, now) }
 
-// Suspicions returns the items that are not sent again, ordered by item.
-func (t *Table) Suspicions(now time.Time) []Refusal { return t.list(t.suspicion, now) }
+// Suspicions returns the items that are not sent again, those under the most ends first.
+func (t *Table) Suspicions(now time.Time) []Refusal {
+	list := t.list(t.suspicion, now)
+	slices.SortStableFunc(list, func(a, b Refusal) int { return cmp.Compare(len(t.items[b.Item].ends), len(t.items[a.Item].ends)) })
+	return list
+}
 
 func (t *Table) list(of func(Item, time.Time) (Refusal, bool), now time.Time) []Refusal {
 	var list []Refusal
@@ -401,54 +447,67 @@
 	return list
 }
 
-// MergeRefusal adds a refusal of another daemon. It returns false if a completed request
-// clears the item: the other daemons have to be told.
-func (t *Table) MergeRefusal(r *Refusal, now time.Time) bool {
-	record, ok := t.announced(r, now)
-	if !ok {
-		return false
+// MergeRefusal adds a refusal of another daemon, which may know that requests with the item
+// were sound of late. A daemon that knows of one does not adopt the refusal of another that
+// does not. It returns true if the other daemons have to be told of it.
+func (t *Table) MergeRefusal(r *Refusal, despiteSound bool, now time.Time) (contested bool) {
+	if _, sound := t.SoundAgo(r.Item, now); sound && !despiteSound {
+		return true
 	}
-	if until := now.Add(min(r.Remaining, RefusedFor)); until.After(record.refusedUntil) {
-		record.refusedUntil = until
-		t.version++
-	}
-	return true
+	until := now.Add(min(r.Remaining, RefusedFor))
+	return t.announced(r, lastEndOf(until, now), now, func(record *itemRecord) { record.announceRefusal(until, lastEndOf(until, now), despiteSound) })
 }
 
-// MergeSuspicion adds a suspicion of another daemon. It returns false like MergeRefusal.
-func (t *Table) MergeSuspicion(r *Refusal, now time.Time) bool {
-	record, ok := t.announced(r, now)
-	if !ok {
-		return false
-	}
-	if until := now.Add(min(r.Remaining, EndsKeptFor)); until.After(record.suspectUntil) {
-		record.suspectUntil = until
+// IsRefusedDespiteSound reports whether the daemon that refuses an item knows that requests
+// with it were sound of late.
+func (t *Table) IsRefusedDespiteSound(item Item) bool {
+	record, ok := t.items[item]
+	return ok && (record.refused && !record.refusedUnseen || record.announcedDespite)
+}
+
+// MergeSuspicion adds a suspicion of another daemon. It returns true like MergeRefusal.
+func (t *Table) MergeSuspicion(r *Refusal, now time.Time) (contested bool) {
+	last := now.Add(min(r.Remaining, EndsKeptFor) - EndsKeptFor)
+	return t.announced(r, last, now, func(record *itemRecord) {
+		if last.After(record.suspectedEnd) {
+			record.suspectedEnd = last
+		}
+	})
+}
+
+// lastEndOf returns the time of the last end of an item that is refused until a time. It is
+// not before the true one.
+func lastEndOf(until, now time.Time) time.Time {
+	if until.Sub(now) <= RefusedShortlyFor {
+		return until.Add(-RefusedShortlyFor)
 	}
-	return true
+	return until.Add(-RefusedFor)
 }
 
-// announced returns the record of an item that another daemon announced, with the
-// customers added. It returns false if a completed request clears the item.
-func (t *Table) announced(r *Refusal, now time.Time) (*itemRecord, bool) {
-	if _, cleared := t.ClearedAgo(r.Item, now); cleared {
-		return nil, false
+// announced adds what another daemon announces of an item with its last end, unless a sound
+// request was sent since. It reports whether such a request, or one that was sent not long
+// before, is known.
+func (t *Table) announced(r *Refusal, last, now time.Time, add func(*itemRecord)) (contested bool) {
+	sound := t.sound.last(r.Item)
+	if !last.After(sound) {
+		return true
 	}
 	record := t.item(r.Item, now)
 	for _, c := range r.Customers {
-		if !slices.Contains(record.customers, c) && len(record.customers) < MaxCustomers {
-			record.customers = append(record.customers, c)
-		}
+		record.addCustomer(c)
 	}
-	return record, true
+	add(record)
+	t.version++
+	return now.Sub(sound) < SoundFor
 }
 
 // Expire drops what has expired.
 func (t *Table) Expire(now time.Time) {
 	maps.DeleteFunc(t.ends, func(_ End, e endRecord) bool { return now.Sub(e.at) > EndsKeptFor })
 	maps.DeleteFunc(t.items, func(_ Item, r *itemRecord) bool {
-		return now.Sub(r.lastEnd) > EndsKeptFor && !now.Before(r.refusedUntil)
+		return now.Sub(r.lastEnd()) > EndsKeptFor && !now.Before(r.announcedUntil()) && !now.Before(r.suspectUntil())
 	})
-	t.completed.expire(now)
+	t.sound.expire(now)
 }
 
 // Size returns the number of items that are accused or refused.
@@ -477,22 +536,34 @@
 		return record
 	}
 	if len(t.items) >= MaxItems {
-		t.evict()
+		t.evict(now)
 	}
-	record := &itemRecord{lastEnd: now}
+	record := &itemRecord{}
 	t.items[item] = record
 	return record
 }
 
 // evict drops a quarter of the items: those that are not refused first, and among these
 // those under the fewest ends and the oldest ones.
-func (t *Table) evict() {
-	items := slices.Collect(maps.Keys(t.items))
-	slices.SortFunc(items, func(a, b Item) int {
-		x, y := t.items[a], t.items[b]
-		return cmp.Or(x.refusedUntil.Compare(y.refusedUntil), cmp.Compare(len(x.ends), len(y.ends)), x.lastEnd.Compare(y.lastEnd), cmp.Compare(a, b))
+func (t *Table) evict(now time.Time) {
+	type entry struct {
+		item   Item
+		record *itemRecord
+		until  time.Time
+	}
+	list := make([]entry, 0, len(t.items))
+	for item, record := range t.items {
+		until := record.announcedUntil()
+		if own := t.decided(item, record, now); own.After(until) {
+			until = own
+		}
+		list = append(list, entry{item, record, until})
+	}
+	slices.SortFunc(list, func(a, b entry) int {
+		return cmp.Or(a.until.Compare(b.until), cmp.Compare(len(a.record.ends), len(b.record.ends)),
+			a.record.lastKnown().Compare(b.record.lastKnown()), cmp.Compare(a.item, b.item))
 	})
-	for _, item := range items[:len(items)/4] {
-		delete(t.items, item)
+	for _, e := range list[:len(list)/4] {
+		delete(t.items, e.item)
 	}
 }
--- a/core/process/suspects/table_test.go
+++ b/core/process/suspects/table_test.go
@@ -32,6 +32,9 @@
 	return a
 }
 
+// sound lets a request that is sent now be completed at once.
+func sound(t *Table, r *Request, now time.Time) []Item { return t.Sound(r, now, now) }
+
 // crash lets ends cut off requests that are all different but for the parts.
 func crash(t *Table, from, to int, now time.Time, customer names.Customer, parts ...string) {
 	for n := from; n < to; n++ {
@@ -48,7 +51,7 @@
 // part that crashes must be from the third end on.
 func TestSharedPartOfCrashingRequestsIsNotRefused(t *testing.T) {
 	table := New()
-	table.Completed(request("c", 1, "first", "group"), start)
+	sound(table, request("c", 1, "first", "group"), start)
 	crash(table, 0, EndsToRefuse-1, at(time.Second), "c", "first", "group", "bad")
 	if refused(table, at(2*time.Second), "c", "bad") {
 		t.Fatal("refused before the third end")
@@ -59,7 +62,7 @@
 		t.Fatal("refused for the wrong part")
 	}
 	r, _ := table.Check(request("c", 1, "bad"), now)
-	if r.Item != PartItem("bad") || r.Remaining != RefusedShortlyFor {
+	if r.Item != PartItem("bad") || r.Remaining != RefusedShortlyFor-SettleTime {
 		t.Fatalf("refusal %+v", r)
 	}
 }
@@ -81,18 +84,18 @@
 func TestCompletionClearsOwnPartsOnly(t *testing.T) {
 	table := New()
 	crash(table, 0, 5, start, "c", "a", "b")
-	if cleared := table.Completed(request("c", 1, "a"), at(time.Second)); !slices.Equal(cleared, []Item{PartItem("a")}) {
+	if cleared := sound(table, request("c", 1, "a"), at(time.Second)); !slices.Equal(cleared, []Item{PartItem("a")}) {
 		t.Fatalf("cleared %v", cleared)
 	}
 	if refused(table, at(time.Second), "c", "a") || !refused(table, at(time.Second), "c", "b") {
 		t.Fatal("the wrong part is cleared")
 	}
-	crash(table, 10, 15, at(ClearedFor), "c", "a")
-	if refused(table, at(ClearedFor+SettleTime), "c", "a") {
+	crash(table, 10, 15, at(SoundFor), "c", "a")
+	if refused(table, at(SoundFor+SettleTime), "c", "a") {
 		t.Fatal("a part that completed shortly before is refused")
 	}
-	crash(table, 20, 25, at(ClearedFor+time.Second), "c", "a")
-	if !refused(table, at(ClearedFor+2*time.Second), "c", "a") {
+	crash(table, 20, 25, at(SoundFor+time.Second), "c", "a")
+	if !refused(table, at(SoundFor+2*time.Second), "c", "a") {
 		t.Fatal("a part that completed long ago is never refused")
 	}
 }
@@ -165,7 +168,7 @@
 // at a tenth of them each. No part may be refused.
 func TestMassEndRefusesNoPart(t *testing.T) {
 	table, random := New(), rand.New(rand.NewPCG(1, 1))
-	table.Completed(request("c", 1, "first"), start)
+	sound(table, request("c", 1, "first"), start)
 	for n := range 50 {
 		for i := range 8 {
 			cut(table, end(n), request("c", n*100+i, "first", fmt.Sprint("group-", random.IntN(80))), at(time.Second))
@@ -205,11 +208,11 @@
 		t.Fatalf("refusals %+v", list)
 	}
 	list[0].Remaining = 100 * RefusedFor
-	if !started.MergeRefusal(&list[0], now) || !refused(started, now, "c", "bad") || refused(started, now, "d", "bad") || refused(started, now.Add(RefusedFor), "c", "bad") {
+	if started.MergeRefusal(&list[0], false, now) || !refused(started, now, "c", "bad") || refused(started, now, "d", "bad") || refused(started, now.Add(RefusedFor), "c", "bad") {
 		t.Fatal("the refusal was not adopted, for another customer, or for too long")
 	}
-	started.Clear(PartItem("bad"), 0, now.Add(time.Second))
-	if refused(started, now.Add(time.Second), "c", "bad") || started.MergeRefusal(&list[0], now.Add(2*time.Second)) {
+	started.HearSound(PartItem("bad"), 0, now.Add(time.Second))
+	if refused(started, now.Add(time.Second), "c", "bad") || !started.MergeRefusal(&list[0], false, now.Add(2*time.Second)) {
 		t.Fatal("a clearance has no effect")
 	}
 }
@@ -229,7 +232,7 @@
 	}
 	decide := func(list []Accusation) (items []Item) {
 		table := New()
-		table.Completed(request("c", 1, "first"), start.Add(-time.Second))
+		sound(table, request("c", 1, "first"), start.Add(-time.Second))
 		for i := range list {
 			table.Merge(&list[i], start)
 		}
@@ -267,7 +270,7 @@
 		now = now.Add(50 * time.Millisecond)
 		for range 6 {
 			cut(table, end(n), request("evil", id, parts()...), now)
-			table.Completed(request("evil", id, parts()...), now)
+			sound(table, request("evil", id, parts()...), now)
 		}
 		a := cut(table, end(n), request("c", n, "bad"), now)
 		if len(a.Suspects) > MaxSuspects {
@@ -289,10 +292,10 @@
 	}
 	for n := range 2 * MaxItems {
 		cut(table, end(n), request("c", n, fmt.Sprint("p", n)), at(time.Second))
-		table.Completed(request("c", -n, fmt.Sprint("q", n), fmt.Sprint("r", n), fmt.Sprint("s", n)), at(time.Second+time.Duration(n)))
+		sound(table, request("c", -n, fmt.Sprint("q", n), fmt.Sprint("r", n), fmt.Sprint("s", n)), at(time.Second+time.Duration(n)))
 	}
-	if table.Size() > MaxItems || len(table.ends) > MaxEnds || len(table.completed.newer) > maxRecent {
-		t.Fatalf("%d items, %d ends, %d completed", table.Size(), len(table.ends), len(table.completed.newer))
+	if table.Size() > MaxItems || len(table.ends) > MaxEnds || len(table.sound.newer.sent) > maxRecent {
+		t.Fatalf("%d items, %d ends, %d completed", table.Size(), len(table.ends), len(table.sound.newer.sent))
 	}
 	if !refused(table, at(2*time.Second), "c", "bad") {
 		t.Fatal("a refused part was evicted for others")
@@ -338,15 +341,126 @@
 	if !refused(table, now, "c", "part") || !refused(table, now.Add(RefusedFor-time.Second), "c", "part") {
 		t.Fatal("after the fifth end the refusal lasts for the wrong time")
 	}
-	sound := New()
-	crash(sound, 0, EndsToRefuse, start, "c", "part")
-	if !refused(sound, at(time.Second), "c", "part") {
+	other := New()
+	crash(other, 0, EndsToRefuse, start, "c", "part")
+	if !refused(other, at(time.Second), "c", "part") {
 		t.Fatal("not refused after three ends")
 	}
 	now = at(time.Second + RefusedShortlyFor)
-	sound.Completed(request("c", 9, "part"), now)
-	crash(sound, 20, 22, now.Add(ClearedFor), "c", "part")
-	if refused(sound, now.Add(ClearedFor+time.Second), "c", "part") {
+	sound(other, request("c", 9, "part"), now)
+	crash(other, 20, 22, now.Add(SoundFor), "c", "part")
+	if refused(other, now.Add(SoundFor+time.Second), "c", "part") {
 		t.Fatal("ends before a completed request count")
 	}
 }
+
+// turned returns a table at which requests with the parts were sound until start, at some
+// rate, and which knows of ends under the parts from start on.
+func turned(soundEvery, endsEvery time.Duration, ends int, parts ...string) *Table {
+	table := New()
+	for n := range 2 * minRequests {
+		sentAt := start.Add(-time.Duration(2*minRequests-n) * soundEvery)
+		table.Sound(request("c", n, parts...), sentAt, sentAt.Add(time.Second))
+		for i := range commonShare {
+			table.Sound(request("c", -n*commonShare-i), sentAt, sentAt.Add(time.Second))
+		}
+	}
+	for n := range ends {
+		cut(table, end(n), request("c", 1000+n, parts...), at(time.Duration(n)*endsEvery))
+	}
+	return table
+}
+
+// Requests with a part were sound until a moment before it crashes targets, and some of them
+// end only later. Guards against an answer that clears the part of what came after its
+// request was sent.
+func TestAnswerProvesNothingAboutLaterEnds(t *testing.T) {
+	table := turned(100*time.Millisecond, 100*time.Millisecond, EndsToRefuseLong, "bad")
+	for n := range 5 {
+		table.Sound(request("c", 3000+n, "bad"), at(-10*time.Millisecond), at(time.Duration(n)*500*time.Millisecond))
+	}
+	now := at(4*100*time.Millisecond + LongSettleTime)
+	if refused(table, at(time.Second), "c", "bad") || !refused(table, now, "c", "bad") {
+		t.Fatalf("refused after 1 s: %t, after %s: %t", refused(table, at(time.Second), "c", "bad"), now.Sub(start), refused(table, now, "c", "bad"))
+	}
+	table.Sound(request("c", 4000, "bad"), at(300*time.Millisecond), now)
+	if refused(table, now, "c", "bad") {
+		t.Fatal("refused although a request that was sent after the fourth end is sound")
+	}
+}
+
+// Requests with a sound part come all the time, beside a part that turns. Guards against a
+// refusal of the sound part while none of its requests can be known to be sound yet.
+func TestSoundPartBesidePartThatTurnsIsNotRefused(t *testing.T) {
+	table := turned(100*time.Millisecond, 100*time.Millisecond, 0, "bad", "first")
+	for n := range 40 {
+		now := at(time.Duration(n) * 100 * time.Millisecond)
+		if sentAt := now.Add(-usualSoundTime); sentAt.After(start) {
+			table.Sound(request("c", 5000+n, "first"), sentAt, now)
+		}
+		if refused(table, now, "c", "first") {
+			t.Fatalf("the sound part is refused after %s", now.Sub(start))
+		}
+		if !refused(table, now, "c", "bad") {
+			cut(table, end(n), request("c", 1000+n, "bad", "first"), now)
+		}
+	}
+	if !refused(table, at(4*time.Second), "c", "bad") {
+		t.Fatal("the part that turned is not refused")
+	}
+}
+
+// A few targets end at once by another cause, with requests of a part that is sound every 0.4
+// s. Guards against a refusal before a sound request is overdue.
+func TestPartIsNotRefusedBeforeSoundRequestIsOverdue(t *testing.T) {
+	table := turned(400*time.Millisecond, 0, EndsToRefuse+1, "part")
+	for _, d := range []time.Duration{SettleTime, SoundSettleTime, 3 * time.Second} {
+		if refused(table, at(d), "c", "part") {
+			t.Fatalf("refused after %s", d)
+		}
+	}
+	if now := at(usualSoundTime + overdueRequests*400*time.Millisecond); !refused(table, now, "c", "part") {
+		t.Fatalf("not refused after %s", now.Sub(start))
+	}
+}
+
+// A refusal that ends no longer show is withdrawn at all daemons, also at one that has missed
+// the first withdrawal.
+func TestRefusalIsWithdrawn(t *testing.T) {
+	collector, other, missed := NewExchange(), NewExchange(), NewExchange()
+	send := func(list []Message, now time.Time, to ...*Exchange) (replies []Message) {
+		for i := range list {
+			for _, x := range to {
+				reply, err := x.Receive(&list[i], now)
+				if err != nil {
+					t.Fatal(err)
+				}
+				replies = append(replies, reply...)
+			}
+		}
+		return replies
+	}
+	r := request("c", 1, "part")
+	for n := range EndsToRefuse {
+		a := collector.table.Cut(end(n), service, request("c", 100+n, "part"), start)
+		collector.Accused(&a, start)
+	}
+	now := at(SettleTime)
+	refusals := collector.Tick(now)
+	send(refusals, now, other, missed)
+	if _, ok := other.Check(r, now); !ok {
+		t.Fatal("the refusal is not adopted")
+	}
+	collector.Sound(r, at(time.Millisecond), now)
+	now = now.Add(TickInterval)
+	send(collector.Tick(now), now, other)
+	if _, ok := other.Check(r, now); ok {
+		t.Fatal("the refusal is not withdrawn")
+	}
+	now = now.Add(RepeatInterval)
+	replies := send(missed.Tick(now), now, collector)
+	send(replies, now, missed)
+	if _, ok := missed.Check(r, now); ok {
+		t.Fatal("the refusal is not withdrawn at a daemon that has missed that")
+	}
+}
--- a/serving/process/dispatchsync/convert.go
+++ b/serving/process/dispatchsync/convert.go
@@ -103,7 +103,9 @@
 func encodeEnd(a *suspects.Accusation) *peerpb.TargetEnd {
 	end := &peerpb.TargetEnd{End: uint64(a.End), Service: uint32(a.Service)}
 	for _, s := range a.Suspects {
-		end.Suspects = append(end.Suspects, &peerpb.Suspect{Item: uint64(s.Item), Customer: uint32(s.Customer)})
+		end.Suspects = append(end.Suspects, &peerpb.Suspect{
+			Item: uint64(s.Item), Customer: uint32(s.Customer), SoundMs: millis(s.SoundAgo), Frequency: uint32(s.Frequency), SoundRate: float32(s.SoundRate),
+		})
 	}
 	return end
 }
@@ -111,7 +113,11 @@
 func decodeEnd(end *peerpb.TargetEnd) *suspects.Accusation {
 	a := &suspects.Accusation{End: suspects.End(end.GetEnd()), Service: suspects.ServiceHash(end.GetService())}
 	for _, s := range end.GetSuspects() {
-		a.Suspects = append(a.Suspects, suspects.Suspect{Item: suspects.Item(s.GetItem()), Customer: suspects.CustomerHash(s.GetCustomer())})
+		a.Suspects = append(a.Suspects, suspects.Suspect{
+			Item: suspects.Item(s.GetItem()), Customer: suspects.CustomerHash(s.GetCustomer()),
+			SoundAgo: fromMillis(s.GetSoundMs()), Frequency: suspects.Frequency(min(s.GetFrequency(), math.MaxUint8)),
+			SoundRate: decodeRate(s.GetSoundRate()),
+		})
 	}
 	return a
 }
--- a/serving/process/suspects/suspects.go
+++ b/serving/process/suspects/suspects.go
@@ -64,9 +64,9 @@
 	return verdict.Newf(verdict.NotRun, verdict.CrashSuspect, "targets ended under requests that have %s in common", refusal.Item).WithRetryAfter(refusal.Remaining)
 }
 
-// Completed implements relay.Suspects.
-func (g *Guard) Completed(r *core.Request) {
-	g.step(func(now time.Time) []core.Message { return g.exchange.Completed(r, now) })
+// Sound implements relay.Suspects.
+func (g *Guard) Sound(r *core.Request, sentAt time.Time) {
+	g.step(func(now time.Time) []core.Message { return g.exchange.Sound(r, sentAt, now) })
 }
 
 // ConnectionLost implements relay.Suspects. If ctx ends before the check, the request is
@@ -114,16 +114,29 @@
 		a := &accusations[i]
 		g.ends.Add(1)
 		g.config.Log.Info("target ended", zap.Uint64("end", uint64(a.End)), zap.String("service", string(services[a.Service])),
-			zap.Int("suspects", len(a.Suspects)), zap.Stringers("cleared", a.Cleared))
+			zap.Int("suspects", len(a.Suspects)), zap.Int("sound_of_late", soundOfLate(a)))
 		if g.config.Accuse(services[a.Service], a) {
 			g.RecordEnd(a)
 		}
 	}
 }
 
+// soundOfLate returns the number of suspects with which requests were sound of late.
+func soundOfLate(a *core.Accusation) int {
+	count := 0
+	for i := range a.Suspects {
+		if a.Suspects[i].SoundAgo > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // RecordEnd implements dispatchsync.Sink.
 func (g *Guard) RecordEnd(a *core.Accusation) {
-	g.step(func(now time.Time) []core.Message { return g.exchange.Accused(a, now) })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.exchange.Accused(a, time.Now())
 }
 
 // PeerChanged records that a peer has started, returned or left.
--- a/serving/process/suspects/suspects_test.go
+++ b/serving/process/suspects/suspects_test.go
@@ -106,7 +106,7 @@
 	if f.logs.FilterMessage("requests with a suspect part are refused").Len() != 2 || f.logs.FilterMessage("target ended").Len() == 0 || f.Counts().Refused != 2 {
 		t.Fatalf("log %v, counts %+v", f.logs.All(), f.Counts())
 	}
-	f.Completed(request(10, "first", "bad"))
+	f.Sound(request(10, "first", "bad"), time.Now())
 	f.tick()
 	if f.Refusal(request(11, "bad")) != nil || f.logs.FilterMessage("requests with a suspect part are accepted again").Len() != 2 {
 		t.Fatalf("log %v", f.logs.All())
@@ -176,7 +176,7 @@
 	}
 	eventually(t, "a refusal", func() bool { return other.Refusal(request(9, "first")) != nil })
 	other.tick()
-	f.Completed(request(1, "first"))
+	f.Sound(request(1, "first"), time.Now())
 	for i := range other.published {
 		if err := f.Receive(&other.published[i]); err != nil {
 			t.Fatal(err)
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -44,6 +44,10 @@
 	failedTarget names.Target
 	// eventsSince is when the first event of the attempt came, zero if none has.
 	eventsSince time.Time
+	// sentAt is when the request was last written to the target.
+	sentAt time.Time
+	// sound is true once the request is known not to crash the target.
+	sound bool
 }
 
 // sendOnce places the request, sends it to the target and forwards the answer.
@@ -115,6 +119,7 @@
 		NewConnection: !a.route.Repeatable(), IsOwnAnswer: a.isOwnAnswer,
 	}
 	send.Permit = func() error {
+		a.sentAt = time.Now()
 		send.Header = a.outgoingHeader(helpers) // the connection may have taken some of the time left
 		return a.permit()
 	}
--- a/serving/request/relay/fake_test.go
+++ b/serving/request/relay/fake_test.go
@@ -99,6 +99,7 @@
 	failed          []names.Target
 	losses          []Loss
 	completed       int
+	soundSentAt     time.Time
 	// suspectFrom is the number of placements from which requests are refused as
 	// suspects, negative if never. noRetry makes each loss forbid a retry.
 	suspectFrom  int
@@ -215,10 +216,17 @@
 	return verdict.New(verdict.NotRun, verdict.CrashSuspect, "suspect").WithRetryAfter(time.Minute)
 }
 
-func (b *fakeBoard) Completed(*suspects.Request) {
+func (b *fakeBoard) Sound(_ *suspects.Request, sentAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.completed++
+	b.soundSentAt = sentAt
+}
+
+func (b *fakeBoard) completions() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.completed
 }
 
 func (b *fakeBoard) ConnectionLost(_ context.Context, l *Loss) (ended, mayRetry bool) {
--- a/serving/request/relay/loss.go
+++ b/serving/request/relay/loss.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"carobspoke.example/core/process/suspects"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/routing"
 	"go.uber.org/zap"
@@ -16,10 +17,27 @@
 func (a *attempt) recordCompletion() {
 	written := a.route.Kind != routing.Streaming || a.lastReply.events > 0
 	if a.lastReply.status < http.StatusMultipleChoices && written {
-		a.relay.Suspects.Completed(&a.shared)
+		a.recordSound()
 	}
 }
 
+// recordLastingAnswer records a request that the target has been answering for so long that
+// it would have crashed the target if it could.
+func (a *attempt) recordLastingAnswer() {
+	if time.Since(a.eventsSince) >= suspects.AccusedFor {
+		a.recordSound()
+	}
+}
+
+// recordSound records, once, that the request did not crash the target.
+func (a *attempt) recordSound() {
+	if a.sound {
+		return
+	}
+	a.sound = true
+	a.relay.Suspects.Sound(&a.shared, a.sentAt)
+}
+
 // recordLoss records a connection to the target that broke, and returns the log field for
 // it. It does nothing for other failures. It stops waiting when a retry would become too
 // late.
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -81,8 +81,9 @@
 type Suspects interface {
 	// Refusal returns the error for a new request that is not sent, or nil.
 	Refusal(r *suspects.Request) *verdict.Error
-	// Completed records that a target completed the request.
-	Completed(r *suspects.Request)
+	// Sound records that a target has completed a request that was sent at sentAt, or has
+	// been answering it for suspects.AccusedFor.
+	Sound(r *suspects.Request, sentAt time.Time)
 	// ConnectionLost records that the connection of a request to a target broke. It
 	// returns whether the target has ended, and whether the request may be sent again.
 	// It waits until that is known, or until ctx ends.
@@ -261,6 +262,7 @@
 		return err
 	}
 	q.shared = suspects.NewRequest(q.customerName(), q.r.Method, q.r.URL.RequestURI(), q.body, q.info.Parts)
+	q.shared.Service = suspects.HashService(q.service.Name)
 	return q.checkSuspects()
 }
 
--- a/serving/request/relay/relay_test.go
+++ b/serving/request/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/suspects"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
 	"go.uber.org/zap"
@@ -388,6 +389,36 @@
 	}
 }
 
+// A stream that lasts is sound before it ends, once, and as of the time at which its request
+// was sent: a part of it may have begun to crash targets since.
+func TestLastingStreamIsSoundAsOfItsSend(t *testing.T) {
+	sending := make(chan time.Time, 1)
+	end := make(chan struct{})
+	f := newFixture(t, newFakeServer(t, func(c net.Conn, r *http.Request, _ int) {
+		sending <- time.Now()
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		writeChunk(c, "id: 0\ndata: a\n\n")
+		time.Sleep(suspects.AccusedFor + 50*time.Millisecond)
+		writeChunk(c, "id: 1\ndata: b\n\n")
+		<-end
+		writeChunk(c, "")
+	}))
+	go func() { _, _, _ = f.call("/stream/x", nil) }() // ends with the test's target
+	arrived := <-sending
+	for deadline := time.Now().Add(5 * time.Second); f.board.completions() == 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("a lasting stream is not recorded")
+		}
+	}
+	close(end)
+	<-f.timings
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	if f.board.completed != 1 || f.board.soundSentAt.After(arrived) || arrived.Sub(f.board.soundSentAt) > suspects.AccusedFor {
+		t.Fatalf("recorded %d times, as sent %s before it arrived", f.board.completed, arrived.Sub(f.board.soundSentAt))
+	}
+}
+
 // TestReservationsAreAllOrNone refuses the second of two reservations.
 func TestReservationsAreAllOrNone(t *testing.T) {
 	reserver := &fakeReserver{free: map[names.Target]int{"x": 100}}
--- a/serving/request/relay/stream.go
+++ b/serving/request/relay/stream.go
@@ -48,6 +48,7 @@
 			a.eventsSince = time.Now()
 		}
 		a.recordEvent(timeouts)
+		a.recordLastingAnswer()
 		if !isNextEvent(a.lastEventID, next.id) || a.lastReply.events == 1 && a.lastEventID != "" && next.id == "" {
 			return verdict.Newf(verdict.Ran, verdict.AnswerMismatch, "event %q follows event %q", next.id, a.lastEventID)
 		}
