Check for suspect parts right before a request is written

What callers could see: requests with a refused part reach targets, which end, seconds after all daemons know the refusal.

Cause: the last check was after the placement. A request then waits for memory at other targets and for its connection, up to some seconds, and was written whatever had become known meanwhile.

permit now asks after the target's own statements, right before the write. The request ends as crash_suspect, not run if it is its first attempt.

TestRequestThatBecomesSuspectBeforeItsWriteIsNotSent failed before: answered 200.

--- a/serving/request/relay/fake_test.go
+++ b/serving/request/relay/fake_test.go
@@ -100,6 +100,8 @@
 	losses          []Loss
 	completed       int
 	soundSentAt     time.Time
+	// suspectWhenConnected makes requests suspect once their connection is open.
+	suspectWhenConnected bool
 	// suspectFrom is the number of placements from which requests are refused as
 	// suspects, negative if never. noRetry makes each loss forbid a retry.
 	suspectFrom  int
@@ -181,6 +183,9 @@
 func (b *fakeBoard) MaySend(p *Placement) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.suspectWhenConnected {
+		b.suspectFrom = 0
+	}
 	for _, t := range b.takenOut {
 		if t == p.Decision.Target {
 			return verdict.New(verdict.NotRun, verdict.TargetLeaving, "leaving")
--- a/serving/request/relay/relay_test.go
+++ b/serving/request/relay/relay_test.go
@@ -342,6 +342,19 @@
 	}
 }
 
+// A request becomes a suspect while it waits for memory at other targets or for its
+// connection. It must not be written then.
+func TestRequestThatBecomesSuspectBeforeItsWriteIsNotSent(t *testing.T) {
+	s := newFakeServer(t, answersOK("ran"))
+	f := newFixture(t, s)
+	f.board.suspectWhenConnected = true
+	response, _, err := f.call("/read/x", nil)
+	wantRefusal(t, response, err, verdict.CrashSuspect, verdict.NotRun)
+	if len(s.receivedHeaders()) != 0 || f.board.endedPlacements != 1 || response.Header.Get("Come-Back") != "1m0s" {
+		t.Fatalf("%d sends, %d ended placements, retry after %q", len(s.receivedHeaders()), f.board.endedPlacements, response.Header.Get("Come-Back"))
+	}
+}
+
 func TestConnectionLossesAreRecorded(t *testing.T) {
 	f := newFixture(t, newFakeServer(t, closesWithoutAnswer), newFakeServer(t, closesWithoutAnswer))
 	if _, _, err := f.call("/read/x", nil); err != nil {
--- a/serving/request/relay/statement.go
+++ b/serving/request/relay/statement.go
@@ -45,9 +45,13 @@
 	}
 }
 
-// permit reports whether the request may still be sent to its target.
+// permit reports whether the request may still be sent to its target. It may have waited for
+// reservations and for its connection.
 func (a *attempt) permit() error {
 	err := a.relay.Board.MaySend(a.placed)
+	if err == nil {
+		err = a.checkSuspects()
+	}
 	a.notSent = err != nil
 	return err
 }
@@ -55,6 +59,9 @@
 // notSentError returns the failure of an attempt that permit has ended.
 func (a *attempt) notSentError(err error) error {
 	failure := verdict.From(err)
+	if failure.Reason == verdict.CrashSuspect {
+		return failure // at any target
+	}
 	a.relay.Log.Info("not sent, the target takes no more requests", zap.String("request", a.info.ID),
 		zap.String("target", string(a.placed.Decision.Target)), zap.String("reason", string(failure.Reason)), zap.String("error", failure.Error()))
 	return verdict.Wrap(errors.Wrap(errNotSent, failure.Error()), verdict.NotRun, failure.Reason, failure.Message).WithRetryAfter(failure.RetryAfter)
