Log a record that cannot be used once, and count such records

An entry that cannot be read was logged each time that its writer wrote it, and nothing showed how many there are. The sound entry before it stays in use, as before. TestUnusableRecordIsLoggedOnceAndCounted is new; the log part failed by design of the code before (a line for each write).

--- a/serving/process/published/apply.go
+++ b/serving/process/published/apply.go
@@ -173,6 +173,7 @@
 		return
 	}
 	config, target, err := f.decoder.Decode(r)
+	f.recordUsability(r, err)
 	if config != nil {
 		if f.installConfig(config) || r.Key != f.configKey || config.Version == f.table.Version {
 			f.keepConfig(r)
@@ -180,20 +181,37 @@
 		return
 	}
 	f.records[r.Key] = *r
+	if target != nil {
+		f.directory.Put(*target, now)
+	}
+}
+
+// recordUsability records whether a record can be decoded. One that cannot is logged once,
+// since its writer may write it again and again.
+func (f *Follower) recordUsability(r *Record, err error) {
 	switch {
-	case err != nil:
+	case err == nil:
+		delete(f.unusable, r.Key)
+	case !f.unusable[r.Key]:
+		f.unusable[r.Key] = true
 		f.log.Warn("a published record is not used", zap.String("key", r.Key), zap.Uint64("revision", r.Revision), zap.String("error", err.Error()))
-	case target != nil:
-		f.directory.Put(*target, now)
 	}
 }
 
+// Unusable returns the number of records that cannot be decoded.
+func (f *Follower) Unusable() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.unusable)
+}
+
 // applyRemoval applies the removal of a record.
 func (f *Follower) applyRemoval(r *Record, now time.Time) {
 	if r.Key == f.configKey {
 		return // the configuration stays in force
 	}
 	delete(f.records, r.Key)
+	delete(f.unusable, r.Key)
 	if id, ok := f.decoder.TargetOf(r.Key); ok {
 		f.directory.Remove(id, r.Revision, now)
 		f.log.Info("target entry gone", zap.String("target", string(id)), zap.Uint64("revision", r.Revision))
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -171,6 +171,8 @@
 
 	mu      sync.Mutex
 	records map[string]Record
+	// unusable holds the keys of the records that cannot be decoded.
+	unusable map[string]bool
 	// configKey is the key of the configuration in force.
 	configKey string
 	// history holds all changes after the revision historyStart, sorted by
@@ -224,7 +226,7 @@
 	f := &Follower{
 		source: c.Source, decoder: c.Decoder, peers: c.Peers, log: c.Log, onPosition: c.OnPosition, onNews: c.OnNews,
 		situation: c.Situation, plan: watching.New(c.Random),
-		firstView: make(chan struct{}), wake: make(chan struct{}, 1), records: make(map[string]Record), directory: replicas.New(),
+		firstView: make(chan struct{}), wake: make(chan struct{}, 1), records: make(map[string]Record), unusable: make(map[string]bool), directory: replicas.New(),
 	}
 	f.position.Store(&replicas.Position{})
 	return f
--- a/serving/process/published/published_test.go
+++ b/serving/process/published/published_test.go
@@ -14,6 +14,7 @@
 	"carobspoke.example/core/version/routing"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // fakeSource is a Source whose answers a test sets.
@@ -314,6 +315,36 @@
 	}
 }
 
+// Another writer puts an entry that cannot be read over a sound one, again and again. The
+// target stays in use, the entry is logged once, and is no longer counted once a sound one
+// follows.
+func TestUnusableRecordIsLoggedOnceAndCounted(t *testing.T) {
+	zapCore, logs := observer.New(zap.WarnLevel)
+	f := New(Config{Decoder: fakeDecoder{}, Log: zap.New(zapCore), OnPosition: func(replicas.Position) {}, OnNews: func() {}})
+	revision := uint64(0)
+	put := func(value string, wantUnusable, wantTargets int) {
+		t.Helper()
+		revision++
+		f.applyBatch(Batch{Position: at(revision), Records: []Record{{Key: "target/a", Value: []byte(value), Revision: revision}}}, "test")
+		if n := f.Unusable(); n != wantUnusable || len(f.directory.List(time.Now())) != wantTargets {
+			t.Fatalf("after %q: %d unusable records, targets %v", value, n, f.directory.List(time.Now()))
+		}
+	}
+	put("ready", 0, 1)
+	for range 3 {
+		put("garbage", 1, 1)
+	}
+	if n := logs.FilterMessage("a published record is not used").Len(); n != 1 {
+		t.Errorf("logged %d times", n)
+	}
+	put("ready", 0, 1)
+	put("garbage", 1, 1)
+	f.applyBatch(Batch{Position: at(revision + 1), Complete: true}, "test")
+	if f.Unusable() != 0 {
+		t.Error("a record that is gone is still counted")
+	}
+}
+
 func TestOnlyNewerRecordsAreReturned(t *testing.T) {
 	s := newSource()
 	s.put("config", "v")
