--- a/tools/soak/command.go
+++ b/tools/soak/command.go
@@ -35,6 +35,7 @@
 			&cli.DurationFlag{Name: "crash-every", Value: defaults.CrashingInterval, Usage: "with --parts: `TIME` between two requests with the part"},
 			&cli.BoolFlag{Name: "leaving", Usage: "targets also state in their answers that they leave, or for how long they want no requests"},
 			&cli.BoolFlag{Name: "limits", Usage: "targets also name how many requests a second they take from all daemons"},
+			&cli.StringFlag{Name: "beside", Usage: "`PATH` of another build of carobspoked, which every second daemon runs"},
 			&cli.StringFlag{Name: "folder", Value: filepath.Join(os.TempDir(), "carobspoke-soak"), Usage: "`FOLDER` for settings and logs, with a folder of its own for each process"},
 		},
 		Action: runCommand,
@@ -57,7 +58,8 @@
 			Seed: c.Uint64("seed") + uint64(i), FaultTime: c.Duration("for"), Daemons: c.Int("daemons"), Engines: c.Int("engines"),
 			Services: DefaultConfig().Services, Callers: c.Int("callers"), PlannedOnly: c.Bool("planned"), RestoreStore: c.Bool("restore"),
 			Unframed: c.Bool("unframed"), Parts: c.Bool("parts"), Leaving: c.Bool("leaving"), Limits: c.Bool("limits"),
-			Turning: c.Bool("turning"), CrashingInterval: c.Duration("crash-every"), Program: program,
+			Turning: c.Bool("turning"), CrashingInterval: c.Duration("crash-every"),
+			Program: program, Beside: c.String("beside"),
 		}
 		config.Folder = filepath.Join(folder, strconv.FormatUint(config.Seed, 10))
 		report, err := Run(ctx, config)
--- a/tools/soak/testbed.go
+++ b/tools/soak/testbed.go
@@ -60,8 +60,10 @@
 	// Limits adds targets that name in their answers how many requests a second they
 	// take.
 	Limits bool
-	// Program is the path of carobspoked. Folder receives settings and logs.
+	// Program is the path of carobspoked. If Beside is not empty, it is the path of
+	// another build, which every second daemon runs. Folder receives settings and logs.
 	Program string
+	Beside  string
 	Folder  string
 }
 
@@ -248,7 +250,11 @@
 			Seeds: []netip.AddrPort{address(0, 2), address(1, 2)}, StoreAddress: netip.MustParseAddrPort(proxy.Address()),
 			GracePeriod: grace, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 		}}
-		h.process = process{program: b.config.Program, settings: filepath.Join(b.config.Folder, h.settings.Name+".json"), log: filepath.Join(b.config.Folder, h.settings.Name+".log")}
+		program := b.config.Program
+		if b.config.Beside != "" && i%2 == 1 {
+			program = b.config.Beside
+		}
+		h.process = process{program: program, settings: filepath.Join(b.config.Folder, h.settings.Name+".json"), log: filepath.Join(b.config.Folder, h.settings.Name+".log")}
 		text, err := platform.EncodeSettings(h.settings)
 		if err != nil {
 			return err
