Let parts that are in the same ends wait for further ones

What callers saw: just after a loss of all daemons, parts of sound callers were refused for 15 s beside the part that crashes targets: none knows of sound requests, and three ends had the same parts.

Such parts wait 0.9 s in place of 0.3 s. The part that crashes targets is in further ends by then, and accounts for those of the others.

TestPartsInSameEndsWaitForFurtherEnds failed before.

--- a/core/process/suspects/table.go
+++ b/core/process/suspects/table.go
@@ -17,6 +17,9 @@
 	// needs. Other ends of the same moment are known then, and what other daemons know of
 	// sound requests with it.
 	SettleTime = 300 * time.Millisecond
+	// TiedSettleTime is the same for an item that is in the same ends as others. Further
+	// ends may tell them apart.
+	TiedSettleTime = 900 * time.Millisecond
 	// SoundSettleTime is the same for an item with which requests were sound of late. A
 	// sound request that was sent after the last of these ends has had its first event and
 	// has lasted AccusedFor by then.
@@ -364,6 +367,8 @@
 	sinceEnd := func(n int) time.Duration { return now.Sub(r.ends[n-1].at) }
 	soundAgo, sound := t.SoundAgo(item, now)
 	switch {
+	case !sound && t.isTied(item, r, now):
+		return sinceEnd(EndsToRefuse) >= TiedSettleTime
 	case !sound:
 		return sinceEnd(EndsToRefuse) >= SettleTime
 	case len(r.ends) >= EndsToRefuseLong && sinceEnd(EndsToRefuseLong) >= LongSettleTime:
@@ -373,6 +378,19 @@
 	}
 }
 
+// isTied reports whether another item without sound requests of late is in the same ends.
+func (t *Table) isTied(item Item, r *itemRecord, now time.Time) bool {
+	for candidate, other := range t.items {
+		if candidate == item || !slices.EqualFunc(r.ends, other.ends, func(a, b itemEnd) bool { return a.end == b.end }) {
+			continue
+		}
+		if _, sound := t.SoundAgo(candidate, now); !sound {
+			return true
+		}
+	}
+	return false
+}
+
 // isInEnoughEnds reports whether an item is in enough of the ends of its services since its
 // first one.
 func (t *Table) isInEnoughEnds(r *itemRecord) bool {
--- a/core/process/suspects/table_test.go
+++ b/core/process/suspects/table_test.go
@@ -424,6 +424,22 @@
 	}
 }
 
+// All daemons have just been lost, so that none knows of sound requests. The first ends cut
+// off the same callers beside the crashing part. Guards against a refusal of the callers'
+// parts with it, which further ends tell apart.
+func TestPartsInSameEndsWaitForFurtherEnds(t *testing.T) {
+	table := New()
+	crash(table, 0, EndsToRefuse, start, "c", "bad", "caller-1", "caller-2")
+	if refused(table, at(SettleTime), "c", "bad") {
+		t.Fatal("refused while other parts are in the same ends")
+	}
+	crash(table, EndsToRefuse, EndsToRefuse+2, at(SettleTime), "c", "bad")
+	now := at(TiedSettleTime)
+	if !refused(table, now, "c", "bad") || refused(table, now, "c", "caller-1") || refused(table, now, "c", "caller-2") {
+		t.Fatalf("bad refused: %t, the callers' parts: %t, %t", refused(table, now, "c", "bad"), refused(table, now, "c", "caller-1"), refused(table, now, "c", "caller-2"))
+	}
+}
+
 // A refusal that ends no longer show is withdrawn at all daemons, also at one that has missed
 // the first withdrawal.
 func TestRefusalIsWithdrawn(t *testing.T) {
