--- a/serving/request/relay/refusal_test.go
+++ b/serving/request/relay/refusal_test.go
@@ -105,43 +105,49 @@
 // request that is said not to have run although it has, and against a call that must not
 // run twice and does.
 func TestRepeatedRefusalIsNoAnswer(t *testing.T) {
-	ids := map[string]func(earlier, own string) string{
-		"ID of the earlier request": func(earlier, _ string) string { return earlier },
-		"no ID":                     func(_, _ string) string { return "" },
-	}
+	earlierID := func(earlier, _ string) string { return earlier }
+	noID := func(_, _ string) string { return "" }
 	for _, p := range []place{beforeNextRequest, beforeAnswer, insteadOfAnswer, afterAnswer} {
-		for name, id := range ids {
-			for _, path := range []string{"/read/x", "/order/x"} {
-				if path == "/order/x" && name == "no ID" {
-					continue // its connection is new, so that a refusal without an ID is its own
+		for _, c := range []struct {
+			path, name string
+			id         func(earlier, own string) string
+		}{
+			{"/read/x", "ID of the earlier request", earlierID},
+			{"/read/x", "no ID", noID},
+			{"/order/x", "ID of the earlier request", earlierID}, // one without an ID is its own on its new connection
+		} {
+			t.Run(fmt.Sprint(p, ", ", c.name, ", ", c.path), func(t *testing.T) {
+				t.Parallel()
+				s := newRepeatingServer(t, p, c.id, c.path == "/order/x")
+				f := newFixture(t, &fakeServer{listener: s.listener})
+				for n := range 4 {
+					s.check(t, f, c.path, n)
 				}
-				t.Run(fmt.Sprint(p, ", ", name, ", ", path), func(t *testing.T) {
-					t.Parallel()
-					s := newRepeatingServer(t, p, id, path == "/order/x")
-					f := newFixture(t, &fakeServer{listener: s.listener})
-					for n := range 4 {
-						before := s.runs.Load()
-						head, body, err := f.call(path, func(r *http.Request) {
-							r.Header.Set("Id", fmt.Sprint("request-", n))
-							r.Header.Set("Timeout", "500ms")
-						})
-						ran := s.runs.Load() - before
-						switch {
-						case err != nil:
-						case head.StatusCode == http.StatusOK && (body != "ran" || ran == 0):
-							t.Errorf("request %d: %q, runs %d", n, body, ran)
-						case head.Header.Get("Verdict") == verdict.NotRun.String() && ran > 0:
-							t.Errorf("request %d: said not to have run, ran %d times", n, ran)
-						}
-						if path == "/order/x" && ran > 1 {
-							t.Errorf("request %d ran %d times", n, ran)
-						}
-					}
-					if s.runs.Load() == 0 && (path == "/order/x" || p != beforeNextRequest) {
-						t.Fatal("no request ran")
-					}
-				})
-			}
+				if s.runs.Load() == 0 && (c.path == "/order/x" || p != beforeNextRequest) {
+					t.Fatal("no request ran")
+				}
+			})
 		}
 	}
 }
+
+// check sends the n-th request, and compares what the caller is told with what ran.
+func (s *repeatingServer) check(t *testing.T, f *fixture, path string, n int) {
+	t.Helper()
+	before := s.runs.Load()
+	head, body, err := f.call(path, func(r *http.Request) {
+		r.Header.Set("Id", fmt.Sprint("request-", n))
+		r.Header.Set("Timeout", "500ms")
+	})
+	ran := s.runs.Load() - before
+	switch {
+	case err != nil:
+	case head.StatusCode == http.StatusOK && (body != "ran" || ran == 0):
+		t.Errorf("request %d: %q, runs %d", n, body, ran)
+	case head.Header.Get("Verdict") == verdict.NotRun.String() && ran > 0:
+		t.Errorf("request %d: said not to have run, ran %d times", n, ran)
+	}
+	if path == "/order/x" && ran > 1 {
+		t.Errorf("request %d ran %d times", n, ran)
+	}
+}
