Split the files of suspects and their tests by topic, and reword comments

table.go gives its decision and what peers announce files of their own, and the tests of fleets, numbers and suspects likewise. Declarations move as they are; two fields are renamed.

--- /dev/null
+++ b/core/process/suspects/decide.go
@@ -0,0 +1,121 @@
+package suspects
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Decides reports whether this daemon refuses an item by the ends that it knows.
+func (t *Table) Decides(item Item, now time.Time) bool {
+	record, ok := t.items[item]
+	return ok && now.Before(t.decided(item, record, now)) && !t.isExplained(item, record, now)
+}
+
+// decided returns until when this daemon refuses an item by the ends that it knows, zero if
+// it does not.
+func (t *Table) decided(item Item, r *itemRecord, now time.Time) time.Time {
+	if len(r.ends) < EndsToRefuse {
+		r.refused = false
+		return time.Time{}
+	}
+	_, sound := t.SoundAgo(item, now)
+	if r.refused && r.refusedAsUnknown && sound {
+		r.refused = false // sound requests have become known since
+		t.version++
+	}
+	if !r.refused {
+		if !t.isSettled(item, r, now) || !t.isInEnoughEnds(r) {
+			return time.Time{}
+		}
+		r.refused, r.refusedAsUnknown = true, !sound
+		t.version++
+	}
+	if len(r.ends) < EndsToRefuseLong {
+		return r.lastEnd().Add(RefusedShortlyFor)
+	}
+	return r.lastEnd().Add(RefusedFor)
+}
+
+// isSettled reports whether a sound request with an item would be known by now if the item
+// did not crash targets.
+func (t *Table) isSettled(item Item, r *itemRecord, now time.Time) bool {
+	sinceEnd := func(n int) time.Duration { return now.Sub(r.ends[n-1].at) }
+	soundAgo, sound := t.SoundAgo(item, now)
+	switch {
+	case !sound && t.isTied(item, r, now):
+		return sinceEnd(EndsToRefuse) >= TiedSettleTime
+	case !sound:
+		return sinceEnd(EndsToRefuse) >= SettleTime
+	case len(r.ends) >= EndsToRefuseLong && sinceEnd(EndsToRefuseLong) >= LongSettleTime:
+		return true
+	default:
+		return !r.isCommon() && sinceEnd(EndsToRefuse) >= SoundSettleTime && r.soundRate()*(soundAgo-usualSoundTime).Seconds() >= overdueRequests
+	}
+}
+
+// isTied reports whether another item without sound requests of late is in the same ends.
+func (t *Table) isTied(item Item, r *itemRecord, now time.Time) bool {
+	for candidate, other := range t.items {
+		if candidate == item || !slices.EqualFunc(r.ends, other.ends, func(a, b itemEnd) bool { return a.end == b.end }) {
+			continue
+		}
+		if _, sound := t.SoundAgo(candidate, now); !sound {
+			return true
+		}
+	}
+	return false
+}
+
+// isInEnoughEnds reports whether an item is in enough of the ends of its services since its
+// first one.
+func (t *Table) isInEnoughEnds(r *itemRecord) bool {
+	all := 0
+	for _, end := range t.ends {
+		if !end.at.Before(r.ends[0].at) && slices.Contains(r.services, end.service) {
+			all++
+		}
+	}
+	return len(r.ends)*minShare >= all
+}
+
+// isExplained reports whether too few ends of a record are left without those of other
+// refused items that account for them.
+func (t *Table) isExplained(item Item, r *itemRecord, now time.Time) bool {
+	if len(r.ends) == 0 {
+		return false
+	}
+	if r.explainedAt == t.version {
+		return r.explained
+	}
+	left := slices.Clone(r.ends)
+	for candidate, other := range t.items {
+		if other == r || !t.accountsFor(candidate, item, now) || !now.Before(t.decided(candidate, other, now)) {
+			continue
+		}
+		left = slices.DeleteFunc(left, func(e itemEnd) bool { return other.hasEnd(e.end) })
+	}
+	r.explained = len(left) < min(len(r.ends), EndsToRefuse)
+	r.explainedAt = t.version
+	return r.explained
+}
+
+// accountsFor reports whether the ends of an item, if it is refused, are no evidence against
+// another one: it is more suspicious, or it is as suspicious and in more ends.
+func (t *Table) accountsFor(item, other Item, now time.Time) bool {
+	byPrior := cmp.Compare(t.prior(item, now), t.prior(other, now))
+	return byPrior > 0 || byPrior == 0 && len(t.items[item].ends) > len(t.items[other].ends)
+}
+
+// prior returns how suspicious an item is apart from its ends. Higher is more suspicious.
+func (t *Table) prior(item Item, now time.Time) int {
+	_, sound := t.SoundAgo(item, now)
+	switch {
+	case !sound:
+		return 2 // nothing speaks for it
+	case !t.items[item].isCommon():
+		return 1
+	default:
+		return 0 // in most ends of any cause
+	}
+}
--- a/core/process/suspects/exchange.go
+++ b/core/process/suspects/exchange.go
@@ -24,8 +24,8 @@
 	suspectedLately       = 3 * time.Second
 	// TickInterval is the time between two calls of Tick.
 	TickInterval = 50 * time.Millisecond
-	// gossipTime is how long an announcement may take. A sound request that is announced
-	// counts as sent earlier by that.
+	// gossipTime is the assumed delay of an announcement. It is added to the age of an
+	// announced sound request.
 	gossipTime = 200 * time.Millisecond
 	// MaxAnnouncements is the maximum number of announcements of each kind that a daemon
 	// makes in RepeatInterval.
@@ -132,7 +132,7 @@
 			break
 		}
 		if !lastEndOf(now.Add(d.Remaining), now).After(x.withdrawn[about]) {
-			return x.announce(nil, &notice{kind: d.kind, Refusal: Refusal{Item: d.Item}}, now), nil // it has missed the withdrawal
+			return x.announce(nil, &notice{kind: d.kind, Refusal: Refusal{Item: d.Item}}, now), nil // the sender has missed the withdrawal
 		}
 		contested = x.table.MergeRefusal(&d.Refusal, d.kind == despiteSoundKind, now)
 	}
@@ -193,7 +193,7 @@
 func repeatAfter(d *notice, sequence uint64) time.Duration {
 	switch {
 	case d.kind == clearanceKind:
-		return clearanceRepeat // later requests are sound, too
+		return clearanceRepeat // newer sound requests replace it
 	case d.kind == suspicionKind && sequence == 1:
 		return SettleTime / 3
 	case d.kind == suspicionKind && EndsKeptFor-d.Remaining < suspectedLately:
--- a/core/process/suspects/message.go
+++ b/core/process/suspects/message.go
@@ -39,8 +39,8 @@
 	MaxPayloadBytes = timeBytes + MaxCustomers*customerBytes
 )
 
-// earlierAnswerTime is the time that an answer may have taken whose end an earlier release
-// announces. This one announces when the request was sent.
+// earlierAnswerTime is the assumed duration of an answer. Earlier releases announce when an
+// answer ended, this one when its request was sent.
 const earlierAnswerTime = 3 * time.Second
 
 // notice is a decoded announcement. ago is set in a clearance alone: how long ago a
@@ -65,7 +65,7 @@
 	}
 	payload := binary.BigEndian.AppendUint32(nil, uint32(t.Milliseconds()))
 	if d.kind == clearanceKind {
-		payload = binary.BigEndian.AppendUint32(payload, uint32(t.Milliseconds())) // earlier releases read the first
+		payload = binary.BigEndian.AppendUint32(payload, uint32(t.Milliseconds())) // earlier releases read only the first time
 	}
 	for _, c := range d.Customers {
 		payload = binary.BigEndian.AppendUint32(payload, uint32(c))
--- a/core/process/suspects/record.go
+++ b/core/process/suspects/record.go
@@ -13,17 +13,17 @@
 	ends      []itemEnd
 	services  []ServiceHash
 	customers []CustomerHash
-	// common and rare count the accusations that call the item that.
+	// common and rare count the accusations that report the item with this frequency.
 	common, rare int
 	// refused is true once this daemon has refused the item by these ends.
 	refused bool
-	// refusedUnseen is true if no sound request of late was known then.
-	refusedUnseen bool
+	// refusedAsUnknown is true if this daemon knew of no recent sound request then.
+	refusedAsUnknown bool
 	// refusedUntil and refusedEnd are the end of the refusal that another daemon has
 	// announced and the time of the item's last end, as far as it follows from that.
 	refusedUntil, refusedEnd time.Time
-	// announcedDespite is true if that daemon knew of sound requests of late.
-	announcedDespite bool
+	// announcedDespiteSound is true if that daemon knew of recent sound requests.
+	announcedDespiteSound bool
 	// suspectedEnd is the time of the item's last end according to the suspicion of
 	// another daemon.
 	suspectedEnd time.Time
@@ -87,8 +87,8 @@
 	return slices.MaxFunc([]time.Time{r.lastEnd(), r.refusedEnd, r.suspectedEnd}, time.Time.Compare)
 }
 
-// soundRate returns how many sound requests with the item a second the daemons had of late
-// that one end accused, the highest of all ends. Other daemons have more.
+// soundRate returns the highest rate of sound requests, per second, that the accusations of
+// one end report together. It is a lower bound of the fleet's rate.
 func (r *itemRecord) soundRate() (most float64) {
 	for _, e := range r.ends {
 		most = max(most, e.soundRate)
@@ -96,7 +96,7 @@
 	return most
 }
 
-// isCommon reports whether an item may be one that many requests have.
+// isCommon reports whether no majority of the accusations reports the item as rare.
 func (r *itemRecord) isCommon() bool { return r.common >= r.rare }
 
 // dropBefore drops what is known from before a time, and reports whether there was any.
@@ -127,14 +127,14 @@
 
 // announceRefusal adds a refusal of another daemon.
 func (r *itemRecord) announceRefusal(until, lastEnd time.Time, despiteSound bool) {
-	r.announcedDespite = r.announcedDespite || despiteSound
+	r.announcedDespiteSound = r.announcedDespiteSound || despiteSound
 	if until.After(r.refusedUntil) {
 		r.refusedUntil, r.refusedEnd = until, lastEnd
 	}
 }
 
 // withdraw drops the refusal of another daemon.
-func (r *itemRecord) withdraw() { r.refusedUntil, r.announcedDespite = time.Time{}, false }
+func (r *itemRecord) withdraw() { r.refusedUntil, r.announcedDespiteSound = time.Time{}, false }
 
 // announcedUntil returns until when another daemon refuses the item, zero if none does.
 func (r *itemRecord) announcedUntil() time.Time { return r.refusedUntil }
--- a/core/process/suspects/table.go
+++ b/core/process/suspects/table.go
@@ -27,8 +27,8 @@
 	// LongSettleTime is how long such an item waits after the EndsToRefuseLong-th end at
 	// most, however seldom requests with it come.
 	LongSettleTime = 2200 * time.Millisecond
-	// overdueRequests is how many requests with such an item must have become sound in
-	// the meantime, by their usual rate, had the item not crashed targets.
+	// overdueRequests is the number of sound requests with such an item that must be
+	// missing at its usual rate.
 	overdueRequests = 6
 	// usualSoundTime is the time from a send until a request is known to be sound.
 	usualSoundTime = 1500 * time.Millisecond
@@ -38,7 +38,7 @@
 	// AccusedFor is how long after its first event a request is accused of the end of
 	// its target. After that it is sound.
 	AccusedFor = time.Second
-	// SoundFor is how long a sound request makes its items slower to be refused.
+	// SoundFor is how long after a sound request its items are refused by the slower rule.
 	SoundFor = 30 * time.Second
 	// EndsToRefuseLong is the number of ends from which an item is refused for long.
 	EndsToRefuseLong = 5
@@ -321,129 +321,6 @@
 	return Refusal{Item: item, Remaining: until.Sub(now), Customers: slices.Clone(record.customers)}, true
 }
 
-// Decides reports whether this daemon refuses an item by the ends that it knows.
-func (t *Table) Decides(item Item, now time.Time) bool {
-	record, ok := t.items[item]
-	return ok && now.Before(t.decided(item, record, now)) && !t.isExplained(item, record, now)
-}
-
-// Withdraw drops the refusal of an item by another daemon. A daemon that does not know that
-// requests with the item were sound of late withdraws no refusal of one that does.
-func (t *Table) Withdraw(item Item, despiteSound bool) {
-	if record, ok := t.items[item]; ok && (despiteSound || !record.announcedDespite) {
-		record.withdraw()
-		t.version++
-	}
-}
-
-// decided returns until when this daemon refuses an item by the ends that it knows, zero if
-// it does not.
-func (t *Table) decided(item Item, r *itemRecord, now time.Time) time.Time {
-	if len(r.ends) < EndsToRefuse {
-		r.refused = false
-		return time.Time{}
-	}
-	_, sound := t.SoundAgo(item, now)
-	if r.refused && r.refusedUnseen && sound {
-		r.refused = false // another daemon knows of sound requests
-		t.version++
-	}
-	if !r.refused {
-		if !t.isSettled(item, r, now) || !t.isInEnoughEnds(r) {
-			return time.Time{}
-		}
-		r.refused, r.refusedUnseen = true, !sound
-		t.version++
-	}
-	if len(r.ends) < EndsToRefuseLong {
-		return r.lastEnd().Add(RefusedShortlyFor)
-	}
-	return r.lastEnd().Add(RefusedFor)
-}
-
-// isSettled reports whether a sound request with an item would be known by now if the item
-// did not crash targets.
-func (t *Table) isSettled(item Item, r *itemRecord, now time.Time) bool {
-	sinceEnd := func(n int) time.Duration { return now.Sub(r.ends[n-1].at) }
-	soundAgo, sound := t.SoundAgo(item, now)
-	switch {
-	case !sound && t.isTied(item, r, now):
-		return sinceEnd(EndsToRefuse) >= TiedSettleTime
-	case !sound:
-		return sinceEnd(EndsToRefuse) >= SettleTime
-	case len(r.ends) >= EndsToRefuseLong && sinceEnd(EndsToRefuseLong) >= LongSettleTime:
-		return true
-	default:
-		return !r.isCommon() && sinceEnd(EndsToRefuse) >= SoundSettleTime && r.soundRate()*(soundAgo-usualSoundTime).Seconds() >= overdueRequests
-	}
-}
-
-// isTied reports whether another item without sound requests of late is in the same ends.
-func (t *Table) isTied(item Item, r *itemRecord, now time.Time) bool {
-	for candidate, other := range t.items {
-		if candidate == item || !slices.EqualFunc(r.ends, other.ends, func(a, b itemEnd) bool { return a.end == b.end }) {
-			continue
-		}
-		if _, sound := t.SoundAgo(candidate, now); !sound {
-			return true
-		}
-	}
-	return false
-}
-
-// isInEnoughEnds reports whether an item is in enough of the ends of its services since its
-// first one.
-func (t *Table) isInEnoughEnds(r *itemRecord) bool {
-	all := 0
-	for _, end := range t.ends {
-		if !end.at.Before(r.ends[0].at) && slices.Contains(r.services, end.service) {
-			all++
-		}
-	}
-	return len(r.ends)*minShare >= all
-}
-
-// isExplained reports whether too few ends of a record are left without those of other
-// refused items that account for them.
-func (t *Table) isExplained(item Item, r *itemRecord, now time.Time) bool {
-	if len(r.ends) == 0 {
-		return false
-	}
-	if r.explainedAt == t.version {
-		return r.explained
-	}
-	left := slices.Clone(r.ends)
-	for candidate, other := range t.items {
-		if other == r || !t.accountsFor(candidate, item, now) || !now.Before(t.decided(candidate, other, now)) {
-			continue
-		}
-		left = slices.DeleteFunc(left, func(e itemEnd) bool { return other.hasEnd(e.end) })
-	}
-	r.explained = len(left) < min(len(r.ends), EndsToRefuse)
-	r.explainedAt = t.version
-	return r.explained
-}
-
-// accountsFor reports whether the ends of an item, if it is refused, are no evidence against
-// another one: it is more suspicious, or it is as suspicious and in more ends.
-func (t *Table) accountsFor(item, other Item, now time.Time) bool {
-	byPrior := cmp.Compare(t.prior(item, now), t.prior(other, now))
-	return byPrior > 0 || byPrior == 0 && len(t.items[item].ends) > len(t.items[other].ends)
-}
-
-// prior returns how suspicious an item is whatever its ends, higher numbers more.
-func (t *Table) prior(item Item, now time.Time) int {
-	_, sound := t.SoundAgo(item, now)
-	switch {
-	case !sound:
-		return 2 // it may never have been sound
-	case !t.items[item].isCommon():
-		return 1
-	default:
-		return 0 // it is in most ends, whatever their cause
-	}
-}
-
 // Refusals returns the refusals in force, ordered by item.
 func (t *Table) Refusals(now time.Time) []Refusal { return t.list(t.refusal, now) }
 
@@ -465,60 +342,6 @@
 	return list
 }
 
-// MergeRefusal adds a refusal of another daemon, which may know that requests with the item
-// were sound of late. A daemon that knows of one does not adopt the refusal of another that
-// does not. It returns true if the other daemons have to be told of it.
-func (t *Table) MergeRefusal(r *Refusal, despiteSound bool, now time.Time) (contested bool) {
-	if _, sound := t.SoundAgo(r.Item, now); sound && !despiteSound {
-		return true
-	}
-	until := now.Add(min(r.Remaining, RefusedFor))
-	return t.announced(r, lastEndOf(until, now), now, func(record *itemRecord) { record.announceRefusal(until, lastEndOf(until, now), despiteSound) })
-}
-
-// IsRefusedDespiteSound reports whether the daemon that refuses an item knows that requests
-// with it were sound of late.
-func (t *Table) IsRefusedDespiteSound(item Item) bool {
-	record, ok := t.items[item]
-	return ok && (record.refused && !record.refusedUnseen || record.announcedDespite)
-}
-
-// MergeSuspicion adds a suspicion of another daemon. It returns true like MergeRefusal.
-func (t *Table) MergeSuspicion(r *Refusal, now time.Time) (contested bool) {
-	last := now.Add(min(r.Remaining, EndsKeptFor) - EndsKeptFor)
-	return t.announced(r, last, now, func(record *itemRecord) {
-		if last.After(record.suspectedEnd) {
-			record.suspectedEnd = last
-		}
-	})
-}
-
-// lastEndOf returns the time of the last end of an item that is refused until a time. It is
-// not before the true one.
-func lastEndOf(until, now time.Time) time.Time {
-	if until.Sub(now) <= RefusedShortlyFor {
-		return until.Add(-RefusedShortlyFor)
-	}
-	return until.Add(-RefusedFor)
-}
-
-// announced adds what another daemon announces of an item with its last end, unless a sound
-// request was sent since. It reports whether such a request, or one that was sent not long
-// before, is known.
-func (t *Table) announced(r *Refusal, last, now time.Time, add func(*itemRecord)) (contested bool) {
-	sound := t.sound.last(r.Item)
-	if !last.After(sound) {
-		return true
-	}
-	record := t.item(r.Item, now)
-	for _, c := range r.Customers {
-		record.addCustomer(c)
-	}
-	add(record)
-	t.version++
-	return now.Sub(sound) < SoundFor
-}
-
 // Expire drops what has expired.
 func (t *Table) Expire(now time.Time) {
 	maps.DeleteFunc(t.ends, func(_ End, e endRecord) bool { return now.Sub(e.at) > EndsKeptFor })
--- a/core/process/suspects/table_test.go
+++ b/core/process/suspects/table_test.go
@@ -410,8 +410,8 @@
 	}
 }
 
-// A few targets end at once by another cause, with requests of a part that is sound every 0.4
-// s. Guards against a refusal before a sound request is overdue.
+// Several targets end at once for another cause. They run requests with a part of which one
+// becomes sound every 0.4 s. Guards against a refusal before a sound request is overdue.
 func TestPartIsNotRefusedBeforeSoundRequestIsOverdue(t *testing.T) {
 	table := turned(400*time.Millisecond, 0, EndsToRefuse+1, "part")
 	for _, d := range []time.Duration{SettleTime, SoundSettleTime, 3 * time.Second} {
--- a/serving/request/relay/refusal_test.go
+++ b/serving/request/relay/refusal_test.go
@@ -13,7 +13,7 @@
 	"carobspoke.example/core/verdict"
 )
 
-// place is where a target writes an earlier refusal once more.
+// place is the point at which a target repeats an earlier refusal.
 type place string
 
 const (
@@ -114,7 +114,7 @@
 		}{
 			{"/read/x", "ID of the earlier request", earlierID},
 			{"/read/x", "no ID", noID},
-			{"/order/x", "ID of the earlier request", earlierID}, // one without an ID is its own on its new connection
+			{"/order/x", "ID of the earlier request", earlierID}, // without an ID it answers the call on its new connection
 		} {
 			t.Run(fmt.Sprint(p, ", ", c.name, ", ", c.path), func(t *testing.T) {
 				t.Parallel()
--- a/serving/request/relay/statement.go
+++ b/serving/request/relay/statement.go
@@ -60,7 +60,7 @@
 func (a *attempt) notSentError(err error) error {
 	failure := verdict.From(err)
 	if failure.Reason == verdict.CrashSuspect {
-		return failure // at any target
+		return failure // another target would refuse it as well
 	}
 	a.relay.Log.Info("not sent, the target takes no more requests", zap.String("request", a.info.ID),
 		zap.String("target", string(a.placed.Decision.Target)), zap.String("reason", string(failure.Reason)), zap.String("error", failure.Error()))
