--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,7 +22,8 @@
 
 // cases are the cases of the review by name. Each returns what broke the rule.
 var cases = map[string]func(*bed) ([]string, error){
-	"keys": runKeys,
+	"keys":   runKeys,
+	"storms": runStorms,
 }
 
 func main() {
