--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*bed) ([]string, error){
 	"keys":   runKeys,
 	"storms": runStorms,
+	"parts":  runParts,
 }
 
 func main() {
