--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	"storms":   runStorms,
 	"parts":    runParts,
 	"watchers": runWatchers,
+	"restore":  runRestore,
 }
 
 func main() {
