--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 	"parts":    runParts,
 	"watchers": runWatchers,
 	"restore":  runRestore,
+	"restarts": runRestarts,
 }
 
 func main() {
