--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/carobspoked ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin parts target/carobspoked review/3/record.txt
+exec target/review-standin watchers target/carobspoked review/3/record.txt
