Let the age of the store's confirmation decide when a daemon reads the store

What callers saw: while the three readers of the store were cut off from it, the other daemons, which reach it, used an older configuration for up to 3.1 s after a newer one was acknowledged.

Cause: a heartbeat of a reader counted as a sign that the store had been read while its confirmation was up to 2.8 s old, and an open watch needs 2.7 s to fail. A read from a peer was taken for a confirmation by the store. The limit up to which 401, 403 and 404 are answered was 2.8 s, above the bound of 2 s.

Ruled out: slow reads and the random wait, 60 ms at nine daemons.

Change: a confirmation is the moment that an answer shows, heartbeats and answers to peers (new field confirmed_ms) hold its age, and a daemon reads the store once it is 1 s old, before a random wait of at most 0.5 s. Watches wait 0.6 s; the first call of a daemon that takes over does not wait. Heartbeats are sent after 0.4 s or 0.3 s of progress, whichever is first.

TestLoneDaemonCallsSoon now asks for 2 s in place of 4 s.

--- a/core/process/watching/watching_test.go
+++ b/core/process/watching/watching_test.go
@@ -47,7 +47,7 @@
 		}
 		confirmed := false
 		for _, p := range f.plans {
-			s := Situation{Peers: len(f.plans), Age: time.Hour, HeartbeatAge: f.now.Sub(f.heartbeat), StaleAge: f.now.Sub(f.stale)}
+			s := Situation{Peers: len(f.plans), Age: time.Hour, ConfirmedAge: f.now.Sub(f.heartbeat), HeartbeatAge: f.now.Sub(f.heartbeat), StaleAge: f.now.Sub(f.stale)}
 			if !p.Due(s, f.now) {
 				continue
 			}
@@ -135,10 +135,10 @@
 // A daemon of a large data centre is cut off from all peers. It must call the source by
 // itself within the time in which changes must be in force there.
 func TestLoneDaemonCallsSoon(t *testing.T) {
-	const changesInForce = 4 * time.Second
+	const changesInForce = ApplyTime
 	p := New(rand.New(rand.NewPCG(1, 1)))
 	for after := time.Duration(0); ; after += step {
-		s := Situation{Peers: 60, Age: time.Hour, HeartbeatAge: after, StaleAge: time.Hour}
+		s := Situation{Peers: 60, Age: time.Hour, ConfirmedAge: after, HeartbeatAge: after, StaleAge: time.Hour}
 		if p.Due(s, start.Add(after)) {
 			if after > changesInForce {
 				t.Fatalf("first call after %s", after)
@@ -156,12 +156,15 @@
 	}{
 		"no records":               {Situation{Empty: true, HeartbeatAge: never, StaleAge: never}, first},
 		"watcher":                  {Situation{Watcher: true, Age: never, StaleAge: never}, watch},
-		"just started":             {Situation{HeartbeatAge: never, StaleAge: never, Age: time.Second}, idle},
-		"started, no heartbeat":    {Situation{HeartbeatAge: never, StaleAge: never, Age: StartTime}, takeOver},
+		"just started":             {Situation{ConfirmedAge: never, HeartbeatAge: never, StaleAge: never, Age: time.Second}, idle},
+		"started, no heartbeat":    {Situation{ConfirmedAge: never, HeartbeatAge: never, StaleAge: never, Age: StartTime}, takeOver},
 		"watchers without source":  {Situation{HeartbeatAge: probeAfter + 1, Age: never}, probe},
+		"watchers that hang":       {Situation{ConfirmedAge: MaxUnconfirmed + 1, Age: never, StaleAge: never}, takeOver},
+		"without source for long":  {Situation{ConfirmedAge: MaxUnconfirmed + 1, HeartbeatAge: MaxUnconfirmed + 1, Age: never}, takeOver},
 		"one watcher without":      {Situation{HeartbeatAge: probeAfter, Age: never}, idle},
 		"peers do not hand it out": {Situation{Age: never, StaleAge: never, Lagging: true}, takeOver},
-		"leaving":                  {Situation{Leaving: true, Age: never, HeartbeatAge: 3 * time.Second, StaleAge: never}, idle},
+		"leaving":                  {Situation{Leaving: true, Age: never, ConfirmedAge: leavingTimeout, HeartbeatAge: 3 * time.Second, StaleAge: never}, idle},
+		"leaving, no news":         {Situation{Leaving: true, Age: never, ConfirmedAge: leavingTimeout + 1, HeartbeatAge: 3 * time.Second, StaleAge: never}, takeOver},
 	}
 	for name, c := range cases {
 		p := New(rand.New(rand.NewPCG(1, 1)))
--- a/serving/process/edge/watchers.go
+++ b/serving/process/edge/watchers.go
@@ -187,6 +187,7 @@
 		}
 		if to := d.heartbeatReceivers(); len(to) > 0 {
 			d.exchange.SendHeartbeat(to, d.follower.Heartbeat())
+			ticker.Reset(published.HeartbeatInterval)
 			time.Sleep(minHeartbeatPause)
 		}
 	}
--- a/serving/process/published/apply.go
+++ b/serving/process/published/apply.go
@@ -19,7 +19,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	position := f.Position()
-	b := Batch{Position: position, Settled: f.directory.Settled(now)}
+	b := Batch{Position: position, ConfirmedAt: f.lastConfirmed.Get(), Settled: f.directory.Settled(now)}
 	if position.Compare(after) <= 0 {
 		return b
 	}
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -32,6 +32,7 @@
 func (f *Follower) callIsDue(now time.Time) bool {
 	s := f.situation()
 	s.Empty = f.Position().IsZero()
+	s.ConfirmedAge = f.Age()
 	s.HeartbeatAge, s.StaleAge = f.HeartbeatAge(), f.lastStaleHeartbeat.Age()
 	s.Lagging = f.peersLagging()
 	due := f.plan.Due(s, now)
@@ -56,11 +57,7 @@
 	relist := true
 	for ctx.Err() == nil {
 		if now := time.Now(); !f.callIsDue(now) {
-			pause := checkInterval
-			if wait, planned := f.plan.Wait(now); planned {
-				pause = min(wait, checkInterval)
-			}
-			sleep(ctx, pause)
+			sleep(ctx, f.pauseBeforeCall(now))
 			continue
 		}
 		batch, err := f.readSource(ctx, relist)
@@ -101,11 +98,27 @@
 	return true
 }
 
+// pauseBeforeCall returns the time until it is to be decided again whether a call is due.
+func (f *Follower) pauseBeforeCall(now time.Time) time.Duration {
+	if wait, planned := f.plan.Wait(now); planned {
+		return min(wait, checkInterval)
+	}
+	return min(max(watching.MaxUnconfirmed-f.Age(), minCheckInterval), checkInterval)
+}
+
+// readSource reads the complete list, or watches for changes. It sets the moment as of which
+// the answer confirms the records.
 func (f *Follower) readSource(ctx context.Context, relist bool) (Batch, error) {
+	sent := time.Now()
 	if relist {
-		return f.source.List(ctx)
+		batch, err := f.source.List(ctx)
+		batch.ConfirmedAt = sent
+		return batch, err
 	}
-	return f.source.Watch(ctx, f.Revision(), WatchTimeout)
+	wait := watching.WatchTimeFor(sent.Sub(f.answeredAt))
+	batch, err := f.source.Watch(ctx, f.Revision(), wait)
+	batch.ConfirmedAt = watching.ConfirmedAt(sent, wait, len(batch.Records) > 0, time.Now())
+	return batch, err
 }
 
 // sourceFailed records that a read of the source failed.
@@ -139,9 +152,19 @@
 		f.volunteering.Store(true)
 		f.log.Info("watching the publisher in place of the watchers", zap.Uint64("revision", f.Revision()), zap.Duration("heartbeat_age", f.HeartbeatAge()))
 	}
-	f.lastConfirmed.Set(now)
+	f.answeredAt = batch.ConfirmedAt
 	f.markSourceAvailable(now)
 	f.applyBatch(batch, "source")
+	f.confirm(&batch)
+}
+
+// confirm records the moment as of which a batch that was applied shows that the records
+// are complete.
+func (f *Follower) confirm(b *Batch) {
+	if f.isNewer(b.Position) {
+		return // the batch was not applied
+	}
+	f.lastConfirmed.Advance(b.ConfirmedAt)
 	f.announce()
 }
 
@@ -201,10 +224,8 @@
 		}
 		return
 	}
-	if f.isNewer(batch.Position) {
-		f.lastConfirmed.Set(time.Now())
-	}
 	f.applyBatch(batch, "peer")
+	f.confirm(&batch)
 }
 
 // selectPeer returns the peer to read a pending position from: the peer that
--- a/serving/process/published/listener_test.go
+++ b/serving/process/published/listener_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/replicas"
+	"carobspoke.example/core/process/watching"
 	"github.com/pkg/errors"
 )
 
@@ -227,3 +229,42 @@
 		t.Fatal("a watcher that is refused does not say so")
 	}
 }
+
+// The watches of all watchers hang, and heartbeats go on. Guards against taking a heartbeat
+// for a sign that the source was read: the listener, which the source would answer, must
+// have a change in force within watching.ApplyTime.
+func TestListenerCallsSourceIfWatchesOfWatchersHang(t *testing.T) {
+	s := newSource()
+	s.put("config", "v")
+	s.put("target/a", "ready")
+	f := followAs(t, s, &fakePeers{}, false)
+	eventually(t, "version 1", func() bool { return f.View() != nil && version(f) == 1 })
+	position := f.Position()
+	eventually(t, "no call of its own", func() bool {
+		f.ObserveHeartbeat("watcher", Heartbeat{Position: position, ConfigVersion: 1})
+		return !f.Volunteering()
+	})
+	hung := time.Now()
+	s.put("config", "vv")
+	eventually(t, "version 2", func() bool {
+		for _, from := range []names.Host{"watcher", "relay"} {
+			f.ObserveHeartbeat(from, Heartbeat{Position: position, Confirmed: time.Since(hung), ConfigVersion: 1})
+		}
+		return version(f) == 2
+	})
+	if took := time.Since(hung); took > watching.ApplyTime-200*time.Millisecond {
+		t.Fatalf("in force after %s", took)
+	}
+}
+
+// A change that is read from a peer shows what the peer knows, at the age of the peer's
+// confirmation. Guards against taking the read for a confirmation by the source.
+func TestReadFromPeerIsAsOldAsPeersConfirmation(t *testing.T) {
+	const age = time.Minute
+	peer := Batch{Position: at(2), Complete: true, Records: []Record{{Key: "config", Value: []byte("v"), Revision: 2}}, ConfirmedAt: time.Now().Add(-age)}
+	f := newFollower(newSource(), &fakePeers{batch: peer}, false)
+	f.readPeer(t.Context())
+	if version(f) != 1 || f.Age() < age || f.UpToDate() {
+		t.Fatalf("version %d, confirmed %s ago", version(f), f.Age())
+	}
+}
--- a/serving/process/published/peers.go
+++ b/serving/process/published/peers.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -54,6 +55,10 @@
 	reply := &peerpb.PublishedReply{
 		Era: batch.Position.Era, Revision: batch.Position.Revision, Whole: batch.Complete, Settled: batch.Settled,
 	}
+	if !batch.ConfirmedAt.IsZero() {
+		age := uint32(min(time.Since(batch.ConfirmedAt).Milliseconds()+1, math.MaxUint32)) // rounded up
+		reply.ConfirmedMs = &age
+	}
 	for key, left := range batch.Suspended {
 		reply.Suspended = append(reply.Suspended, &peerpb.SuspendedTarget{Key: key, LeftMs: uint32(left.Milliseconds())})
 	}
@@ -139,6 +144,7 @@
 	if err != nil {
 		return Batch{}, err
 	}
+	sent := time.Now()
 	reply, err := peerpb.NewPublicationsClient(conn).Read(ctx, &peerpb.PublishedRequest{After: after.Revision, Era: after.Era})
 	if err != nil {
 		c.Pool.Remove(from)
@@ -147,6 +153,9 @@
 	batch := Batch{
 		Position: replicas.Position{Era: reply.GetEra(), Revision: reply.GetRevision()}, Complete: reply.GetWhole(), Settled: reply.GetSettled(),
 	}
+	if reply.ConfirmedMs != nil {
+		batch.ConfirmedAt = sent.Add(-time.Duration(reply.GetConfirmedMs()) * time.Millisecond)
+	}
 	for _, s := range reply.GetSuspended() {
 		if batch.Suspended == nil {
 			batch.Suspended = make(map[string]time.Duration)
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -37,12 +37,10 @@
 
 // Timing of the follower.
 const (
-	// WatchTimeout bounds the wait of one watch, and so the time for which an
-	// unresponsive connection can hide changes.
-	WatchTimeout = 2 * time.Second
 	// MaxFreshAge is the age of the last confirmation up to which the records
-	// count as up to date: one watch and the time to detect that it failed.
-	MaxFreshAge = WatchTimeout + 800*time.Millisecond
+	// count as up to date. A request that older records do not allow may be allowed
+	// by a change that must be in force.
+	MaxFreshAge = watching.ApplyTime - 200*time.Millisecond
 	// expiryInterval is the interval at which targets that were not published
 	// again after an outage are dropped.
 	expiryInterval = 200 * time.Millisecond
@@ -54,6 +52,9 @@
 	// checkInterval is the interval at which a daemon checks whether it must call
 	// the source and whether it must read from a peer.
 	checkInterval = 200 * time.Millisecond
+	// minCheckInterval is the least time between two checks whether the source must be
+	// called.
+	minCheckInterval = 10 * time.Millisecond
 	// ownWatchAllowance is how long a watcher waits for its own watch to return
 	// changes that a peer already has, before it reads them from the peer.
 	ownWatchAllowance = 150 * time.Millisecond
@@ -83,6 +84,9 @@
 	Position replicas.Position
 	// Complete is true if Records is the complete list.
 	Complete bool
+	// ConfirmedAt is the moment as of which the source confirmed that the records are
+	// complete, and zero if that is unknown. A source leaves it to the follower.
+	ConfirmedAt time.Time
 	// Settled is true if the targets that the batch removes are gone. A source
 	// never sets it: entries also expire while the source is unavailable, and
 	// their targets may still be alive.
@@ -154,7 +158,8 @@
 
 	view atomic.Pointer[View]
 	// firstView is closed when the first view is published.
-	firstView     chan struct{}
+	firstView chan struct{}
+	// lastConfirmed is the moment as of which the records are known to be complete.
 	lastConfirmed atomictime.Time
 	position      atomic.Pointer[replicas.Position]
 	pending       atomic.Pointer[pendingPosition]
@@ -169,6 +174,10 @@
 	lastWatcher atomic.Pointer[names.Host]
 	wake        chan struct{}
 
+	// answeredAt is the moment as of which the source last confirmed the records to this
+	// daemon itself. Only followSource uses it.
+	answeredAt time.Time
+
 	mu      sync.Mutex
 	records map[string]Record
 	// unusable holds the keys of the records that cannot be decoded.
@@ -238,13 +247,13 @@
 // FirstView returns a channel that is closed once View returns a state.
 func (f *Follower) FirstView() <-chan struct{} { return f.firstView }
 
-// UpToDate reports whether the source or a peer confirmed the records within the
-// last MaxFreshAge.
+// UpToDate reports whether the records are known to have been complete within the last
+// MaxFreshAge.
 func (f *Follower) UpToDate() bool {
 	return f.Age() < MaxFreshAge
 }
 
-// Age returns the time since the records were last confirmed.
+// Age returns the time since the moment as of which the source last confirmed the records.
 func (f *Follower) Age() time.Duration { return f.lastConfirmed.Age() }
 
 // Position returns the position of the records; zero before the first.
@@ -346,17 +355,18 @@
 	}
 }
 
-// ObserveHeartbeat processes a watcher's heartbeat. One whose sender has lost the source
-// or whose confirmation is older than MaxFreshAge confirms nothing. One of an earlier era
-// is ignored, except for its configuration: versions of configurations do not depend on
-// eras.
+// ObserveHeartbeat processes a watcher's heartbeat. One whose sender has lost the source,
+// or has had no confirmation for watching.MaxUnconfirmed, says that the watchers are alive and
+// know nothing new. One with an earlier position confirms the records, too, which have all
+// that was complete there. One of an earlier era is ignored, except for its configuration:
+// versions of configurations do not depend on eras.
 func (f *Follower) ObserveHeartbeat(from names.Host, h Heartbeat) {
 	f.ObserveConfigVersion(h.ConfigVersion, from)
 	now := time.Now()
 	switch {
 	case h.Position.Era < f.Position().Era:
 		return
-	case h.Lost || h.Confirmed > MaxFreshAge:
+	case h.Lost || h.Confirmed > watching.MaxUnconfirmed:
 		f.lastStaleHeartbeat.Set(now)
 		f.ObservePeerPosition(h.Position, from)
 		return
@@ -377,7 +387,7 @@
 
 // confirmedStep is the least progress of the last confirmation that is announced at
 // once. Less waits for the next heartbeat.
-const confirmedStep = 500 * time.Millisecond
+const confirmedStep = 300 * time.Millisecond
 
 // announce calls onNews if the records were confirmed confirmedStep after what was
 // announced last.
