Drop a target that is removed after a restored store has listed it

Cause: for 5 s after a daemon had read the restored list, each entry that disappeared stayed in use, also one that the list held or that was written again. The grace is for targets that the copy lacks.

Change: an entry remembers whether it was listed since the restoration. One that was is in doubt for RepublishGrace (2.2 s), as after any outage, since it may have expired while the store was away; one that the copy lacks for RestoreGrace (5 s). No sound target is lost while it is written again.

Ruled out: the late read of the list, which moves the grace but does not make it apply.

--- a/core/process/replicas/replicas.go
+++ b/core/process/replicas/replicas.go
@@ -27,7 +27,8 @@
 // Times after a restoration of the publisher from a copy.
 const (
 	// RestoreGrace is the time within which entries that the copy lacks may be
-	// published again.
+	// published again. It does not apply to an entry that was listed after the
+	// restoration.
 	RestoreGrace = 5 * time.Second
 	// SuspensionTime is how long an entry of the copy is not used if its target
 	// was draining or gone before the restoration. A target that is alive and
@@ -89,9 +90,12 @@
 	// removed holds the targets that were removed in the last tombstoneTime.
 	removed map[names.Target]tombstone
 	// unavailable is true during an outage of the publisher. During an outage
-	// and until graceUntil, the list may lack entries of live targets.
+	// and until graceUntil, entries of live targets may be removed from the list.
 	unavailable bool
 	graceUntil  time.Time
+	// restoreUntil is the time until which the list may lack entries of live targets
+	// because they are newer than the copy.
+	restoreUntil time.Time
 	// firstAvailable is when the publisher first answered.
 	firstAvailable time.Time
 	// copied is the revision up to which entries may be those of a copy, and
@@ -107,6 +111,8 @@
 	// outage, at the revision removedAt.
 	missing   bool
 	removedAt uint64
+	// unlisted is true while the entry was not listed since the last restoration.
+	unlisted bool
 	// suspendedUntil is the time until which the entry of a copy is not used.
 	suspendedUntil time.Time
 }
@@ -162,13 +168,14 @@
 }
 
 // Remove records that an entry was removed from the list at a revision. During and
-// just after an outage the entry remains usable, unless it is draining.
+// just after an outage the entry remains usable, and also one that a restored list lacks,
+// unless it is draining.
 func (d *Directory) Remove(id names.Target, revision uint64, now time.Time) {
 	entry, ok := d.entries[id]
 	if !ok || entry.target.Revision > revision {
 		return
 	}
-	if d.absenceUncertain(now) && entry.usable(now) {
+	if d.mayBeAlive(entry, now) && entry.usable(now) {
 		entry.missing, entry.removedAt = true, revision
 		return
 	}
@@ -188,14 +195,16 @@
 
 // Restore records that the publisher was restored from a copy. Its revisions start
 // again below those that are known, and its list, which is as of the revision copied,
-// may be some seconds old: an entry that it lacks stays usable until RestoreGrace
-// later, one of a target that was draining or gone before is not used until it is
-// published again or until SuspensionTime later, and an earlier start of a target does
-// not replace a later one.
+// may be some seconds old. An entry that it lacks stays usable until RestoreGrace later,
+// and one that it holds and that is removed within RepublishGrace until the end of that:
+// it may have expired while the publisher was away. One of a target that was draining or
+// gone before is not used until it is published again or until SuspensionTime later, and
+// an earlier start of a target does not replace a later one.
 func (d *Directory) Restore(copied uint64, now time.Time) {
-	d.copied, d.suspendUntil, d.graceUntil = copied, now.Add(SuspensionTime), now.Add(RestoreGrace)
+	d.copied, d.suspendUntil, d.restoreUntil = copied, now.Add(SuspensionTime), now.Add(RestoreGrace)
+	d.graceUntil = later(d.graceUntil, now.Add(RepublishGrace))
 	for _, entry := range d.entries {
-		entry.target.Revision, entry.removedAt = 0, 0
+		entry.target.Revision, entry.removedAt, entry.unlisted = 0, 0, true
 	}
 	for id, gone := range d.removed {
 		gone.revision = 0
@@ -269,10 +278,8 @@
 			changed = true
 		}
 	}
-	if d.absenceUncertain(now) {
-		return changed
-	}
-	return d.DropMissing(now) || changed
+	dropped := d.dropMissing(now, func(entry *directoryEntry) bool { return !d.mayBeAlive(entry, now) })
+	return dropped || changed
 }
 
 // Settled reports whether all targets that are not listed are gone. It returns
@@ -280,24 +287,34 @@
 // until RepublishGrace after the first answer of the publisher, since there may
 // have been an outage just before the directory was created.
 func (d *Directory) Settled(now time.Time) bool {
-	return !d.absenceUncertain(now) && !d.firstAvailable.IsZero() && now.Sub(d.firstAvailable) >= RepublishGrace
+	return !d.absenceUncertain(now) && !now.Before(d.restoreUntil) && !d.firstAvailable.IsZero() && now.Sub(d.firstAvailable) >= RepublishGrace
 }
 
 // DropMissing drops the missing entries, and reports whether it dropped any. Other
 // packages call it when another directory at the same or a newer position is
 // settled.
 func (d *Directory) DropMissing(now time.Time) bool {
+	return d.dropMissing(now, func(*directoryEntry) bool { return true })
+}
+
+func (d *Directory) dropMissing(now time.Time, gone func(*directoryEntry) bool) bool {
 	before := len(d.entries)
 	for id, entry := range d.entries {
-		if entry.missing {
+		if entry.missing && gone(entry) {
 			d.drop(id, entry.removedAt, now)
 		}
 	}
 	return len(d.entries) < before
 }
 
-// absenceUncertain reports whether a target may be alive although the list lacks
-// its entry: during an outage and until graceUntil.
+// mayBeAlive reports whether a target may be alive although the list lacks its entry. An
+// entry that was listed since the last restoration is as certain as without one.
+func (d *Directory) mayBeAlive(entry *directoryEntry, now time.Time) bool {
+	return d.absenceUncertain(now) || entry.unlisted && now.Before(d.restoreUntil)
+}
+
+// absenceUncertain reports whether the entry of a live target may have been removed:
+// during an outage and until graceUntil.
 func (d *Directory) absenceUncertain(now time.Time) bool {
 	return d.unavailable || now.Before(d.graceUntil)
 }
--- a/core/process/replicas/restore_test.go
+++ b/core/process/replicas/restore_test.go
@@ -145,3 +145,49 @@
 	d.Put(entry("a", 10), at(RepublishGrace))
 	listedAt(t, d, RepublishGrace, "a")
 }
+
+// The publisher is stable again after a restoration, and a target leaves. Guards against
+// keeping an entry for which the new era leaves no doubt: the grace is for targets that the
+// copy lacks.
+func TestEntryRemovedInNewEraIsNotKept(t *testing.T) {
+	cases := map[string]struct {
+		id           names.Target
+		writtenAgain time.Duration // never if zero
+		removed      time.Duration
+		listed       bool // right after the removal
+	}{
+		"in the copy, may have expired while it was away": {id: "ready", removed: RepublishGrace - 1, listed: true},
+		"in the copy":                            {id: "ready", removed: RepublishGrace},
+		"lacking, written again":                 {id: "new", writtenAgain: 100 * time.Millisecond, removed: RepublishGrace},
+		"lacking, written again late":            {id: "new", writtenAgain: 1500 * time.Millisecond, removed: RepublishGrace},
+		"lacking, written again after the grace": {id: "new", writtenAgain: RestoreGrace - 2, removed: RestoreGrace - 1},
+		"in the copy, written again":             {id: "ready", writtenAgain: time.Second, removed: 3 * time.Second},
+	}
+	for name, c := range cases {
+		d := restored()
+		revision := uint64(21)
+		if c.writtenAgain > 0 {
+			d.Put(entry(c.id, revision), at(c.writtenAgain))
+			revision++
+		}
+		d.Expire(at(c.removed))
+		d.Remove(c.id, revision, at(c.removed))
+		d.Expire(at(c.removed))
+		var got []names.Target
+		for _, target := range d.List(at(c.removed)) {
+			got = append(got, target.ID)
+		}
+		if slices.Contains(got, c.id) != c.listed {
+			t.Errorf("%s: usable targets %v", name, got)
+		}
+		if !c.listed {
+			continue
+		}
+		d.Expire(at(RepublishGrace))
+		for _, target := range d.List(at(RepublishGrace)) {
+			if target.ID == c.id {
+				t.Errorf("%s: still usable after RepublishGrace", name)
+			}
+		}
+	}
+}
