Let the announcements of a restarted daemon be heard

Cause: a daemon that has started numbers its announcements of a part from 1, and its peers drop those that are not above the last one that they have seen. A refusal that has lapsed is not repeated, so that the daemon cannot hear of that number. The same happened 10 minutes after the last announcement, and to announcements that were due for a new peer.

Change: the first sequence follows the wall clock at the start of the daemon, and is above all that it has forgotten. The number of earlier announcements, which decides when to repeat one, is counted from the first one known.

--- a/core/process/suspects/exchange.go
+++ b/core/process/suspects/exchange.go
@@ -54,6 +54,10 @@
 	made        map[byte]int
 	windowStart time.Time
 	lastExpiry  time.Time
+	// started is when the daemon started, and forgotten holds by kind a sequence that is
+	// not below that of any announcement that was dropped.
+	started   time.Time
+	forgotten map[byte]uint64
 	// peerChanged is when a daemon was last known to have started, returned or left.
 	peerChanged time.Time
 }
@@ -65,15 +69,19 @@
 }
 
 type announcement struct {
-	sequence uint64
-	at       time.Time
+	// first is the first sequence that the daemon knew of, sequence the last one.
+	first, sequence uint64
+	at              time.Time
 	// until is when an announced refusal expires.
 	until time.Time
+	// due is true for one that is to be repeated at once.
+	due bool
 }
 
-// NewExchange returns an Exchange with an empty table.
-func NewExchange() *Exchange {
+// NewExchange returns an Exchange with an empty table, for a daemon that starts now.
+func NewExchange(now time.Time) *Exchange {
 	return &Exchange{
+		started: now, forgotten: make(map[byte]uint64),
 		table: New(), unsent: make(map[End]Accusation), announcements: make(map[subject]announcement),
 		decided: make(map[subject]bool), withdrawn: make(map[subject]time.Time), made: make(map[byte]int),
 	}
@@ -119,7 +127,11 @@
 		return nil, err
 	}
 	about := subject{kind: d.kind, item: d.Item}
-	x.announcements[about] = announcement{sequence: max(m.Sequence, x.announcements[about].sequence), at: now, until: now.Add(d.Remaining)}
+	last, known := x.announcements[about]
+	if !known {
+		last.first = m.Sequence
+	}
+	x.announcements[about] = announcement{first: last.first, sequence: max(m.Sequence, last.sequence), at: now, until: now.Add(d.Remaining)}
 	contested := false
 	switch d.kind {
 	case clearanceKind:
@@ -165,15 +177,64 @@
 	last, announced := x.announcements[about]
 	until := now.Add(d.Remaining)
 	changed := d.isRefusal() && (d.Remaining == 0 || until.Sub(last.until) > RepeatInterval)
-	if x.made[d.kind] >= MaxAnnouncements || announced && !changed && now.Sub(last.at) < repeatAfter(d, last.sequence) {
+	if x.made[d.kind] >= MaxAnnouncements || announced && !changed && !last.due && now.Sub(last.at) < repeatAfter(d, last.sequence-last.first) {
 		return list
 	}
 	x.made[d.kind]++
-	next := announcement{sequence: last.sequence + d.sequenceStep(), at: now, until: until}
+	if !announced {
+		last.sequence = x.base(d.kind)
+		last.first = last.sequence + 1
+	}
+	next := announcement{first: last.first, sequence: last.sequence + d.sequenceStep(), at: now, until: until}
 	x.announcements[about] = next
 	return append(list, encode(d, next.sequence))
 }
 
+const (
+	// sequenceInterval is the time between the sends of two sound requests from which their
+	// clearances have different sequences.
+	sequenceInterval = 50 * time.Millisecond
+	// sequenceEpoch is the Unix time in seconds of the base of sequences zero, and
+	// sequencePeriod the number of seconds after which daemons that start have a higher one.
+	sequenceEpoch  = 1767225600 // 2026-01-01
+	sequencePeriod = 4
+	// sequencesPerPeriod and clearancesPerPeriod bound the sequences of an item in
+	// sequencePeriod. They are small, since sequences take up space in datagrams.
+	sequencesPerPeriod  = 1 << 3
+	clearancesPerPeriod = 1 << 13
+)
+
+// sequencesIn returns the bound of the sequences of an item of a kind in sequencePeriod.
+func sequencesIn(kind byte) uint64 {
+	if kind == clearanceKind {
+		return clearancesPerPeriod
+	}
+	return sequencesPerPeriod
+}
+
+// base returns the sequence to begin after if no announcement of an item is known. It follows
+// the wall clock at the start, so that it is above what peers have seen of an earlier process
+// unless that is as recent as the error of the clock: then it is repeated, and heard. Daemons
+// that run for long have equal ones, so that their first announcements of an item at a time
+// are one.
+func (x *Exchange) base(kind byte) uint64 {
+	period := uint64(max(x.started.Unix()-sequenceEpoch, 0) / sequencePeriod)
+	return max(period*sequencesIn(kind), x.forgotten[kind])
+}
+
+// forget drops the announcements that are older than the ends that they may be about. The
+// sequences of peers stay above theirs.
+func (x *Exchange) forget(now time.Time) {
+	maps.DeleteFunc(x.announcements, func(about subject, a announcement) bool {
+		if now.Sub(a.at) <= EndsKeptFor {
+			return false
+		}
+		step := sequencesIn(about.kind)
+		x.forgotten[about.kind] = max(x.forgotten[about.kind], (a.sequence+step-1)/step*step)
+		return true
+	})
+}
+
 // sequenceStep returns by how much the sequence of an announcement exceeds the last one. Of
 // several clearances at a time the one of the latest sound request has the highest sequence.
 func (d *notice) sequenceStep() uint64 {
@@ -183,18 +244,15 @@
 	return 1 + uint64(max(SoundFor-d.ago, 0)/sequenceInterval)
 }
 
-// sequenceInterval is the time between the sends of two sound requests from which their
-// clearances have different sequences.
-const sequenceInterval = 50 * time.Millisecond
-
-// repeatAfter returns the time after which an announcement with a sequence is repeated. A
-// suspicion is repeated while targets end, since the daemons that have sent sound requests
-// meanwhile have to answer, and then seldom: it saves retries only.
-func repeatAfter(d *notice, sequence uint64) time.Duration {
+// repeatAfter returns the time after which an announcement is repeated. earlier is the number
+// of announcements of the item before it. A suspicion is repeated while targets end, since the
+// daemons that have sent sound requests meanwhile have to answer, and then seldom: it saves
+// retries only.
+func repeatAfter(d *notice, earlier uint64) time.Duration {
 	switch {
 	case d.kind == clearanceKind:
 		return clearanceRepeat // newer sound requests replace it
-	case d.kind == suspicionKind && sequence == 1:
+	case d.kind == suspicionKind && earlier == 0:
 		return SettleTime / 3
 	case d.kind == suspicionKind && EndsKeptFor-d.Remaining < suspectedLately:
 		return suspicionRepeatLately
@@ -202,7 +260,7 @@
 		return suspicionRepeat
 	}
 	interval := firstRepeat
-	for ; sequence > 1 && interval < RepeatInterval; sequence-- {
+	for ; earlier > 0 && interval < RepeatInterval; earlier-- {
 		interval *= 2
 	}
 	return min(interval, RepeatInterval)
@@ -214,7 +272,7 @@
 	if now.Sub(x.lastExpiry) >= RepeatInterval {
 		x.lastExpiry = now
 		x.table.Expire(now)
-		maps.DeleteFunc(x.announcements, func(_ subject, a announcement) bool { return now.Sub(a.at) > EndsKeptFor })
+		x.forget(now)
 		maps.DeleteFunc(x.withdrawn, func(_ subject, at time.Time) bool { return now.Sub(at) > EndsKeptFor })
 	}
 	list := x.withdraw(now)
@@ -243,7 +301,13 @@
 			due = append(due, notice{kind: suspicionKind, Refusal: r}) // a refusal stops retries, too
 		}
 	}
-	at := func(d *notice) time.Time { return x.announcements[subject{kind: d.kind, item: d.Item}].at }
+	at := func(d *notice) time.Time {
+		a := x.announcements[subject{kind: d.kind, item: d.Item}]
+		if a.due {
+			return time.Time{}
+		}
+		return a.at
+	}
 	slices.SortStableFunc(due, func(a, b notice) int { return at(&a).Compare(at(&b)) })
 	for i := range due {
 		list = x.announce(list, &due[i], now)
@@ -278,7 +342,7 @@
 	x.peerChanged = now
 	for about, a := range x.announcements {
 		if (&notice{kind: about.kind}).isRefusal() {
-			a.at = time.Time{}
+			a.due = true
 			x.announcements[about] = a
 		}
 	}
--- a/core/process/suspects/fleet_test.go
+++ b/core/process/suspects/fleet_test.go
@@ -198,3 +198,32 @@
 		}
 	}
 }
+
+// The collectors of a part's service are restarted after its refusal has lapsed, by a stop or
+// a kill, and targets end under it again. Guards against announcements that peers drop, since
+// those of the earlier processes had higher sequences.
+func TestRestartedCollectorsAreHeard(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{5, 8, 295} {
+		for _, restarted := range []int{1, 2, 5} {
+			t.Run(fmt.Sprint(n, " daemons, ", restarted, " restarted"), func(t *testing.T) {
+				t.Parallel()
+				s := newSimulation(t, load{daemons: n, crashingEvery: time.Second, runTime: 100 * time.Millisecond, cut: 14, soundEvery: 40 * time.Millisecond})
+				for len(s.endTimes) < EndsToRefuse {
+					s.run(100 * time.Millisecond)
+				}
+				s.crashingEvery = 0
+				s.run(17 * time.Second) // the refusal lapses
+				for i := range restarted {
+					old := s.net.Nodes[i]
+					s.net.Start(old.Host, old.Machine.Self().DataCentre, []names.Host{s.net.Nodes[n-1].Host})
+					s.run(1400 * time.Millisecond)
+				}
+				s.run(6 * time.Second)
+				s.crashingEvery = time.Second
+				s.run(40 * time.Second)
+				s.check()
+			})
+		}
+	}
+}
--- a/core/process/suspects/message_test.go
+++ b/core/process/suspects/message_test.go
@@ -34,7 +34,7 @@
 	f.Add("c12345678", []byte{0, 0, 1, 0})
 	f.Add("0123456789abcdef", []byte{1})
 	f.Fuzz(func(t *testing.T, key string, payload []byte) {
-		x := NewExchange()
+		x := NewExchange(start)
 		x.Sound(request("c", 1, "first"), start, start)
 		list, err := x.Receive(&Message{Key: key, Payload: payload}, start)
 		if err != nil && len(list) > 0 || len(list) > 1 {
@@ -46,7 +46,7 @@
 
 // A flood of accused items must not let a daemon announce more than its share.
 func TestAnnouncementsAreBounded(t *testing.T) {
-	x, other := NewExchange(), NewExchange()
+	x, other := NewExchange(start), NewExchange(start)
 	made := 0
 	for n := range 40 {
 		now := at(time.Duration(n) * TickInterval)
@@ -70,7 +70,7 @@
 // BenchmarkCheck is the cost of a request with three shared parts at a daemon with a full
 // table.
 func BenchmarkCheck(b *testing.B) {
-	x := NewExchange()
+	x := NewExchange(start)
 	for n := range MaxItems {
 		cut(x.table, end(n%100), request("c", n, "a", "b", "c"), start)
 	}
@@ -80,3 +80,54 @@
 		x.Sound(&r, start, start)
 	}
 }
+
+// A daemon that knows of no announcement of an item announces it, as after a restart or once
+// it has forgotten the last one. Guards against a sequence that peers have seen.
+func TestSequencesGoOnWithoutKnowledge(t *testing.T) {
+	refuse := func(x *Exchange, first int, now time.Time) []Message {
+		for n := range EndsToRefuse {
+			r := request("c", first+n, "part")
+			x.Cut(end(first+n), service, r, now)
+		}
+		for _, a := range x.Flush() {
+			x.Accused(&a, now)
+		}
+		return x.Tick(now.Add(TiedSettleTime))
+	}
+	for name, c := range map[string]struct {
+		repeats int
+		after   time.Duration // from the last announcement to the next
+		restart bool
+	}{
+		"restart soon, the clock is behind": {repeats: 3, after: 5 * time.Second, restart: true},
+		"restart after a refusal's end":     {repeats: 12, after: 17 * time.Second, restart: true},
+		"all ends are forgotten":            {repeats: 300, after: 2 * EndsKeptFor},
+		"restart after that":                {repeats: 300, after: 2 * EndsKeptFor, restart: true},
+	} {
+		x, last := NewExchange(start), make(map[string]uint64)
+		now := start
+		for _, m := range refuse(x, 1, now) {
+			last[m.Key] = m.Sequence
+		}
+		for range c.repeats {
+			now = now.Add(RepeatInterval)
+			for _, m := range refuse(x, int(now.Unix()%1e6), now) {
+				last[m.Key] = max(last[m.Key], m.Sequence)
+			}
+		}
+		now = now.Add(c.after)
+		x.Tick(now)
+		if c.restart {
+			x = NewExchange(now)
+		}
+		later := refuse(x, 1e7, now)
+		if len(later) == 0 {
+			t.Fatalf("%s: nothing is announced", name)
+		}
+		for _, m := range later {
+			if seen, ok := last[m.Key]; ok && m.Sequence <= seen {
+				t.Errorf("%s: sequence %d of kind %q, peers have seen %d", name, m.Sequence, m.Key[0], seen)
+			}
+		}
+	}
+}
--- a/core/process/suspects/table_test.go
+++ b/core/process/suspects/table_test.go
@@ -443,7 +443,7 @@
 // A refusal that ends no longer show is withdrawn at all daemons, also at one that has missed
 // the first withdrawal.
 func TestRefusalIsWithdrawn(t *testing.T) {
-	collector, other, missed := NewExchange(), NewExchange(), NewExchange()
+	collector, other, missed := NewExchange(start), NewExchange(start), NewExchange(start)
 	send := func(list []Message, now time.Time, to ...*Exchange) (replies []Message) {
 		for i := range list {
 			for _, x := range to {
--- a/serving/process/suspects/suspects.go
+++ b/serving/process/suspects/suspects.go
@@ -50,7 +50,7 @@
 
 // New returns a Guard that knows of no ends.
 func New(c Config) *Guard {
-	return &Guard{config: c, exchange: core.NewExchange(), refused: make(map[core.Item]bool)}
+	return &Guard{config: c, exchange: core.NewExchange(time.Now()), refused: make(map[core.Item]bool)}
 }
 
 // Refusal implements relay.Suspects. The verdict of the error is NotRun.
