Ask for a key as long as a configuration has customers

Cause: RequiresKey asked whether any key exists; customers without keys were taken for a configuration without customers.

Change: the table notes whether there are customers. Of the same class: an empty key is no longer that of a customer, and a route whose services have no weight sends to none of them, in place of the last one.

--- a/core/version/routing/table.go
+++ b/core/version/routing/table.go
@@ -15,6 +15,8 @@
 	routes   map[string][]*Route
 	services map[names.Service]*Service
 	byKey    map[string]*Customer
+	// requiresKey is true if the configuration has customers.
+	requiresKey bool
 }
 
 // NewTable checks and indexes a configuration. Its error names the first invalid
@@ -29,6 +31,8 @@
 		routes:   make(map[string][]*Route),
 		services: make(map[names.Service]*Service, len(c.Services)),
 		byKey:    make(map[string]*Customer),
+
+		requiresKey: len(c.Customers) > 0,
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
@@ -60,6 +64,9 @@
 	for i := range customers {
 		customer := &customers[i]
 		for _, key := range customer.Keys {
+			if key == "" {
+				continue // that of a request without a key
+			}
 			if other, ok := t.byKey[key]; ok && other.Name != customer.Name {
 				return errors.Errorf("routing: customers %q and %q have the same key", other.Name, customer.Name)
 			}
@@ -86,23 +93,27 @@
 // CustomerByKey returns the customer that has an API key, or nil.
 func (t *Table) CustomerByKey(key string) *Customer { return t.byKey[key] }
 
-// RequiresKey reports whether requests need an API key. They need none if no
-// customer has a key.
-func (t *Table) RequiresKey() bool { return len(t.byKey) > 0 }
+// RequiresKey reports whether requests need an API key: if there are customers, also if
+// none of them has a key.
+func (t *Table) RequiresKey() bool { return t.requiresKey }
 
-// PickService returns the service for a request, weighted at random. The argument
-// is a random number in [0, 1).
+// PickService returns the service for a request, weighted at random, or an empty name if
+// no service has a weight. The argument is a random number in [0, 1).
 func (r *Route) PickService(random float64) names.Service {
 	total := 0
 	for _, s := range r.Services {
 		total += max(s.Weight, 0)
 	}
 	remaining := random * float64(total)
+	var last names.Service
 	for _, s := range r.Services {
-		remaining -= float64(max(s.Weight, 0))
-		if remaining < 0 {
-			return s.Service
+		if s.Weight <= 0 {
+			continue
+		}
+		last = s.Service
+		if remaining -= float64(s.Weight); remaining < 0 {
+			break
 		}
 	}
-	return r.Services[len(r.Services)-1].Service
+	return last
 }
--- a/core/version/routing/table_test.go
+++ b/core/version/routing/table_test.go
@@ -101,3 +101,52 @@
 		}
 	}
 }
+
+// The last key is taken away from all customers, which stay listed. Guards against taking
+// customers without keys for a configuration without customers, under which no key is needed.
+func TestKeyIsRequiredWithoutAnyKey(t *testing.T) {
+	cases := map[string]struct {
+		customers []Customer
+		want      bool
+	}{
+		"no customers":               {nil, false},
+		"empty list of customers":    {[]Customer{}, false},
+		"a customer without keys":    {[]Customer{{Name: "first"}}, true},
+		"an empty list of keys":      {[]Customer{{Name: "first", Keys: []string{}}}, true},
+		"an empty key":               {[]Customer{{Name: "first", Keys: []string{""}}}, true},
+		"one customer without a key": {[]Customer{{Name: "first"}, {Name: "second", Keys: []string{"k"}}}, true},
+	}
+	for name, c := range cases {
+		config := testConfig()
+		config.Customers = c.customers
+		table, err := NewTable(config)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := table.RequiresKey(); got != c.want {
+			t.Errorf("%s: a key is required: %t", name, got)
+		}
+		if customer := table.CustomerByKey(""); customer != nil {
+			t.Errorf("%s: no key is that of customer %q", name, customer.Name)
+		}
+	}
+}
+
+// Guards against taking a route whose services all have no weight for one that may send to
+// any of them.
+func TestServiceWithoutWeightIsNotPicked(t *testing.T) {
+	for _, r := range []Route{
+		{Services: []WeightedService{{Service: "one"}, {Service: "two"}}},
+		{Services: []WeightedService{{Service: "one", Weight: -1}}},
+	} {
+		for _, random := range []float64{0, 0.5, 0.999} {
+			if got := r.PickService(random); got != "" {
+				t.Errorf("service %q of %v", got, r.Services)
+			}
+		}
+	}
+	r := Route{Services: []WeightedService{{Service: "one", Weight: 1}, {Service: "two"}}}
+	if got := r.PickService(0.999); got != "one" {
+		t.Errorf("service %q, which has no weight", got)
+	}
+}
