Read a replaced configuration once, with the changes that contain it

Cause, a likely one of the record's: gossip names the version at once, and each daemon read the complete list of a peer for it although the changes were on their way; replaced versions were kept, compressed and handed out again; a known configuration was decoded again; the queue of gossip held one version digest for two keys.

Change: the changes have 0.5 s to bring an announced configuration; of a key only the last change is kept; a known configuration is not decoded again; the queue holds four. The log names the peer of each batch, and what a failed read asked for.

--- a/core/process/membership/config.go
+++ b/core/process/membership/config.go
@@ -75,6 +75,9 @@
 	// MaxCrashes limits the crash digests that are queued, and the keys of
 	// each kind whose last sequence is remembered.
 	MaxCrashes = 1024
+	// MaxVersions limits the version digests that are queued. A daemon publishes a position
+	// and a version of the configuration at the same time.
+	MaxVersions = 4
 	// MaxLoads limits the load digests that are queued.
 	MaxLoads = 32
 	// MaxPayloadBytes is the size limit of a digest's payload.
@@ -114,7 +117,7 @@
 func queueLimits(n int) [gossip.Kinds]gossip.Limits {
 	times := maxTransmits(n)
 	return [gossip.Kinds]gossip.Limits{
-		gossip.Version: {MaxEntries: 1, MaxTransmits: times},
+		gossip.Version: {MaxEntries: MaxVersions, MaxTransmits: times},
 		gossip.Member:  {MaxEntries: MaxMembers, MaxTransmits: times},
 		gossip.Crash:   {MaxEntries: MaxCrashes, MaxTransmits: times},
 		gossip.Load:    {MaxEntries: MaxLoads, MaxTransmits: 4},
--- a/core/process/membership/machine_test.go
+++ b/core/process/membership/machine_test.go
@@ -248,6 +248,21 @@
 	}
 }
 
+// A daemon publishes the position that it has read and the version of the configuration at the
+// same time. Guards against a queue in which the second replaces the first.
+func TestVersionDigestsOfTwoKeysReachAll(t *testing.T) {
+	n := startFleet(t, 50, fakenet.Options{Seed: 6, Config: twoRegions()})
+	n.RecordActions = true
+	for _, d := range []membership.Digest{
+		{Kind: gossip.Version, Key: "published", Sequence: 100}, {Kind: gossip.Version, Key: "config", Sequence: 8},
+	} {
+		n.Step(n.Nodes[0], membership.Publish{Digest: d})
+	}
+	if _, ok := n.RunUntil(10*time.Second, func() bool { return deliveredCount(n, 100) == 49 && deliveredCount(n, 8) == 49 }); !ok {
+		t.Fatalf("%d members received the position and %d the version, want 49", deliveredCount(n, 100), deliveredCount(n, 8))
+	}
+}
+
 func deliveredCount(n *fakenet.Net, sequence uint64) int {
 	delivered := 0
 	for _, v := range n.Nodes {
--- a/serving/process/published/apply.go
+++ b/serving/process/published/apply.go
@@ -1,6 +1,7 @@
 package published
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -90,7 +91,7 @@
 	}
 	f.position.Store(&b.Position)
 	f.publishView()
-	f.log.Info("published records taken in", zap.String("from", from), zap.Uint64("era", b.Position.Era), zap.Uint64("revision", b.Position.Revision),
+	f.log.Info("published records taken in", zap.String("from", from), zap.String("peer", string(b.Peer)), zap.Uint64("era", b.Position.Era), zap.Uint64("revision", b.Position.Revision),
 		zap.Int("records", len(b.Records)), zap.Bool("whole", b.Complete), zap.Int("targets", len(f.directory.List(now))))
 	f.onPosition(b.Position)
 }
@@ -112,7 +113,7 @@
 func (f *Follower) applyConfigs(records []Record) {
 	for i := range records {
 		r := records[i]
-		if _, isTarget := f.decoder.TargetOf(r.Key); isTarget || r.Deleted {
+		if _, isTarget := f.decoder.TargetOf(r.Key); isTarget || r.Deleted || bytes.Equal(r.Value, f.records[r.Key].Value) {
 			continue
 		}
 		config, _, err := f.decoder.Decode(&r)
@@ -134,10 +135,18 @@
 }
 
 // appendHistory adds the changes after the revision known to those kept for
-// peers, and drops the oldest beyond maxHistory.
+// peers, and drops the changes that they replace and the oldest beyond maxHistory.
 func (f *Follower) appendHistory(records []Record, known uint64) {
+	replaced := make(map[string]bool)
 	for i := range records {
 		if records[i].Revision > known {
+			replaced[records[i].Key] = true
+		}
+	}
+	f.history = slices.DeleteFunc(f.history, func(r Record) bool { return replaced[r.Key] })
+	for i := range records {
+		later := func(r Record) bool { return r.Key == records[i].Key }
+		if records[i].Revision > known && !slices.ContainsFunc(records[i+1:], later) {
 			f.history = append(f.history, records[i])
 		}
 	}
@@ -172,6 +181,10 @@
 		f.applyRemoval(r, now)
 		return
 	}
+	if r.Key == f.configKey && bytes.Equal(r.Value, f.records[r.Key].Value) {
+		f.keepConfig(r)
+		return // decoding many routes takes long
+	}
 	config, target, err := f.decoder.Decode(r)
 	f.recordUsability(r, err)
 	if config != nil {
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -213,14 +213,16 @@
 	case !after.IsZero():
 		return
 	}
+	began := time.Now()
 	batch, err := f.peers.Read(ctx, from, after)
 	if err != nil {
-		f.log.Info("peer not read", zap.String("peer", string(from)), zap.String("error", err.Error()))
+		f.log.Info("peer not read", zap.String("peer", string(from)), zap.Uint64("after", after.Revision), zap.Duration("took", time.Since(began)),
+			zap.Uint64("version", uint64(f.configVersion())), zap.String("error", err.Error()))
 		if pending != nil {
 			f.pending.CompareAndSwap(pending, &pendingPosition{position: pending.position, since: pending.since, readFailed: true}) // the next read may go to any peer
 		}
 		if config != nil {
-			f.announced.CompareAndSwap(config, &announcedConfig{version: config.version, until: config.until}) // as above
+			f.announced.CompareAndSwap(config, &announcedConfig{version: config.version, readAt: config.readAt, until: config.until}) // as above
 		}
 		return
 	}
--- a/serving/process/published/peers.go
+++ b/serving/process/published/peers.go
@@ -152,6 +152,7 @@
 	}
 	batch := Batch{
 		Position: replicas.Position{Era: reply.GetEra(), Revision: reply.GetRevision()}, Complete: reply.GetWhole(), Settled: reply.GetSettled(),
+		Peer: from,
 	}
 	if reply.ConfirmedMs != nil {
 		batch.ConfirmedAt = sent.Add(-time.Duration(reply.GetConfirmedMs()) * time.Millisecond)
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -64,6 +64,10 @@
 	// announcedConfigTimeout is how long a configuration that a peer announced is
 	// read from peers.
 	announcedConfigTimeout = 5 * time.Second
+	// configReadDelay is how long a daemon that hears of a configuration waits for the
+	// changes that contain it, before it reads the complete list of a peer: one of many
+	// routes costs a small host a good part of a second.
+	configReadDelay = 500 * time.Millisecond
 	// maxHistory bounds the number of changes that are kept for peers.
 	maxHistory = 512
 )
@@ -84,6 +88,8 @@
 	Position replicas.Position
 	// Complete is true if Records is the complete list.
 	Complete bool
+	// Peer is the daemon that the batch was read from, empty for a source.
+	Peer names.Host
 	// ConfirmedAt is the moment as of which the source confirmed that the records are
 	// complete, and zero if that is unknown. A source leaves it to the follower.
 	ConfirmedAt time.Time
@@ -184,8 +190,8 @@
 	unusable map[string]bool
 	// configKey is the key of the configuration in force.
 	configKey string
-	// history holds all changes after the revision historyStart, sorted by
-	// revision.
+	// history holds the last change of each key after the revision historyStart, sorted
+	// by revision.
 	history      []Record
 	historyStart uint64
 	directory    *replicas.Directory
@@ -208,8 +214,8 @@
 type announcedConfig struct {
 	version names.Version
 	from    names.Host
-	// until is when the follower gives up.
-	until time.Time
+	// The follower reads it from readAt on, and gives up at until.
+	readAt, until time.Time
 }
 
 // Config holds the dependencies of a Follower.
@@ -303,20 +309,28 @@
 }
 
 // ObserveConfigVersion records that a peer announced a version of the configuration.
-// The peer may be empty if it is not known to have the configuration.
+// The peer may be empty if it is not known to have the configuration. Mostly the next
+// changes contain it; they do not after a restoration of the source. A newer version that
+// follows does not put the read off.
 func (f *Follower) ObserveConfigVersion(version names.Version, from names.Host) {
+	now := time.Now()
 	old := f.announced.Load()
-	if version <= f.configVersion() || old != nil && version <= old.version && time.Now().Before(old.until) {
+	expected := old != nil && old.version > f.configVersion() && now.Before(old.until)
+	if version <= f.configVersion() || expected && version <= old.version {
 		return
 	}
-	f.announced.Store(&announcedConfig{version: version, from: from, until: time.Now().Add(announcedConfigTimeout)})
-	f.wakeUp()
+	c := &announcedConfig{version: version, from: from, readAt: now.Add(configReadDelay), until: now.Add(announcedConfigTimeout)}
+	if expected {
+		c.readAt = old.readAt
+	}
+	f.announced.Store(c)
 }
 
-// missingConfig returns the announced configuration that is not in force yet, or nil.
+// missingConfig returns the announced configuration that is not in force yet and that the
+// changes have not brought in time, or nil.
 func (f *Follower) missingConfig() *announcedConfig {
-	c := f.announced.Load()
-	if c == nil || c.version <= f.configVersion() || time.Now().After(c.until) {
+	c, now := f.announced.Load(), time.Now()
+	if c == nil || c.version <= f.configVersion() || now.Before(c.readAt) || now.After(c.until) {
 		return nil
 	}
 	return c
