Bound the memory of all answers that are kept together

Cause: an answer of a plain service may take up 8 MB, and nothing bounded all of them.

Change: answers are kept in chunks.

--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -259,12 +259,13 @@
 // forwardComplete forwards an answer after it was read completely.
 func (a *attempt) forwardComplete() error {
 	response := a.exchange.Response
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
+	answer, err := a.relay.answers.read(response.Body)
+	defer answer.release()
+	switch {
+	case errors.Is(err, errAnswerTooLong) || errors.Is(err, errBuffersFull):
 		a.exchange.Abort()
-		return verdict.Newf(verdict.MayHaveRun, verdict.AnswerMismatch, "the answer exceeds %d bytes", maxAnswerBytes)
-	}
-	if err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.AnswerMismatch, "the answer cannot be kept")
+	case err != nil:
 		a.exchange.Abort()
 		return a.exchange.BodyError(a.ctx, err)
 	}
@@ -273,12 +274,12 @@
 		return verdict.Newf(verdict.Ran, verdict.TargetFailed, "the target answered %d", response.StatusCode)
 	}
 	copyHeader(a.w.Header(), response.Header)
-	if length := completeLength(response, len(body)); length >= 0 {
+	if length := completeLength(response, answer.size); length >= 0 {
 		a.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	a.w.WriteHeader(response.StatusCode)
 	if a.r.Method != http.MethodHead {
-		_, _ = a.w.Write(body) // an error means that the caller has disconnected
+		answer.writeTo(a.w)
 	}
 	return nil
 }
@@ -296,9 +297,6 @@
 	}
 }
 
-// maxAnswerBytes limits the answer of a plain service.
-const maxAnswerBytes = 8 << 20
-
 // retriesServerError reports whether a server error of the target is followed
 // by another attempt. Otherwise the answer is forwarded unchanged.
 func (a *attempt) retriesServerError() bool {
--- a/serving/request/relay/broken_test.go
+++ b/serving/request/relay/broken_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -335,3 +337,37 @@
 		t.Fatalf("%v %q %v", err, body, response)
 	}
 }
+
+// A target stops inside the head of its answer and closes, at any byte. Guards against taking
+// what has arrived of the head for an answer without a body.
+func TestAnswerThatEndsInItsHeadIsNoSuccess(t *testing.T) {
+	heads := map[string]string{
+		"with length":          "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 0\r\nId: ",
+		"chunked":              "HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\nId: ",
+		"until the close":      "HTTP/1.1 200 OK\r\nSeal: s\r\nId: ",
+		"interim answer first": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 0\r\nId: ",
+		"bare line ends":       "HTTP/1.1 200 OK\nSeal: s\nId: ",
+	}
+	for name, head := range heads {
+		for _, path := range []string{"/read/x", "/order/x", "/stream/x", "/once/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				t.Parallel()
+				length := len(head) + len("123456789012") + len("\r\n")
+				for stop := 0; stop < length; stop += 3 {
+					server := newFakeServer(t, func(conn net.Conn, r *http.Request, n int) {
+						whole := head + r.Header.Get("Id") + "\r\n"
+						_, _ = io.WriteString(conn, whole[:min(stop, len(whole))])
+						script := script{ending: []ending{closed, reset}[n%2]}
+						script.end(conn)
+					})
+					f := newFixture(t, server, server)
+					for _, a := range allAskers() {
+						if body, complete := f.ask(a, path, ""); complete {
+							t.Fatalf("%s, %d bytes of the head: the caller got %q as a complete answer", a.name, stop, body)
+						}
+					}
+				}
+			})
+		}
+	}
+}
--- a/serving/request/relay/endless_test.go
+++ b/serving/request/relay/endless_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -97,6 +99,62 @@
 	}
 }
 
+// A target answers many requests at a time with bodies without end, and some callers do not
+// read. Guards against keeping each of them up to the limit of one answer, for which the daemon
+// has no memory, and against failing the sound answers beside them.
+func TestBodiesWithoutEndOfManyRequestsAreBounded(t *testing.T) {
+	const (
+		requests = 60
+		most     = 96 << 20 // beside which the smallest host, of 184 MB, serves its other load
+	)
+	_, endless := newEndlessTarget(t, "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n\r\n", strings.Repeat("x", 32<<10), time.Millisecond)
+	f := newFixture(t, endless)
+	for i := range f.routes {
+		f.routes[i].Timeout = 20 * time.Second
+	}
+	f.build()
+	sound := newFixture(t, newFakeServer(t, answersOK("sound")))
+	sound.relay.answers.held.Store(maxBufferedBytes) // the same daemon
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var callers sync.WaitGroup
+	for range requests {
+		callers.Go(func() {
+			if response, _, err := f.call("/order/x", nil); err == nil && response.StatusCode == http.StatusOK {
+				t.Error("an answer without end is passed on as a success")
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		callers.Wait()
+		close(done)
+	}()
+	peak := uint64(0)
+	for open := true; open; {
+		select {
+		case <-done:
+			open = false
+		case <-time.After(5 * time.Millisecond):
+		}
+		var now runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&now)
+		peak = max(peak, now.HeapAlloc-min(before.HeapAlloc, now.HeapAlloc))
+	}
+	t.Logf("%d MB at most for %d answers without end", peak>>20, requests)
+	if peak > most {
+		t.Errorf("%d MB are kept, want %d at most", peak>>20, most>>20)
+	}
+	if held := f.relay.answers.held.Load(); held != 0 {
+		t.Errorf("%d bytes are held after all requests", held)
+	}
+	if response, body, err := sound.call("/order/x", nil); err != nil || response.StatusCode != http.StatusOK || body != "sound" {
+		t.Errorf("a sound answer beside them: %v, body %q", err, body)
+	}
+}
+
 // A target sends events for more tokens than the caller asked for.
 func TestEventsBeyondTheAnswersLengthAreCutOff(t *testing.T) {
 	limit := streamLimit{answerTokens: 10}
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -158,6 +158,7 @@
 // Relay is an http.Handler for callers' requests.
 type Relay struct {
 	Deps
+	answers buffers
 }
 
 // New returns a Relay with the given dependencies.
