--- a/serving/request/relay/endless_test.go
+++ b/serving/request/relay/endless_test.go
@@ -99,9 +99,9 @@
 	}
 }
 
-// A target answers many requests at a time with bodies without end, and some callers do not
-// read. Guards against keeping each of them up to the limit of one answer, for which the daemon
-// has no memory, and against failing the sound answers beside them.
+// A target answers many requests at a time with bodies without end. Guards against keeping each
+// of them up to the limit of one answer, for which the daemon has no memory, and against failing
+// the sound answers beside them.
 func TestBodiesWithoutEndOfManyRequestsAreBounded(t *testing.T) {
 	const (
 		requests = 60
