Let the soak ask whether changes are in force while the store's readers are disturbed

It asks nine daemons in three data centres, those that are not disturbed, within the users' shortest bounds.

Before this the soak silenced the store to all daemons or to one, took no key away and removed no entry after a restoration had settled.

--- a/tools/emulator/proxy.go
+++ b/tools/emulator/proxy.go
@@ -85,6 +85,13 @@
 	return len(p.links) == 0 && time.Since(p.changedAt) > d
 }
 
+// Connected reports whether the proxy has an open connection to its server.
+func (p *Proxy) Connected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.clients) > 0
+}
+
 // Client returns the address of the client whose connection the proxy forwards
 // from the given address of its own, or an empty text if it is not open.
 func (p *Proxy) Client(from string) string {
--- a/tools/soak/command.go
+++ b/tools/soak/command.go
@@ -35,6 +35,7 @@
 			&cli.DurationFlag{Name: "crash-every", Value: defaults.CrashingInterval, Usage: "with --parts: `TIME` between two requests with the part"},
 			&cli.BoolFlag{Name: "leaving", Usage: "targets also state in their answers that they leave, or for how long they want no requests"},
 			&cli.BoolFlag{Name: "limits", Usage: "targets also name how many requests a second they take from all daemons"},
+			&cli.IntFlag{Name: "changes", Usage: "instead of all that: `NUMBER` of changes, each while the readers of the store are disturbed or after a restoration, with nine daemons in three data centres that are asked whether it is in force"},
 			&cli.StringFlag{Name: "beside", Usage: "`PATH` of another build of carobspoked, which every second daemon runs"},
 			&cli.StringFlag{Name: "folder", Value: filepath.Join(os.TempDir(), "carobspoke-soak"), Usage: "`FOLDER` for settings and logs, with a folder of its own for each process"},
 		},
@@ -42,6 +43,14 @@
 	}
 }
 
+// run runs one seed, of changes if there are any.
+func run(ctx context.Context, c Config, changes int) (*Report, error) {
+	if changes > 0 {
+		return RunChanges(ctx, c, changes)
+	}
+	return Run(ctx, c)
+}
+
 func runCommand(ctx context.Context, c *cli.Command) error {
 	// Soaks that run at once must not share a folder.
 	folder := filepath.Join(c.String("folder"), strconv.Itoa(os.Getpid()))
@@ -62,7 +71,7 @@
 			Program: program, Beside: c.String("beside"),
 		}
 		config.Folder = filepath.Join(folder, strconv.FormatUint(config.Seed, 10))
-		report, err := Run(ctx, config)
+		report, err := run(ctx, config, c.Int("changes"))
 		if err != nil {
 			return err
 		}
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -61,6 +61,29 @@
 	}
 }
 
+// TestChangesAreInForceInTime makes changes while the readers of the store are cut off, paused or
+// dead, and after the store was restored. Guards against daemons that rely on others which know
+// nothing new, on keys that are gone, and on a target that was removed.
+func TestChangesAreInForceInTime(t *testing.T) {
+	program, err := Build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := DefaultConfig()
+	c.Seed, c.Program, c.Folder = 1, program, filepath.Join(t.TempDir(), "1")
+	report, err := RunChanges(t.Context(), c, len(episodes()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report)
+	if err := report.Err(); err != nil {
+		t.Error(err)
+	}
+	if report.Counts.Served == 0 {
+		t.Error("no request was served")
+	}
+}
+
 // TestSeedWithCrashingPart has prompts with a part that crashes targets, beside planned work.
 func TestSeedWithCrashingPart(t *testing.T) {
 	program, err := Build(t.Context(), t.TempDir())
--- a/tools/soak/testbed.go
+++ b/tools/soak/testbed.go
@@ -39,6 +39,8 @@
 	Engines  int
 	Services int
 	Callers  int
+	// DataCentres is the number of data centres of the daemons, one if zero.
+	DataCentres int
 	// PlannedOnly limits the faults to planned work: stops of daemons, new
 	// configurations and replaced targets. Then no request may be cut.
 	PlannedOnly bool
@@ -107,9 +109,12 @@
 	mu      sync.Mutex
 	targets []*target
 	version names.Version
-	nextID  int
-	started time.Time
-	faults  []string
+	// keys are those of the customer if keysChanged is true, otherwise it has one.
+	keys        []string
+	keysChanged bool
+	nextID      int
+	started     time.Time
+	faults      []string
 }
 
 // target is a target behind its proxy.
@@ -199,7 +204,7 @@
 func (b *testbed) publishConfig() error {
 	b.mu.Lock()
 	b.version++
-	version := b.version
+	version, keys := b.version, b.keysOfCustomer()
 	b.mu.Unlock()
 	route := func(name string, kind routing.Kind, service names.Service, timeout time.Duration) routing.Route {
 		return routing.Route{
@@ -219,7 +224,7 @@
 		Services: []routing.Service{{Name: plainService, MaxConnections: 100}, {Name: engineService, MaxConnections: 100, Engine: &routing.Engine{
 			Slots: 8, MemoryTokens: 450_000, StepsPerPass: 10, StepTime: time.Millisecond, PrefillRate: 256_000, ChunkTokens: 2048, MeanPromptTokens: 5000, MeanAnswerTokens: 150,
 		}}},
-		Customers: []routing.Customer{{Name: customer, Keys: []string{key}}},
+		Customers: []routing.Customer{{Name: customer, Keys: keys}},
 		Limits:    routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
 	return b.store.PutConfig(config)
@@ -245,7 +250,7 @@
 			return err
 		}
 		h := &host{store: proxy, settings: &edge.Settings{
-			Name: fmt.Sprintf("host-%d", i), DataCentre: "dc", Regions: map[names.DataCentre]names.Region{"dc": "region"},
+			Name: fmt.Sprintf("host-%d", i), DataCentre: b.config.dataCentre(i), Regions: b.config.regions(),
 			CallerAddress: address(i, 0), ReadyAddress: address(i, 1), PeerAddress: address(i, 2), SharePort: ports[3],
 			Seeds: []netip.AddrPort{address(0, 2), address(1, 2)}, StoreAddress: netip.MustParseAddrPort(proxy.Address()),
 			GracePeriod: grace, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
