Let each version of the soak's changes take a key away, and lose the store's answers in a restoration

Without a key that is taken away in each version, late versions went unseen; and a watch that is answered as the store returns hides that the list is read later.

--- a/tools/soak/changes.go
+++ b/tools/soak/changes.go
@@ -93,9 +93,12 @@
 		}},
 		{name: "calm", begin: func(*testbed, []*host) ([]*host, func()) { return nil, func() {} }},
 		{name: "store restored", removes: true, begin: func(b *testbed, _ []*host) ([]*host, func()) {
-			end := b.store.Disturb(emulator.Unresponsive)
+			_, end := link(emulator.Link{BlockToServer: true, BlockFromServer: true})(b, b.hosts)
 			time.Sleep(copySilence)
 			lost := b.store.Restore(copyAge)
+			for _, h := range b.hosts {
+				h.store.Reset()
+			}
 			end()
 			order := rand.New(rand.NewPCG(b.random.Uint64(), 0))
 			spread := time.Duration(order.Int64N(int64(rewriteSpread)))
@@ -103,7 +106,7 @@
 				time.Sleep(spread)
 				b.store.Rewrite(key)
 			}
-			time.Sleep(settleTime + changeBound/10)
+			time.Sleep(settleTime)
 			return nil, func() {}
 		}},
 	}
@@ -130,7 +133,7 @@
 		return nil, err
 	}
 	kinds := episodes()
-	a := &asks{testbed: b}
+	a := &asks{testbed: b, keys: customerKeys[0]}
 	time.Sleep(2 * settleTime) // the daemons know each other
 	for round := range rounds {
 		kind := kinds[(round+int(c.Seed))%len(kinds)]
@@ -144,14 +147,18 @@
 // asks asks daemons which changes are in force.
 type asks struct {
 	testbed *testbed
-	// keys are those of the customer in the newest version.
-	keys []string
+	// keys are those of the customer in the newest version, the version-th of customerKeys.
+	keys    []string
+	version int
 
 	mu     sync.Mutex
 	number int
 	counts Counts
 }
 
+// customerKeys are the keys of the customer in successive versions.
+var customerKeys = [][]string{{key}, {"soak-key-2"}, {}}
+
 // play plays one episode.
 func (a *asks) play(ctx context.Context, kind *episode) error {
 	b := a.testbed
@@ -159,6 +166,11 @@
 	if len(readers) == 0 || len(readers) == len(b.hosts) {
 		return errors.Errorf("soak: %d of %d daemons read the store", len(readers), len(b.hosts))
 	}
+	if kind.removes && len(a.keys) == 0 { // requests need a key to reach the target
+		if err := a.publishNext(); err != nil {
+			return err
+		}
+	}
 	disturbed, end := kind.begin(b, readers)
 	b.recordFault("%s", kind.name)
 	end = sync.OnceFunc(end)
@@ -170,27 +182,34 @@
 	for _, h := range disturbed {
 		delete(others, h)
 	}
-	time.Sleep(time.Duration(b.random.Int64N(int64(time.Second))))
 	if kind.removes {
 		a.checkRemoval(ctx, others)
-	} else if err := a.checkVersion(ctx, others); err != nil {
-		return err
+	} else {
+		time.Sleep(time.Duration(b.random.Int64N(int64(time.Second))))
+		if err := a.checkVersion(ctx, others); err != nil {
+			return err
+		}
 	}
 	end()
 	time.Sleep(settleTime + askTime/2)
 	return nil
 }
 
+// publishNext publishes the next version of the configuration, with other keys.
+func (a *asks) publishNext() error {
+	a.version++
+	a.keys = customerKeys[a.version%len(customerKeys)]
+	a.testbed.mu.Lock()
+	a.testbed.keys, a.testbed.keysChanged = a.keys, true
+	a.testbed.mu.Unlock()
+	return a.testbed.publishConfig()
+}
+
 // checkVersion publishes the next version and asks for what it adds and drops.
 func (a *asks) checkVersion(ctx context.Context, hosts map[*host]bool) error {
 	b := a.testbed
-	choices := [][]string{{key}, {"soak-key-2"}, {}}
-	a.keys = choices[b.random.IntN(len(choices))]
-	b.mu.Lock()
-	b.keys, b.keysChanged = a.keys, true
-	dropped := b.version
-	b.mu.Unlock()
-	if err := b.publishConfig(); err != nil {
+	before, dropped := a.keys, b.version
+	if err := a.publishNext(); err != nil {
 		return err
 	}
 	acknowledged := time.Now()
@@ -203,8 +222,10 @@
 			}
 		}
 		mayNotRun("a key that no version held", "read", "unknown")
-		if !slices.Contains(a.keys, key) {
-			mayNotRun("a key that was taken away", "read", key)
+		for _, taken := range before {
+			if !slices.Contains(a.keys, taken) {
+				mayNotRun("a key that was taken away", "read", taken)
+			}
 		}
 		if len(a.keys) == 0 {
 			return
@@ -229,12 +250,8 @@
 	b.unlist(t)
 	b.store.RemoveTarget(&t.entry)
 	b.checker.TargetDraining(t.ID)
-	used := key
-	if len(a.keys) > 0 {
-		used = a.keys[0]
-	}
 	now := time.Now()
-	a.each(hosts, now, now.Add(changeBound+askTime), func(h *host) { a.ask(ctx, h, "read", used) })
+	a.each(hosts, now, now.Add(changeBound+askTime), func(h *host) { a.ask(ctx, h, "read", a.keys[0]) })
 	t.Crash()
 	t.proxy.Close()
 	if err := b.addTarget(plainService); err != nil {
