Count the time for which a heartbeat was held up towards its confirmation's age

Cause, by reading: a heartbeat holds the age of a confirmation at its send, and the receiver counted it from the moment at which it read the datagram, however long that had waited at the sender or in the socket. Position and age were read one after the other.

Change: a heartbeat holds the time of its send by the sender's clock since boot. The receiver adds what it took longer than the fastest one of that sender. Of earlier builds it knows nothing, as before. The age is read before the position.

Test that fails without it: TestHeartbeatThatWasHeldUpIsAsOldAsItsWait.

--- a/serving/process/dispatchsync/convert.go
+++ b/serving/process/dispatchsync/convert.go
@@ -31,6 +31,12 @@
 
 func fromMillis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
+// fromMillis64 returns a time of at most a hundred years.
+func fromMillis64(ms uint64) time.Duration {
+	const most = 100 * 365 * 24 * time.Hour
+	return time.Duration(min(ms, uint64(most.Milliseconds()))) * time.Millisecond
+}
+
 func fromMicros(us uint32) time.Duration { return time.Duration(us) * time.Microsecond }
 
 func encodeDispatch(d *inflight.Dispatch, idle time.Duration) *peerpb.DispatchBegun {
--- a/serving/process/dispatchsync/dispatchsync.go
+++ b/serving/process/dispatchsync/dispatchsync.go
@@ -20,7 +20,9 @@
 	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/process/suspects"
+	"carobspoke.example/core/process/watching"
 	"carobspoke.example/serving/peerpb"
+	"carobspoke.example/serving/process/boottime"
 	"carobspoke.example/serving/process/published"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -91,6 +93,9 @@
 	asks map[uint64]chan Answer
 	// wake signals to Run that there is a pending batch.
 	wake chan struct{}
+
+	// transit measures the delay of heartbeats. Only the receiving goroutine uses it.
+	transit watching.Transit[inflight.Key]
 }
 
 // pendingBatch is a batch that is not sent yet, and its approximate size in bytes.
@@ -172,6 +177,7 @@
 	batch.Settled = h.Settled
 	batch.ConfigVersion = uint64(h.ConfigVersion)
 	batch.SourceLost = h.Lost
+	batch.SentMs = uint64(boottime.Now().Milliseconds())
 	for _, host := range to {
 		e.send(host, batch)
 	}
@@ -299,7 +305,12 @@
 		e.config.Sink.Begin(d, idle)
 	}
 	if b.GetRevision() > 0 {
-		e.config.Sink.ObserveHeartbeat(key.Host, decodeHeartbeat(b))
+		h := decodeHeartbeat(b)
+		if b.GetSentMs() > 0 {
+			sender := inflight.Key{Host: key.Host, Incarnation: key.Incarnation}
+			h.Confirmed += e.transit.Delay(sender, fromMillis64(b.GetSentMs()), boottime.Now())
+		}
+		e.config.Sink.ObserveHeartbeat(key.Host, h)
 	}
 	for _, number := range b.GetRead() {
 		key.Number = number
--- a/serving/process/dispatchsync/dispatchsync_test.go
+++ b/serving/process/dispatchsync/dispatchsync_test.go
@@ -403,3 +403,37 @@
 	from.exchange.Begin([]names.Host{home.host}, d, -1)
 	eventually(t, "the dispatch after the invalid datagrams", func() bool { return home.sink.at("x").Requests == 1 })
 }
+
+// A heartbeat waits in the socket while its receiver reads nothing. Guards against taking its
+// confirmation for as recent as the moment at which it is read.
+func TestHeartbeatThatWasHeldUpIsAsOldAsItsWait(t *testing.T) {
+	from, to := pair(t)
+	const confirmed, held = 100 * time.Millisecond, 300 * time.Millisecond
+	send := func(at uint64) time.Duration {
+		from.exchange.SendHeartbeat([]names.Host{to.host}, published.Heartbeat{Position: replicas.Position{Revision: at}, Confirmed: confirmed})
+		var got published.Heartbeat
+		eventually(t, "the heartbeat", func() bool {
+			to.sink.mu.Lock()
+			defer to.sink.mu.Unlock()
+			got = to.sink.heartbeat
+			return got.Position.Revision == at
+		})
+		return got.Confirmed
+	}
+	if got := send(1); got > confirmed+held/2 {
+		t.Fatalf("confirmed %s ago, %s when it was sent", got, confirmed)
+	}
+	blocked, release := make(chan struct{}), make(chan struct{})
+	go func() {
+		to.sink.set(func(*sink) { // blocks the receiver
+			close(blocked)
+			<-release
+		})
+	}()
+	<-blocked
+	from.exchange.SendHeartbeat([]names.Host{to.host}, published.Heartbeat{Position: replicas.Position{Revision: 2}, Confirmed: confirmed})
+	time.AfterFunc(held, func() { close(release) })
+	if got := send(3); got < confirmed+held/2 {
+		t.Fatalf("confirmed %s ago, after a wait of %s", got, held)
+	}
+}
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -364,8 +364,9 @@
 
 // Heartbeat returns this daemon's heartbeat, for a daemon that watches the source.
 func (f *Follower) Heartbeat() Heartbeat {
+	confirmed := f.Age() // before the position, which may change meanwhile
 	return Heartbeat{
-		Position: f.Position(), Confirmed: f.Age(), Settled: f.Settled(), ConfigVersion: f.configVersion(), Lost: f.lost(),
+		Position: f.Position(), Confirmed: confirmed, Settled: f.Settled(), ConfigVersion: f.configVersion(), Lost: f.lost(),
 	}
 }
 
