--- a/core/process/suspects/exchange.go
+++ b/core/process/suspects/exchange.go
@@ -215,8 +215,7 @@
 // base returns the sequence to begin after if no announcement of an item is known. It follows
 // the wall clock at the start, so that it is above what peers have seen of an earlier process
 // unless that is as recent as the error of the clock: then it is repeated, and heard. Daemons
-// that run for long have equal ones, so that their first announcements of an item at a time
-// are one.
+// that start together have equal ones, so that their first announcements of an item are one.
 func (x *Exchange) base(kind byte) uint64 {
 	period := uint64(max(x.started.Unix()-sequenceEpoch, 0) / sequencePeriod)
 	return max(period*sequencesIn(kind), x.forgotten[kind])
