Let the answer of a span's test last until its part is freed

Traced: with a pause of 60 ms before the part is freed the test fails in the same way, since its 500 tokens take less. They are 20,000 now, at an engine with room for them; the checks are the same.

--- a/tools/standin/engine/handle_test.go
+++ b/tools/standin/engine/handle_test.go
@@ -35,7 +35,7 @@
 	small.Blocks = 100
 	first, firstClient := startEngine(t, small)
 	second, _ := startEngine(t, small)
-	last, client := startEngine(t, small)
+	last, client := startEngine(t, testConfig())
 	submit := testSubmit("span")
 	submit.MaxTokens = 100
 	submit.Parts = []target.Part{mustPin(t, first, submit, 1500, "h1"), mustPin(t, second, submit, 1500, "h2")}
@@ -49,7 +49,7 @@
 		t.Fatalf("the first part is not pinned: %d free blocks", free)
 	}
 	submit.Stream = "span-2"
-	submit.MaxTokens = 500
+	submit.MaxTokens = 20_000 // the answer must not end before the part is freed
 	stream := mustSubmit(t, client, submit)
 	if _, err := stream.Next(); err != nil {
 		t.Fatal(err)
