--- a/core/process/suspects/exchange.go
+++ b/core/process/suspects/exchange.go
@@ -199,7 +199,7 @@
 	sequenceEpoch  = 1767225600 // 2026-01-01
 	sequencePeriod = 4
 	// sequencesPerPeriod and clearancesPerPeriod bound the sequences of an item in
-	// sequencePeriod. They are small, since sequences take up space in datagrams.
+	// sequencePeriod. Sequences are part of each datagram.
 	sequencesPerPeriod  = 1 << 3
 	clearancesPerPeriod = 1 << 13
 )
--- a/core/process/suspects/simulation_test.go
+++ b/core/process/suspects/simulation_test.go
@@ -103,7 +103,7 @@
 		load: l, t: t, exchanges: make(map[*fakenet.Node]*Exchange), random: rand.New(rand.NewPCG(uint64(l.daemons), 5)),
 		net: fakenet.New(fakenet.Options{Seed: 9, Config: config, Delay: func(*fakenet.Node, *fakenet.Node) time.Duration { return 15 * time.Millisecond }}),
 	}
-	s.net.RecordActions, s.net.Now = true, time.Unix(1_800_000_000, 0) // sequences take up the bytes that they do in use
+	s.net.RecordActions, s.net.Now = true, time.Unix(1_800_000_000, 0) // gives sequences their usual size
 	s.net.StartFleet(l.daemons, 3)
 	if _, ok := s.net.RunUntil(time.Minute, func() bool {
 		for _, node := range s.net.Nodes {
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -65,8 +65,7 @@
 	// read from peers.
 	announcedConfigTimeout = 5 * time.Second
 	// configReadDelay is how long a daemon that hears of a configuration waits for the
-	// changes that contain it, before it reads the complete list of a peer: one of many
-	// routes costs a small host a good part of a second.
+	// changes that contain it, before it reads the complete list of a peer.
 	configReadDelay = 500 * time.Millisecond
 	// maxHistory bounds the number of changes that are kept for peers.
 	maxHistory = 512
