Decode evacuations, cold targets, allowed regions and host limits

Operators publish requests to evacuate a data centre, targets state that they have not warmed up, routes and customers name allowed regions, and the settings name the host's memory and descriptors. Nothing acts on them yet: this adds the types, the decoding and the fields of the messages between daemons, so that the parts can be built beside each other.

--- a/core/process/replicas/replicas.go
+++ b/core/process/replicas/replicas.go
@@ -70,6 +70,8 @@
 	// Started is the target's start time in Unix milliseconds; zero if
 	// unknown.
 	Started int64
+	// ColdLeft is how much longer the target is cold, as the entry states.
+	ColdLeft time.Duration
 	// Revision is the revision of the entry's last change.
 	Revision uint64
 }
--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -59,6 +59,16 @@
 	FirstEventTimeout time.Duration
 	// Rank is the caller's priority; 0 is the most urgent.
 	Rank int
+	// Customer is the customer that the request belongs to; empty if unknown.
+	Customer names.Customer
+	// AnswerHint is the caller's estimate of the answer's length, in tokens; zero if
+	// it gave none. It is right at the median and often far off.
+	AnswerHint int
+	// Returned reports whether the caller has probably been refused before.
+	Returned bool
+	// Regions are the regions that the request may reach; empty if there is no
+	// restriction.
+	Regions []names.Region
 	// Exclude lists targets that must not get the request again.
 	Exclude []names.Target
 }
@@ -77,6 +87,9 @@
 	Unresponsive bool
 	// Limited reports whether the target has named how many requests a second it takes.
 	Limited bool
+	// Cold reports whether the target has not warmed up yet, so that it bears few
+	// requests a second.
+	Cold bool
 	// Order is the target's position among those of its service, in [0, 1). It
 	// is the same at all daemons that know each other's dispatches.
 	Order float64
@@ -110,6 +123,9 @@
 	// decision is a leave to send one request, see package ratelimits.
 	Limit    float64
 	LimitAge time.Duration
+	// ColdLeave reports whether the decision is a leave to send one request to a cold
+	// target.
+	ColdLeave bool
 	// Refusal is set if the request is refused: no target is available, none
 	// can serve it in time, its prompt does not fit into the available engines,
 	// or the daemon shuts down before the answer would end.
--- a/core/verdict/reason.go
+++ b/core/verdict/reason.go
@@ -22,6 +22,9 @@
 	NoTarget          Reason = "no_target"
 	TargetLeaving     Reason = "target_leaving"
 	TargetLimited     Reason = "target_limited"
+	TargetCold        Reason = "target_cold"
+	Evacuated         Reason = "evacuated"
+	RegionNotAllowed  Reason = "region_not_allowed"
 	DaemonDraining    Reason = "daemon_draining"
 	NotReady          Reason = "not_ready"
 	CrashSuspect      Reason = "crash_suspect"
@@ -54,7 +57,7 @@
 	return []Reason{
 		BadRequest, BodyTooLarge, HeaderTooLarge, Unauthenticated, NotAllowed, UnknownModel,
 		UnknownService, PromptTooLong, DeadlineTooShort, Overloaded, QueueFull,
-		QuotaExceeded, NoTarget, TargetLeaving, TargetLimited, DaemonDraining, NotReady,
+		QuotaExceeded, NoTarget, TargetLeaving, TargetLimited, TargetCold, Evacuated, RegionNotAllowed, DaemonDraining, NotReady,
 		CrashSuspect, TicketInvalid, TicketExpired, TicketOwnerGone, TicketUsed,
 		KeyInUse, KeyHomeUnsettled, KeyRequired, TargetRefused, TargetUnreachable,
 		TargetFailed, TargetCrashed, AnswerCut, AnswerMismatch, PeerUnreachable,
--- a/core/version/routing/config.go
+++ b/core/version/routing/config.go
@@ -72,6 +72,9 @@
 	// Resumable reports whether a stream can continue at another target after
 	// its last complete event.
 	Resumable bool
+	// Regions are the regions that the route's requests may reach; empty if there is
+	// no restriction.
+	Regions []names.Region
 }
 
 // Repeatable reports whether a request may run a second time.
@@ -119,6 +122,11 @@
 	MaxConnections int
 	// Engine describes the engines of the service; nil for a plain service.
 	Engine *Engine
+	// ColdTime is how long a target of the service is cold after its start, and
+	// ColdRate the requests per second that a cold one bears. There is no bound on
+	// them if ColdRate is zero.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Customer is a tenant that may call with its API keys.
@@ -127,6 +135,9 @@
 	Keys []string
 	// Priority replaces the route's priority unless it is nil.
 	Priority *int
+	// Regions are the regions that the customer's requests may reach; empty if there
+	// is no restriction. Those of the route bind as well.
+	Regions []names.Region
 }
 
 // Limits bound the requests and connections of callers.
--- a/serving/process/dispatchsync/ask.go
+++ b/serving/process/dispatchsync/ask.go
@@ -8,6 +8,7 @@
 	"carobspoke.example/core/process/homes"
 	"carobspoke.example/core/process/inflight"
 	"carobspoke.example/core/process/ratelimits"
+	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/serving/peerpb"
 	"github.com/pkg/errors"
@@ -27,10 +28,22 @@
 	Avoid []names.Target
 	// Limits are what the asking daemon knows of the limits of targets.
 	Limits []ratelimits.Claim
+	// Evacuated are the data centres that operators want evacuated, as the asking daemon
+	// knows.
+	Evacuated []names.DataCentre
+	// Cold are the targets that have not warmed up yet, as the asking daemon knows.
+	Cold []ColdTarget
 	// Redirected is true if another daemon has named the asked one as a home.
 	Redirected bool
 }
 
+// ColdTarget is a target that has not warmed up yet.
+type ColdTarget struct {
+	replicas.Incarnation
+	// Left is how much longer the target is cold.
+	Left time.Duration
+}
+
 // Answer is the answer of a home.
 type Answer struct {
 	// UnknownService is true if the home does not know the service. The other
--- a/serving/process/dispatchsync/convert.go
+++ b/serving/process/dispatchsync/convert.go
@@ -149,7 +149,9 @@
 		LatencyTargetMs: millis(r.LatencyTarget), GapTargetMs: millis(r.GapTarget),
 		TimeLeftMs: millis(r.TimeLeft), TimeToShutdownMs: millis(r.TimeToShutdown), AnswerStarted: r.AnswerStarted,
 		FirstEventTimeoutMs: millis(r.FirstEventTimeout), Rank: int32(r.Rank),
-		Exclude: encodeTargets(r.Exclude), Avoid: encodeTargets(a.Avoid), Redirected: a.Redirected, Limits: limits,
+		Exclude: encodeNames(r.Exclude), Avoid: encodeNames(a.Avoid), Redirected: a.Redirected, Limits: limits,
+		Evacuated: encodeNames(a.Evacuated), Regions: encodeNames(r.Regions), Customer: string(r.Customer),
+		AnswerHint: uint32(r.AnswerHint), Returned: r.Returned, Cold: encodeCold(a.Cold),
 	}
 }
 
@@ -167,9 +169,11 @@
 			LatencyTarget: fromMillis(m.GetLatencyTargetMs()), GapTarget: fromMillis(m.GetGapTargetMs()),
 			TimeLeft: fromMillis(m.GetTimeLeftMs()), TimeToShutdown: fromMillis(m.GetTimeToShutdownMs()), AnswerStarted: m.GetAnswerStarted(),
 			FirstEventTimeout: fromMillis(m.GetFirstEventTimeoutMs()), Rank: int(m.GetRank()),
-			Exclude: decodeTargets(m.GetExclude()),
+			Exclude: decodeNames[names.Target](m.GetExclude()), Regions: decodeNames[names.Region](m.GetRegions()),
+			Customer: names.Customer(m.GetCustomer()), AnswerHint: int(m.GetAnswerHint()), Returned: m.GetReturned(),
 		},
-		Avoid: decodeTargets(m.GetAvoid()), Redirected: m.GetRedirected(), Limits: limits,
+		Avoid: decodeNames[names.Target](m.GetAvoid()), Redirected: m.GetRedirected(), Limits: limits,
+		Evacuated: decodeNames[names.DataCentre](m.GetEvacuated()), Cold: decodeCold(m.GetCold()),
 	}
 }
 
@@ -194,29 +198,46 @@
 	return float64(rate)
 }
 
-func encodeTargets(list []names.Target) []string {
-	ids := make([]string, 0, len(list))
-	for _, id := range list {
-		ids = append(ids, string(id))
+func encodeNames[T ~string](list []T) []string {
+	texts := make([]string, 0, len(list))
+	for _, name := range list {
+		texts = append(texts, string(name))
 	}
-	return ids
+	return texts
 }
 
-func decodeTargets(ids []string) []names.Target {
-	list := make([]names.Target, 0, len(ids))
-	for _, id := range ids {
-		list = append(list, names.Target(id))
+func decodeNames[T ~string](texts []string) []T {
+	var list []T
+	for _, text := range texts {
+		list = append(list, T(text))
 	}
 	return list
 }
 
+func encodeCold(list []ColdTarget) []*peerpb.ColdTarget {
+	var out []*peerpb.ColdTarget
+	for _, c := range list {
+		out = append(out, &peerpb.ColdTarget{Target: string(c.ID), Started: c.Started, LeftMs: millis(c.Left)})
+	}
+	return out
+}
+
+func decodeCold(list []*peerpb.ColdTarget) []ColdTarget {
+	var out []ColdTarget
+	for _, c := range list {
+		i := replicas.Incarnation{ID: names.Target(c.GetTarget()), Started: c.GetStarted()}
+		out = append(out, ColdTarget{Incarnation: i, Left: fromMillis(c.GetLeftMs())})
+	}
+	return out
+}
+
 func encodeAnswer(number uint64, a *Answer) *peerpb.PlacementAnswer {
 	d := &a.Decision
 	m := &peerpb.PlacementAnswer{
 		Number: number, UnknownService: a.UnknownService, Pressure: float32(a.Pressure),
 		Parts: encodeParts(d.Parts), FirstEventUs: micros(d.FirstEvent), CompletionUs: micros(d.Completion), Priority: uint32(d.Priority),
 		BacklogUs: micros(d.Load.Backlog), Requests: uint32(d.Load.Requests), Answers: uint32(d.Load.Answers),
-		Limit: float32(d.Limit), LimitAgeMs: millis(d.LimitAge), LimitsKnown: a.LimitsKnown,
+		Limit: float32(d.Limit), LimitAgeMs: millis(d.LimitAge), LimitsKnown: a.LimitsKnown, ColdLeave: d.ColdLeave,
 	}
 	for _, host := range a.Homes {
 		m.Homes = append(m.Homes, string(host))
@@ -240,6 +261,7 @@
 	d.Parts = decodeParts(m.GetParts())
 	d.FirstEvent, d.Completion = fromMicros(m.GetFirstEventUs()), fromMicros(m.GetCompletionUs())
 	d.Priority = int(m.GetPriority())
+	d.ColdLeave = m.GetColdLeave()
 	d.Limit, d.LimitAge = decodeRate(m.GetLimit()), fromMillis(m.GetLimitAgeMs())
 	d.Load = inflight.Load{Backlog: fromMicros(m.GetBacklogUs()), Requests: int(m.GetRequests()), Answers: int(m.GetAnswers())}
 	for i, p := range m.GetParts() {
--- a/serving/process/dispatchsync/dispatchsync_test.go
+++ b/serving/process/dispatchsync/dispatchsync_test.go
@@ -312,6 +312,7 @@
 			{Target: "z", Prefill: 2 * time.Second},
 		},
 		Load: inflight.Load{Backlog: 3 * time.Millisecond, Requests: 2, Answers: 1}, FirstEvent: 2100 * time.Millisecond, Completion: 4 * time.Second, Priority: 6,
+		ColdLeave: true,
 	}}
 	home.sink.set(func(s *sink) { s.answer = want })
 	ask := &Ask{
@@ -319,8 +320,10 @@
 		Request: placement.Request{
 			PromptTokens: 600_000, AnswerTokens: 700, LatencyTarget: 4 * time.Second, GapTarget: time.Second, TimeLeft: 14500 * time.Millisecond,
 			TimeToShutdown: 9 * time.Second, AnswerStarted: true, FirstEventTimeout: 16 * time.Second, Rank: -1, Exclude: []names.Target{"u"},
+			Regions: []names.Region{"r"}, Customer: "c", AnswerHint: 500, Returned: true,
 		},
-		Avoid: []names.Target{"v"}, Redirected: true,
+		Avoid: []names.Target{"v"}, Redirected: true, Evacuated: []names.DataCentre{"b"},
+		Cold: []ColdTarget{{Incarnation: replicas.Incarnation{ID: "x", Started: 4}, Left: 2 * time.Second}},
 	}
 	answer, err := from.exchange.Ask(t.Context(), home.host, 9, ask)
 	if err != nil {
--- a/serving/process/edge/edge_test.go
+++ b/serving/process/edge/edge_test.go
@@ -66,6 +66,11 @@
 	return names.Target(id), ok
 }
 
+func (decoder) EvacuationOf(key string) (names.DataCentre, bool) {
+	dataCentre, ok := strings.CutPrefix(key, "evacuate/")
+	return names.DataCentre(dataCentre), ok
+}
+
 func (d decoder) Decode(r *published.Record) (*routing.Config, *replicas.Target, error) {
 	if id, ok := d.TargetOf(r.Key); ok {
 		return nil, &replicas.Target{ID: id, Service: "s", Address: string(r.Value), Slots: 4, Revision: r.Revision}, nil
--- a/serving/process/edge/settings.go
+++ b/serving/process/edge/settings.go
@@ -46,6 +46,15 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// ColdOverage and ColdSlack bound the requests that reach a cold target in any
+	// second, summed over all daemons: its service's ColdRate times ColdOverage, and
+	// ColdSlack more. Both are zero where there is no such bound.
+	ColdOverage float64
+	ColdSlack   float64
+	// MemoryBytes and Descriptors are the memory and the file descriptors that the host
+	// grants to the process; zero if the settings do not say.
+	MemoryBytes int64
+	Descriptors int
 	// LogLevel is the lowest level logged: debug, info, warn or error.
 	LogLevel string
 }
@@ -70,6 +79,10 @@
 		return errors.New("settings: the grace time must be positive")
 	case s.RetryWindow <= 0 || s.RetryRatio < 0 || s.RetrySlack < 0:
 		return errors.New("settings: the retry budget must not be negative and its window must be positive")
+	case s.ColdOverage < 0 || s.ColdSlack < 0:
+		return errors.New("settings: the bounds on cold targets must not be negative")
+	case s.MemoryBytes < 0 || s.Descriptors < 0:
+		return errors.New("settings: the host's memory and descriptors must not be negative")
 	}
 	return nil
 }
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -125,6 +125,9 @@
 	// TargetOf returns the ID of the target whose entry a key identifies, and
 	// whether the key identifies one.
 	TargetOf(key string) (names.Target, bool)
+	// EvacuationOf returns the data centre that operators want evacuated while a key
+	// exists, and whether the key is such a request. Its value is not decoded.
+	EvacuationOf(key string) (names.DataCentre, bool)
 }
 
 // Peers reads records from other daemons.
--- a/serving/process/published/published_test.go
+++ b/serving/process/published/published_test.go
@@ -111,6 +111,11 @@
 	return names.Target(id), ok
 }
 
+func (fakeDecoder) EvacuationOf(key string) (names.DataCentre, bool) {
+	dataCentre, ok := strings.CutPrefix(key, "evacuate/")
+	return names.DataCentre(dataCentre), ok
+}
+
 func (d fakeDecoder) Decode(r *Record) (*routing.Config, *replicas.Target, error) {
 	if string(r.Value) == "garbage" {
 		return nil, nil, errors.New("cannot be read")
--- a/serving/request/relay/codec.go
+++ b/serving/request/relay/codec.go
@@ -28,6 +28,9 @@
 	// none, as for calls without a prompt.
 	PromptTokens int
 	AnswerTokens int
+	// AnswerHint is the caller's estimate of the answer's length in tokens; zero if it
+	// gives none.
+	AnswerHint int
 	// Parts are the IDs of the parts of the prompt that other requests may share,
 	// in order. The last part of a prompt is not among them.
 	Parts []string
@@ -96,6 +99,16 @@
 	// Limit is the limit that the target names; zero if it names none. Only the answer to
 	// the request itself says which limit is in force.
 	Limit Limit
+	// Cold is what the target says about its warm-up.
+	Cold Cold
+}
+
+// Cold is what a target says about its warm-up.
+type Cold struct {
+	// Stated reports whether the target says anything, and Left how much longer it is
+	// cold; zero if it is warm.
+	Stated bool
+	Left   time.Duration
 }
 
 // Limit is the rate of requests that a target takes from all daemons together.
