--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -173,6 +173,8 @@
 		Listed:    d.listedTarget,
 		StopReuse: d.targetPool.CloseIdle,
 		Homes:     d.homesOf,
+		Evacuated: d.evacuated, TakenBack: d.takenBack, RegionOf: d.regionOf,
+		ColdOverage: d.Settings.ColdOverage, ColdSlack: d.Settings.ColdSlack,
 		Messenger: messenger{d}, FleetShare: d.fleetShare, BootTime: boottime.Now, CutOff: d.paths.IsCutOff,
 		Count: func(name string) { d.metrics.counters.Add(name, 1) },
 		Log:   d.Log,
--- a/serving/process/targetstate/home.go
+++ b/serving/process/targetstate/home.go
@@ -99,6 +99,7 @@
 	}
 	targets := b.groupTargets(b.config.Targets(a.Group.Service), a.Group)
 	b.recordClaims(a.Limits, from)
+	b.recordColdClaims(a.Cold, from)
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/serving/process/targetstate/orders.go
+++ b/serving/process/targetstate/orders.go
@@ -75,6 +75,9 @@
 	if taken && rate > 0 {
 		b.chargeOrder(i, now)
 	}
+	if taken {
+		b.chargeColdOrder(i, now)
+	}
 	return taken
 }
 
--- a/serving/process/targetstate/place.go
+++ b/serving/process/targetstate/place.go
@@ -184,7 +184,7 @@
 	}
 	ask.Request.Exclude = ask.Request.Exclude[:min(len(ask.Request.Exclude), len(q.request.Exclude)+maxUnusableNamed)]
 	ask.Avoid = b.failingTargets(q.group)
-	ask.Limits = b.claims(q.group)
+	ask.Limits, ask.Cold = b.claims(q.group), b.coldClaims(q.group)
 	answer, err := b.config.Messenger.Ask(ctx, home, key.Number, &ask)
 	if err != nil {
 		b.homeUnanswered(home, q.group, err)
--- a/serving/process/targetstate/statement.go
+++ b/serving/process/targetstate/statement.go
@@ -44,6 +44,9 @@
 	if s.RetryAfter > 0 {
 		b.recordRetryAfter(i, s.RetryAfter, from)
 	}
+	if s.Cold.Stated {
+		b.recordCold(i, s.Cold.Left, sentAt, from)
+	}
 	if s.RetryAfterInvalid {
 		b.config.Count(countInvalid)
 	}
--- a/serving/process/targetstate/targetstate.go
+++ b/serving/process/targetstate/targetstate.go
@@ -69,6 +69,16 @@
 	// CutOff reports whether this daemon is cut off from all targets, so that failures of
 	// its requests say nothing about them.
 	CutOff func() bool
+	// Evacuated reports whether operators want a data centre evacuated, and TakenBack
+	// returns when this daemon learnt that they no longer do; zero if they never did. They
+	// are called with the lock of the board held.
+	Evacuated func(names.DataCentre) bool
+	TakenBack func(names.DataCentre) time.Time
+	// ColdOverage and ColdSlack bound the requests at a cold target, see edge.Settings.
+	ColdOverage float64
+	ColdSlack   float64
+	// RegionOf returns the region of a data centre; empty if it is unknown.
+	RegionOf func(names.DataCentre) names.Region
 	// BootTime returns a clock that also runs while the host is suspended.
 	BootTime func() time.Duration
 	// Count adds one to a counter.
@@ -133,6 +143,7 @@
 			FailureScore: b.health.Score(t.ID, now),
 			Unresponsive: b.health.Unresponsive(t.ID, load.Pending, homeUnresponsiveTimeout, now),
 			Limited:      rate > 0,
+			Cold:         b.isCold(t, now),
 			Order:        order(t.ID, salt),
 		})
 	}
@@ -298,6 +309,7 @@
 	b.work.Prune(listed)
 	b.health.Forget(listed)
 	b.sweepStatements(now)
+	b.sweepCold(now)
 	b.limits.SetHomes(b.isHome, now)
 	b.limits.SetShare(b.config.FleetShare(), now, b.config.Random.Float64)
 	maps.DeleteFunc(b.skipUntil, func(_ names.Host, until time.Time) bool { return now.After(until) })
--- a/serving/request/relay/place.go
+++ b/serving/request/relay/place.go
@@ -28,6 +28,9 @@
 		AnswerStarted:     q.answerStarted,
 		FirstEventTimeout: callerEventTimeout(q.route),
 		Rank:              q.priority(),
+		Customer:          q.customerName(),
+		AnswerHint:        q.info.AnswerHint,
+		Returned:          q.returned(),
 		Exclude:           q.exclude,
 	}
 	placed, err := q.relay.Board.Place(ctx, in, q.service)
@@ -48,6 +51,16 @@
 	return placed, nil
 }
 
+// returnedMargin is by how much the time that a caller gives a request must fall short of its
+// route's timeout for the request to count as returned. Callers state the time that is left.
+const returnedMargin = 100 * time.Millisecond
+
+// returned reports whether the caller has probably been refused before: it has less time than
+// callers of the route usually give.
+func (q *request) returned() bool {
+	return q.info.Timeout > 0 && q.route.Timeout-q.info.Timeout > returnedMargin
+}
+
 // priority returns the customer's priority if it has one, or else the route's.
 func (q *request) priority() int {
 	if q.customer != nil && q.customer.Priority != nil {
