Recognise requests that return after a refusal

A caller that is refused sends its request once more. The home that refused a request now recognises it by a hash of the request and its customer.

--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -31,6 +31,7 @@
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/core/process/refusals"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/routing"
 )
@@ -64,8 +65,11 @@
 	// AnswerHint is the caller's estimate of the answer's length, in tokens; zero if
 	// it gave none. It is right at the median and often far off.
 	AnswerHint int
-	// Returned reports whether the caller has probably been refused before.
-	Returned bool
+	// Fingerprint identifies the request among those that its caller sends again; zero
+	// if unknown. Returned reports whether it was refused a short time ago, as far as the
+	// daemon that decides knows.
+	Fingerprint refusals.Fingerprint
+	Returned    bool
 	// Regions are the regions that the request may reach; empty if there is no
 	// restriction.
 	Regions []names.Region
--- a/serving/process/targetstate/home.go
+++ b/serving/process/targetstate/home.go
@@ -103,11 +103,13 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	a.Request.Returned = b.refused.Returned(a.Request.Fingerprint, now)
 	candidates := b.candidates(targets, a.Avoid, now, "")
 	answer := dispatchsync.Answer{Decision: b.placeWithinLimits(a, service, targets, candidates, now), LimitsKnown: true}
 	if a.Group.Groups > 1 {
 		answer.Pressure = pressure(candidates)
 	}
+	b.recordDecision(&a.Request, &answer.Decision, now)
 	if answer.Decision.Refusal == nil {
 		begin(answer.Decision, now)
 	}
--- a/serving/process/targetstate/targetstate.go
+++ b/serving/process/targetstate/targetstate.go
@@ -21,6 +21,7 @@
 	"carobspoke.example/core/process/inflight"
 	"carobspoke.example/core/process/leaving"
 	"carobspoke.example/core/process/ratelimits"
+	"carobspoke.example/core/process/refusals"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
@@ -105,6 +106,8 @@
 	asked *backoff.Table
 	// limits holds the rates that targets have named.
 	limits *ratelimits.Table
+	// refused holds the requests that this daemon has refused as a home.
+	refused *refusals.Table
 	// promises spreads the callers that this daemon refuses as a home.
 	promises ratelimits.Promises
 	// skipUntil is the time until which a home that did not answer is not asked.
@@ -120,7 +123,7 @@
 // New returns a board with no dispatches.
 func New(c Config) *Board {
 	return &Board{
-		config: c, work: inflight.New(), own: make(map[uint64]*ownDispatch), health: health.New(), leaving: leaving.New(), asked: backoff.New(), limits: ratelimits.New(),
+		config: c, work: inflight.New(), own: make(map[uint64]*ownDispatch), health: health.New(), leaving: leaving.New(), asked: backoff.New(), limits: ratelimits.New(), refused: refusals.New(),
 		skipUntil: make(map[names.Host]time.Time), pressure: make(map[homes.Group]groupPressure), groups: make(map[homes.Group]groupMembers),
 	}
 }
@@ -310,6 +313,7 @@
 	b.health.Forget(listed)
 	b.sweepStatements(now)
 	b.sweepCold(now)
+	b.refused.Sweep(now)
 	b.limits.SetHomes(b.isHome, now)
 	b.limits.SetShare(b.config.FleetShare(), now, b.config.Random.Float64)
 	maps.DeleteFunc(b.skipUntil, func(_ names.Host, until time.Time) bool { return now.After(until) })
--- a/serving/request/relay/place.go
+++ b/serving/request/relay/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"carobspoke.example/core/process/refusals"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
 	"go.uber.org/zap"
@@ -30,7 +31,7 @@
 		Rank:              q.priority(),
 		Customer:          q.customerName(),
 		AnswerHint:        q.info.AnswerHint,
-		Returned:          q.returned(),
+		Fingerprint:       q.fingerprint(),
 		Exclude:           q.exclude,
 	}
 	placed, err := q.relay.Board.Place(ctx, in, q.service)
@@ -51,14 +52,14 @@
 	return placed, nil
 }
 
-// returnedMargin is by how much the time that a caller gives a request must fall short of its
-// route's timeout for the request to count as returned. Callers state the time that is left.
-const returnedMargin = 100 * time.Millisecond
-
-// returned reports whether the caller has probably been refused before: it has less time than
-// callers of the route usually give.
-func (q *request) returned() bool {
-	return q.info.Timeout > 0 && q.route.Timeout-q.info.Timeout > returnedMargin
+// fingerprint returns the hash of the whole request and its customer, which is the same when
+// the caller sends it again.
+func (q *request) fingerprint() refusals.Fingerprint {
+	items := q.shared.Items
+	if len(items) == 0 {
+		return 0
+	}
+	return refusals.Fingerprint(items[len(items)-1])
 }
 
 // priority returns the customer's priority if it has one, or else the route's.
