--- a/tools/emulator/target.go
+++ b/tools/emulator/target.go
@@ -39,6 +39,8 @@
 	HeaderExpectedCustomer = "Emulator-Customer"
 	// HeaderSent is when the caller sent the request, in Unix microseconds.
 	HeaderSent = "Emulator-Sent"
+	// HeaderPadding is the number of bytes by which each event of a stream is padded.
+	HeaderPadding = "Emulator-Padding"
 )
 
 // Target emulates an engine or a plain service. It is safe for concurrent use.
@@ -196,6 +198,9 @@
 
 // execute records the execution of a request and writes its answer.
 func (t *Target) execute(w http.ResponseWriter, r *http.Request, attempt string) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // the daemon has gone
+	}
 	if !sleep(r, firstEventDelay) {
 		return
 	}
@@ -301,13 +306,14 @@
 	first := firstEvent(r)
 	controller := http.NewResponseController(w)
 	total := StreamLength(attempt)
+	padding := padding(r)
 	for i := first; i < total; i++ {
 		if fails && i == first+(total-first)/2 {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i) // an incomplete event
 			_ = controller.Flush()                 // an error changes nothing: the connection is closed
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, attempt, i); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d%s\n\n", i, attempt, i, padding); err != nil {
 			return
 		}
 		_ = controller.Flush() // an error shows at the next write
@@ -317,6 +323,18 @@
 	}
 }
 
+// maxPaddingBytes bounds the padding of an event.
+const maxPaddingBytes = 1 << 20
+
+// padding returns the spaces that pad each event of the answer.
+func padding(r *http.Request) string {
+	bytes, err := strconv.Atoi(r.Header.Get(HeaderPadding))
+	if err != nil {
+		return ""
+	}
+	return strings.Repeat(" ", min(max(bytes, 0), maxPaddingBytes))
+}
+
 // sleep waits for d. It reports whether the request is still open.
 func sleep(r *http.Request, d time.Duration) bool {
 	timer := time.NewTimer(d)
