emulator: play evacuations, cold targets and regions

A daemon that goes on sending to an evacuated data centre, overloads a cold target or leaves the allowed regions was not shown by any stand-in.

The store of tools/emulator takes keys that evacuate a data centre and tells since when it has held them without a break. Targets state X-Cold-Ms while their service has a rate for cold ones, and crash above twice the number of requests that may arrive within a second. The fields that the encoders of package platform leave out are added in encode.go.

--- a/tools/emulator/parts.go
+++ b/tools/emulator/parts.go
@@ -95,12 +95,5 @@
 		_, _ = io.WriteString(w, next[0])         // fails only if the caller has gone
 		_ = http.NewResponseController(w).Flush() // fails only if the caller has gone
 	}
-	t.crashOnce.Do(func() {
-		t.checker.partCrashed(part)
-		if t.Crashed != nil {
-			t.Crashed()
-		}
-		t.Crash()
-	})
-	panic(http.ErrAbortHandler)
+	t.crash(func() { t.checker.partCrashed(part) })
 }
--- a/tools/emulator/store.go
+++ b/tools/emulator/store.go
@@ -67,12 +67,17 @@
 	// refusedClients are the addresses whose requests are answered with status
 	// 503.
 	refusedClients map[netip.Addr]bool
+	// evacuatedSince is since when each key of an evacuation has been held.
+	evacuatedSince map[string]time.Time
 	requests       int
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{records: make(map[string]record), lost: make(map[string]record), revision: 1, changed: make(chan struct{}), refusedClients: make(map[netip.Addr]bool)}
+	return &Store{
+		records: make(map[string]record), lost: make(map[string]record), revision: 1, changed: make(chan struct{}),
+		refusedClients: make(map[netip.Addr]bool), evacuatedSince: make(map[string]time.Time),
+	}
 }
 
 // Disturb answers requests as mode m says until the returned function is called.
@@ -158,6 +163,7 @@
 	s.history = slices.DeleteFunc(s.history, func(r record) bool { return r.Revision <= s.compacted })
 	s.compacted = min(s.compacted, s.revision)
 	s.era++
+	s.trackEvacuations()
 	s.notify()
 	return slices.Sorted(maps.Keys(s.lost))
 }
@@ -181,7 +187,7 @@
 
 // PutConfig publishes a configuration.
 func (s *Store) PutConfig(c *routing.Config) error {
-	value, err := platform.EncodeConfig(c)
+	value, err := encodeConfig(c)
 	if err != nil {
 		return err
 	}
@@ -191,7 +197,7 @@
 
 // PutTarget publishes the entry of a target.
 func (s *Store) PutTarget(t *replicas.Target) error {
-	value, err := platform.EncodeTarget(t)
+	value, err := encodeTarget(t)
 	if err != nil {
 		return err
 	}
@@ -213,6 +219,7 @@
 	r := record{Key: key, Value: value, Revision: s.revision, Deleted: value == nil}
 	s.log = append(s.log, loggedChange{record: r, at: time.Now()})
 	s.apply(r)
+	s.trackEvacuations()
 	s.notify()
 }
 
--- a/tools/emulator/target.go
+++ b/tools/emulator/target.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/platform"
 	"github.com/pkg/errors"
@@ -43,16 +44,31 @@
 	HeaderPadding = "Emulator-Padding"
 )
 
+// Surroundings are what a target is told of the platform around it. All functions may be nil.
+type Surroundings struct {
+	// Identify returns the daemon to which the address of a connection belongs. If
+	// it is nil, the IP address stands for the daemon.
+	Identify func(address string) Sender
+	// Crashed is called when requests crash the target, before its connections end.
+	Crashed func()
+	// LinkStable reports whether the way to the target has been undisturbed for
+	// StableTime.
+	LinkStable func() bool
+	// EvacuatedSince returns since when a data centre has been evacuated, or zero.
+	EvacuatedSince func(names.DataCentre) time.Time
+	// Region is the region of the target, RegionAt that of the target at an address.
+	Region   names.Region
+	RegionAt func(address string) (names.Region, bool)
+	// Warmup is zero if targets of the service are never cold.
+	Warmup Warmup
+}
+
 // Target emulates an engine or a plain service. It is safe for concurrent use.
 type Target struct {
 	replicas.Target
-	// Identify returns the daemon to which the address of a connection belongs. If
-	// it is nil, the IP address stands for the daemon. It and Crashed are set before
-	// the target receives requests.
-	Identify func(address string) Sender
-	// Crashed is called when a part of a prompt crashes the target, before its
-	// connections end. It may be nil.
-	Crashed   func()
+	// Surroundings are set before the target receives requests.
+	Surroundings
+
 	checker   *Checker
 	server    *http.Server
 	active    atomic.Int64
@@ -64,6 +80,12 @@
 	reservations map[string]time.Time
 	// limit is the limit that the target names, in requests per second; zero for none.
 	limit float64
+	// The target is cold until coldUntil, and the daemons know it from coldBoundFrom on.
+	// coldArrivals are the requests since then, of the last coldWindow.
+	coldUntil, coldBoundFrom time.Time
+	coldArrivals             []time.Time
+	// ordered are the IDs of reservations ordered and not released.
+	ordered map[string]bool
 	// granted counts reservations granted or renewed since the start.
 	granted int
 }
@@ -77,7 +99,7 @@
 	}
 	t.Address = listener.Addr().String()
 	t.Started = time.Now().UnixMilli()
-	target := &Target{Target: t, checker: checker, reservations: make(map[string]time.Time)}
+	target := &Target{Target: t, checker: checker, reservations: make(map[string]time.Time), ordered: make(map[string]bool)}
 	target.server = &http.Server{Handler: target, ReadHeaderTimeout: time.Second}
 	go func() { _ = target.server.Serve(listener) }() // returns after Crash
 	return target, nil
@@ -114,12 +136,20 @@
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	t.markLeaving(w.Header())
 	t.markLimited(w.Header())
+	t.markCold(w.Header())
 	if r.Header.Get(platform.HeaderTarget) != string(t.ID) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	t.recordSender(r)
-	if r.URL.Path != platform.PathOrder && r.URL.Path != platform.PathReport {
+	switch r.URL.Path {
+	case platform.PathOrder:
+	case platform.PathReport:
+		t.checkEvacuated(r, "probe")
+	default:
+		t.checkEvacuated(r, "request")
+		t.checkRegions(r)
+		t.checkCold()
 		t.serveRequest(w, r)
 		return
 	}
@@ -212,6 +242,7 @@
 		return
 	}
 	t.markLeaving(w.Header()) // the target may leave since the request arrived
+	t.markCold(w.Header())
 	if w.Header().Get(platform.HeaderLeaving) != "" {
 		t.checker.answeredLeaving(t.ID, attempt)
 	}
@@ -371,6 +402,12 @@
 		return
 	}
 	hold := time.Duration(order.HoldMs) * time.Millisecond
+	if order.Operation == "reserve" {
+		if t.isNewOrder(order.ID) {
+			t.checkEvacuated(r, "order "+order.ID)
+		}
+		t.checkCold()
+	}
 	switch {
 	case order.Operation != "reserve" && order.Operation != "release":
 		w.WriteHeader(http.StatusBadRequest)
@@ -382,6 +419,16 @@
 	}
 }
 
+// isNewOrder reports whether no reservation with this ID was ordered since the last release
+// of one. Otherwise the order renews it.
+func (t *Target) isNewOrder(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	isNew := !t.ordered[id]
+	t.ordered[id] = true
+	return isNew
+}
+
 // A late order is executed minOrderDelay after its arrival or up to
 // orderDelaySpread later.
 const (
@@ -395,6 +442,7 @@
 	defer t.mu.Unlock()
 	if operation == "release" {
 		delete(t.reservations, id)
+		delete(t.ordered, id)
 		return
 	}
 	t.granted++
--- a/tools/hostile/site.go
+++ b/tools/hostile/site.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -115,8 +114,9 @@
 		Name: "host", DataCentre: "dc", Regions: map[names.DataCentre]names.Region{"dc": "region"},
 		CallerAddress: address(0), ReadyAddress: address(1), PeerAddress: address(2), SharePort: port + 3,
 		StoreAddress: netip.MustParseAddrPort(store), GracePeriod: grace, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+		MemoryBytes: int64(limits.MemoryMB) << 20, Descriptors: limits.Descriptors,
 	}
-	text, err := encodeSettings(s.settings, limits)
+	text, err := emulator.EncodeSettings(s.settings)
 	if err != nil {
 		return err
 	}
@@ -143,21 +143,6 @@
 	return nil
 }
 
-// encodeSettings returns the content of a settings file with the limits of the host.
-func encodeSettings(settings *edge.Settings, limits HostLimits) ([]byte, error) {
-	text, err := platform.EncodeSettings(settings)
-	if err != nil {
-		return nil, err
-	}
-	var fields map[string]any
-	if err := json.Unmarshal(text, &fields); err != nil {
-		return nil, errors.Wrap(err, "hostile")
-	}
-	fields["limits"] = map[string]int{"memory_mb": limits.MemoryMB, "max_fds": limits.Descriptors}
-	text, err = json.Marshal(fields)
-	return text, errors.Wrap(err, "hostile")
-}
-
 // Close ends the daemon, the targets and the store.
 func (s *Site) Close() {
 	if s.command != nil && s.command.Process != nil {
