Give the bucket of a limited target a type of its own

The rate of cold targets is to be kept by the same mechanism. The bucket is moved out of the table of limits unchanged, so that both use one.

go test -race ./process/ratelimits ./process/targetstate pass unchanged.

--- a/core/process/ratelimits/ratelimits.go
+++ b/core/process/ratelimits/ratelimits.go
@@ -69,14 +69,7 @@
 	toldAt time.Time
 	// listedAt is when the target was last known to be listed.
 	listedAt time.Time
-	// tokens is the content of the bucket at filledAt. It is negative after more
-	// requests than the rate allows.
-	tokens   float64
-	filledAt time.Time
-	// home is true while this daemon is a home of the target. askedAt is when it was last
-	// asked as one.
-	home    bool
-	askedAt time.Time
+	bucket   Bucket
 }
 
 // New returns an empty table.
@@ -87,53 +80,34 @@
 // burst returns the size of the bucket of a rate.
 func burst(rate float64) float64 { return minBurst + rate*burstTime.Seconds() }
 
-// fill advances the bucket to now.
-func (t *Table) fill(l *limit, now time.Time) {
-	size := 0.0
-	if l.home {
-		size = burst(l.rate)
-	}
-	elapsed := max(now.Sub(l.filledAt), 0)
-	l.tokens = min(l.tokens+elapsed.Seconds()*l.rate*t.share, size)
-	l.filledAt = now
+// flow returns what the bucket of a limit lets through. It owes at most what it holds when
+// it is full.
+func (t *Table) flow(l *limit) Flow {
+	size := burst(l.rate)
+	return Flow{Rate: l.rate * t.share, Size: size, Debt: size}
 }
 
-// rounding is the error of a bucket's content that is tolerated, in tokens.
-const rounding = 1e-6
-
 // Wait returns the time until a home may place a request at a target; zero if it may now.
 func (t *Table) Wait(i replicas.Incarnation, now time.Time) time.Duration {
 	l := t.get(i)
 	if l == nil {
 		return 0
 	}
-	t.fill(l, now)
-	l.home, l.askedAt = true, now
-	if l.tokens >= 1-rounding {
-		return 0
-	}
-	return time.Duration((1 - l.tokens) / (l.rate * t.share) * float64(time.Second))
+	return l.bucket.Wait(t.flow(l), now)
 }
 
 // Take charges a request to the bucket of its target, if the target is limited. A bucket
 // owes at most what it holds when it is full.
 func (t *Table) Take(i replicas.Incarnation, now time.Time) {
-	l := t.get(i)
-	if l == nil {
-		return
+	if l := t.get(i); l != nil {
+		l.bucket.Take(t.flow(l), now)
 	}
-	t.fill(l, now)
-	l.tokens = max(l.tokens-1, -burst(l.rate))
 }
 
 // SetHomes sets of which targets this daemon is a home, as it knows the members.
 func (t *Table) SetHomes(isHome func(names.Target) bool, now time.Time) {
 	for id, l := range t.targets {
-		t.fill(l, now)
-		l.home = isHome(id) || l.home && now.Sub(l.askedAt) < askedTime
-		if !l.home {
-			l.tokens = min(l.tokens, 0)
-		}
+		l.bucket.SetHome(t.flow(l), isHome(id), now)
 	}
 }
 
@@ -143,8 +117,9 @@
 func (t *Table) SetShare(share float64, now time.Time, random func() float64) {
 	if share < t.share {
 		for _, l := range t.targets {
-			t.fill(l, now)
-			l.tokens = min(l.tokens, 0) - random()
+			l.bucket.fill(t.flow(l), now)
+			l.bucket.limit(0)
+			l.bucket.tokens -= random()
 		}
 	}
 	t.share = share
--- a/core/process/ratelimits/statements.go
+++ b/core/process/ratelimits/statements.go
@@ -64,7 +64,7 @@
 		if s.Rate == 0 {
 			return Change{}
 		}
-		known = &limit{started: i.Started, listedAt: now, filledAt: now}
+		known = &limit{started: i.Started, listedAt: now, bucket: NewBucket(now)}
 		t.put(i.ID, known)
 	}
 	before := known.rate
@@ -78,9 +78,9 @@
 	if raises(before, after) && s.SentAt.Before(known.readAt) {
 		return Change{Before: before, After: before}
 	}
-	t.fill(known, now)
+	known.bucket.fill(t.flow(known), now)
 	known.rate, known.readAt = after, s.ReadAt
-	known.tokens = min(known.tokens, burst(after))
+	known.bucket.limit(burst(after))
 	if before != after {
 		known.changedAt = now
 	}
