Add the state and the rate of cold targets

Targets crash well above some requests a second while they are cold, and no daemon alone knows what the others send. The package warmup holds which targets are cold and derives the rate that their homes let through from the bound of the settings.

--- /dev/null
+++ b/core/process/warmup/duty.go
@@ -0,0 +1,74 @@
+package warmup
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/homes"
+	"carobspoke.example/core/process/ratelimits"
+)
+
+// TakeoverTime is how long after the loss of the first home, or after the end of a partition,
+// another home may give leaves that this daemon doesn't hear of. A daemon that was cut off
+// with the smaller part of a fleet of 830 counts the others as dead after some 14 s: it
+// suspects them after about two, and a suspicion lasts 4 s times the decimal logarithm of the
+// size of the fleet.
+const TakeoverTime = 15 * time.Second
+
+// Duty is what a daemon lets through as a home of a group, by the homes that it knows.
+//
+// Of a partition the sides learn at different times. The first home goes on at the whole rate
+// until it knows that it has the smaller part of the fleet. Another home that is asked, since
+// the first one doesn't answer or seems lost, cannot know whether that one still gives leaves
+// elsewhere: for TakeoverTime it lets through what both may send together while leaves are
+// used promptly. One that did not hear of the placements before lets nothing through
+// meanwhile.
+type Duty struct {
+	homes homes.Homes
+	share float64
+	known bool
+	// heldUntil ends the TakeoverTime; unaware is true if this daemon lets nothing through
+	// until then.
+	heldUntil time.Time
+	unaware   bool
+}
+
+// Observe records the homes of the group as self knows them, and the share of the fleet that
+// it knows alive, see ratelimits.Fleet. settled is false while self has just started and asks
+// its seeds.
+func (d *Duty) Observe(self names.Host, h homes.Homes, share float64, settled bool, now time.Time) {
+	if d.known && settled {
+		if lost := len(d.homes.Deciders) > 0 && !slices.Contains(h.Deciders, d.homes.Deciders[0]); lost {
+			d.unaware = !d.hears(self) || d.unaware && now.Before(d.heldUntil)
+			d.heldUntil = now.Add(TakeoverTime)
+		}
+		if share > d.share {
+			d.unaware, d.heldUntil = true, now.Add(TakeoverTime)
+		}
+	}
+	d.homes, d.share, d.known = h, share, settled
+}
+
+// hears reports whether self hears of the placements of the homes.
+func (d *Duty) hears(self names.Host) bool {
+	return slices.Contains(d.homes.Deciders, self) || slices.Contains(d.homes.Listeners, self)
+}
+
+// Flow returns what self lets through to a cold target as a home. With the smaller part of
+// the fleet that is its share, in whole requests a second, of what the bound leaves beside
+// the whole rate, which the larger part uses.
+func (d *Duty) Flow(self names.Host, r Rates, now time.Time) ratelimits.Flow {
+	held := now.Before(d.heldUntil)
+	switch {
+	case d.share < 1:
+		return r.flow(math.Floor(d.share * r.Spare))
+	case held && d.unaware || !d.hears(self):
+		return r.flow(0)
+	case held || len(d.homes.Deciders) == 0 || d.homes.Deciders[0] != self:
+		return r.flow(r.Takeover)
+	default:
+		return r.flow(r.Whole)
+	}
+}
