Keep the rate of cold targets across all daemons

Cold targets got whatever callers sent, and crash well above some requests a second. Homes now leave out cold targets without room, their placements there are leaves, and the sending daemon checks the leave right before the write. Warm targets come first. Without a home nothing is sent to a cold target; if all are cold, requests are refused with target_cold and a Retry-After. Services without cold_per_s are served as before.

--- a/core/process/warmup/duty.go
+++ b/core/process/warmup/duty.go
@@ -51,9 +51,12 @@
 	d.homes, d.share, d.known = h, share, settled
 }
 
+// Decides reports whether self is a home of the group, as it knows the members.
+func (d *Duty) Decides(self names.Host) bool { return slices.Contains(d.homes.Deciders, self) }
+
 // hears reports whether self hears of the placements of the homes.
 func (d *Duty) hears(self names.Host) bool {
-	return slices.Contains(d.homes.Deciders, self) || slices.Contains(d.homes.Listeners, self)
+	return d.Decides(self) || slices.Contains(d.homes.Listeners, self)
 }
 
 // Flow returns what self lets through to a cold target as a home. With the smaller part of
--- a/core/process/warmup/replay_test.go
+++ b/core/process/warmup/replay_test.go
@@ -279,6 +279,13 @@
 				})
 			}
 		}},
+		{"first home is paused", 0.5, func(f *fleet) {
+			home := f.daemons[f.order[0]]
+			for i := range 5 {
+				f.after(time.Duration(10*i+5)*time.Second, func() { home.side = 1 })
+				f.after(time.Duration(10*i+7)*time.Second, func() { home.side = 0 })
+			}
+		}},
 		{"two parts", 0, func(f *fleet) {
 			f.after(10*time.Second, func() { f.divide(part(f, 0.52)) })
 			f.after(40*time.Second, func() { f.divide(whole) })
--- a/core/process/warmup/table.go
+++ b/core/process/warmup/table.go
@@ -38,7 +38,9 @@
 // Table holds the targets that are cold, or may become so.
 type Table struct {
 	targets map[names.Target]*state
-	events  []Event
+	// cold holds the targets that are cold as of the last calls of Left.
+	cold   map[names.Target]struct{}
+	events []Event
 	// second is the second of the last leave; leaves were given in it, and before in the one
 	// before it.
 	second         int64
@@ -78,7 +80,9 @@
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{targets: make(map[names.Target]*state)} }
+func New() *Table {
+	return &Table{targets: make(map[names.Target]*state), cold: make(map[names.Target]struct{})}
+}
 
 // extend records that the target is cold until a time at least.
 func (s *state) extend(until time.Time, from Source, now time.Time) {
@@ -182,8 +186,12 @@
 		s.cold = cold
 		if cold {
 			s.bucket = ratelimits.NewBucket(now)
-		} else if !s.ended {
-			source = FromTime
+			x.cold[i.ID] = struct{}{}
+		} else {
+			delete(x.cold, i.ID)
+			if !s.ended {
+				source = FromTime
+			}
 		}
 		x.events = append(x.events, Event{Incarnation: i, Cold: cold, Source: source, Left: left})
 	}
@@ -244,16 +252,8 @@
 	x.second, x.leaves = now.Unix(), 0
 }
 
-// Cold returns the targets that are cold as of the last calls of Left.
-func (x *Table) Cold() []replicas.Incarnation {
-	var list []replicas.Incarnation
-	for id, s := range x.targets {
-		if s.cold {
-			list = append(list, replicas.Incarnation{ID: id, Started: s.started})
-		}
-	}
-	return list
-}
+// Cold returns the targets that are cold as of the last calls of Left. It must not be changed.
+func (x *Table) Cold() map[names.Target]struct{} { return x.cold }
 
 // Sweep drops the states of targets that were not listed for ratelimits.Retention. listed
 // reports whether a target is listed.
@@ -263,6 +263,7 @@
 			s.listedAt = now
 		} else if now.Sub(s.listedAt) > ratelimits.Retention {
 			delete(x.targets, id)
+			delete(x.cold, id)
 		}
 	}
 }
--- a/serving/process/targetstate/limit.go
+++ b/serving/process/targetstate/limit.go
@@ -54,7 +54,11 @@
 func (p PeerSink) RecordUse(i replicas.Incarnation) {
 	p.board.mu.Lock()
 	defer p.board.mu.Unlock()
-	p.board.limits.Take(i, time.Now())
+	now := time.Now()
+	p.board.limits.Take(i, now)
+	if target, ok := p.board.config.Listed(i.ID); ok {
+		p.board.chargeCold(&target, now)
+	}
 }
 
 // recordClaims records what a daemon that asks this one knows of the limits of targets.
@@ -105,10 +109,10 @@
 	}
 }
 
-// placeWithinLimits places a request of the group's targets on one that has named no limit,
-// or whose limit leaves room. The caller must hold b.mu.
+// placeWithinLimits places a request of the group's targets on one that takes any number of
+// requests, or whose limit or rate while it is cold leaves room. The caller must hold b.mu.
 func (b *Board) placeWithinLimits(a *dispatchsync.Ask, service *routing.Service, targets []replicas.Target, candidates []placement.Candidate, now time.Time) placement.Decision {
-	full := fullTargets{}
+	full, cold := fullTargets{}, fullTargets{}
 	usable := make([]placement.Candidate, 0, len(candidates))
 	for _, c := range candidates {
 		if c.Limited {
@@ -119,19 +123,29 @@
 				continue
 			}
 		}
+		if c.Cold {
+			if wait, rate := b.coldWait(targets, c.Target, now); wait > 0 {
+				cold.add(&a.Request, c.Target, wait, rate)
+				continue
+			}
+			c.Limited = true // orders to a helper would count
+		}
 		usable = append(usable, c)
 	}
-	d := b.config.Placer.Place(&a.Request, service, usable)
+	d := b.placeWarmFirst(&a.Request, service, usable)
 	switch {
 	case d.Refusal == nil:
 		d.Limit, d.LimitAge = b.limits.Rate(incarnationOf(targets, d.Target), now)
+		d.ColdLeave = b.giveColdLeave(usable, d.Target, now)
 	case d.Refusal.Reason == verdict.NoTarget && full.count > 0:
 		d.Refusal = b.limitedRefusal(a.Group.Service, full, now)
+	case d.Refusal.Reason == verdict.NoTarget && cold.count > 0:
+		d.Refusal = b.coldRefusal(a.Group.Service, cold, b.warmAfter(targets, now), now)
 	}
 	return d
 }
 
-// fullTargets sums up the targets whose limits leave no room for a request.
+// fullTargets sums up the targets that have no room for a request.
 type fullTargets struct {
 	count int
 	// first is the time until one of them has room, and rate the sum of their rates in
@@ -165,12 +179,18 @@
 // have named limits. A home that was lost is replaced by then.
 const aloneRetryAfter = 2 * time.Second
 
-// placeUnlimited places a request without asking a home: on a target that has named no
-// limit, since only a home knows what others send to the rest. The caller must hold b.mu.
+// placeUnlimited places a request without asking a home: on a target that is warm and has
+// named no limit, since only a home knows what others send to the rest. The caller must hold
+// b.mu.
 func (b *Board) placeUnlimited(r *placement.Request, service *routing.Service, candidates []placement.Candidate) placement.Decision {
-	unlimited := slices.DeleteFunc(slices.Clone(candidates), func(c placement.Candidate) bool { return c.Limited })
+	unlimited := slices.DeleteFunc(slices.Clone(candidates), func(c placement.Candidate) bool { return c.Limited || c.Cold })
 	d := b.config.Placer.Place(r, service, unlimited)
-	if d.Refusal != nil && d.Refusal.Reason == verdict.NoTarget && len(unlimited) < len(candidates) {
+	switch {
+	case d.Refusal == nil || d.Refusal.Reason != verdict.NoTarget || len(unlimited) == len(candidates):
+	case !slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return c.Limited }):
+		now := time.Now()
+		d.Refusal = b.coldRefusal(service.Name, fullTargets{}, b.warmAfter(b.config.Targets(service.Name), now), now)
+	default:
 		after := aloneRetryAfter + time.Duration(b.config.Random.Int64N(int64(retrySpread)))
 		d.Refusal = verdict.New(verdict.NotRun, verdict.TargetLimited, "no daemon can be asked which targets have room").WithRetryAfter(after)
 	}
@@ -179,12 +199,15 @@
 
 // isFull reports whether a request was refused because the targets of a group have no room.
 func isFull(refusal *verdict.Error) bool {
-	return refusal != nil && (refusal.Reason == verdict.Overloaded || refusal.Reason == verdict.TargetLimited)
+	return refusal != nil && (refusal.Reason == verdict.Overloaded || refusal.Reason == verdict.TargetLimited || refusal.Reason == verdict.TargetCold)
 }
 
 // limitRefusal returns why a placed request may not be sent because of the limits of its
-// targets, or nil. The caller must hold b.mu.
+// targets, or because they are cold, or nil. The caller must hold b.mu.
 func (b *Board) limitRefusal(p *relay.Placement, now time.Time) *verdict.Error {
+	if refusal := b.coldSendRefusal(p, now); refusal != nil {
+		return refusal
+	}
 	d := &p.Decision
 	if d.Limit > 0 && b.config.BootTime()-p.AskedAt > ratelimits.LeaveTime {
 		return verdict.Newf(verdict.NotRun, verdict.TargetLimited, "the leave for target %s has expired", d.Target)
@@ -200,9 +223,12 @@
 	return nil
 }
 
-// lacksLeave reports whether a target of a decision is limited and no home has given leave
-// for a request there. The caller must hold b.mu.
+// lacksLeave reports whether a target of a decision is limited or cold and no home has given
+// leave for a request there. The caller must hold b.mu.
 func (b *Board) lacksLeave(d *placement.Decision, i replicas.Incarnation, now time.Time) bool {
+	if b.lacksColdLeave(d, i.ID, now) {
+		return true
+	}
 	if d.Limit > 0 && i.ID == d.Target {
 		return false
 	}
@@ -210,7 +236,8 @@
 	return rate > 0
 }
 
-// chargeLimit charges a dispatch that is new to this daemon to the limit of its target. One
+// chargeLimit charges a dispatch that is new to this daemon to the limit of its target, and to
+// its rate while it is cold. One
 // that is repeated after its first event was sent before. The caller must hold b.mu.
 func (b *Board) chargeLimit(d *inflight.Dispatch, now time.Time) {
 	if d.Prefilled {
@@ -218,6 +245,7 @@
 	}
 	if target, ok := b.config.Listed(d.Parts[0].Target); ok {
 		b.limits.Take(target.Incarnation(), now)
+		b.chargeCold(&target, now)
 	}
 }
 
