Describe how the rate of cold targets is kept, and look at fewer of them

go test -race ./process/warmup ./process/ratelimits ./process/targetstate ./process/edge ./process/dispatchsync ./request/relay pass.

--- a/serving/process/targetstate/cold.go
+++ b/serving/process/targetstate/cold.go
@@ -1,7 +1,6 @@
 package targetstate
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +22,9 @@
 	// dutyInterval is how long the homes of a group that were looked up are used. With
 	// hundreds of members a look-up takes some 20 µs.
 	dutyInterval = 250 * time.Millisecond
+	// wholeSweepInterval is the interval at which all targets are looked at, and not only
+	// cold ones: those that get no requests may have become cold.
+	wholeSweepInterval = 2 * time.Second
 	// dutyRetention is how long the homes of a group that gets no requests are followed.
 	dutyRetention = time.Minute
 	// settleTime is how long after its start a daemon does not follow changes of homes,
@@ -39,6 +41,8 @@
 	// services holds the services whose targets are followed, with what they publish.
 	services map[names.Service]*followedService
 	duties   map[homes.Group]*followedDuty
+	// sweptAt is when all targets of the services were last looked at.
+	sweptAt time.Time
 	// refused counts the requests that were refused because all targets are cold.
 	refused uint64
 }
@@ -353,8 +357,11 @@
 	b.duty(s, g, now)
 	var list []dispatchsync.ColdTarget
 	for id := range s.table.Cold() {
+		if homes.GroupOf(id, g.Groups) != g.Index {
+			continue
+		}
 		target, ok := b.config.Listed(id)
-		if !ok || target.Service != g.Service || homes.GroupOf(id, g.Groups) != g.Index {
+		if !ok || target.Service != g.Service {
 			continue
 		}
 		if left := b.coldLeft(&target, now); left > 0 {
@@ -382,21 +389,36 @@
 		b.observeDuty(d, g, now)
 	}
 	for name, f := range s.services {
-		targets := b.config.Targets(name)
-		s.observeList(f, targets, true, now)
-		for i := range targets {
-			if t := &targets[i]; b.isCold(t, now) {
-				d := b.duty(s, b.groupOf(t), now)
-				s.table.SetHome(t.ID, d.Flow(b.config.Self, f.warmup.Rates, now), d.Decides(b.config.Self), now)
-			}
+		s.observeList(f, b.config.Targets(name), true, now)
+	}
+	if now.Sub(s.sweptAt) >= wholeSweepInterval {
+		s.sweptAt = now
+		b.sweepAllTargets(s, now)
+	}
+	for id := range s.table.Cold() {
+		if t, ok := b.config.Listed(id); ok && b.isCold(&t, now) {
+			d := b.duty(s, b.groupOf(&t), now)
+			s.table.SetHome(id, b.coldFlow(&t, now), d.Decides(b.config.Self), now)
 		}
 	}
-	s.table.Sweep(func(id names.Target) bool { _, ok := b.config.Listed(id); return ok }, now)
 	if events := s.table.TakeEvents(); len(events) > 0 {
 		go b.logCold(events) // not with the lock held
 	}
 }
 
+// sweepAllTargets looks at all targets of services with cold targets. The caller must hold
+// b.mu.
+func (b *Board) sweepAllTargets(s *coldState, now time.Time) {
+	for name, f := range s.services {
+		targets := b.config.Targets(name)
+		for i := range targets {
+			t := &targets[i]
+			s.table.Left(t.Incarnation(), &f.warmup, b.config.TakenBack(t.DataCentre), now)
+		}
+	}
+	s.table.Sweep(func(id names.Target) bool { _, ok := b.config.Listed(id); return ok }, now)
+}
+
 // ColdStats are the numbers of a daemon that are about cold targets.
 type ColdStats struct {
 	// Targets is the number of targets that are cold, as far as the daemon knows.
@@ -419,7 +441,7 @@
 		return ColdStats{}
 	}
 	stats := ColdStats{Used: float64(s.table.LeavesPerSecond(now)), Refused: s.refused}
-	for id := range maps.Clone(s.table.Cold()) {
+	for id := range s.table.Cold() {
 		target, ok := b.config.Listed(id)
 		if !ok || !b.isCold(&target, now) {
 			continue
