--- a/serving/process/targetstate/cold.go
+++ b/serving/process/targetstate/cold.go
@@ -62,7 +62,8 @@
 	observedAt, usedAt time.Time
 }
 
-// coldStates holds the states of the boards of services with cold targets.
+// coldStates holds the states of cold targets by board, since Board has no field for them. A
+// process has one board.
 var coldStates sync.Map // *Board to *coldState
 
 // cold returns the state of cold targets; nil if no service has had any. The caller must hold
