--- a/serving/process/edge/metrics.go
+++ b/serving/process/edge/metrics.go
@@ -43,7 +43,7 @@
 	m.predictionErrors = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: prefix + "first_event_error_ratio", Help: "Time to the first event divided by its prediction, by class.", Buckets: errorBuckets,
 	}, []string{"class"})
-	m.registry.MustRegister(m.stages, m.predictionErrors, stateCollector{d}, registryCollector{m.counters.Registry()})
+	m.registry.MustRegister(m.stages, m.predictionErrors, stateCollector{d}, coldCollector{d}, registryCollector{m.counters.Registry()})
 	return m
 }
 
--- a/serving/process/targetstate/cold.go
+++ b/serving/process/targetstate/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"carobspoke.example/core/names"
@@ -62,18 +61,9 @@
 	observedAt, usedAt time.Time
 }
 
-// coldStates holds the states of cold targets by board, since Board has no field for them. A
-// process has one board.
-var coldStates sync.Map // *Board to *coldState
-
 // cold returns the state of cold targets; nil if no service has had any. The caller must hold
 // b.mu.
-func (b *Board) cold() *coldState {
-	if s, ok := coldStates.Load(b); ok {
-		return s.(*coldState)
-	}
-	return nil
-}
+func (b *Board) cold() *coldState { return b.coldTargets }
 
 // follow returns the state of cold targets and what a service publishes about them; nil if
 // the service sets no bound. The targets that the service has when it is first followed
@@ -86,7 +76,7 @@
 	s := b.cold()
 	if s == nil {
 		s = &coldState{table: warmup.New(), services: make(map[names.Service]*followedService), duties: make(map[homes.Group]*followedDuty)}
-		coldStates.Store(b, s)
+		b.coldTargets = s
 	}
 	f, known := s.services[name]
 	if !known {
--- a/serving/process/targetstate/targetstate.go
+++ b/serving/process/targetstate/targetstate.go
@@ -108,6 +108,8 @@
 	limits *ratelimits.Table
 	// refused holds the requests that this daemon has refused as a home.
 	refused *refusals.Table
+	// coldTargets holds the state of cold targets; nil if no service has had any.
+	coldTargets *coldState
 	// promises spreads the callers that this daemon refuses as a home.
 	promises ratelimits.Promises
 	// skipUntil is the time until which a home that did not answer is not asked.
