Bound the heads, bodies and connections of callers while they arrive

A head was checked against the published limit only after net/http had parsed it, a body was read whole without a sum over connections, and no listener bounded its connections. Callers that send large bodies or heads of short lines at once took 0.6 to 2.5 GB.

Heads are counted by bytes and lines as they arrive, and refused with 431 or 503 before net/http parses them further. Bodies grow as they arrive, never by the stated length alone, and give way with 503 queue_full when memory is short. The callers', readiness, metrics and peer listeners bound their connections by descriptors and memory; sockets of callers have bounded buffers on hosts below 4 GB. The Go runtime has a soft limit of 70% of the host's memory. A body whose rest does not come after a refusal no longer holds its connection open for good, and an answer that is not read ends 10 s after the deadline of its request.

--- a/serving/cmd/carobspoked/edge.go
+++ b/serving/cmd/carobspoked/edge.go
@@ -51,6 +51,7 @@
 	logWriter := logwriter.NewWriter(os.Stdout)
 	defer logWriter.Flush(flushTimeout)
 	log := logwriter.New(logWriter, level)
+	edge.SetMemoryLimit(settings)
 	daemon, err := edge.New(edge.Options{
 		Settings: settings, Codec: platform.Codec{}, Source: platform.NewStore(settings.StoreAddress), Decoder: platform.Decoder{},
 		NewOrders: func(dial upstream.Dialer) targetstate.OrderClient { return platform.NewOrders(dial) }, Log: log, DroppedLines: logWriter.Dropped,
--- a/serving/connection/peers/peers.go
+++ b/serving/connection/peers/peers.go
@@ -18,10 +18,12 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
 )
 
 // Limits of connections between daemons.
@@ -130,9 +132,73 @@
 	}
 }
 
+// Bounds are what a server takes from all peers together. A zero field bounds nothing beyond
+// the limits of this package.
+type Bounds struct {
+	// Calls bounds the calls in progress of all connections, and CallsPerConnection those
+	// of one. Further calls fail with codes.ResourceExhausted, or wait at the peer.
+	Calls, CallsPerConnection int
+	// MessageBytes bounds a message, and HeaderBytes the header of a call.
+	MessageBytes, HeaderBytes int
+	// HandshakeTime bounds the set-up of a connection.
+	HandshakeTime time.Duration
+}
+
+// options returns the options of a server with these bounds.
+func (b Bounds) options() []grpc.ServerOption {
+	var options []grpc.ServerOption
+	if b.Calls > 0 {
+		slots := make(callSlots, b.Calls)
+		options = append(options, grpc.UnaryInterceptor(slots.unary), grpc.StreamInterceptor(slots.stream))
+	}
+	if b.CallsPerConnection > 0 {
+		options = append(options, grpc.MaxConcurrentStreams(uint32(b.CallsPerConnection)))
+	}
+	if b.MessageBytes > 0 {
+		options = append(options, grpc.MaxRecvMsgSize(b.MessageBytes))
+	}
+	if b.HeaderBytes > 0 {
+		options = append(options, grpc.MaxHeaderListSize(uint32(b.HeaderBytes)))
+	}
+	if b.HandshakeTime > 0 {
+		options = append(options, grpc.ConnectionTimeout(b.HandshakeTime))
+	}
+	return options
+}
+
+// callSlots bounds the calls in progress of a server.
+type callSlots chan struct{}
+
+var errTooManyCalls = status.Error(codes.ResourceExhausted, "too many calls of peers are in progress")
+
+func (s callSlots) unary(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
+	select {
+	case s <- struct{}{}:
+		defer func() { <-s }()
+		return handle(ctx, request)
+	default:
+		return nil, errTooManyCalls
+	}
+}
+
+func (s callSlots) stream(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handle grpc.StreamHandler) error {
+	select {
+	case s <- struct{}{}:
+		defer func() { <-s }()
+		return handle(server, stream)
+	default:
+		return errTooManyCalls
+	}
+}
+
 // NewServer returns a gRPC server for calls from peers. A nil config disables TLS;
 // meter records statistics of calls.
 func NewServer(config *tls.Config, meter stats.Handler) *grpc.Server {
+	return NewBoundedServer(config, meter, Bounds{})
+}
+
+// NewBoundedServer is NewServer with bounds for what peers may send.
+func NewBoundedServer(config *tls.Config, meter stats.Handler, bounds Bounds) *grpc.Server {
 	options := []grpc.ServerOption{
 		grpc.StatsHandler(meter),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
@@ -146,5 +212,5 @@
 	if config != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(config)))
 	}
-	return grpc.NewServer(options...)
+	return grpc.NewServer(append(options, bounds.options()...)...)
 }
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -14,8 +14,10 @@
 
 	"carobspoke.example/core/names"
 	core "carobspoke.example/core/process/membership"
+	"carobspoke.example/core/process/memory"
 	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/request/placement"
+	"carobspoke.example/serving/connection/callers"
 	"carobspoke.example/serving/connection/peers"
 	"carobspoke.example/serving/connection/tunnel"
 	"carobspoke.example/serving/connection/upstream"
@@ -82,6 +84,8 @@
 	metricsServer *http.Server
 	peerServer    *grpc.Server
 	conns         *callerConns
+	limits        hostLimits
+	guard         *callers.Guard
 	budgets       *budgets
 	listeners     []net.Listener
 
@@ -115,11 +119,14 @@
 
 		heartbeatDue: make(chan struct{}, 1),
 	}
+	d.limits = limitsOf(o.Settings)
+	d.guard = callers.NewGuard(memory.ForHost(d.limits.memory))
 	d.buildPaths()
 	for _, seed := range o.Settings.Seeds {
 		d.seeds = append(d.seeds, names.Host(seed.String()))
 	}
 	d.metrics = newMetrics(d)
+	d.metrics.registry.MustRegister(memoryCollector{d.guard})
 	if err := d.buildPeers(); err != nil {
 		return nil, err
 	}
@@ -188,7 +195,7 @@
 		Self: d.self, Incarnation: d.incarnation, Conn: share, Port: d.Settings.SharePort,
 		Sink: exchangeSink{PeerSink: d.board.PeerSink(), Follower: d.follower, Guard: d.suspects}, Log: d.Log,
 	})
-	d.peerServer = peers.NewServer(nil, noopStats{})
+	d.peerServer = peers.NewBoundedServer(nil, noopStats{}, peerBounds())
 	peerpb.RegisterPublicationsServer(d.peerServer, &published.Server{Records: d.follower.Records})
 	d.tunnels = &tunnel.Server{Gate: gate{d}, Dial: d.dialDirect()}
 	peerpb.RegisterTunnelsServer(d.peerServer, d.tunnels)
@@ -201,22 +208,44 @@
 		Codec: d.Codec, Board: d.board, Suspects: d.suspects,
 		Budget: d.budgets,
 		Pool:   d.targetPool, Reserver: d.reserver, Prober: d.orders, Observer: d.metrics,
-		Table: d.table, AwaitTable: d.awaitTable, TargetListRevision: d.follower.Revision, TargetListAge: d.follower.Age, TimeToShutdown: d.timeLeft, RetryAfter: d.retryAfter, Random: rand.Float64, Log: d.Log,
+		Table: d.table, AwaitTable: d.awaitTable, TargetListRevision: d.follower.Revision, TargetListAge: d.follower.Age, TimeToShutdown: d.timeLeft, RetryAfter: d.retryAfter, Random: rand.Float64,
+		GrowAnswers: d.guard.GrowAnswers, Log: d.Log,
 	})
 	d.callerServer = &http.Server{
 		Handler:           d.countRequests(handler),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         d.conns.stateChanged,
+		ConnState:         d.callerStateChanged,
 		ConnContext:       relay.ConnContext,
 		ErrorLog:          zap.NewStdLog(d.Log.Named("http")),
 	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+d.Settings.ReadyPath, d.handleReady)
-	d.readyServer = &http.Server{Handler: readyMux, ReadHeaderTimeout: headerTimeout}
+	d.readyServer = serviceServer(readyMux)
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET "+d.Settings.MetricsPath, d.metrics.handler())
-	d.metricsServer = &http.Server{Handler: metricsMux, ReadHeaderTimeout: headerTimeout}
+	d.metricsServer = serviceServer(metricsMux)
+}
+
+// serviceServer returns a server for the platform's own requests.
+func serviceServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, WriteTimeout: serviceTime,
+		IdleTimeout: serviceIdleTime, MaxHeaderBytes: serviceHeadBytes, ConnState: callers.StateChanged,
+	}
+}
+
+func (d *Daemon) callerStateChanged(conn net.Conn, state http.ConnState) {
+	callers.StateChanged(conn, state)
+	d.conns.stateChanged(conn, state)
+}
+
+// publishedHeadBytes returns the published limit of a head, or zero if there is none yet.
+func (d *Daemon) publishedHeadBytes() int {
+	if view := d.follower.View(); view != nil {
+		return view.Table.Limits.HeaderBytes
+	}
+	return 0
 }
 
 // Limits of the callers' interface that apply before a configuration is in
@@ -231,14 +260,23 @@
 )
 
 func (d *Daemon) listen() error {
-	addresses := []netip.AddrPort{d.Settings.CallerAddress, d.Settings.ReadyAddress, d.Settings.PeerAddress, d.Settings.MetricsAddress}
-	for _, address := range addresses {
-		listener, err := net.Listen("tcp", address.String())
+	interfaces := []struct {
+		group       memory.Group
+		address     netip.AddrPort
+		socketBytes int
+	}{
+		{memory.Callers, d.Settings.CallerAddress, d.limits.socketBytes()},
+		{memory.Readiness, d.Settings.ReadyAddress, d.limits.socketBytes()},
+		{memory.Peers, d.Settings.PeerAddress, 0},
+		{memory.Metrics, d.Settings.MetricsAddress, 0},
+	}
+	for _, i := range interfaces {
+		listener, err := callers.Listen(context.Background(), i.address.String(), i.socketBytes)
 		if err != nil {
 			d.closeListeners()
-			return errors.Wrapf(err, "listen at %s", address)
+			return errors.Wrapf(err, "listen at %s", i.address)
 		}
-		d.listeners = append(d.listeners, listener)
+		d.listeners = append(d.listeners, d.guard.NewListener(listener, d.limits.options(i.group, d.publishedHeadBytes)))
 	}
 	return nil
 }
--- /dev/null
+++ b/serving/request/relay/body.go
@@ -0,0 +1,168 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"carobspoke.example/core/verdict"
+	"github.com/pkg/errors"
+)
+
+const (
+	// firstBodyBytes is the size of the first buffer for a body. It is doubled as the body
+	// arrives, so that a stated length alone takes no memory.
+	firstBodyBytes = 8 << 10
+	// probeBytes is read before a full buffer grows, in case the body has ended.
+	probeBytes = 512
+	// progressBytes is how much arrives before the account is told that the body makes
+	// progress.
+	progressBytes = 4 << 10
+	// unreadBodyTime is how long the rest of a body may take to arrive after its request
+	// was refused. The server reads a short rest before it sends the refusal, so that the
+	// connection can be kept.
+	unreadBodyTime = 5 * time.Second
+	// unreadAnswerTime is how long after the deadline of a request its caller may still
+	// read the answer. Until then it holds at most an event, or a kept answer, and what
+	// the buffers of the connection hold.
+	unreadAnswerTime = 10 * time.Second
+	// minRetryAfterMemory and retryAfterMemorySpread bound the random delay after which a
+	// caller may return that was refused since memory is short.
+	minRetryAfterMemory    = time.Second
+	retryAfterMemorySpread = 2 * time.Second
+)
+
+// errNoRoom is the cause of a refusal since the memory for callers is used up.
+var errNoRoom = errors.New("the memory for callers is used up")
+
+// accountHead accounts for the head, which has size bytes.
+func (q *request) accountHead(size int) error {
+	lines := 1 // the request line; that of Host makes up for the empty line
+	for _, values := range q.r.Header {
+		lines += len(values)
+	}
+	if !q.account.GrowHead(size, lines) {
+		return q.noRoom()
+	}
+	return nil
+}
+
+// noRoom returns the error for a request that is refused since memory is short. Nothing of
+// it was sent.
+func (q *request) noRoom() error {
+	q.account.Refused()
+	after := minRetryAfterMemory + time.Duration(q.relay.Random()*float64(retryAfterMemorySpread))
+	return verdict.Wrap(errNoRoom, verdict.NotRun, verdict.QueueFull, "the daemon has no memory left for the request").WithRetryAfter(after)
+}
+
+// readBody reads the body within the limits, and has the account grow with it.
+func (q *request) readBody() error {
+	limit := q.table.Limits.BodyBytes
+	if q.r.ContentLength > limit {
+		return verdict.New(verdict.NotRun, verdict.BodyTooLarge, "the body is over the limit")
+	}
+	controller := http.NewResponseController(q.w)
+	_ = controller.SetReadDeadline(q.deadline) // not all writers support deadlines
+	body, err := q.receive(http.MaxBytesReader(q.w, q.r.Body, limit), limit)
+	q.bodyRead = err == nil
+	q.r.Trailer = nil // it is not forwarded
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return verdict.New(verdict.NotRun, verdict.BodyTooLarge, "the body is over the limit")
+	case err != nil && (errors.Is(err, errNoRoom) || q.account.Evicted()):
+		return q.noRoom()
+	case err != nil && q.r.Context().Err() != nil:
+		return verdict.Wrap(err, verdict.NotRun, verdict.CallerGone, "the caller has gone")
+	case err != nil:
+		return verdict.Wrap(err, verdict.NotRun, verdict.BadRequest, "the body cannot be read")
+	}
+	_ = controller.SetReadDeadline(time.Time{}) // as above
+	q.body = body
+	return nil
+}
+
+// receive reads a body of at most limit bytes. It returns errNoRoom if there is no room for
+// it.
+func (q *request) receive(from io.Reader, limit int64) ([]byte, error) {
+	b := bodyBuffer{account: q.account, from: from, most: limit}
+	switch stated := q.r.ContentLength; {
+	case stated == 0:
+		return nil, nil
+	case stated > 0:
+		b.most = stated
+	}
+	if err := b.read(); !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	return b.bytes, nil
+}
+
+// bodyBuffer holds a body while it arrives.
+type bodyBuffer struct {
+	account account
+	from    io.Reader
+	// most is the size beyond which the buffer does not grow.
+	most  int64
+	bytes []byte
+	// received is what has arrived since the account was last told.
+	received int
+}
+
+// read reads until an error, which is io.EOF at the end of the body.
+func (b *bodyBuffer) read() error {
+	for {
+		if len(b.bytes) == cap(b.bytes) {
+			if err := b.makeRoom(); err != nil {
+				return err
+			}
+		}
+		n, err := b.from.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+		b.bytes, b.received = b.bytes[:len(b.bytes)+n], b.received+n
+		switch {
+		case err != nil:
+			return err //nolint:wrapcheck // the caller asks what kind of error it is
+		case b.received >= progressBytes:
+			if !b.account.GrowBody(0, b.received) {
+				return errNoRoom
+			}
+			b.received = 0
+		}
+	}
+}
+
+// makeRoom doubles a full buffer, unless the body has ended. Both buffers are accounted for
+// while the body is copied.
+func (b *bodyBuffer) makeRoom() error {
+	var probe [probeBytes]byte
+	n := 0
+	for n == 0 && len(b.bytes) > 0 {
+		var err error
+		if n, err = b.from.Read(probe[:]); err != nil && n == 0 {
+			return err //nolint:wrapcheck // as in read
+		}
+	}
+	size := min(max(2*int64(cap(b.bytes)), firstBodyBytes), max(b.most, int64(len(b.bytes)+n), probeBytes))
+	if !b.account.GrowBody(size, b.received+n) {
+		return errNoRoom
+	}
+	grown := append(make([]byte, 0, size), b.bytes...)
+	if cap(b.bytes) > 0 {
+		b.account.ShrinkBody(int64(cap(b.bytes)))
+	}
+	b.bytes, b.received = append(grown, probe[:n]...), 0 //nolint:gocritic // the buffer is replaced
+	return nil
+}
+
+// release ends the account of the request. The rest of a body that was not read must arrive
+// soon.
+func (q *request) release() {
+	if !q.bodyRead && q.r.Body != nil && q.r.Body != http.NoBody {
+		_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(unreadBodyTime)) // not all writers support deadlines
+	}
+	q.body = nil
+	if q.account.Evicted() {
+		q.r.Header = nil // it would be kept until the connection is closed
+	}
+	q.account.Release()
+}
--- a/serving/request/relay/buffer.go
+++ b/serving/request/relay/buffer.go
@@ -25,7 +25,28 @@
 )
 
 // buffers counts the bytes of all answers that are read completely before they are passed on.
-type buffers struct{ held atomic.Int64 }
+type buffers struct {
+	held atomic.Int64
+	// grow is Deps.GrowAnswers.
+	grow func(bytes int64) bool
+}
+
+// take reports whether there is room for another chunk, and counts it.
+func (b *buffers) take() bool {
+	if b.held.Add(answerChunkBytes) > maxBufferedBytes || b.grow != nil && !b.grow(answerChunkBytes) {
+		b.held.Add(-answerChunkBytes)
+		return false
+	}
+	return true
+}
+
+// release subtracts chunks.
+func (b *buffers) release(chunks int) {
+	b.held.Add(-int64(chunks) * answerChunkBytes)
+	if b.grow != nil && chunks > 0 {
+		b.grow(-int64(chunks) * answerChunkBytes)
+	}
+}
 
 // buffer holds one answer. It must be released.
 type buffer struct {
@@ -39,8 +60,7 @@
 func (b *buffers) read(from io.Reader) (*buffer, error) {
 	a := &buffer{of: b}
 	for bytes := firstChunkBytes; ; bytes = answerChunkBytes {
-		if len(a.chunks) > 0 && b.held.Add(answerChunkBytes) > maxBufferedBytes {
-			b.held.Add(-answerChunkBytes)
+		if len(a.chunks) > 0 && !b.take() {
 			return a, errBuffersFull
 		}
 		chunk, err := readChunk(from, bytes)
@@ -72,16 +92,21 @@
 	return chunk, nil
 }
 
-// writeTo writes the answer to a caller. An error means that the caller has disconnected.
+// writeTo writes the answer to a caller, and releases what is written: a caller that reads
+// slowly holds only the rest. An error means that the caller has disconnected.
 func (a *buffer) writeTo(w http.ResponseWriter) {
-	for _, chunk := range a.chunks {
-		if _, err := w.Write(chunk); err != nil {
+	for len(a.chunks) > 0 {
+		if _, err := w.Write(a.chunks[0]); err != nil {
 			return
 		}
+		a.chunks[0] = nil
+		if a.chunks = a.chunks[1:]; len(a.chunks) > 0 {
+			a.of.release(1) // one chunk of an answer is not counted
+		}
 	}
 }
 
 func (a *buffer) release() {
-	a.of.held.Add(-int64(max(len(a.chunks)-1, 0)) * answerChunkBytes)
+	a.of.release(max(len(a.chunks)-1, 0))
 	a.chunks = nil
 }
--- a/serving/request/relay/callerconn.go
+++ b/serving/request/relay/callerconn.go
@@ -17,6 +17,44 @@
 	return context.WithValue(ctx, callerConnKey{}, conn)
 }
 
+// account is what the connection of a caller accounts for, see package callers. It is not
+// there where a server does not bound its connections.
+type account interface {
+	// GrowHead and GrowBody add bytes of the head and of the body, and report whether there
+	// is room for them. GrowHead adds nothing for a head that was counted as it arrived.
+	GrowHead(bytes, lines int) bool
+	GrowBody(bytes int64, received int) bool
+	ShrinkBody(bytes int64)
+	// Evicted reports whether the connection gives way to others. Its reads fail then.
+	Evicted() bool
+	// Serve records that the request was read, and reports whether it may be sent. From
+	// then on the connection does not give way.
+	Serve() bool
+	// Refused counts a request that is refused since there is no room for it.
+	Refused()
+	// Release records that nothing is kept of the request any more.
+	Release()
+}
+
+// accountOf returns the account of the connection of a request.
+func accountOf(r *http.Request) account {
+	if a, ok := r.Context().Value(callerConnKey{}).(account); ok {
+		return a
+	}
+	return noAccount{}
+}
+
+// noAccount grants everything.
+type noAccount struct{}
+
+func (noAccount) GrowHead(int, int) bool   { return true }
+func (noAccount) GrowBody(int64, int) bool { return true }
+func (noAccount) ShrinkBody(int64)         {}
+func (noAccount) Evicted() bool            { return false }
+func (noAccount) Serve() bool              { return true }
+func (noAccount) Refused()                 {}
+func (noAccount) Release()                 {}
+
 // lingerDefault is the value for net.TCPConn.SetLinger with which a close sends what is
 // pending, and lingerReset the one with which it resets the connection.
 const (
@@ -32,7 +70,7 @@
 // daemon, or the kernel when the process ends. It returns an error if the connection is
 // unknown or of another kind.
 func setLinger(r *http.Request, seconds int) error {
-	conn, ok := r.Context().Value(callerConnKey{}).(*net.TCPConn)
+	conn, ok := r.Context().Value(callerConnKey{}).(interface{ SetLinger(seconds int) error })
 	if !ok {
 		return errors.New("relay: the caller's connection is unknown")
 	}
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -150,6 +149,9 @@
 	// RetryAfter returns the delay after which a daemon without a recent
 	// configuration may have one.
 	RetryAfter func() time.Duration
+	// GrowAnswers accounts for bytes of answers that are kept before they are passed on, and
+	// reports whether there is room for them. Negative bytes release them. Nil grants all.
+	GrowAnswers func(bytes int64) bool
 	// Random returns a random number in [0, 1).
 	Random func() float64
 	Log    *zap.Logger
@@ -162,12 +164,13 @@
 }
 
 // New returns a Relay with the given dependencies.
-func New(d Deps) *Relay { return &Relay{Deps: d} }
+func New(d Deps) *Relay { return &Relay{Deps: d, answers: buffers{grow: d.GrowAnswers}} }
 
 // ServeHTTP implements http.Handler.
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	q := &request{relay: s, w: w, r: r, started: started}
+	q := &request{relay: s, w: w, r: r, started: started, account: accountOf(r)}
+	defer q.release()
 	err := q.admit()
 	if err == nil {
 		err = q.serve()
@@ -181,6 +184,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	started time.Time
+	account account
 
 	info     RequestInfo
 	table    *routing.Table
@@ -188,6 +192,8 @@
 	service  *routing.Service
 	customer *routing.Customer
 	body     []byte
+	// bodyRead is true once the body was read in full.
+	bodyRead bool
 	deadline time.Time
 	// shared are the hashes of what the request may have in common with others.
 	shared suspects.Request
@@ -245,9 +251,13 @@
 		return verdict.New(verdict.NotRun, verdict.NotReady, "no configuration is in force yet").WithRetryAfter(q.relay.RetryAfter())
 	}
 	q.table = table
-	if limit := table.Limits.HeaderBytes; limit > 0 && headerSize(q.r) > limit {
+	size := headerSize(q.r)
+	if limit := table.Limits.HeaderBytes; limit > 0 && size > limit {
 		return verdict.New(verdict.NotRun, verdict.HeaderTooLarge, "the header is over the limit")
 	}
+	if err := q.accountHead(size); err != nil {
+		return err
+	}
 	if err := q.authorise(); err != nil {
 		if !recent {
 			return verdict.Wrap(err, verdict.NotRun, verdict.NotReady, "the configuration in force may be outdated").WithRetryAfter(q.relay.RetryAfter())
@@ -262,6 +272,10 @@
 	if err := q.readBody(); err != nil {
 		return err
 	}
+	if !q.account.Serve() {
+		return q.noRoom()
+	}
+	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(unreadAnswerTime)) // not all writers support deadlines
 	q.shared = suspects.NewRequest(q.customerName(), q.r.Method, q.r.URL.RequestURI(), q.body, q.info.Parts)
 	q.shared.Service = suspects.HashService(q.service.Name)
 	return q.checkSuspects()
@@ -308,25 +322,6 @@
 	q.deadline = q.started.Add(left)
 }
 
-func (q *request) readBody() error {
-	limit := q.table.Limits.BodyBytes
-	controller := http.NewResponseController(q.w)
-	_ = controller.SetReadDeadline(q.deadline) // not all writers support deadlines
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
-	_ = controller.SetReadDeadline(time.Time{}) // as above
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return verdict.New(verdict.NotRun, verdict.BodyTooLarge, "the body is over the limit")
-	case err != nil && q.r.Context().Err() != nil:
-		return verdict.Wrap(err, verdict.NotRun, verdict.CallerGone, "the caller has gone")
-	case err != nil:
-		return verdict.Wrap(err, verdict.NotRun, verdict.BadRequest, "the body cannot be read")
-	}
-	q.body = body
-	return nil
-}
-
 func (q *request) customerName() names.Customer {
 	if q.customer == nil {
 		return ""
