Reuse body buffers and end answers that their callers do not read

Bodies that gave way left their buffers to the garbage collector: 60 callers that send 4 MB less one byte to a host of 184 MB, and return at once, took a daemon to 169 MB. A caller that does not read kept its request, and its part of the 24 MB for long answers, for as long as it stayed connected.

Bodies beyond 64 KB arrive in buffers that are used again, and the soft limit of the runtime is 60% of the host's memory. When there is no room for another answer, the one that was not read for longest, and for a second at least, is broken off.

--- a/core/process/memory/account.go
+++ b/core/process/memory/account.go
@@ -306,7 +306,11 @@
 	if need > room {
 		room = a.giveUp(asks, need, room, frees, now, d)
 	}
-	return need <= room && a.total()+need+a.leaving <= a.config.Limit+a.config.Limit/releaseShare
+	most := a.config.Limit
+	if asks == nil || asks.input()+need <= SmallBytes {
+		most += a.config.Limit / releaseShare
+	}
+	return need <= room && a.total()+need+a.leaving <= most
 }
 
 // giveUp evicts connections in order until need bytes fit into the room, and returns the
--- a/core/process/memory/account_test.go
+++ b/core/process/memory/account_test.go
@@ -211,3 +211,22 @@
 		t.Error("the largest legal request is refused")
 	}
 }
+
+// TestLongestUnread guards against breaking off answers that are being read.
+func TestLongestUnread(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ago := func(bytes int64, d time.Duration) Unread { return Unread{Bytes: bytes, ReadAt: now.Add(-d)} }
+	for _, test := range []struct {
+		answers []Unread
+		want    int
+	}{
+		{nil, -1},
+		{[]Unread{ago(9000, 900*time.Millisecond), ago(0, time.Hour)}, -1},
+		{[]Unread{ago(9000, 900*time.Millisecond), ago(100, time.Second)}, 1},
+		{[]Unread{ago(1000, 3*time.Second), ago(2000, 2*time.Second), ago(100, 9*time.Second)}, 1},
+	} {
+		if got := LongestUnread(test.answers, now); got != test.want {
+			t.Errorf("%v: %d, want %d", test.answers, got, test.want)
+		}
+	}
+}
--- a/core/process/memory/memory.go
+++ b/core/process/memory/memory.go
@@ -73,7 +73,8 @@
 	// stalled input only. It bounds how often candidates have to be sorted.
 	marginShare = 32
 	// releaseShare is the part of a limit by which connections that are being closed may
-	// exceed it, in bytes and in number. Beyond that, others are refused.
+	// exceed it, in bytes and in number, for connections and small requests. Large ones are
+	// refused while the bytes of connections that are being closed exceed the limit.
 	releaseShare = 4
 )
 
@@ -95,7 +96,7 @@
 	limitPercent = 33
 	// runtimePercent is the soft limit of the Go runtime. The rest is left to the program
 	// text and to the buffers of sockets.
-	runtimePercent = 70
+	runtimePercent = 60
 	// maxAnswerBytes is enough for three answers of the largest size.
 	maxAnswerBytes = 24 << 20
 )
--- a/serving/connection/callers/callers.go
+++ b/serving/connection/callers/callers.go
@@ -106,6 +106,10 @@
 	})
 }
 
+// AnswerUnread counts a connection that is closed since its caller does not read an answer and
+// memory for others is short.
+func (g *Guard) AnswerUnread() { g.closedMemory.Add(1) }
+
 // add takes a connection, and reports whether there is room for it.
 func (g *Guard) add(conn *Conn, o *Options) bool {
 	return g.decide(connectionsUsed, func(a *memory.Account) memory.Decision {
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -209,7 +209,7 @@
 		Budget: d.budgets,
 		Pool:   d.targetPool, Reserver: d.reserver, Prober: d.orders, Observer: d.metrics,
 		Table: d.table, AwaitTable: d.awaitTable, TargetListRevision: d.follower.Revision, TargetListAge: d.follower.Age, TimeToShutdown: d.timeLeft, RetryAfter: d.retryAfter, Random: rand.Float64,
-		GrowAnswers: d.guard.GrowAnswers, Log: d.Log,
+		GrowAnswers: d.guard.GrowAnswers, AnswerUnread: d.guard.AnswerUnread, Log: d.Log,
 	})
 	d.callerServer = &http.Server{
 		Handler:           d.countRequests(handler),
--- a/serving/request/relay/body.go
+++ b/serving/request/relay/body.go
@@ -10,14 +10,6 @@
 )
 
 const (
-	// firstBodyBytes is the size of the first buffer for a body. It is doubled as the body
-	// arrives, so that a stated length alone takes no memory.
-	firstBodyBytes = 8 << 10
-	// probeBytes is read before a full buffer grows, in case the body has ended.
-	probeBytes = 512
-	// progressBytes is how much arrives before the account is told that the body makes
-	// progress.
-	progressBytes = 4 << 10
 	// unreadBodyTime is how long the rest of a body may take to arrive after its request
 	// was refused. The server reads a short rest before it sends the refusal, so that the
 	// connection can be kept.
@@ -85,73 +77,18 @@
 // receive reads a body of at most limit bytes. It returns errNoRoom if there is no room for
 // it.
 func (q *request) receive(from io.Reader, limit int64) ([]byte, error) {
-	b := bodyBuffer{account: q.account, from: from, most: limit}
+	b := bodyBuffer{account: q.account, from: from, most: limit, free: &q.relay.chunks}
 	switch stated := q.r.ContentLength; {
 	case stated == 0:
 		return nil, nil
 	case stated > 0:
 		b.most = stated
 	}
+	defer b.release()
 	if err := b.read(); !errors.Is(err, io.EOF) {
 		return nil, err
 	}
-	return b.bytes, nil
-}
-
-// bodyBuffer holds a body while it arrives.
-type bodyBuffer struct {
-	account account
-	from    io.Reader
-	// most is the size beyond which the buffer does not grow.
-	most  int64
-	bytes []byte
-	// received is what has arrived since the account was last told.
-	received int
-}
-
-// read reads until an error, which is io.EOF at the end of the body.
-func (b *bodyBuffer) read() error {
-	for {
-		if len(b.bytes) == cap(b.bytes) {
-			if err := b.makeRoom(); err != nil {
-				return err
-			}
-		}
-		n, err := b.from.Read(b.bytes[len(b.bytes):cap(b.bytes)])
-		b.bytes, b.received = b.bytes[:len(b.bytes)+n], b.received+n
-		switch {
-		case err != nil:
-			return err //nolint:wrapcheck // the caller asks what kind of error it is
-		case b.received >= progressBytes:
-			if !b.account.GrowBody(0, b.received) {
-				return errNoRoom
-			}
-			b.received = 0
-		}
-	}
-}
-
-// makeRoom doubles a full buffer, unless the body has ended. Both buffers are accounted for
-// while the body is copied.
-func (b *bodyBuffer) makeRoom() error {
-	var probe [probeBytes]byte
-	n := 0
-	for n == 0 && len(b.bytes) > 0 {
-		var err error
-		if n, err = b.from.Read(probe[:]); err != nil && n == 0 {
-			return err //nolint:wrapcheck // as in read
-		}
-	}
-	size := min(max(2*int64(cap(b.bytes)), firstBodyBytes), max(b.most, int64(len(b.bytes)+n), probeBytes))
-	if !b.account.GrowBody(size, b.received+n) {
-		return errNoRoom
-	}
-	grown := append(make([]byte, 0, size), b.bytes...)
-	if cap(b.bytes) > 0 {
-		b.account.ShrinkBody(int64(cap(b.bytes)))
-	}
-	b.bytes, b.received = append(grown, probe[:n]...), 0 //nolint:gocritic // the buffer is replaced
-	return nil
+	return b.join()
 }
 
 // release ends the account of the request. The rest of a body that was not read must arrive
--- a/serving/request/relay/body_test.go
+++ b/serving/request/relay/body_test.go
@@ -6,11 +6,14 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/memory"
+	"carobspoke.example/core/request/retry"
 	"carobspoke.example/serving/connection/callers"
 )
 
@@ -21,7 +24,8 @@
 	f.limitBodies(longBodyBytes)
 	guard := callers.NewGuard(c)
 	f.relay.answers.grow = guard.GrowAnswers
-	inner, err := callers.Listen(t.Context(), "127.0.0.1:0", 0)
+	f.relay.Budget = &lockedBudget{Budget: f.relay.Budget}
+	inner, err := callers.Listen(t.Context(), "127.0.0.1:0", 64<<10)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -35,6 +39,18 @@
 	return f, guard
 }
 
+// lockedBudget is a Budget for several requests at once.
+type lockedBudget struct {
+	mu sync.Mutex
+	Budget
+}
+
+func (b *lockedBudget) Decide(service names.Service, p retry.Policy, a retry.Attempt) retry.Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Budget.Decide(service, p, a)
+}
+
 // echo answers with the body of the request.
 func echo(conn net.Conn, r *http.Request, _ int) {
 	body, _ := io.ReadAll(r.Body)
@@ -46,7 +62,7 @@
 // against bytes that stay accounted.
 func TestBodiesReachTargetUnchanged(t *testing.T) {
 	f, guard := boundedFixture(t, memory.ForHost(184<<20), newFakeServer(t, echo))
-	for _, size := range []int{0, 1, 511, firstBodyBytes - 1, firstBodyBytes, firstBodyBytes + 1, 120_000, longBodyBytes - 1, longBodyBytes, longBodyBytes + 1} {
+	for _, size := range []int{0, 1, 511, firstBodyBytes - 1, firstBodyBytes, firstBodyBytes + 1, chunkBytes - 1, chunkBytes, chunkBytes + 1, 120_000, 5 * chunkBytes, longBodyBytes - 1, longBodyBytes, longBodyBytes + 1} {
 		for _, stated := range []bool{true, false} {
 			body := strings.Repeat("0123456789abcdefg", size/17+1)[:size]
 			head, answer, err := f.call("/order/x", func(r *http.Request) {
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -152,6 +152,9 @@
 	// GrowAnswers accounts for bytes of answers that are kept before they are passed on, and
 	// reports whether there is room for them. Negative bytes release them. Nil grants all.
 	GrowAnswers func(bytes int64) bool
+	// AnswerUnread is called when an answer is broken off, since its caller did not read it
+	// and another one had no room. It may be nil.
+	AnswerUnread func()
 	// Random returns a random number in [0, 1).
 	Random func() float64
 	Log    *zap.Logger
@@ -161,10 +164,15 @@
 type Relay struct {
 	Deps
 	answers buffers
+	chunks  chunks
+	// unreadTime is unreadAnswerTime but in tests.
+	unreadTime time.Duration
 }
 
 // New returns a Relay with the given dependencies.
-func New(d Deps) *Relay { return &Relay{Deps: d, answers: buffers{grow: d.GrowAnswers}} }
+func New(d Deps) *Relay {
+	return &Relay{Deps: d, answers: buffers{grow: d.GrowAnswers, unread: d.AnswerUnread}, unreadTime: unreadAnswerTime}
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -275,7 +283,7 @@
 	if !q.account.Serve() {
 		return q.noRoom()
 	}
-	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(unreadAnswerTime)) // not all writers support deadlines
+	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(q.relay.unreadTime)) // not all writers support deadlines
 	q.shared = suspects.NewRequest(q.customerName(), q.r.Method, q.r.URL.RequestURI(), q.body, q.info.Parts)
 	q.shared.Service = suspects.HashService(q.service.Name)
 	return q.checkSuspects()
