--- a/serving/process/edge/conns.go
+++ b/serving/process/edge/conns.go
@@ -66,8 +66,9 @@
 	callerDescriptorShare, callerMemoryShare = 2, 3
 	peerDescriptorShare, peerMemoryShare     = 8, 4
 	// serviceConns is the number of connections to the readiness and to the metrics
-	// interface each. Few balancers and scrapers use them.
-	serviceConns = 32
+	// interface each, minServiceConns that on hosts with few descriptors. Few balancers and
+	// scrapers use them.
+	serviceConns, minServiceConns, serviceDescriptorShare = 32, 4, 64
 	// minConns is the number of connections that callers or peers may have on any host.
 	minConns = 16
 	// serviceHeadBytes bounds a head at the readiness and metrics interfaces.
@@ -112,7 +113,8 @@
 	case memory.Peers:
 		return callers.Options{Group: g, Connections: bound(peerDescriptorShare, peerMemoryShare, peerConnBytes), ConnectionBytes: peerConnBytes}
 	default:
-		return callers.Options{Group: g, Connections: serviceConns, ConnectionBytes: callerConnBytes, HTTP: true, MaxHeadBytes: serviceHeadBytes}
+		most := max(min(serviceConns, l.descriptors/serviceDescriptorShare), minServiceConns)
+		return callers.Options{Group: g, Connections: most, ConnectionBytes: callerConnBytes, HTTP: true, MaxHeadBytes: serviceHeadBytes}
 	}
 }
 
--- a/serving/process/edge/conns_test.go
+++ b/serving/process/edge/conns_test.go
@@ -3,9 +3,11 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"carobspoke.example/core/process/memory"
 	"carobspoke.example/core/version/routing"
 )
 
@@ -64,3 +66,34 @@
 		t.Fatal("connection was not closed")
 	}
 }
+
+// Guards against bounds on connections whose sum leaves no descriptors for targets, or whose
+// memory leaves none for requests, on the smallest and largest hosts.
+func TestConnectionsLeaveRoomOnHosts(t *testing.T) {
+	for _, limits := range []hostLimits{{184 << 20, 4100}, {536 << 20, 8192}, {64 << 30, 1 << 20}, {64 << 30, 4100}} {
+		descriptors, bytes := 0, int64(0)
+		for _, group := range []memory.Group{memory.Callers, memory.Readiness, memory.Metrics, memory.Peers} {
+			o := limits.options(group, nil)
+			descriptors += o.Connections
+			bytes += int64(o.Connections) * o.ConnectionBytes
+		}
+		if account := memory.ForHost(limits.memory).Limit; descriptors > limits.descriptors*3/4 || bytes > account*3/4 {
+			t.Errorf("%+v: %d connections, %d bytes of %d", limits, descriptors, bytes, account)
+		}
+	}
+}
+
+// Guards against settings and metrics that do not reach the account of a daemon.
+func TestMetricsOfCallersMemory(t *testing.T) {
+	d := fleet(t, 1, func(int) *source { return &source{} })[0]
+	_, body := get(t, url(d.Settings.MetricsAddress, "/metrics"))
+	for _, line := range []string{
+		`carobspoke_memory_account_bytes{class="head"}`, "carobspoke_memory_account_limit_bytes ", "carobspoke_caller_closed_memory 0",
+		"carobspoke_caller_closed_head 0", "carobspoke_caller_closed_connections 0", "carobspoke_caller_refused_memory 0",
+		`carobspoke_caller_connections{listener="metrics"} 1`,
+	} {
+		if !strings.Contains(body, line) {
+			t.Errorf("the metrics lack %s", line)
+		}
+	}
+}
--- a/serving/request/relay/body.go
+++ b/serving/request/relay/body.go
@@ -92,10 +92,14 @@
 }
 
 // release ends the account of the request. The rest of a body that was not read must arrive
-// soon.
+// soon, and at once after the deadline of the request.
 func (q *request) release() {
 	if !q.bodyRead && q.r.Body != nil && q.r.Body != http.NoBody {
-		_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(unreadBodyTime)) // not all writers support deadlines
+		until := time.Now()
+		if q.deadline.IsZero() || until.Before(q.deadline) {
+			until = until.Add(unreadBodyTime)
+		}
+		_ = http.NewResponseController(q.w).SetReadDeadline(until) // not all writers support deadlines
 	}
 	q.body = nil
 	if q.account.Evicted() {
--- a/serving/request/relay/body_test.go
+++ b/serving/request/relay/body_test.go
@@ -128,3 +128,22 @@
 		t.Errorf("%+v, want one refusal", counts)
 	}
 }
+
+// TestBodyThatDoesNotComeEnds has bodies of which the last byte never comes. It guards against
+// connections that stay open for good: that of a request which is refused by its head, while
+// the server waits for the rest before it sends the refusal, and that of one whose time is over.
+func TestBodyThatDoesNotComeEnds(t *testing.T) {
+	f, _ := boundedFixture(t, memory.ForHost(184<<20), newFakeServer(t, echo))
+	for key, want := range map[string]string{"unknown": "HTTP/1.1 503", "key": ""} {
+		conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(4 * unreadBodyTime))
+		_, _ = io.WriteString(conn, "POST /order/x HTTP/1.1\r\nHost: host.example\r\nId: r\r\nKey: "+key+"\r\nContent-Length: 2\r\n\r\nx")
+		if answer, err := io.ReadAll(conn); err != nil || !strings.HasPrefix(string(answer), want) {
+			t.Errorf("key %s: %q, %v", key, answer, err)
+		}
+		_ = conn.Close()
+	}
+}
