--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -326,6 +326,7 @@
 func (d *Daemon) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	var limits limitLog
 	for {
 		select {
 		case <-ctx.Done():
@@ -334,6 +335,7 @@
 			d.board.Sweep(d.isPublished, now)
 			d.targetPool.Sweep(d.isPublished, now)
 			d.paths.Sweep(d.isPublished, now)
+			limits.record(d.guard, d.Log, now)
 			if view := d.follower.View(); view != nil {
 				d.conns.closeExpired(&view.Table.Limits, now)
 			}
--- a/serving/process/edge/memory_metrics.go
+++ b/serving/process/edge/memory_metrics.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"time"
+
 	"carobspoke.example/core/process/memory"
 	"carobspoke.example/serving/connection/callers"
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 )
 
 // memoryCollector exports the account of the memory that callers use.
@@ -49,3 +52,31 @@
 		out <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(value))
 	}
 }
+
+// limitLog logs what the limits for callers have closed and refused, at most once in
+// limitLogInterval: hostile callers could fill the log otherwise.
+type limitLog struct {
+	last callers.Counts
+	at   time.Time
+}
+
+const limitLogInterval = 5 * time.Second
+
+// record logs what has changed since the last line.
+func (l *limitLog) record(guard *callers.Guard, log *zap.Logger, now time.Time) {
+	counts := guard.Counts()
+	if counts == l.last || now.Sub(l.at) < limitLogInterval {
+		return
+	}
+	used, limit := guard.Usage()
+	sum := int64(0)
+	for _, bytes := range used {
+		sum += bytes
+	}
+	log.Warn("limits for callers met", zap.Uint64("closed_memory", counts.ClosedMemory-l.last.ClosedMemory),
+		zap.Uint64("closed_head", counts.ClosedHead-l.last.ClosedHead),
+		zap.Uint64("closed_connections", counts.ClosedConnections-l.last.ClosedConnections),
+		zap.Uint64("refused_memory", counts.RefusedMemory-l.last.RefusedMemory),
+		zap.Int64("account_bytes", sum), zap.Int64("account_limit_bytes", limit))
+	l.last, l.at = counts, now
+}
