--- a/tools/emulator/cold.go
+++ b/tools/emulator/cold.go
@@ -31,7 +31,8 @@
 func (w *Warmup) allowed() int { return int(w.Rate*w.Overage + w.Slack) }
 
 // BeginCold makes the target cold for a time from now on. The daemons are held to its rate
-// once they have had a notice to learn of it. A target without Warmup is never cold.
+// once they have had a notice to learn of it; they know of a target that is cold already. A
+// target without Warmup is never cold.
 func (t *Target) BeginCold(left, notice time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -39,8 +40,10 @@
 		return
 	}
 	now := time.Now()
+	if t.coldLeft(now) == 0 {
+		t.coldBoundFrom, t.coldArrivals = now.Add(notice), nil
+	}
 	t.coldUntil = now.Add(left)
-	t.coldBoundFrom, t.coldArrivals = now.Add(notice), nil
 }
 
 // ColdLeft returns how much longer the target is cold.
@@ -64,18 +67,16 @@
 }
 
 // checkCold counts a request of a caller or an order that reserves memory. It records a
-// violation if more than allowed have arrived within coldWindow, over an undisturbed link, and crashes the
-// target if it were many more.
+// violation if more than allowed have arrived within coldWindow over an undisturbed link,
+// and crashes the target if they are more than coldCrashFactor times as many.
 func (t *Target) checkCold() {
 	count, allowed := t.countCold(time.Now())
 	if count <= allowed {
 		return
 	}
 	if t.linkStable() {
-		t.checker.mu.Lock()
-		t.checker.recordOnce(link{target: t.ID}, "target %s, which is cold and bears %g requests a second, got %d requests in %s, %d are allowed",
+		t.checker.recordOnceOf(t.ID, "target %s, which is cold and bears %g requests a second, got %d requests in %s, %d are allowed",
 			t.ID, t.Warmup.Rate, count, coldWindow, allowed)
-		t.checker.mu.Unlock()
 	}
 	if count > coldCrashFactor*allowed {
 		t.crash(func() {})
--- a/tools/emulator/hardload_test.go
+++ b/tools/emulator/hardload_test.go
@@ -104,11 +104,14 @@
 			target.BeginCold(time.Minute, 0)
 		case want == 0:
 			at = now.Add(time.Hour)
+		default:
 		}
 		if got, _ := target.countCold(at); got != want {
 			t.Errorf("request %d counts as %d, want %d", i, got, want)
 		}
 	}
+	target = startTarget(t, checker)
+	target.Warmup = Warmup{Time: time.Minute, Rate: 2, Overage: 1.5, Slack: 1}
 	target.BeginCold(time.Minute, 0)
 	daemon := newDaemon(t, "127.0.0.1")
 	for range target.Warmup.allowed() {
--- a/tools/emulator/regions.go
+++ b/tools/emulator/regions.go
@@ -23,7 +23,7 @@
 	may := func(region names.Region) bool { return slices.Contains(strings.Split(allowed, ","), string(region)) }
 	attempt := r.Header.Get(platform.HeaderAttempt)
 	if !may(t.Region) {
-		t.checker.RecordViolation("request %s, which may reach the regions %s, reached target %s in %q", attempt, allowed, t.ID, t.Region)
+		t.checker.recordOnceOf(t.ID, "request %s, which may reach the regions %s, reached target %s in %q", attempt, allowed, t.ID, t.Region)
 	}
 	if t.RegionAt == nil {
 		return
@@ -31,7 +31,7 @@
 	for helper := range strings.SplitSeq(r.Header.Get(platform.HeaderHelpers), ",") {
 		address, _, _ := strings.Cut(helper, "/")
 		if region, ok := t.RegionAt(address); ok && !may(region) {
-			t.checker.RecordViolation("request %s, which may reach the regions %s, has a helper in %q", attempt, allowed, region)
+			t.checker.recordOnceOf(t.ID, "request %s, which may reach the regions %s, has a helper in %q", attempt, allowed, region)
 		}
 	}
 }
--- a/tools/emulator/senders.go
+++ b/tools/emulator/senders.go
@@ -55,6 +55,13 @@
 	c.recorded[key] = true
 }
 
+// recordOnceOf is recordOnce for violations of any daemon at a target.
+func (c *Checker) recordOnceOf(id names.Target, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordOnce(link{target: id}, format, args...)
+}
+
 // violationKey identifies violations of one kind at one link.
 type violationKey struct {
 	link
--- a/tools/emulator/target.go
+++ b/tools/emulator/target.go
@@ -108,6 +108,9 @@
 // Crash closes the listener and all connections of the target at once.
 func (t *Target) Crash() { _ = t.server.Close() }
 
+// Active returns how many requests of callers are at the target.
+func (t *Target) Active() int { return int(t.active.Load()) }
+
 // ActiveReservations returns how many reservations are held, and deletes those
 // that have expired.
 func (t *Target) ActiveReservations() int {
--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -219,6 +219,19 @@
 	afterRecovery bool
 }
 
+// addHeaders sets the headers that depend on the kind of a request.
+func (c *Config) addHeaders(h http.Header, q *request) {
+	for _, region := range c.allowedRegions(q.kind) {
+		h.Set(emulator.HeaderRegions, string(region))
+	}
+	if q.kind == kindStream {
+		h.Set(platform.HeaderTokens, q.tokens)
+		if q.parts != "" {
+			h.Set(platform.HeaderParts, q.parts)
+		}
+	}
+}
+
 func (c *callers) send(client *http.Client, h *host, q *request) {
 	limit := callTimeout
 	if q.abandons {
@@ -242,12 +255,7 @@
 	if q.kind != kindOrder {
 		r.Header.Set(emulator.HeaderRepeatable, "1")
 	}
-	if q.kind == kindStream {
-		r.Header.Set(platform.HeaderTokens, q.tokens)
-		if q.parts != "" {
-			r.Header.Set(platform.HeaderParts, q.parts)
-		}
-	}
+	c.testbed.config.addHeaders(r.Header, q)
 	q.afterRecovery = c.afterRecovery.Load()
 	c.count(q, func(n *Counts) {
 		n.Sent++
--- a/tools/soak/changes.go
+++ b/tools/soak/changes.go
@@ -344,11 +344,11 @@
 	return names.DataCentre(fmt.Sprintf("dc-%d", i%c.DataCentres))
 }
 
-// regions maps the data centres to the only region.
+// regions maps the data centres to their regions.
 func (c *Config) regions() map[names.DataCentre]names.Region {
 	regions := make(map[names.DataCentre]names.Region)
 	for i := range max(c.DataCentres, 1) {
-		regions[c.dataCentre(i)] = "region"
+		regions[c.dataCentre(i)] = c.regionOf(i)
 	}
 	return regions
 }
--- a/tools/soak/command.go
+++ b/tools/soak/command.go
@@ -35,6 +35,9 @@
 			&cli.DurationFlag{Name: "crash-every", Value: defaults.CrashingInterval, Usage: "with --parts: `TIME` between two requests with the part"},
 			&cli.BoolFlag{Name: "leaving", Usage: "targets also state in their answers that they leave, or for how long they want no requests"},
 			&cli.BoolFlag{Name: "limits", Usage: "targets also name how many requests a second they take from all daemons"},
+			&cli.BoolFlag{Name: "evacuate", Usage: "data centres are also evacuated and taken back"},
+			&cli.BoolFlag{Name: "cold", Usage: "targets also bear few requests after their start, after their data centre was taken back, and at times"},
+			&cli.BoolFlag{Name: "regions", Usage: "streams and orders may reach one of two regions alone"},
 			&cli.IntFlag{Name: "changes", Usage: "instead of all that: `NUMBER` of changes, each while the readers of the store are disturbed or after a restoration, with nine daemons in three data centres that are asked whether it is in force"},
 			&cli.StringFlag{Name: "beside", Usage: "`PATH` of another build of carobspoked, which every second daemon runs"},
 			&cli.StringFlag{Name: "folder", Value: filepath.Join(os.TempDir(), "carobspoke-soak"), Usage: "`FOLDER` for settings and logs, with a folder of its own for each process"},
@@ -67,6 +70,7 @@
 			Seed: c.Uint64("seed") + uint64(i), FaultTime: c.Duration("for"), Daemons: c.Int("daemons"), Engines: c.Int("engines"),
 			Services: DefaultConfig().Services, Callers: c.Int("callers"), PlannedOnly: c.Bool("planned"), RestoreStore: c.Bool("restore"),
 			Unframed: c.Bool("unframed"), Parts: c.Bool("parts"), Leaving: c.Bool("leaving"), Limits: c.Bool("limits"),
+			Evacuate: c.Bool("evacuate"), Cold: c.Bool("cold"), Regions: c.Bool("regions"),
 			Turning: c.Bool("turning"), CrashingInterval: c.Duration("crash-every"),
 			Program: program, Beside: c.String("beside"),
 		}
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,12 +20,21 @@
 
 func (b *testbed) randomHost() *host { return b.hosts[b.random.IntN(len(b.hosts))] }
 
+// randomTarget returns a listed target. It waits for one while all have crashed.
 func (b *testbed) randomTarget() *target {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.targets[b.random.IntN(len(b.targets))]
+	for {
+		b.mu.Lock()
+		list := slices.Clone(b.targets)
+		b.mu.Unlock()
+		if len(list) > 0 {
+			return list[b.random.IntN(len(list))]
+		}
+		time.Sleep(targetPollInterval)
+	}
 }
 
+const targetPollInterval = 10 * time.Millisecond
+
 // plannedFaults returns the kinds of planned work, which may not cut a request.
 func plannedFaults() []fault {
 	return []fault{
@@ -213,8 +223,15 @@
 	if b.config.Limits {
 		kinds = append(kinds, limitFault(), limitFault())
 	}
+	if b.config.Evacuate {
+		kinds = append(kinds, evacuateFault(), evacuateFault())
+	}
+	if b.config.Cold {
+		kinds = append(kinds, coldFault(), coldFault())
+	}
 	end := time.After(b.config.FaultTime)
 	defer b.active.Wait()
+	defer b.noneCold.Store(true)
 	for {
 		kind := kinds[b.random.IntN(len(kinds))]
 		duration := time.Duration(minDurationMs+b.random.IntN(durationSpreadMs)) * time.Millisecond
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -56,6 +57,9 @@
 	if c.Parts {
 		c.FaultTime = max(c.FaultTime, minPartsTime)
 	}
+	if c.zoned() {
+		c.DataCentres = zonedDataCentres
+	}
 	if err := os.MkdirAll(c.Folder, 0o700); err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
@@ -82,6 +86,9 @@
 		b.active.Go(func() { all.sendCrashing(loadCtx) })
 	}
 	b.inject(loadCtx)
+	if c.Cold {
+		time.Sleep(coldTime) // the targets that have started last are warm then
+	}
 	b.checkRecovery(loadCtx, all)
 	stopLoad()
 	running.Wait()
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -104,3 +104,34 @@
 		c.Daemons, c.Engines, c.Callers, c.CrashingInterval = 8, 16, 24, 100*time.Millisecond
 	})
 }
+
+// TestSeedWithEvacuations evacuates data centres amid planned work and takes them back. Guards
+// against requests that go on to an evacuated data centre, and against requests that are cut
+// while its targets are restarted.
+func TestSeedWithEvacuations(t *testing.T) {
+	program, err := Build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	runSeed(t, program, 1, func(c *Config) { c.PlannedOnly, c.Evacuate = true, true })
+}
+
+// TestSeedWithColdTargets has targets that bear few requests after their start, and that
+// become cold while they run. Guards against requests that crash them.
+func TestSeedWithColdTargets(t *testing.T) {
+	program, err := Build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	runSeed(t, program, 1, func(c *Config) { c.PlannedOnly, c.Cold = true, true })
+}
+
+// TestSeedWithRegions has streams and orders that may reach one of two regions alone. Guards
+// against targets and helpers elsewhere, also when targets of the region are gone.
+func TestSeedWithRegions(t *testing.T) {
+	program, err := Build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	runSeed(t, program, 2, func(c *Config) { c.Regions = true })
+}
--- a/tools/soak/testbed.go
+++ b/tools/soak/testbed.go
@@ -17,6 +17,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"carobspoke.example/core/names"
@@ -62,6 +63,10 @@
 	// Limits adds targets that name in their answers how many requests a second they
 	// take.
 	Limits bool
+	// Evacuate adds evacuations of data centres, Cold targets that bear few requests after
+	// their start, and Regions kinds of requests that may reach one region alone. The
+	// targets are then spread over zonedDataCentres data centres.
+	Evacuate, Cold, Regions bool
 	// Program is the path of carobspoked. If Beside is not empty, it is the path of
 	// another build, which every second daemon runs. Folder receives settings and logs.
 	Program string
@@ -105,6 +110,9 @@
 
 	// active is done when all faults have ended.
 	active sync.WaitGroup
+	// noneCold makes targets that start warm at once. It is set when no more faults begin:
+	// daemons that overload cold targets would crash them without end.
+	noneCold atomic.Bool
 
 	mu      sync.Mutex
 	targets []*target
@@ -174,11 +182,16 @@
 
 // addTargetAt is addTarget with the address at which the proxy listens.
 func (b *testbed) addTargetAt(service names.Service, address string) error {
+	return b.addTargetIn(b.leastPopulated(service), service, address)
+}
+
+// addTargetIn is addTargetAt with the data centre of the target.
+func (b *testbed) addTargetIn(dc names.DataCentre, service names.Service, address string) error {
 	b.mu.Lock()
 	b.nextID++
 	id := names.Target(fmt.Sprintf("t-%d", b.nextID))
 	b.mu.Unlock()
-	started, err := emulator.StartTarget(replicas.Target{ID: id, Service: service, Address: anyPort, DataCentre: "dc", Slots: 8}, b.checker)
+	started, err := emulator.StartTarget(replicas.Target{ID: id, Service: service, Address: anyPort, DataCentre: dc, Slots: 8}, b.checker)
 	if err != nil {
 		return err
 	}
@@ -189,10 +202,9 @@
 	}
 	t := &target{Target: started, proxy: proxy, entry: started.Target}
 	t.entry.Address = proxy.Address()
-	t.Identify = func(address string) emulator.Sender {
-		return b.identify(func() string { return proxy.Client(address) })
-	}
-	t.Crashed = func() { b.active.Go(func() { b.returnCrashed(t) }) }
+	b.surround(t)
+	t.BeginCold(coldTime, 0)
+	t.entry.ColdLeft = t.ColdLeft()
 	b.mu.Lock()
 	b.targets = append(b.targets, t)
 	b.mu.Unlock()
@@ -210,7 +222,7 @@
 		return routing.Route{
 			Name: name, Hostname: hostname, Prefix: "/" + name + "/", Kind: kind, Timeout: timeout, LatencyTarget: 300 * time.Millisecond,
 			GapTarget: 200 * time.Millisecond, MaxAttempts: 2, Resumable: kind == routing.Streaming,
-			Services: []routing.WeightedService{{Service: service, Weight: 1}},
+			Services: []routing.WeightedService{{Service: service, Weight: 1}}, Regions: b.config.allowedRegions(name),
 		}
 	}
 	config := &routing.Config{
@@ -227,6 +239,9 @@
 		Customers: []routing.Customer{{Name: customer, Keys: keys}},
 		Limits:    routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
+	for i := range config.Services {
+		b.config.addCold(&config.Services[i])
+	}
 	return b.store.PutConfig(config)
 }
 
@@ -255,12 +270,15 @@
 			Seeds: []netip.AddrPort{address(0, 2), address(1, 2)}, StoreAddress: netip.MustParseAddrPort(proxy.Address()),
 			GracePeriod: grace, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 		}}
+		if b.config.Cold {
+			h.settings.ColdOverage, h.settings.ColdSlack = coldOverage, coldSlack
+		}
 		program := b.config.Program
 		if b.config.Beside != "" && i%2 == 1 {
 			program = b.config.Beside
 		}
 		h.process = process{program: program, settings: filepath.Join(b.config.Folder, h.settings.Name+".json"), log: filepath.Join(b.config.Folder, h.settings.Name+".log")}
-		text, err := platform.EncodeSettings(h.settings)
+		text, err := emulator.EncodeSettings(h.settings)
 		if err != nil {
 			return err
 		}
