tools: report logs by the second, check configurations

Operators could not see from logs which kinds of requests waited, were late or were refused at a peak, nor check a configuration before they publish it.

carobspoke logs seconds [--config FILE] FILE... prints for each second of arrival, priority and size: arrived, served, late, the times in the daemon and at the target, refused, refused again, failed, and sums of refusals by reason. It reads the fields priority, tokens and returned where a build logs them.

carobspoke check-config FILE [--against FILE] prints errors and warnings with their place and what differs from the version in force, without API keys. The checks are on routing.Config; package platform decodes the published form.

--- a/tools/cmd/carobspoke/main.go
+++ b/tools/cmd/carobspoke/main.go
@@ -12,6 +12,7 @@
 	"carobspoke.example/tools/adminclient"
 	"carobspoke.example/tools/bench"
 	"carobspoke.example/tools/cmd/carobspoke/manifestcmd"
+	"carobspoke.example/tools/configcheck"
 	"carobspoke.example/tools/dev"
 	"carobspoke.example/tools/experiment"
 	"carobspoke.example/tools/load"
@@ -34,6 +35,7 @@
 			adminclient.StatusCommand(),
 			adminclient.ExplainCommand(),
 			bench.Command(),
+			configcheck.Command(),
 			dev.Command(),
 			experiment.Command(),
 			load.Command(),
--- a/tools/trace/summary.go
+++ b/tools/trace/summary.go
@@ -130,6 +130,7 @@
 		Name:      "logs",
 		Usage:     "summarise daemons' logs: how good predictions were, and how much was logged",
 		ArgsUsage: "FILE...",
+		Commands:  []*cli.Command{secondsCommand()},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.NArg() == 0 {
 				return cli.Exit("a log is needed", 2)
