hostile: space the connections of hostile callers

A daemon that closes connections at once would have been connected to some 200,000 times in 3 s by 1,500 callers, more than the system has ports, and the ordinary request afterwards could have failed for that. A caller now waits 300 ms before it connects again.

--- a/tools/hostile/loads.go
+++ b/tools/hostile/loads.go
@@ -25,8 +25,10 @@
 
 const (
 	dialTimeout = time.Second
-	// reconnectDelay is the time between two connections of a caller.
-	reconnectDelay = 20 * time.Millisecond
+	// reconnectDelay is the time between two connections of a caller. With it connClients
+	// open at most 15,000 connections in 3 s to a daemon that closes them at once, which is
+	// fewer than the system has ports for connections to one address.
+	reconnectDelay = 300 * time.Millisecond
 	// pieceBytes and pieceDelay are how a body is sent piece by piece: 4 MB in 1.3 s.
 	pieceBytes = 32 << 10
 	pieceDelay = 10 * time.Millisecond
