soak: leave a data centre in use unless all are evacuated at once

Evacuations that follow each other often took all data centres, so that requests were only refused and nothing was seen of where they go.

--- a/tools/soak/evacuation.go
+++ b/tools/soak/evacuation.go
@@ -144,8 +144,19 @@
 	}}
 }
 
+// dataCentresInUse returns the data centres that are not evacuated.
+func (b *testbed) dataCentresInUse() map[names.DataCentre]bool {
+	inUse := make(map[names.DataCentre]bool)
+	for i := range b.config.DataCentres {
+		if dc := b.config.dataCentre(i); b.store.EvacuatedSince(dc).IsZero() {
+			inUse[dc] = true
+		}
+	}
+	return inUse
+}
+
 // evacuateFault returns the fault that operators evacuate a data centre, or all, which are
-// taken back later. In half of the cases they restart the targets meanwhile.
+// taken back later. Only if it evacuates all of them does none stay in use. In half of the cases they restart the targets meanwhile.
 func evacuateFault() fault {
 	return fault{"evacuate", func(b *testbed) (func(), string) {
 		first, count := b.random.IntN(b.config.DataCentres), 1
@@ -154,9 +165,10 @@
 		}
 		value, restarts := evacuationValues[b.random.IntN(len(evacuationValues))], b.random.IntN(2) == 0
 		var list []names.DataCentre
+		inUse := b.dataCentresInUse()
 		for i := range count {
 			dc := b.config.dataCentre((first + i) % b.config.DataCentres)
-			if b.store.EvacuatedSince(dc).IsZero() {
+			if inUse[dc] && (len(inUse) > 1 || count > 1) {
 				b.store.Evacuate(dc, value)
 				list = append(list, dc)
 			}
