--- a/tools/emulator/hardload_test.go
+++ b/tools/emulator/places_test.go
@@ -170,7 +170,7 @@
 func TestAddedFieldsAreDecoded(t *testing.T) {
 	target := startTarget(t, NewChecker(time.Second)).Target
 	target.Service, target.DataCentre, target.ColdLeft = "service", "dc", 1500*time.Millisecond
-	text, err := encodeTarget(&target)
+	text, err := platform.EncodeTarget(&target)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -178,7 +178,7 @@
 	if err != nil || entry.ColdLeft != target.ColdLeft {
 		t.Errorf("entry %+v: %v", entry, err)
 	}
-	text, err = encodeConfig(&routing.Config{
+	text, err = platform.EncodeConfig(&routing.Config{
 		Routes:    []routing.Route{{Name: "route", Hostname: "h", Prefix: "/", Services: []routing.WeightedService{{Service: "service", Weight: 1}}, Regions: []names.Region{"east"}}},
 		Services:  []routing.Service{{Name: "service", ColdTime: 1500 * time.Millisecond, ColdRate: 26}},
 		Customers: []routing.Customer{{Name: "customer", Regions: []names.Region{"west", "east"}}},
@@ -193,7 +193,7 @@
 	if s := config.Services[0]; s.ColdTime != 1500*time.Millisecond || s.ColdRate != 26 || len(config.Routes[0].Regions) != 1 || len(config.Customers[0].Regions) != 2 {
 		t.Errorf("configuration %+v", config)
 	}
-	text, err = EncodeSettings(&edge.Settings{ColdOverage: 1.5, ColdSlack: 5, MemoryBytes: 96 << 20, Descriptors: 1000})
+	text, err = platform.EncodeSettings(&edge.Settings{ColdOverage: 1.5, ColdSlack: 5, MemoryBytes: 96 << 20, Descriptors: 1000})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/tools/emulator/store.go
+++ b/tools/emulator/store.go
@@ -187,7 +187,7 @@
 
 // PutConfig publishes a configuration.
 func (s *Store) PutConfig(c *routing.Config) error {
-	value, err := encodeConfig(c)
+	value, err := platform.EncodeConfig(c)
 	if err != nil {
 		return err
 	}
@@ -197,7 +197,7 @@
 
 // PutTarget publishes the entry of a target.
 func (s *Store) PutTarget(t *replicas.Target) error {
-	value, err := encodeTarget(t)
+	value, err := platform.EncodeTarget(t)
 	if err != nil {
 		return err
 	}
--- a/tools/hostile/site.go
+++ b/tools/hostile/site.go
@@ -116,7 +116,7 @@
 		StoreAddress: netip.MustParseAddrPort(store), GracePeriod: grace, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 		MemoryBytes: int64(limits.MemoryMB) << 20, Descriptors: limits.Descriptors,
 	}
-	text, err := emulator.EncodeSettings(s.settings)
+	text, err := platform.EncodeSettings(s.settings)
 	if err != nil {
 		return err
 	}
--- a/tools/soak/testbed.go
+++ b/tools/soak/testbed.go
@@ -278,7 +278,7 @@
 			program = b.config.Beside
 		}
 		h.process = process{program: program, settings: filepath.Join(b.config.Folder, h.settings.Name+".json"), log: filepath.Join(b.config.Folder, h.settings.Name+".log")}
-		text, err := emulator.EncodeSettings(h.settings)
+		text, err := platform.EncodeSettings(h.settings)
 		if err != nil {
 			return err
 		}
