Learn which data centres operators want evacuated

Operators write a key to have a data centre emptied before they switch it off; daemons ignored it and went on to send requests there.

The keys now take the path of all published records, through watchers, relays and peers, and the view in force holds the evacuated data centres. An outage of the store ends no evacuation. Nothing acts on the view yet.

--- a/serving/process/published/apply.go
+++ b/serving/process/published/apply.go
@@ -66,17 +66,17 @@
 	case b.Position.Era > known.Era && !known.IsZero() && !b.Complete:
 		return // its revisions cannot be joined to the known ones
 	}
-	now := time.Now()
+	now, o := time.Now(), origin{from: from, era: b.Position.Era}
 	if b.Position.Era > known.Era && !known.IsZero() {
 		f.restore(&b, now)
 	}
 	if b.Complete {
-		f.removeAbsent(&b, now)
+		f.removeAbsent(&b, o, now)
 		f.history, f.historyStart = nil, b.Position.Revision
 	}
 	slices.SortStableFunc(b.Records, func(x, y Record) int { return cmp.Compare(x.Revision, y.Revision) })
 	for i := range b.Records {
-		f.applyRecord(&b.Records[i], now)
+		f.applyRecord(&b.Records[i], o, now)
 	}
 	if !b.Complete {
 		f.appendHistory(b.Records, known.Revision)
@@ -100,6 +100,7 @@
 // compared with those of the list. The caller must hold f.mu.
 func (f *Follower) restore(b *Batch, now time.Time) {
 	f.directory.Restore(b.Position.Revision, now)
+	f.evacuations.Restore(now)
 	for key, r := range f.records {
 		r.Revision = 0
 		f.records[key] = r
@@ -113,7 +114,9 @@
 func (f *Follower) applyConfigs(records []Record) {
 	for i := range records {
 		r := records[i]
-		if _, isTarget := f.decoder.TargetOf(r.Key); isTarget || r.Deleted || bytes.Equal(r.Value, f.records[r.Key].Value) {
+		_, isTarget := f.decoder.TargetOf(r.Key)
+		_, isEvacuation := f.decoder.EvacuationOf(r.Key)
+		if isTarget || isEvacuation || r.Deleted || bytes.Equal(r.Value, f.records[r.Key].Value) {
 			continue
 		}
 		config, _, err := f.decoder.Decode(&r)
@@ -157,14 +160,19 @@
 }
 
 // removeAbsent removes the records that a complete list no longer contains.
-func (f *Follower) removeAbsent(b *Batch, now time.Time) {
+func (f *Follower) removeAbsent(b *Batch, o origin, now time.Time) {
 	listed := make(map[string]bool, len(b.Records))
 	for i := range b.Records {
 		listed[b.Records[i].Key] = true
 	}
 	for key := range f.records {
-		if !listed[key] {
-			f.applyRecord(&Record{Key: key, Revision: b.Position.Revision, Deleted: true}, now)
+		r := Record{Key: key, Revision: b.Position.Revision, Deleted: true}
+		switch dc, isEvacuation := f.decoder.EvacuationOf(key); {
+		case listed[key]:
+		case isEvacuation:
+			f.applyAbsence(dc, &r, o, now)
+		default:
+			f.applyRecord(&r, o, now)
 		}
 	}
 }
@@ -173,10 +181,14 @@
 // be decoded is kept for peers, but not put in force. The record of a configuration is
 // kept while no newer configuration is in force: a restored publisher lists an older
 // one.
-func (f *Follower) applyRecord(r *Record, now time.Time) {
+func (f *Follower) applyRecord(r *Record, o origin, now time.Time) {
 	if old, ok := f.records[r.Key]; ok && old.Revision > r.Revision && r.Key != f.configKey {
 		return // configurations are ordered by their versions
 	}
+	if dc, ok := f.decoder.EvacuationOf(r.Key); ok {
+		f.applyEvacuation(dc, r, o, now)
+		return
+	}
 	if r.Deleted {
 		f.applyRemoval(r, now)
 		return
@@ -256,7 +268,8 @@
 	for _, t := range f.directory.List(time.Now()) {
 		byService[t.Service] = append(byService[t.Service], t)
 	}
-	if f.view.Swap(&View{Table: f.table, Targets: byService}) == nil {
+	view := &View{Table: f.table, Targets: byService, Evacuated: f.evacuations.InForce(), TakenBack: f.evacuations.TakenBack()}
+	if f.view.Swap(view) == nil {
 		close(f.firstView)
 	}
 }
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -261,7 +261,8 @@
 	}
 }
 
-// expire drops targets that were not published again after an outage.
+// expire drops targets that were not published again after an outage, and evacuations that a
+// restored source lacks.
 func (f *Follower) expire(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
@@ -275,6 +276,7 @@
 				f.log.Info("targets that did not return were dropped", zap.Uint64("revision", f.Revision()))
 				f.publishView()
 			}
+			f.expireEvacuations(now)
 			f.mu.Unlock()
 		}
 	}
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/evacuation"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/process/watching"
 	"carobspoke.example/core/version/routing"
@@ -140,8 +141,13 @@
 // View is the state in force.
 type View struct {
 	Table *routing.Table
-	// Targets holds the usable targets by service.
+	// Targets holds the usable targets by service, also those in evacuated data centres.
 	Targets map[names.Service][]replicas.Target
+	// Evacuated holds the data centres that operators want evacuated and when this daemon
+	// learnt of it, TakenBack those of which this daemon has learnt that they no longer do,
+	// and when.
+	Evacuated map[names.DataCentre]time.Time
+	TakenBack map[names.DataCentre]time.Time
 }
 
 // Follower follows a source. Its exported methods are safe for concurrent use.
@@ -197,6 +203,7 @@
 	history      []Record
 	historyStart uint64
 	directory    *replicas.Directory
+	evacuations  *evacuation.Table
 	table        *routing.Table
 	sourceDown   bool
 }
@@ -244,6 +251,7 @@
 		source: c.Source, decoder: c.Decoder, peers: c.Peers, log: c.Log, onPosition: c.OnPosition, onNews: c.OnNews,
 		situation: c.Situation, plan: watching.New(c.Random),
 		firstView: make(chan struct{}), wake: make(chan struct{}, 1), records: make(map[string]Record), unusable: make(map[string]bool), directory: replicas.New(),
+		evacuations: evacuation.New(),
 	}
 	f.position.Store(&replicas.Position{})
 	return f
