Send nothing new to evacuated data centres

A daemon that knows of an evacuation refuses targets there at placement, immediately before the write, for peers' connections, orders and probes, and closes its idle connections; only reservations of requests that were sent are renewed. Questions to homes name the evacuated data centres. A home that places there all the same is asked again, and one that holds a data centre as evacuated which was taken back is not believed.

--- a/serving/process/edge/paths.go
+++ b/serving/process/edge/paths.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"carobspoke.example/core/names"
@@ -66,20 +67,14 @@
 	return d.randomOthers(count, "")
 }
 
-// randomOthers is randomTargets without one target.
+// randomOthers is randomTargets without one target. Targets in evacuated data centres are not
+// connected to without need.
 func (d *Daemon) randomOthers(count int, without names.Target) map[names.Target]string {
 	view := d.follower.View()
 	if view == nil {
 		return nil
 	}
-	var all []*replicas.Target
-	for _, list := range view.Targets {
-		for i := range list {
-			if list[i].ID != without {
-				all = append(all, &list[i])
-			}
-		}
-	}
+	all := slices.DeleteFunc(openTargets(view), func(t *replicas.Target) bool { return t.ID == without })
 	picked := make(map[names.Target]string)
 	for range min(count, len(all)) {
 		target := all[rand.IntN(len(all))]
@@ -88,10 +83,11 @@
 	return picked
 }
 
-// targetAddress returns the address of a listed target, and whether it is listed.
+// targetAddress returns the address of a listed target, and whether it is listed and not in an
+// evacuated data centre.
 func (d *Daemon) targetAddress(id names.Target) (string, bool) {
 	target, ok := d.listedTarget(id)
-	return target.Address, ok
+	return target.Address, ok && !d.evacuated(target.DataCentre)
 }
 
 // gate decides on the connections that peers ask for. It implements tunnel.Gate.
--- a/serving/process/edge/peers.go
+++ b/serving/process/edge/peers.go
@@ -27,8 +27,10 @@
 )
 
 // positionChanged gossips the position that this daemon has reached and the version of
-// the configuration in force, and tells the daemons that depend on this one.
+// the configuration in force, tells the daemons that depend on this one, and closes the idle
+// connections to evacuated data centres.
 func (d *Daemon) positionChanged(p replicas.Position) {
+	d.closeEvacuated()
 	d.wakeHeartbeats()
 	key := positionKey
 	if p.Era > 0 {
--- a/serving/process/edge/view.go
+++ b/serving/process/edge/view.go
@@ -70,9 +70,9 @@
 }
 
 // maxIdleConns returns how many idle connections to a target this daemon may keep: none
-// to one that is leaving.
+// to one that is leaving or in an evacuated data centre.
 func (d *Daemon) maxIdleConns(id names.Target) int {
-	if target, ok := d.listedTarget(id); ok && d.board.Leaving(target.Incarnation()) {
+	if target, ok := d.listedTarget(id); ok && (d.evacuated(target.DataCentre) || d.board.Leaving(target.Incarnation())) {
 		return 0
 	}
 	most := 0
--- a/serving/process/targetstate/home.go
+++ b/serving/process/targetstate/home.go
@@ -103,7 +103,12 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	candidates := b.candidates(targets, a.Avoid, now, "")
+	rule := ruleOf(a)
+	usable := b.eligible(targets, rule)
+	if len(usable) == 0 && len(targets) > 0 {
+		return dispatchsync.Answer{Decision: placement.Decision{Refusal: b.placeRefusalLocked(centresOf(targets), rule)}, LimitsKnown: true}
+	}
+	candidates := b.candidates(usable, a.Avoid, now, "")
 	answer := dispatchsync.Answer{Decision: b.placeWithinLimits(a, service, targets, candidates, now), LimitsKnown: true}
 	if a.Group.Groups > 1 {
 		answer.Pressure = pressure(candidates)
--- a/serving/process/targetstate/orders.go
+++ b/serving/process/targetstate/orders.go
@@ -29,9 +29,13 @@
 func NewOrders(b *Board, next OrderClient) *Orders { return &Orders{board: b, next: next} }
 
 // Reserve implements reserve.Orders. While the target wants no requests, a few
-// reservations that running requests use can be renewed; the others fail with
-// reserve.ErrNotSent.
+// reservations that running requests use can be renewed, and while its data centre is
+// evacuated all of those; the others fail with reserve.ErrNotSent.
 func (o *Orders) Reserve(ctx context.Context, address string, id names.Target, reservation string, tokens int, hold time.Duration) error {
+	if !o.board.mayReserve(ctx, id) {
+		o.board.config.Count(countWithheld)
+		return errors.Wrapf(reserve.ErrNotSent, "the data centre of target %s is evacuated", id)
+	}
 	if !o.board.takeRequest(id) {
 		return o.withheld(id)
 	}
@@ -49,9 +53,9 @@
 
 // Probe implements relay.Prober. While the target wants no requests, none is sent and the
 // target counts as alive: it has refused a request a short time ago, and its connections
-// still show if it dies.
+// still show if it dies. The same holds while its data centre is evacuated.
 func (o *Orders) Probe(ctx context.Context, address string, id names.Target) error {
-	if o.board.wantsNothing(id) {
+	if o.board.wantsNothing(id) || o.board.inEvacuated(id) {
 		o.board.config.Count(countWithheld)
 		return nil
 	}
--- a/serving/process/targetstate/place.go
+++ b/serving/process/targetstate/place.go
@@ -48,6 +48,10 @@
 	// lastActivity is when the target last sent something; zero if it has sent
 	// nothing.
 	lastActivity time.Time
+	// centres holds the data centres of its targets when it was placed.
+	centres map[names.Target]names.DataCentre
+	// sent is true once the request may have been written to its target.
+	sent bool
 }
 
 // groupPressure is the load of a group as its home reported it.
@@ -60,24 +64,30 @@
 // no home answers, it places the request by what this daemon knows.
 func (b *Board) Place(ctx context.Context, r *placement.Request, service *routing.Service) (*relay.Placement, error) {
 	targets := b.config.Targets(service.Name)
-	if refusal := b.refuseAll(r, service, targets); refusal != nil {
+	reach := b.extentOf(r, service.Name, targets)
+	if reach.refusal != nil {
+		return nil, reach.refusal
+	}
+	if refusal := b.refuseAll(r, service, targets, &reach.rule); refusal != nil {
 		return nil, refusal
 	}
 	groups := homes.Groups(len(targets))
-	chosen, other := b.chooseGroups(service.Name, groups)
-	d, err := b.placeInGroup(ctx, r, homes.Group{Service: service.Name, Index: chosen, Groups: groups}, targets)
-	if err == nil && other != chosen && isFull(d.decision.Refusal) {
-		d, err = b.placeInGroup(ctx, r, homes.Group{Service: service.Name, Index: other, Groups: groups}, targets)
+	chosen, other := b.chooseGroups(service.Name, groups, &reach)
+	d, err := b.placeInGroup(ctx, r, homes.Group{Service: service.Name, Index: chosen, Groups: groups}, targets, &reach)
+	if err == nil && other != chosen && (isFull(d.decision.Refusal) || refusedAsEvacuated(d.decision.Refusal)) {
+		d, err = b.placeInGroup(ctx, r, homes.Group{Service: service.Name, Index: other, Groups: groups}, targets, &reach)
 	}
 	if err != nil {
 		alone := *r
 		alone.Exclude = slices.Concat(r.Exclude, b.unusable(targets))
-		d = b.placeAlone(&alone, service, targets)
+		d = b.placeAlone(&alone, service, targets, &reach)
 	}
 	if d.decision.Refusal != nil {
 		return nil, d.decision.Refusal
 	}
-	return placed(&d, targets), nil
+	p := placed(&d, targets)
+	b.recordCentres(p, targets)
+	return p, nil
 }
 
 // keyedDecision is a decision with the key of its dispatch.
@@ -88,8 +98,9 @@
 	askedAt time.Duration
 }
 
-// chooseGroups returns the group to ask first, and the one to ask if that refuses.
-func (b *Board) chooseGroups(service names.Service, groups int) (chosen, other int) {
+// chooseGroups returns the group to ask first, and the one to ask if that refuses, among those
+// that a request may reach.
+func (b *Board) chooseGroups(service names.Service, groups int, reach *extent) (chosen, other int) {
 	if groups <= 1 {
 		return 0, 0
 	}
@@ -103,14 +114,18 @@
 		}
 		return p.value
 	}
-	return homes.Choose(groups, pressure, b.config.Random)
+	if !reach.restricted {
+		return homes.Choose(groups, pressure, b.config.Random)
+	}
+	chosen, other = homes.Choose(len(reach.groups), func(at int) float64 { return pressure(reach.groups[at]) }, b.config.Random)
+	return reach.groups[chosen], reach.groups[other]
 }
 
 // placeInGroup asks the homes of a group in turn. It returns errNoHome if none places
 // or refuses the request.
-func (b *Board) placeInGroup(ctx context.Context, r *placement.Request, g homes.Group, targets []replicas.Target) (keyedDecision, error) {
+func (b *Board) placeInGroup(ctx context.Context, r *placement.Request, g homes.Group, targets []replicas.Target, reach *extent) (keyedDecision, error) {
 	selected := b.config.Homes(g)
-	q := &question{request: *r, group: g, targets: targets, listeners: selected.Listeners, unusable: b.unusable(targets)}
+	q := &question{request: *r, group: g, targets: targets, extent: *reach, listeners: selected.Listeners, unusable: b.unusable(targets)}
 	for _, home := range selected.Deciders {
 		if b.skipped(home) {
 			continue
@@ -138,6 +153,7 @@
 	request    placement.Request
 	group      homes.Group
 	targets    []replicas.Target
+	extent     extent
 	listeners  []names.Host
 	redirected bool
 	// unusable holds the listed targets that must not get the request because of
@@ -157,14 +173,18 @@
 		if err != nil {
 			return keyedDecision{}, named, err
 		}
-		rejected := b.rejectedTargets(&d.decision, q.targets)
+		rejected, outside := b.rejectedTargets(&d.decision, q)
 		if len(rejected) == 0 {
 			return d, nil, nil
 		}
-		// These targets are leaving or gone, have asked this daemon for time or have
-		// named it a limit, which the home does not know.
+		// These targets are leaving, gone or out of reach, have asked this daemon for
+		// time or have named it a limit, which the home does not know.
 		b.End(d.key, d.decision.Target)
 		q.request.Exclude = append(slices.Clone(q.request.Exclude), rejected...)
+		if outside {
+			b.logRejected(home, q, &d.decision)
+			q.request.Exclude = append(q.request.Exclude, b.outOfReach(q, maxUnusableNamed-min(len(q.unusable), maxUnusableNamed))...)
+		}
 	}
 	return keyedDecision{}, nil, errors.WithStack(errNoHome)
 }
@@ -175,7 +195,7 @@
 func (b *Board) askHome(ctx context.Context, q *question, home names.Host) (keyedDecision, []names.Host, error) {
 	key := b.newKey()
 	asked, askedBoot := time.Now(), b.config.BootTime()
-	ask := dispatchsync.Ask{Group: q.group, Request: q.request, Redirected: q.redirected}
+	ask := dispatchsync.Ask{Group: q.group, Request: q.request, Redirected: q.redirected, Evacuated: q.extent.evacuated}
 	ask.Request.Exclude = slices.Concat(q.request.Exclude, q.unusable)
 	if home == b.config.Self {
 		d, err := b.decideOwn(key, &ask, without(q.listeners, home))
@@ -199,6 +219,8 @@
 	switch refusal := answer.Decision.Refusal; {
 	case answer.UnknownService || refusal != nil && refusal.Reason == verdict.NoTarget:
 		return keyedDecision{}, nil, errors.WithStack(errNoHome) // this daemon may know more
+	case refusal != nil && b.rejectsRefusal(refusal, q):
+		return keyedDecision{}, nil, errors.WithStack(errNoHome)
 	case refusal != nil:
 		return d, nil, nil
 	case len(answer.Decision.Parts) == 0:
@@ -252,14 +274,14 @@
 }
 
 // placeAlone places a request by what this daemon knows.
-func (b *Board) placeAlone(r *placement.Request, service *routing.Service, targets []replicas.Target) keyedDecision {
+func (b *Board) placeAlone(r *placement.Request, service *routing.Service, targets []replicas.Target, reach *extent) keyedDecision {
 	groups := homes.Groups(len(targets))
 	g := homes.Group{Service: service.Name, Groups: groups}
 	key := b.newKey()
 	now := time.Now()
 	var leased inflight.Dispatch
 	b.mu.Lock()
-	decision := b.placeUnlimited(r, service, b.candidates(targets, nil, now, string(b.config.Self)))
+	decision := b.placeUnlimited(r, service, b.candidates(b.eligible(targets, &reach.rule), nil, now, string(b.config.Self)))
 	if decision.Refusal == nil {
 		g.Index = homes.GroupOf(decision.Target, groups)
 		leased = b.beginOwn(key, decision, g, r.TimeLeft, now)
--- a/serving/process/targetstate/statement.go
+++ b/serving/process/targetstate/statement.go
@@ -133,6 +133,9 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if refusal := b.evacuationRefusal(p); refusal != nil {
+		return refusal
+	}
 	if refusal := b.refusal(p.Incarnation, now); refusal != nil {
 		return refusal
 	}
@@ -145,6 +148,9 @@
 		}
 	}
 	p.SentAt = now
+	if own, ok := b.own[p.Key.Number]; ok {
+		own.sent = true
+	}
 	return nil
 }
 
@@ -183,26 +189,31 @@
 
 // unusable returns the targets of a list that must not get requests because of what they
 // have stated: first those that have asked for time, which the homes do not know, the
-// longest times first.
+// longest times first. Those in evacuated data centres are omitted, which a question names as
+// such.
 func (b *Board) unusable(targets []replicas.Target) []names.Target {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []names.Target
 	for _, i := range slices.Concat(b.asked.Current(now), b.leaving.Current()) {
-		if at, ok := find(targets, i.ID); ok && b.refusal(targets[at].Incarnation(), now) != nil && !slices.Contains(list, i.ID) {
+		at, ok := find(targets, i.ID)
+		if !ok || b.config.Evacuated(targets[at].DataCentre) || slices.Contains(list, i.ID) {
+			continue
+		}
+		if b.refusal(targets[at].Incarnation(), now) != nil {
 			list = append(list, i.ID)
 		}
 	}
 	return list
 }
 
-// refuseAll returns the refusal of a request if no target of its service takes requests,
-// as the targets have stated, and nil otherwise.
-func (b *Board) refuseAll(r *placement.Request, service *routing.Service, targets []replicas.Target) *verdict.Error {
+// refuseAll returns the refusal of a request if no target of its service that it may reach
+// takes requests, as the targets have stated, and nil otherwise.
+func (b *Board) refuseAll(r *placement.Request, service *routing.Service, targets []replicas.Target, rule *placeRule) *verdict.Error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	none, after := b.roomAfter(targets, time.Now())
+	none, after := b.roomAfter(targets, rule, time.Now())
 	switch {
 	case !none || len(targets) == 0:
 		return nil
@@ -216,10 +227,13 @@
 // retrySpread bounds the random time that is added to the retry delay of callers.
 const retrySpread = 500 * time.Millisecond
 
-// roomAfter reports whether no target of a list takes requests, and after which time one
-// does that has asked for time; zero if none has. The caller must hold b.mu.
-func (b *Board) roomAfter(targets []replicas.Target, now time.Time) (none bool, after time.Duration) {
+// roomAfter reports whether no target of a list that a request may reach takes requests, and
+// after which time one does that has asked for time; zero if none has. The caller must hold b.mu.
+func (b *Board) roomAfter(targets []replicas.Target, rule *placeRule, now time.Time) (none bool, after time.Duration) {
 	for i := range targets {
+		if !b.mayReach(targets[i].DataCentre, rule) {
+			continue
+		}
 		refusal := b.refusal(targets[i].Incarnation(), now)
 		if refusal == nil {
 			return false, 0
@@ -239,24 +253,26 @@
 	targets := b.config.Targets(service)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, after := b.roomAfter(targets, time.Now())
+	_, after := b.roomAfter(targets, &placeRule{}, time.Now())
 	return after
 }
 
 // rejectedTargets returns the targets of a decision that must not get the request: those
-// that this daemon does not list, and those that have stated so.
-func (b *Board) rejectedTargets(d *placement.Decision, targets []replicas.Target) []names.Target {
+// that this daemon does not list, those that have stated so, and those in data centres that the
+// request must not reach. outside is true if there are such ones.
+func (b *Board) rejectedTargets(d *placement.Decision, q *question) (rejected []names.Target, outside bool) {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var rejected []names.Target
 	for i := range d.Parts {
-		at, ok := find(targets, d.Parts[i].Target)
-		if !ok || b.refusal(targets[at].Incarnation(), now) != nil || b.lacksLeave(d, targets[at].Incarnation(), now) {
+		at, ok := find(q.targets, d.Parts[i].Target)
+		reached := ok && b.mayReach(q.targets[at].DataCentre, &q.extent.rule)
+		outside = outside || ok && !reached
+		if !reached || b.refusal(q.targets[at].Incarnation(), now) != nil || b.lacksLeave(d, q.targets[at].Incarnation(), now) {
 			rejected = append(rejected, d.Parts[i].Target)
 		}
 	}
-	return rejected
+	return rejected, outside
 }
 
 // sweepStatements drops the statements that have ended. The caller must hold b.mu.
--- a/serving/process/targetstate/targetstate.go
+++ b/serving/process/targetstate/targetstate.go
@@ -115,13 +115,26 @@
 	// of. It is a leaf lock.
 	groupsMu sync.Mutex
 	groups   map[homes.Group]groupMembers
+	// sites holds the data centres of the targets of services. groupsMu guards it as well.
+	sites map[names.Service]*sites
 }
 
-// New returns a board with no dispatches.
+// New returns a board with no dispatches. Evacuated, TakenBack and RegionOf may be nil where no
+// data centre is evacuated and none has a region.
 func New(c Config) *Board {
+	if c.Evacuated == nil {
+		c.Evacuated = func(names.DataCentre) bool { return false }
+	}
+	if c.TakenBack == nil {
+		c.TakenBack = func(names.DataCentre) time.Time { return time.Time{} }
+	}
+	if c.RegionOf == nil {
+		c.RegionOf = func(names.DataCentre) names.Region { return "" }
+	}
 	return &Board{
 		config: c, work: inflight.New(), own: make(map[uint64]*ownDispatch), health: health.New(), leaving: leaving.New(), asked: backoff.New(), limits: ratelimits.New(),
 		skipUntil: make(map[names.Host]time.Time), pressure: make(map[homes.Group]groupPressure), groups: make(map[homes.Group]groupMembers),
+		sites: make(map[names.Service]*sites),
 	}
 }
 
--- a/serving/process/targetstate/tunnel.go
+++ b/serving/process/targetstate/tunnel.go
@@ -10,11 +10,14 @@
 )
 
 // MayPassOn returns nil if the request of a peer may be sent to a target from this host, as
-// far as the target has stated. Limits are kept by the homes, which have given the peer leave.
+// far as the target has stated and this daemon knows of evacuations. Limits are kept by the homes, which have given the peer leave.
 func (b *Board) MayPassOn(id names.Target) *verdict.Error {
 	i := b.incarnation(id)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.evacuatedTarget(id, nil) {
+		return b.evacuatedRefusal(id)
+	}
 	return b.refusal(i, time.Now())
 }
 
--- a/serving/request/relay/place.go
+++ b/serving/request/relay/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"carobspoke.example/core/process/inflight"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
 	"go.uber.org/zap"
@@ -82,6 +83,7 @@
 			}
 		}
 	}
+	ctx = WithDispatch(ctx, placed.Key)
 	for i, address := range placed.Helpers {
 		helpers[i].Address = address
 		helper := placed.Decision.Helpers[i]
@@ -102,6 +104,20 @@
 	return helpers, release, nil
 }
 
+type dispatchContext struct{}
+
+// WithDispatch returns a context for the reservations of a dispatch.
+func WithDispatch(ctx context.Context, k inflight.Key) context.Context {
+	return context.WithValue(ctx, dispatchContext{}, k)
+}
+
+// DispatchOf returns the dispatch that an order is sent for, and whether the context of the
+// order names one.
+func DispatchOf(ctx context.Context) (inflight.Key, bool) {
+	k, ok := ctx.Value(dispatchContext{}).(inflight.Key)
+	return k, ok
+}
+
 // limitField returns the log field of the limit of a placement's target. It is omitted if
 // the target has named none.
 func limitField(d *placement.Decision) zap.Field {
