Keep requests in the regions that their route and customer allow

allowed_regions was decoded and not applied: a request reached targets and peers in any region. Placement, by homes and without them, retries, resumed streams and connections through peers now keep to the regions that both lists allow, and a request without such a target is refused at once (503, region_not_allowed), without Retry-After where the lists have no region in common.

A detour to a target no longer gives a request up where no peer may be asked: the target is connected to directly.

--- a/serving/connection/upstream/conn.go
+++ b/serving/connection/upstream/conn.go
@@ -60,7 +60,8 @@
 	idleUntil time.Time
 }
 
-// Dialer opens a connection to a target at an address, "IP:port".
+// Dialer opens a connection to a target at an address, "IP:port". It keeps to RegionsOf the
+// context.
 type Dialer func(ctx context.Context, id names.Target, address string) (net.Conn, error)
 
 // ErrNoPath is the cause of a failure to connect that says nothing about the target: neither
--- a/serving/process/edge/evacuation_test.go
+++ b/serving/process/edge/evacuation_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -85,6 +86,8 @@
 type placesDecoder struct {
 	decoder
 	deaf bool
+	// regions are the allowed regions of all routes.
+	regions []names.Region
 }
 
 func (d placesDecoder) EvacuationOf(key string) (names.DataCentre, bool) {
@@ -97,6 +100,11 @@
 		return nil, nil, nil
 	}
 	config, target, err := d.decoder.Decode(r)
+	if config != nil {
+		for i := range config.Routes {
+			config.Routes[i].Regions = d.regions
+		}
+	}
 	if target != nil {
 		address, dc, _ := strings.Cut(target.Address, " ")
 		target.Address, target.DataCentre = address, names.DataCentre(dc)
@@ -147,11 +155,17 @@
 	ports   []uint16
 	a, b    *placedTarget
 	regions map[names.DataCentre]names.Region
+	// centres are the data centres of daemons, "dc" if absent.
+	centres map[int]names.DataCentre
+	// cutOff is the daemon that is cut off from all targets, negative if none.
+	cutOff int
+	// dials counts the connections of daemons to targets.
+	dials [4]atomic.Int64
 }
 
 func newPlacesFleet(t *testing.T) *placesFleet {
 	t.Helper()
-	f := &placesFleet{store: &store{records: make(map[string]published.Record)}, ports: freePorts(t, 5), regions: map[names.DataCentre]names.Region{"dc": "region"}}
+	f := &placesFleet{store: &store{records: make(map[string]published.Record)}, ports: freePorts(t, 5), regions: map[names.DataCentre]names.Region{"dc": "region"}, cutOff: -1}
 	f.store.write(published.Record{Key: "config", Value: []byte("{}")})
 	f.a, f.b = startPlacedTarget(t, f.store, "1", "a"), startPlacedTarget(t, f.store, "2", "b")
 	return f
@@ -163,10 +177,18 @@
 	address := func(i, port int) netip.AddrPort {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), f.ports[port])
 	}
+	dial := func(ctx context.Context, id names.Target, address string) (net.Conn, error) {
+		if i == f.cutOff {
+			return nil, errors.New("cut off")
+		}
+		f.dials[i].Add(1)
+		return upstream.DialTCP(ctx, id, address)
+	}
 	daemon, err := New(Options{
-		NewOrders: func(upstream.Dialer) targetstate.OrderClient { return nil }, // no test sends orders
+		DialTarget: dial,
+		NewOrders:  func(upstream.Dialer) targetstate.OrderClient { return nil }, // no test sends orders
 		Settings: &Settings{
-			Name: fmt.Sprint("host-", i), DataCentre: "dc", Regions: f.regions,
+			Name: fmt.Sprint("host-", i), DataCentre: cmp.Or(f.centres[i], "dc"), Regions: f.regions,
 			CallerAddress: address(i, 0), ReadyAddress: address(i, 1), MetricsAddress: address(i, 2), PeerAddress: address(i, 3), SharePort: f.ports[4],
 			ReadyPath: "/ready", MetricsPath: "/metrics", Seeds: []netip.AddrPort{address(0, 3)}, StoreAddress: address(i, 0),
 			GracePeriod: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
--- a/serving/process/edge/paths.go
+++ b/serving/process/edge/paths.go
@@ -28,7 +28,7 @@
 // buildPaths builds the ways by which this daemon reaches targets.
 func (d *Daemon) buildPaths() {
 	d.paths = paths.New(paths.Config{
-		Direct: d.dialDirect(), Through: d.dialThrough, Peers: d.tunnelPeers,
+		Direct: d.dialDirect(), Through: d.dialThrough, Peers: d.tunnelPeers, PeersIn: d.tunnelPeersIn,
 		CutOff: d.targetPool.CloseAllIdle, Count: func(name string) { d.metrics.counters.Add(name, 1) }, Log: d.Log,
 	})
 	d.targetPool.MaxIdle, d.targetPool.Dial, d.targetPool.Heard = d.maxIdleConns, d.paths.Dial, d.paths.Heard
@@ -46,10 +46,23 @@
 // tunnelPeers returns the live peers that may pass connections on, in random order: those of
 // this data centre first, since bytes between data centres are dear.
 func (d *Daemon) tunnelPeers() []names.Host {
+	return d.selectTunnelPeers(func(names.DataCentre) bool { return true })
+}
+
+// tunnelPeersIn is tunnelPeers for the peers in some regions. One whose region is unknown is in
+// none.
+func (d *Daemon) tunnelPeersIn(regions []names.Region) []names.Host {
+	return d.selectTunnelPeers(func(dc names.DataCentre) bool {
+		region := d.regionOf(dc)
+		return region != "" && slices.Contains(regions, region)
+	})
+}
+
+func (d *Daemon) selectTunnelPeers(allowed func(names.DataCentre) bool) []names.Host {
 	var near, far []names.Host
 	for _, m := range d.members.Live() {
 		switch {
-		case m.Host == d.self || m.Draining || m.State != core.Alive:
+		case m.Host == d.self || m.Draining || m.State != core.Alive || !allowed(m.DataCentre):
 		case m.DataCentre == d.Settings.DataCentre:
 			near = append(near, m.Host)
 		default:
--- a/serving/process/paths/attempt.go
+++ b/serving/process/paths/attempt.go
@@ -27,6 +27,8 @@
 	address string
 	results chan result
 	peers   []names.Host
+	// restricted is true if peers outside some regions must not be asked.
+	restricted bool
 	// pending is the number of connections that are being opened.
 	pending int
 	asked   int
@@ -158,7 +160,7 @@
 	switch {
 	case a.downErr != nil:
 		return a.downErr
-	case len(a.peers) == 0 && a.directErr != nil:
+	case len(a.peers) == 0 && !a.restricted && a.directErr != nil:
 		return a.directErr
 	case a.dialer.IsCutOff():
 		a.dialer.config.Count(countNoPath)
--- a/serving/process/paths/paths.go
+++ b/serving/process/paths/paths.go
@@ -37,6 +37,9 @@
 	Through PeerDialer
 	// Peers returns the peers that may be asked, the preferred ones first.
 	Peers func() []names.Host
+	// PeersIn returns those of Peers in some regions. It may be nil if no connection is
+	// restricted to regions.
+	PeersIn func([]names.Region) []names.Host
 	// CutOff is called when the daemon has found that it is cut off from all targets.
 	CutOff func()
 	// Count adds one to a counter.
@@ -62,12 +65,14 @@
 
 // Dial implements upstream.Dialer. It fails within upstream.ConnectTimeout. If this daemon
 // and all peers that were asked do not reach targets, the error is
-// upstream.ErrNoPath: it says nothing about the target.
+// upstream.ErrNoPath: it says nothing about the target. The peers are those in
+// upstream.RegionsOf the context.
 func (d *Dialer) Dial(ctx context.Context, id names.Target, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, upstream.ConnectTimeout)
 	defer cancel() // ends the attempts that were not faster
-	a := &attempt{dialer: d, id: id, address: address, results: make(chan result), peers: d.peers()}
-	if d.PeerFirst(id) {
+	regions := upstream.RegionsOf(ctx)
+	a := &attempt{dialer: d, id: id, address: address, results: make(chan result), peers: d.peers(regions), restricted: len(regions) > 0}
+	if d.PeerFirst(id) && (len(a.peers) > 0 || d.IsCutOff()) {
 		a.nextPeer(ctx)
 	} else {
 		a.direct(ctx)
@@ -75,9 +80,16 @@
 	return a.race(ctx)
 }
 
-// peers returns the peers to ask: those that could not help recently last.
-func (d *Dialer) peers() []names.Host {
-	all := d.config.Peers()
+// peers returns the peers to ask, in some regions unless the list is empty: those that could not
+// help recently last.
+func (d *Dialer) peers(regions []names.Region) []names.Host {
+	var all []names.Host
+	switch {
+	case len(regions) == 0:
+		all = d.config.Peers()
+	case d.config.PeersIn != nil:
+		all = d.config.PeersIn(regions)
+	}
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/serving/process/targetstate/eligibility_test.go
+++ b/serving/process/targetstate/eligibility_test.go
@@ -256,3 +256,64 @@
 		t.Errorf("probe after the data centre was taken back: %v", err)
 	}
 }
+
+// within is a call that may reach some regions.
+func within(regions ...names.Region) *placement.Request {
+	r := call()
+	r.Regions = regions
+	return r
+}
+
+// Guards against a target outside the allowed regions, chosen by a home, by a home of an earlier
+// build, by one that does not know the region or without a home. A data centre without a region
+// is in none.
+func TestRequestStaysInAllowedRegions(t *testing.T) {
+	const asker = "10.1.0.3:7300"
+	for _, targets := range []int{9, 100, 300} {
+		for name, prepare := range map[string]func(*places){
+			"homes":         func(*places) {},
+			"without homes": func(c *places) { c.silent[host(0)], c.silent[host(1)] = true, true },
+			"homes too old": func(c *places) { c.boards[asker].config.Messenger = forgetfulLink{link{c.cluster, asker}} },
+			"other zones at the homes": func(c *places) {
+				for _, h := range []names.Host{host(0), host(1)} {
+					c.boards[h].config.RegionOf = func(names.DataCentre) names.Region { return "" }
+				}
+			},
+			"a single target": func(c *places) {
+				list := slices.Clone(c.lists[asker])
+				for i := range list[:len(list)-1] {
+					list[i].DataCentre = "unknown"
+				}
+				list[len(list)-1].DataCentre = "c"
+				for h := range c.lists {
+					c.lists[h] = list
+				}
+			},
+		} {
+			t.Run(fmt.Sprintf("%s/%d", name, targets), func(t *testing.T) {
+				c := newPlaces(4, targets)
+				prepare(c)
+				if got := c.used(t, asker, within("south", "unheard of")); got != "[c]" {
+					t.Errorf("requests were placed in %s", got)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a request that is sent elsewhere, or waits, if no target is in an allowed region
+// or all those are evacuated.
+func TestRequestWithoutAllowedTargetIsRefused(t *testing.T) {
+	c := newPlaces(4, 9)
+	c.evacuate("c", host(3))
+	for region, want := range map[names.Region]verdict.Reason{"": verdict.RegionNotAllowed, "east": verdict.RegionNotAllowed, "south": verdict.Evacuated} {
+		_, err := c.boards[host(3)].Place(t.Context(), within(region), &service)
+		failure := verdict.From(err)
+		if failure == nil || failure.Reason != want || failure.Verdict != verdict.NotRun || failure.RetryAfter < time.Second || failure.RetryAfter > 3*time.Second {
+			t.Errorf("region %q: failure %v, want %s", region, failure, want)
+		}
+	}
+	if len(c.asks) != 0 {
+		t.Errorf("homes were asked: %v", c.asks)
+	}
+}
--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -123,7 +123,8 @@
 		send.Header = a.outgoingHeader(helpers) // the connection may have taken some of the time left
 		return a.permit()
 	}
-	exchange, err := a.relay.Pool.Do(a.ctx, send)
+	regions, _ := a.regions() // place has refused a request that may reach none
+	exchange, err := a.relay.Pool.Do(upstream.WithRegions(a.ctx, regions), send)
 	if err != nil {
 		return err
 	}
--- a/serving/request/relay/place.go
+++ b/serving/request/relay/place.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/inflight"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
@@ -13,6 +15,10 @@
 // place asks the board for a target. The answer must be complete before the
 // request's deadline and, if the daemon is stopping, before its shutdown.
 func (q *request) place(ctx context.Context) (*Placement, error) {
+	regions, possible := q.regions()
+	if !possible {
+		return nil, verdict.New(verdict.NotRun, verdict.RegionNotAllowed, "no region is allowed by both the route and the customer").WithRetryAfter(noRetryAfter)
+	}
 	timeLeft := time.Until(q.deadline)
 	timeToShutdown := time.Duration(0)
 	if remaining, stopping := q.relay.TimeToShutdown(); stopping {
@@ -32,6 +38,7 @@
 		Customer:          q.customerName(),
 		AnswerHint:        q.info.AnswerHint,
 		Returned:          q.returned(),
+		Regions:           regions,
 		Exclude:           q.exclude,
 	}
 	placed, err := q.relay.Board.Place(ctx, in, q.service)
@@ -52,6 +59,27 @@
 	return placed, nil
 }
 
+// noRetryAfter is the retry delay of a refusal that no later attempt can change. It is no delay
+// that a caller is told.
+const noRetryAfter time.Duration = -1
+
+// regions returns the regions that the request may reach, empty if there is no restriction. It
+// returns false if the route and the customer allow regions and have none in common.
+func (q *request) regions() (allowed []names.Region, possible bool) {
+	if q.customer == nil || len(q.customer.Regions) == 0 {
+		return q.route.Regions, true
+	}
+	if len(q.route.Regions) == 0 {
+		return q.customer.Regions, true
+	}
+	for _, region := range q.route.Regions {
+		if slices.Contains(q.customer.Regions, region) {
+			allowed = append(allowed, region)
+		}
+	}
+	return allowed, len(allowed) > 0
+}
+
 // returnedMargin is by how much the time that a caller gives a request must fall short of its
 // route's timeout for the request to count as returned. Callers state the time that is left.
 const returnedMargin = 100 * time.Millisecond
