Test peers outside the allowed regions with the nearest peer

The peer in the allowed region was tried first in any case. The test now fails if the restriction is not applied to peers, and passes three times of three with -race.

--- a/serving/process/edge/regions_test.go
+++ b/serving/process/edge/regions_test.go
@@ -9,12 +9,12 @@
 )
 
 // newRegionsFleet returns a fleet whose target a is in region north and whose target b is in
-// region south. Daemons 0 and 2 are in the north, daemon 1 is in the south.
+// region south. Daemon 0 is in the north, daemons 1 and 2 are in the south.
 func newRegionsFleet(t *testing.T) *placesFleet {
 	t.Helper()
 	f := newPlacesFleet(t)
 	f.regions = map[names.DataCentre]names.Region{"a": "north", "dc": "north", "b": "south"}
-	f.centres = map[int]names.DataCentre{1: "b"}
+	f.centres = map[int]names.DataCentre{1: "b", 2: "b"}
 	return f
 }
 
@@ -44,7 +44,7 @@
 	}
 }
 
-// A daemon is cut off from targets. Guards against a request that reaches its target through a
+// A daemon is cut off from targets, and its nearest peer is outside the allowed region. Guards against a request that reaches its target through a
 // peer outside the allowed regions, and against one that does not use the peer inside them.
 func TestCutOffDaemonUsesPeersInAllowedRegions(t *testing.T) {
 	f := newRegionsFleet(t)
