Wait for the records after a pause of the process

A daemon that was paused sent its first requests by the list and the evacuations from before the pause.

--- a/serving/process/edge/view.go
+++ b/serving/process/edge/view.go
@@ -84,8 +84,10 @@
 	return upstream.MaxIdlePerDaemon(most, len(d.members.Live()))
 }
 
-// table returns the configuration in force, or nil, and whether it is recent.
+// table returns the configuration in force, or nil, and whether it is recent. Just after a pause
+// of the process it waits until it may be.
 func (d *Daemon) table() (*routing.Table, bool) {
+	d.follower.AwaitAfterPause()
 	view := d.follower.View()
 	if view == nil {
 		return nil, false
--- a/serving/process/published/evacuation.go
+++ b/serving/process/published/evacuation.go
@@ -67,9 +67,12 @@
 
 // logEvacuation logs that a data centre is evacuated, or taken back.
 func (f *Follower) logEvacuation(dc names.DataCentre, evacuated bool, revision uint64, o origin) {
-	message := "data centre taken back"
+	fields := []zap.Field{
+		zap.String("data_centre", string(dc)), zap.Uint64("revision", revision), zap.Uint64("era", o.era), zap.String("from", o.from),
+	}
 	if evacuated {
-		message = "data centre evacuated"
+		f.log.Info("data centre evacuated", fields...)
+		return
 	}
-	f.log.Info(message, zap.String("data_centre", string(dc)), zap.Uint64("revision", revision), zap.Uint64("era", o.era), zap.String("from", o.from))
+	f.log.Info("data centre taken back", fields...)
 }
--- a/serving/process/published/evacuation_test.go
+++ b/serving/process/published/evacuation_test.go
@@ -10,6 +10,7 @@
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/replicas"
+	"carobspoke.example/core/process/watching"
 )
 
 // evacuated returns the data centres that a follower's view holds as evacuated.
@@ -163,3 +164,30 @@
 		}
 	}
 }
+
+// A daemon is paused while a data centre is evacuated. Guards against a request that it sends by
+// the records from before the pause.
+func TestPausedDaemonLearnsOfEvacuationFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := newFollower(newSource(), &fakePeers{}, true)
+		list := Batch{Position: at(5), Complete: true, Records: []Record{{Key: "config", Value: []byte("v"), Revision: 5}}}
+		peer.applyBatch(list, "source")
+		f := newFollower(newSource(), &fakePeers{follower: peer}, false)
+		f.applyBatch(list, "source")
+		f.lastConfirmed.Set(time.Now())
+		f.pause.Ran(time.Now())
+		peer.applyBatch(Batch{Position: at(6), Records: []Record{{Key: "evacuate/b", Revision: 6}}}, "source")
+		time.Sleep(10 * time.Second) // none of its loops runs
+		peer.lastConfirmed.Set(time.Now())
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			f.ObserveHeartbeat("peer", peer.Heartbeat())
+			f.readPeer(t.Context())
+		}()
+		resumed := time.Now()
+		f.AwaitAfterPause()
+		if got := evacuated(f); got != "b" || time.Since(resumed) > watching.ResumeTime {
+			t.Errorf("evacuated after %s: %q", time.Since(resumed), got)
+		}
+	})
+}
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -271,6 +271,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			f.pauseMu.Lock()
+			f.pause.Ran(time.Now())
+			f.pauseMu.Unlock()
 			f.mu.Lock()
 			if f.directory.Expire(now) {
 				f.log.Info("targets that did not return were dropped", zap.Uint64("revision", f.Revision()))
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -45,6 +45,9 @@
 	// expiryInterval is the interval at which targets that were not published
 	// again after an outage are dropped.
 	expiryInterval = 200 * time.Millisecond
+	// resumeCheckInterval is the interval at which a daemon that was paused checks whether
+	// its records are up to date.
+	resumeCheckInterval = 5 * time.Millisecond
 	// HeartbeatInterval is the interval of a watcher's heartbeats.
 	HeartbeatInterval = 400 * time.Millisecond
 	// watchPause is the pause after a watch that returned changes, so that changes
@@ -192,6 +195,10 @@
 	// daemon itself. Only followSource uses it.
 	answeredAt time.Time
 
+	// pauseMu guards pause. It is a leaf lock.
+	pauseMu sync.Mutex
+	pause   watching.Pause
+
 	mu      sync.Mutex
 	records map[string]Record
 	// unusable holds the keys of the records that cannot be decoded.
@@ -269,6 +276,21 @@
 	return f.Age() < MaxFreshAge
 }
 
+// AwaitAfterPause returns at once unless the process was paused just now. It then waits until the
+// records are up to date, for watching.ResumeTime at most.
+func (f *Follower) AwaitAfterPause() {
+	for f.mustWait() {
+		time.Sleep(resumeCheckInterval)
+	}
+}
+
+func (f *Follower) mustWait() bool {
+	recent := f.UpToDate()
+	f.pauseMu.Lock()
+	defer f.pauseMu.Unlock()
+	return f.pause.MustWait(recent, time.Now())
+}
+
 // Age returns the time since the moment as of which the source last confirmed the records.
 func (f *Follower) Age() time.Duration { return f.lastConfirmed.Age() }
 
--- a/serving/process/targetstate/targetstate.go
+++ b/serving/process/targetstate/targetstate.go
@@ -71,7 +71,7 @@
 	CutOff func() bool
 	// Evacuated reports whether operators want a data centre evacuated, and TakenBack
 	// returns when this daemon learnt that they no longer do; zero if they never did. They
-	// are called with the lock of the board held.
+	// may be called with the lock of the board held.
 	Evacuated func(names.DataCentre) bool
 	TakenBack func(names.DataCentre) time.Time
 	// ColdOverage and ColdSlack bound the requests at a cold target, see edge.Settings.
