--- a/serving/process/published/evacuation_test.go
+++ b/serving/process/published/evacuation_test.go
@@ -106,6 +106,7 @@
 		for old.Position().Era == 0 {
 			time.Sleep(time.Millisecond)
 		}
+		synctest.Wait() // the position is set before the view
 		restored := time.Now()
 		if got := evacuated(old); got != "late removed" {
 			t.Fatalf("evacuated after the restoration: %s", got)
