--- a/serving/process/edge/paths.go
+++ b/serving/process/edge/paths.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"carobspoke.example/core/names"
@@ -27,7 +28,7 @@
 // buildPaths builds the ways by which this daemon reaches targets.
 func (d *Daemon) buildPaths() {
 	d.paths = paths.New(paths.Config{
-		Direct: d.dialDirect(), Through: d.dialThrough, Peers: d.tunnelPeers,
+		Direct: d.dialDirect(), Through: d.dialThrough, Peers: d.tunnelPeers, PeersIn: d.tunnelPeersIn,
 		CutOff: d.targetPool.CloseAllIdle, Count: func(name string) { d.metrics.counters.Add(name, 1) }, Log: d.Log,
 	})
 	d.targetPool.MaxIdle, d.targetPool.Dial, d.targetPool.Heard = d.maxIdleConns, d.paths.Dial, d.paths.Heard
@@ -45,10 +46,23 @@
 // tunnelPeers returns the live peers that may pass connections on, in random order: those of
 // this data centre first, since bytes between data centres are dear.
 func (d *Daemon) tunnelPeers() []names.Host {
+	return d.selectTunnelPeers(func(names.DataCentre) bool { return true })
+}
+
+// tunnelPeersIn is tunnelPeers for the peers in some regions. One whose region is unknown is in
+// none.
+func (d *Daemon) tunnelPeersIn(regions []names.Region) []names.Host {
+	return d.selectTunnelPeers(func(dc names.DataCentre) bool {
+		region := d.regionOf(dc)
+		return region != "" && slices.Contains(regions, region)
+	})
+}
+
+func (d *Daemon) selectTunnelPeers(allowed func(names.DataCentre) bool) []names.Host {
 	var near, far []names.Host
 	for _, m := range d.members.Live() {
 		switch {
-		case m.Host == d.self || m.Draining || m.State != core.Alive:
+		case m.Host == d.self || m.Draining || m.State != core.Alive || !allowed(m.DataCentre):
 		case m.DataCentre == d.Settings.DataCentre:
 			near = append(near, m.Host)
 		default:
@@ -66,20 +80,14 @@
 	return d.randomOthers(count, "")
 }
 
-// randomOthers is randomTargets without one target.
+// randomOthers is randomTargets without one target. Targets in evacuated data centres are not
+// connected to without need.
 func (d *Daemon) randomOthers(count int, without names.Target) map[names.Target]string {
 	view := d.follower.View()
 	if view == nil {
 		return nil
 	}
-	var all []*replicas.Target
-	for _, list := range view.Targets {
-		for i := range list {
-			if list[i].ID != without {
-				all = append(all, &list[i])
-			}
-		}
-	}
+	all := slices.DeleteFunc(openTargets(view), func(t *replicas.Target) bool { return t.ID == without })
 	picked := make(map[names.Target]string)
 	for range min(count, len(all)) {
 		target := all[rand.IntN(len(all))]
@@ -88,10 +96,11 @@
 	return picked
 }
 
-// targetAddress returns the address of a listed target, and whether it is listed.
+// targetAddress returns the address of a listed target, and whether it is listed and not in an
+// evacuated data centre.
 func (d *Daemon) targetAddress(id names.Target) (string, bool) {
 	target, ok := d.listedTarget(id)
-	return target.Address, ok
+	return target.Address, ok && !d.evacuated(target.DataCentre)
 }
 
 // gate decides on the connections that peers ask for. It implements tunnel.Gate.
--- a/serving/process/edge/view.go
+++ b/serving/process/edge/view.go
@@ -70,9 +70,9 @@
 }
 
 // maxIdleConns returns how many idle connections to a target this daemon may keep: none
-// to one that is leaving.
+// to one that is leaving or in an evacuated data centre.
 func (d *Daemon) maxIdleConns(id names.Target) int {
-	if target, ok := d.listedTarget(id); ok && d.board.Leaving(target.Incarnation()) {
+	if target, ok := d.listedTarget(id); ok && (d.evacuated(target.DataCentre) || d.board.Leaving(target.Incarnation())) {
 		return 0
 	}
 	most := 0
@@ -84,8 +84,10 @@
 	return upstream.MaxIdlePerDaemon(most, len(d.members.Live()))
 }
 
-// table returns the configuration in force, or nil, and whether it is recent.
+// table returns the configuration in force, or nil, and whether it is recent. Just after a pause
+// of the process it waits until it may be.
 func (d *Daemon) table() (*routing.Table, bool) {
+	d.follower.AwaitAfterPause()
 	view := d.follower.View()
 	if view == nil {
 		return nil, false
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -261,7 +261,8 @@
 	}
 }
 
-// expire drops targets that were not published again after an outage.
+// expire drops targets that were not published again after an outage, and evacuations that a
+// restored source lacks.
 func (f *Follower) expire(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
@@ -270,11 +271,15 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			f.pauseMu.Lock()
+			f.pause.Ran(time.Now())
+			f.pauseMu.Unlock()
 			f.mu.Lock()
 			if f.directory.Expire(now) {
 				f.log.Info("targets that did not return were dropped", zap.Uint64("revision", f.Revision()))
 				f.publishView()
 			}
+			f.expireEvacuations(now)
 			f.mu.Unlock()
 		}
 	}
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/evacuation"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/process/watching"
 	"carobspoke.example/core/version/routing"
@@ -44,6 +45,9 @@
 	// expiryInterval is the interval at which targets that were not published
 	// again after an outage are dropped.
 	expiryInterval = 200 * time.Millisecond
+	// resumeCheckInterval is the interval at which a daemon that was paused checks whether
+	// its records are up to date.
+	resumeCheckInterval = 5 * time.Millisecond
 	// HeartbeatInterval is the interval of a watcher's heartbeats.
 	HeartbeatInterval = 400 * time.Millisecond
 	// watchPause is the pause after a watch that returned changes, so that changes
@@ -140,8 +144,13 @@
 // View is the state in force.
 type View struct {
 	Table *routing.Table
-	// Targets holds the usable targets by service.
+	// Targets holds the usable targets by service, also those in evacuated data centres.
 	Targets map[names.Service][]replicas.Target
+	// Evacuated holds the data centres that operators want evacuated and when this daemon
+	// learnt of it, TakenBack those of which this daemon has learnt that they no longer do,
+	// and when.
+	Evacuated map[names.DataCentre]time.Time
+	TakenBack map[names.DataCentre]time.Time
 }
 
 // Follower follows a source. Its exported methods are safe for concurrent use.
@@ -186,6 +195,10 @@
 	// daemon itself. Only followSource uses it.
 	answeredAt time.Time
 
+	// pauseMu guards pause. It is a leaf lock.
+	pauseMu sync.Mutex
+	pause   watching.Pause
+
 	mu      sync.Mutex
 	records map[string]Record
 	// unusable holds the keys of the records that cannot be decoded.
@@ -197,6 +210,7 @@
 	history      []Record
 	historyStart uint64
 	directory    *replicas.Directory
+	evacuations  *evacuation.Table
 	table        *routing.Table
 	sourceDown   bool
 }
@@ -244,6 +258,7 @@
 		source: c.Source, decoder: c.Decoder, peers: c.Peers, log: c.Log, onPosition: c.OnPosition, onNews: c.OnNews,
 		situation: c.Situation, plan: watching.New(c.Random),
 		firstView: make(chan struct{}), wake: make(chan struct{}, 1), records: make(map[string]Record), unusable: make(map[string]bool), directory: replicas.New(),
+		evacuations: evacuation.New(),
 	}
 	f.position.Store(&replicas.Position{})
 	return f
@@ -261,6 +276,21 @@
 	return f.Age() < MaxFreshAge
 }
 
+// AwaitAfterPause returns at once unless the process was paused just now. It then waits until the
+// records are up to date, for watching.ResumeTime at most.
+func (f *Follower) AwaitAfterPause() {
+	for f.mustWait() {
+		time.Sleep(resumeCheckInterval)
+	}
+}
+
+func (f *Follower) mustWait() bool {
+	recent := f.UpToDate()
+	f.pauseMu.Lock()
+	defer f.pauseMu.Unlock()
+	return f.pause.MustWait(recent, time.Now())
+}
+
 // Age returns the time since the moment as of which the source last confirmed the records.
 func (f *Follower) Age() time.Duration { return f.lastConfirmed.Age() }
 
--- a/serving/process/targetstate/home.go
+++ b/serving/process/targetstate/home.go
@@ -103,8 +103,13 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	rule := ruleOf(a)
+	usable := b.eligible(targets, rule)
+	if len(usable) == 0 && len(targets) > 0 {
+		return dispatchsync.Answer{Decision: placement.Decision{Refusal: b.placeRefusalLocked(centresOf(targets), rule)}, LimitsKnown: true}
+	}
 	a.Request.Returned = b.refused.Returned(a.Request.Fingerprint, now)
-	candidates := b.candidates(targets, a.Avoid, now, "")
+	candidates := b.candidates(usable, a.Avoid, now, "")
 	answer := dispatchsync.Answer{Decision: b.placeWithinLimits(a, service, targets, candidates, now), LimitsKnown: true}
 	if a.Group.Groups > 1 {
 		answer.Pressure = pressure(candidates)
--- a/serving/request/relay/finish.go
+++ b/serving/request/relay/finish.go
@@ -23,7 +23,7 @@
 		return
 	}
 	failure := verdict.From(err)
-	if failure.Verdict == verdict.NotRun && failure.RetryAfter == 0 {
+	if failure.Verdict == verdict.NotRun && failure.RetryAfter == 0 && failure.Reason != verdict.RegionNotAllowed {
 		failure = failure.WithRetryAfter(refusalRetryAfter)
 	}
 	failure = q.withRoomAfter(failure)
--- a/serving/request/relay/place.go
+++ b/serving/request/relay/place.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/inflight"
 	"carobspoke.example/core/process/refusals"
 	"carobspoke.example/core/request/placement"
 	"carobspoke.example/core/verdict"
@@ -13,6 +16,10 @@
 // place asks the board for a target. The answer must be complete before the
 // request's deadline and, if the daemon is stopping, before its shutdown.
 func (q *request) place(ctx context.Context) (*Placement, error) {
+	regions, possible := q.regions()
+	if !possible {
+		return nil, verdict.New(verdict.NotRun, verdict.RegionNotAllowed, "no region is allowed by both the route and the customer")
+	}
 	timeLeft := time.Until(q.deadline)
 	timeToShutdown := time.Duration(0)
 	if remaining, stopping := q.relay.TimeToShutdown(); stopping {
@@ -32,6 +39,7 @@
 		Customer:          q.customerName(),
 		AnswerHint:        q.info.AnswerHint,
 		Fingerprint:       q.fingerprint(),
+		Regions:           regions,
 		Exclude:           q.exclude,
 	}
 	placed, err := q.relay.Board.Place(ctx, in, q.service)
@@ -52,6 +60,23 @@
 	return placed, nil
 }
 
+// regions returns the regions that the request may reach, empty if there is no restriction. It
+// returns false if the route and the customer allow regions and have none in common.
+func (q *request) regions() (allowed []names.Region, possible bool) {
+	if q.customer == nil || len(q.customer.Regions) == 0 {
+		return q.route.Regions, true
+	}
+	if len(q.route.Regions) == 0 {
+		return q.customer.Regions, true
+	}
+	for _, region := range q.route.Regions {
+		if slices.Contains(q.customer.Regions, region) {
+			allowed = append(allowed, region)
+		}
+	}
+	return allowed, len(allowed) > 0
+}
+
 // fingerprint returns the hash of the whole request and its customer, which is the same when
 // the caller sends it again.
 func (q *request) fingerprint() refusals.Fingerprint {
@@ -83,6 +108,7 @@
 			}
 		}
 	}
+	ctx = WithDispatch(ctx, placed.Key)
 	for i, address := range placed.Helpers {
 		helpers[i].Address = address
 		helper := placed.Decision.Helpers[i]
@@ -103,6 +129,20 @@
 	return helpers, release, nil
 }
 
+type dispatchContext struct{}
+
+// WithDispatch returns a context for the reservations of a dispatch.
+func WithDispatch(ctx context.Context, k inflight.Key) context.Context {
+	return context.WithValue(ctx, dispatchContext{}, k)
+}
+
+// DispatchOf returns the dispatch that an order is sent for, and whether the context of the
+// order names one.
+func DispatchOf(ctx context.Context) (inflight.Key, bool) {
+	k, ok := ctx.Value(dispatchContext{}).(inflight.Key)
+	return k, ok
+}
+
 // limitField returns the log field of the limit of a placement's target. It is omitted if
 // the target has named none.
 func limitField(d *placement.Decision) zap.Field {
