Look up the homes of the cold-target replay once per change of members

The replay of core/process/warmup took 62.6 s with the race detector on this machine, most of it in the formatting and parsing of host names and in the selection of homes at each observation. Hosts are named once, homes are selected after a change of the members, and the rates are computed once.

--- a/core/process/warmup/replay_test.go
+++ b/core/process/warmup/replay_test.go
@@ -54,6 +54,7 @@
 // daemon is one daemon of the fleet. The rendezvous order is that of the indices, from first.
 type daemon struct {
 	self  int
+	host  names.Host
 	table *Table
 	duty  Duty
 	// side is the part of a partitioned fleet that it is on; -1 if it is dead. sees is the
@@ -62,8 +63,10 @@
 	side         int
 	sees, counts []int
 	live         int
-	skip         map[int]time.Time
-	slow         bool
+	// homes holds the homes as it knows them; nil after a change of the members.
+	homes *homes.Homes
+	skip  map[names.Host]time.Time
+	slow  bool
 }
 
 // fleet sends requests to one cold target.
@@ -72,20 +75,24 @@
 	random  *rand.Rand
 	queue   events
 	daemons []*daemon
+	byHost  map[names.Host]*daemon
 	order   []int
 	sent    []time.Time
 }
 
 var target = replicas.Incarnation{ID: "t", Started: 1}
 
-func host(i int) names.Host { return names.Host(fmt.Sprint(i)) }
+// rates are what homes let through to the target.
+var rates = RatesOf(coldRate, overage, slack)
 
 func newFleet(n int, seed uint64) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, uint64(n)))}
+	f := &fleet{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, uint64(n))), byHost: make(map[names.Host]*daemon, n)}
 	f.order = f.random.Perm(n)
+	whole := make([]int, n)
 	for i := range n {
-		d := &daemon{self: i, table: New(), sees: make([]int, n), counts: make([]int, n), live: n, skip: make(map[int]time.Time)}
+		d := &daemon{self: i, host: names.Host(fmt.Sprint(i)), table: New(), sees: whole, counts: whole, live: n, skip: make(map[names.Host]time.Time)}
 		f.daemons = append(f.daemons, d)
+		f.byHost[d.host] = d
 		d.table.Observe(&replicas.Target{ID: target.ID, Started: target.Started, ColdLeft: longestCold}, &Warmup{}, true, f.now)
 		f.after(time.Duration(f.random.Int64N(int64(sweepInterval))), func() { f.sweep(d) })
 	}
@@ -102,6 +109,9 @@
 
 // homesOf returns the homes as a daemon knows them.
 func (f *fleet) homesOf(d *daemon) homes.Homes {
+	if d.homes != nil {
+		return *d.homes
+	}
 	first := func(side []int) []names.Host {
 		var list []names.Host
 		for _, i := range f.order {
@@ -109,7 +119,7 @@
 				break
 			}
 			if side[i] == side[d.self] {
-				list = append(list, host(i))
+				list = append(list, f.daemons[i].host)
 			}
 		}
 		return list
@@ -121,6 +131,7 @@
 			h.Listeners = append(h.Listeners, other)
 		}
 	}
+	d.homes = &h
 	return h
 }
 
@@ -129,13 +140,13 @@
 	d.table.Left(target, &Warmup{}, time.Time{}, f.now)
 	var known ratelimits.Fleet
 	known.Share(len(f.daemons), f.now)
-	d.duty.Observe(host(d.self), f.homesOf(d), known.Share(d.live, f.now), true, f.now)
-	return d.duty.Flow(host(d.self), RatesOf(coldRate, overage, slack), f.now)
+	d.duty.Observe(d.host, f.homesOf(d), known.Share(d.live, f.now), true, f.now)
+	return d.duty.Flow(d.host, rates, f.now)
 }
 
 func (f *fleet) sweep(d *daemon) {
 	flow := f.observe(d)
-	d.table.SetHome(target.ID, flow, slices.Contains(f.homesOf(d).Deciders, host(d.self)), f.now)
+	d.table.SetHome(target.ID, flow, slices.Contains(f.homesOf(d).Deciders, d.host), f.now)
 	f.after(sweepInterval, func() { f.sweep(d) })
 }
 
@@ -151,8 +162,8 @@
 	suspicion := time.Duration(4 * max(1, math.Log10(float64(len(f.daemons)))) * float64(time.Second))
 	for _, d := range f.daemons {
 		suspected := f.between(time.Second, 3*time.Second)
-		f.after(suspected, func() { d.sees = sides })
-		f.after(suspected+suspicion-f.between(0, time.Second), func() { d.counts, d.live = sides, live[d.side] })
+		f.after(suspected, func() { d.sees, d.homes = sides, nil })
+		f.after(suspected+suspicion-f.between(0, time.Second), func() { d.counts, d.live, d.homes = sides, live[d.side], nil })
 	}
 }
 
@@ -169,14 +180,12 @@
 		if len(list) == 0 {
 			return // a daemon that reaches no home sends nothing
 		}
-		var index int
-		_, _ = fmt.Sscan(string(list[0]), &index) // hosts are numbers
-		home := f.daemons[index]
+		home := f.byHost[list[0]]
 		switch {
-		case f.now.Before(d.skip[index]):
+		case f.now.Before(d.skip[home.host]):
 			ask(list[1:])
 		case !f.reaches(d, home):
-			f.after(askTimeout, func() { d.skip[index] = f.now.Add(retryInterval); ask(list[1:]) })
+			f.after(askTimeout, func() { d.skip[home.host] = f.now.Add(retryInterval); ask(list[1:]) })
 		default:
 			f.after(f.delay(), func() { f.decide(home, d, asked) })
 		}
@@ -195,9 +204,7 @@
 			return
 		}
 		for _, listener := range f.homesOf(d).Listeners {
-			var index int
-			_, _ = fmt.Sscan(string(listener), &index) // hosts are numbers
-			if other := f.daemons[index]; other != home && f.reaches(d, other) {
+			if other := f.byHost[listener]; other != home && f.reaches(d, other) {
 				f.after(batchDelay+f.delay(), func() { other.table.Take(target.ID, f.observe(other), f.now) })
 			}
 		}
@@ -269,6 +276,9 @@
 				f.after(time.Duration(5+5*i)*time.Second, func() {
 					last := len(f.order) - 1
 					f.order = append([]int{f.order[last]}, f.order[:last]...)
+					for _, d := range f.daemons {
+						d.homes = nil
+					}
 				})
 			}
 		}},
