Count a suspected first home as lost while it is still among the deciders

homes.Select keeps suspected members as deciders while too few others are left. A daemon that was cut off alone thus saw [itself, first home], took the first home for present, and used the whole rate until it counted the others as dead.

A daemon that gets ahead of the first home in its own view now counts that home as lost. Among live members only a daemon that has just started gets ahead of the first home; it is not settled, so nothing changes for it.

--- a/core/process/warmup/duty.go
+++ b/core/process/warmup/duty.go
@@ -40,7 +40,7 @@
 // its seeds.
 func (d *Duty) Observe(self names.Host, h homes.Homes, share float64, settled bool, now time.Time) {
 	if d.known && settled {
-		if lost := len(d.homes.Deciders) > 0 && !slices.Contains(h.Deciders, d.homes.Deciders[0]); lost {
+		if d.firstLost(self, h) {
 			d.unaware = !d.hears(self) || d.unaware && now.Before(d.heldUntil)
 			d.heldUntil = now.Add(TakeoverTime)
 		}
@@ -51,6 +51,17 @@
 	d.homes, d.share, d.known = h, share, settled
 }
 
+// firstLost reports whether the first home is lost in the homes h. It may still be among
+// them: while too few others are left, homes.Select keeps members that are suspected. Among
+// live ones no settled daemon gets ahead of the first home in its own view.
+func (d *Duty) firstLost(self names.Host, h homes.Homes) bool {
+	if len(d.homes.Deciders) == 0 {
+		return false
+	}
+	first := d.homes.Deciders[0]
+	return !slices.Contains(h.Deciders, first) || first != self && h.Deciders[0] == self
+}
+
 // Decides reports whether self is a home of the group, as it knows the members.
 func (d *Duty) Decides(self names.Host) bool { return slices.Contains(d.homes.Deciders, self) }
 
