Serve cold targets with exactly half of the fleet

A daemon that knows exactly half of the fleet alive let nothing through, as with the smaller part. In a fleet of two, of which one daemon dies, callers were refused for as long as the loss is remembered (up to two minutes), and for 15 s more after the other daemon had returned. With exactly half there is no larger part, so that both halves together may use the rate.

The replay now also plays fleets of two and a division into halves.

--- a/core/process/warmup/duty.go
+++ b/core/process/warmup/duty.go
@@ -17,6 +17,9 @@
 // size of the fleet.
 const TakeoverTime = 15 * time.Second
 
+// half is the share of a daemon that knows exactly half of the fleet alive.
+const half = 0.5
+
 // Duty is what a daemon lets through as a home of a group, by the homes that it knows.
 //
 // Of a partition the sides learn at different times. The first home goes on at the whole rate
@@ -45,7 +48,9 @@
 			d.heldUntil = now.Add(TakeoverTime)
 		}
 		if share > d.share {
-			d.unaware, d.heldUntil = true, now.Add(TakeoverTime)
+			// The other half let through no more than the takeover rate beside this one.
+			d.unaware = d.share != half || d.unaware && now.Before(d.heldUntil)
+			d.heldUntil = now.Add(TakeoverTime)
 		}
 	}
 	d.homes, d.share, d.known = h, share, settled
@@ -72,14 +77,18 @@
 
 // Flow returns what self lets through to a cold target as a home. With the smaller part of
 // the fleet that is its share, in whole requests a second, of what the bound leaves beside
-// the whole rate, which the larger part uses.
+// the whole rate, which the larger part uses. With exactly half of the fleet there is no
+// larger part, so that it is the share of the whole rate, at most the takeover rate: the
+// other half may not know of the partition yet.
 func (d *Duty) Flow(self names.Host, r Rates, now time.Time) ratelimits.Flow {
 	held := now.Before(d.heldUntil)
 	switch {
-	case d.share < 1:
+	case d.share < 1 && d.share != half:
 		return r.flow(math.Floor(d.share * r.Spare))
 	case held && d.unaware || !d.hears(self):
 		return r.flow(0)
+	case d.share == half:
+		return r.flow(min(math.Floor(half*r.Whole), r.Takeover))
 	case held || len(d.homes.Deciders) == 0 || d.homes.Deciders[0] != self:
 		return r.flow(r.Takeover)
 	default:
--- a/core/process/warmup/replay_test.go
+++ b/core/process/warmup/replay_test.go
@@ -313,13 +313,17 @@
 			f.after(10*time.Second, func() { f.divide(part(f, 0.52)) })
 			f.after(40*time.Second, func() { f.divide(whole) })
 		}},
+		{"halves", 0, func(f *fleet) {
+			f.after(10*time.Second, func() { f.divide(part(f, 0.5)) })
+			f.after(40*time.Second, func() { f.divide(whole) })
+		}},
 		{"three parts", 0, func(f *fleet) {
 			f.after(10*time.Second, func() { f.divide(part(f, 0.34, 0.67)) })
 			f.after(40*time.Second, func() { f.divide(whole) })
 		}},
 		{"each alone", 0, func(f *fleet) { f.after(10*time.Second, func() { f.divide(func(i int) int { return i }) }) }},
 	} {
-		for _, daemons := range []int{8, 61, 295, 830} {
+		for _, daemons := range []int{2, 8, 61, 295, 830} {
 			t.Run(fmt.Sprint(scenario.name, "/", daemons), func(t *testing.T) {
 				for seed := range uint64(max(24/daemons, 1)) {
 					f := newFleet(daemons, seed)
