Give leaves for targets that a home knows as warm and the asking daemon does not

A daemon rejects a decision without a leave for a target that it knows as cold. When a home had learnt from an answer that a target had warmed up early, or had read its entry up to 1 s before the asking daemon, it placed requests there without a leave, and the claim of the asking daemon did not count. The other daemons refused their callers until the cold period ended as they knew it. The home now makes such a decision a leave, which it does not charge.

A claim about a period that ends more than 1 s before the one that a statement has ended is about a later period, and counts now: the home would otherwise give leaves without a bound for a target that has become cold again.

--- a/core/process/warmup/table.go
+++ b/core/process/warmup/table.go
@@ -23,7 +23,8 @@
 )
 
 // claimTolerance is how much later than the known end a cold period must end for the claim of
-// another daemon to count. Daemons read the same statement at different times, and the time
+// another daemon to count, and how far its end must be from that of a period that a statement
+// has ended. Daemons read the same statement at different times, and the time
 // that a claim travels must not prolong the period each time that it is passed on.
 const claimTolerance = time.Second
 
@@ -158,14 +159,16 @@
 	}
 }
 
-// RecordClaim records that another daemon knows a target as cold.
+// RecordClaim records that another daemon knows a target as cold. A claim about the period
+// that is known, or that a statement has ended, changes nothing.
 func (x *Table) RecordClaim(i replicas.Incarnation, left time.Duration, now time.Time) {
 	s := x.of(i, now)
 	if s == nil {
 		return
 	}
 	until := now.Add(left)
-	if until.After(s.until.Add(claimTolerance)) && until.After(s.endedUntil.Add(claimTolerance)) {
+	samePeriod := until.Sub(s.endedUntil).Abs() <= claimTolerance
+	if until.After(s.until.Add(claimTolerance)) && !samePeriod {
 		s.extend(until, FromPeer, now)
 	}
 }
--- a/serving/process/targetstate/cold.go
+++ b/serving/process/targetstate/cold.go
@@ -225,14 +225,21 @@
 	}
 }
 
-// giveColdLeave reports whether a request is placed on a cold target, which makes the decision
-// a leave. The caller must hold b.mu.
-func (b *Board) giveColdLeave(usable []placement.Candidate, id names.Target, now time.Time) bool {
-	cold := slices.ContainsFunc(usable, func(c placement.Candidate) bool { return c.Target == id && c.Cold })
-	if cold {
-		b.cold().table.CountLeave(now)
+// giveColdLeave reports whether a request is placed on a target that is cold as far as this
+// daemon or the asking one knows, which makes the decision a leave. If this daemon knows the
+// target as warm although it was told otherwise, it knows a later statement or has read the
+// same one earlier. The caller must hold b.mu.
+func (b *Board) giveColdLeave(a *dispatchsync.Ask, targets []replicas.Target, usable []placement.Candidate, id names.Target, now time.Time) bool {
+	s, _ := b.follow(a.Group.Service, now)
+	if s == nil {
+		return false
+	}
+	if slices.ContainsFunc(usable, func(c placement.Candidate) bool { return c.Target == id && c.Cold }) {
+		s.table.CountLeave(now)
+		return true
 	}
-	return cold
+	i := incarnationOf(targets, id)
+	return slices.ContainsFunc(a.Cold, func(c dispatchsync.ColdTarget) bool { return c.Incarnation == i })
 }
 
 // warmAfter returns the time until the first cold target of a list is warm, zero if none is
--- a/serving/process/targetstate/cold_test.go
+++ b/serving/process/targetstate/cold_test.go
@@ -215,3 +215,28 @@
 		wantCold(t, err)
 	})
 }
+
+// A home learns from an answer that a target has warmed up early. The other daemons have read
+// only that it is cold. Guards against daemons that refuse their callers until the cold period
+// would have ended, since a decision without a leave is rejected.
+func TestDaemonsSendToTargetThatAHomeKnowsAsWarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newColdFleet(t, 4, 3, 3, coldTime)
+		f.run(100, time.Second)
+		home := f.boards[host(0)]
+		for id := range f.arrivals {
+			p := &relay.Placement{Incarnation: replicas.Incarnation{ID: id}, SentAt: time.Now()}
+			home.RecordStatement(p, relay.Statement{Cold: relay.Cold{Stated: true}}, "r")
+		}
+		for range 2 * coldAllowed {
+			p, err := f.boards[host(3)].Place(t.Context(), call(), &service)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := f.boards[host(3)].MaySend(p); err != nil {
+				t.Fatal(err)
+			}
+			f.boards[host(3)].End(p.Key, p.Decision.Target)
+		}
+	})
+}
--- a/serving/process/targetstate/limit.go
+++ b/serving/process/targetstate/limit.go
@@ -136,7 +136,7 @@
 	switch {
 	case d.Refusal == nil:
 		d.Limit, d.LimitAge = b.limits.Rate(incarnationOf(targets, d.Target), now)
-		d.ColdLeave = b.giveColdLeave(usable, d.Target, now)
+		d.ColdLeave = b.giveColdLeave(a, targets, usable, d.Target, now)
 	case d.Refusal.Reason == verdict.NoTarget && full.count > 0:
 		d.Refusal = b.limitedRefusal(a.Group.Service, full, now)
 	case d.Refusal.Reason == verdict.NoTarget && cold.count > 0:
