Don't make targets cold at the homes by entries of the first list

A daemon that starts reads entries that say cold although they may have been written long ago. Its first questions told the homes, whose own period had ended by time, so that each restart of a daemon made such targets cold for the whole fleet again. The daemon now names them without a time, and homes that know them as warm give leaves that are not charged. Newly observed cold targets are also named by the next question instead of after the next look at all targets, up to 2 s later; until then the decisions of the homes were rejected one by one.

TestEntryOfTheFirstListDoesNotMakeTargetsColdAtHomes failed with target_cold before, at each of the three steps without the next one.

--- a/core/process/warmup/table.go
+++ b/core/process/warmup/table.go
@@ -68,6 +68,9 @@
 	// until ends the cold period. readAt is when the latest statement of it was read.
 	until, readAt time.Time
 	source        Source
+	// fromList is true if the period is known only from the first list, whose entry may have
+	// been written long ago.
+	fromList bool
 	// ended is true if a statement has ended the period before its time.
 	ended bool
 	// warmAt is when the request was sent whose answer last said that the target is warm,
@@ -88,7 +91,7 @@
 // extend records that the target is cold until a time at least.
 func (s *state) extend(until time.Time, from Source, now time.Time) {
 	if until.After(s.until) {
-		s.until, s.source, s.readAt, s.ended = until, from, now, false
+		s.until, s.source, s.readAt, s.ended, s.fromList = until, from, now, false, false
 	}
 }
 
@@ -137,11 +140,14 @@
 		s.extend(now.Add(w.Time), FromStart, now)
 		s.extend(now.Add(t.ColdLeft), FromEntry, now)
 	case t.ColdLeft > 0:
-		s.until, s.source, s.readAt, s.ended = now.Add(t.ColdLeft), FromEntry, now, false
+		s.until, s.source, s.readAt, s.ended, s.fromList = now.Add(t.ColdLeft), FromEntry, now, false, first
 	case s.statedCold && !first:
 		s.end(FromEntry, now)
 	}
 	s.statedCold = t.ColdLeft > 0
+	if s.until.After(now) { // the next question names it
+		x.Left(t.Incarnation(), w, time.Time{}, now)
+	}
 }
 
 // RecordAnswer records what a target has stated, in the answer to a request that was sent at
@@ -152,7 +158,7 @@
 	switch {
 	case s == nil:
 	case left > 0:
-		s.until, s.source, s.readAt, s.ended, s.statedCold = now.Add(left), FromAnswer, now, false, true
+		s.until, s.source, s.readAt, s.ended, s.statedCold, s.fromList = now.Add(left), FromAnswer, now, false, true, false
 	case !sentAt.Before(s.readAt):
 		s.end(FromAnswer, now)
 		s.warmAt = sentAt
@@ -160,10 +166,11 @@
 }
 
 // RecordClaim records that another daemon knows a target as cold. A claim about the period
-// that is known, or that a statement has ended, changes nothing.
+// that is known, or that a statement has ended, changes nothing, nor does one of no time: the
+// other daemon does not know when its statement was made.
 func (x *Table) RecordClaim(i replicas.Incarnation, left time.Duration, now time.Time) {
 	s := x.of(i, now)
-	if s == nil {
+	if s == nil || left <= 0 {
 		return
 	}
 	until := now.Add(left)
@@ -201,6 +208,15 @@
 	return left
 }
 
+// Claim returns what to tell the homes of a target that is cold for a time: zero if that is
+// known only from the first list. The homes have read this entry when it was written.
+func (x *Table) Claim(id names.Target, left time.Duration, now time.Time) time.Duration {
+	if s := x.targets[id]; s != nil && s.fromList && left <= s.until.Sub(now) {
+		return 0
+	}
+	return left
+}
+
 // TakeEvents returns the targets that have become cold or warm since the last call.
 func (x *Table) TakeEvents() []Event {
 	list := x.events
--- a/serving/process/targetstate/cold.go
+++ b/serving/process/targetstate/cold.go
@@ -363,7 +363,7 @@
 			continue
 		}
 		if left := b.coldLeft(&target, now); left > 0 {
-			list = append(list, dispatchsync.ColdTarget{Incarnation: target.Incarnation(), Left: left})
+			list = append(list, dispatchsync.ColdTarget{Incarnation: target.Incarnation(), Left: s.table.Claim(id, left, now)})
 		}
 		if len(list) == maxClaims {
 			break
--- a/serving/process/targetstate/cold_test.go
+++ b/serving/process/targetstate/cold_test.go
@@ -240,3 +240,28 @@
 		}
 	})
 }
+
+// A target wrote its entry when it was cold and did not write it again. Guards against a
+// daemon that restarts, reads this entry, and has the homes take the target for cold again.
+func TestEntryOfTheFirstListDoesNotMakeTargetsColdAtHomes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newColdFleet(t, 4, 3, 3, coldTime)
+		f.run(100, coldTime+2*time.Second)
+		restarted := f.boards[host(3)]
+		restarted.coldTargets = nil
+		f.refused = nil
+		for range 2 * coldAllowed {
+			p, err := restarted.Place(t.Context(), call(), &service)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := restarted.MaySend(p); err != nil {
+				t.Fatal(err)
+			}
+			restarted.End(p.Key, p.Decision.Target)
+		}
+		if stats := f.boards[host(0)].ColdStats(); stats.Targets > 0 {
+			t.Errorf("the home knows %d cold targets", stats.Targets)
+		}
+	})
+}
