Bound the debt of a home's bucket by its own rate

The second home charges all requests of the first one, 26 a second, to a bucket that fills at the takeover rate, 10 a second, and owed up to 26. When the first home died, the second gave its first leave 2.7 s later, although requests that were sent more than a second before don't count any more. It now owes at most a second's requests at its own rate: the takeover rate is what the bound leaves beside the whole one even if neither home charges the other's requests.

TestSecondHomeOwesNoMoreThanASecond fails without the change.

--- a/core/process/warmup/table_test.go
+++ b/core/process/warmup/table_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/homes"
 	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/process/replicas"
 	"github.com/cockroachdb/datadriven"
@@ -81,3 +83,25 @@
 		t.Errorf("%g a second are used of %g", r.Whole, coldRate)
 	}
 }
+
+// The first home uses the whole rate and dies. The second one has charged all of its requests
+// at the lower takeover rate. Guards against a debt from requests that no longer count in the
+// second of the bound, for which callers would be refused.
+func TestSecondHomeOwesNoMoreThanASecond(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table, rates := New(), RatesOf(coldRate, overage, slack)
+	table.Observe(&replicas.Target{ID: "t", ColdLeft: time.Hour}, &Warmup{}, false, now)
+	var d Duty
+	d.Observe("b", homes.Homes{Deciders: []names.Host{"a", "b"}}, 1, true, now)
+	for range 10 * int(coldRate) {
+		now = now.Add(time.Second / coldRate)
+		table.SetHome("t", d.Flow("b", rates, now), true, now)
+		table.Take("t", d.Flow("b", rates, now), now)
+	}
+	d.Observe("b", homes.Homes{Deciders: []names.Host{"b", "c"}}, 1, true, now)
+	flow := d.Flow("b", rates, now)
+	longest := time.Second + time.Duration(float64(time.Second)/flow.Rate)
+	if wait := table.Wait("t", flow, now); wait > longest {
+		t.Errorf("the first leave is given after %s, want %s", wait, longest)
+	}
+}
--- a/core/process/warmup/warmup.go
+++ b/core/process/warmup/warmup.go
@@ -86,11 +86,12 @@
 	return r
 }
 
-// flow returns what a bucket lets through at a rate. It owes at most a second's requests.
+// flow returns what a bucket lets through at a rate. It owes at most a second's requests at
+// this rate, or at the whole one while it lets nothing through.
 func (r Rates) flow(rate float64) ratelimits.Flow {
 	f := ratelimits.Flow{Rate: rate, Debt: max(r.Whole, r.Size)}
 	if rate > 0 {
-		f.Size = r.Size
+		f.Size, f.Debt = r.Size, max(rate, r.Size)
 	}
 	return f
 }
