Copy the candidates of a placement only if one is cold

placeWarmFirst copied all usable candidates, up to 128 in a group, for each question of each service, also of those without a bound on cold targets.

--- a/serving/process/targetstate/cold.go
+++ b/serving/process/targetstate/cold.go
@@ -193,8 +193,12 @@
 // targets are slower, and take few requests a second, which are left to those that need them.
 // The caller must hold b.mu.
 func (b *Board) placeWarmFirst(r *placement.Request, service *routing.Service, usable []placement.Candidate) placement.Decision {
-	warm := slices.DeleteFunc(slices.Clone(usable), func(c placement.Candidate) bool { return c.Cold })
-	if len(warm) == len(usable) || len(warm) == 0 {
+	isCold := func(c placement.Candidate) bool { return c.Cold }
+	if !slices.ContainsFunc(usable, isCold) {
+		return b.config.Placer.Place(r, service, usable)
+	}
+	warm := slices.DeleteFunc(slices.Clone(usable), isCold)
+	if len(warm) == 0 {
 		return b.config.Placer.Place(r, service, usable)
 	}
 	d := b.config.Placer.Place(r, service, warm)
