Serve cold targets sooner after a partition

A first home at the smaller part of a partition let nothing through for 15 s after its end, while all daemons asked it again. That is longer than targets are cold, and as long as a loss takes to be known at 830 daemons; that others are alive is known within some 3 s, since they refute their death. The time after a partition is now 5 s.

TestFirstHomeGivesLeavesSoonAfterAPartition fails with 15 s.

--- a/core/process/warmup/duty.go
+++ b/core/process/warmup/duty.go
@@ -10,13 +10,17 @@
 	"carobspoke.example/core/process/ratelimits"
 )
 
-// TakeoverTime is how long after the loss of the first home, or after the end of a partition,
-// another home may give leaves that this daemon doesn't hear of. A daemon that was cut off
+// TakeoverTime is how long after the loss of the first home another home may give leaves that this daemon doesn't hear of. A daemon that was cut off
 // with the smaller part of a fleet of 830 counts the others as dead after some 14 s: it
 // suspects them after about two, and a suspicion lasts 4 s times the decimal logarithm of the
 // size of the fleet.
 const TakeoverTime = 15 * time.Second
 
+// RejoinTime is how long after the end of a partition, as this daemon learns of it, another
+// home may give leaves that it doesn't hear of. The daemons of the other part hear of the
+// members within some 3 s, since these refute at once that they are dead.
+const RejoinTime = 5 * time.Second
+
 // half is the share of a daemon that knows exactly half of the fleet alive.
 const half = 0.5
 
@@ -32,7 +36,7 @@
 	homes homes.Homes
 	share float64
 	known bool
-	// heldUntil ends the TakeoverTime; unaware is true if this daemon lets nothing through
+	// heldUntil ends the TakeoverTime or RejoinTime; unaware is true if this daemon lets nothing through
 	// until then.
 	heldUntil time.Time
 	unaware   bool
@@ -50,7 +54,9 @@
 		if share > d.share {
 			// The other half let through no more than the takeover rate beside this one.
 			d.unaware = d.share != half || d.unaware && now.Before(d.heldUntil)
-			d.heldUntil = now.Add(TakeoverTime)
+			if until := now.Add(RejoinTime); until.After(d.heldUntil) {
+				d.heldUntil = until
+			}
 		}
 	}
 	d.homes, d.share, d.known = h, share, settled
--- a/core/process/warmup/table_test.go
+++ b/core/process/warmup/table_test.go
@@ -105,3 +105,22 @@
 		t.Errorf("the first leave is given after %s, want %s", wait, longest)
 	}
 }
+
+// A partition ends, and the first home was at the smaller part. All daemons ask it again.
+// Guards against a home that gives no leaves for longer than targets are cold, 8 s in the
+// users' load.
+func TestFirstHomeGivesLeavesSoonAfterAPartition(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rates, h := RatesOf(coldRate, overage, slack), homes.Homes{Deciders: []names.Host{"a", "b"}}
+	var d Duty
+	for _, share := range []float64{1, 0.4, 1} {
+		now = now.Add(time.Minute)
+		d.Observe("a", h, share, true, now)
+	}
+	if got := d.Flow("a", rates, now).Rate; got > 0 {
+		t.Errorf("%g a second while the other part may not know of the end", got)
+	}
+	if got := d.Flow("a", rates, now.Add(8*time.Second)).Rate; got != rates.Whole {
+		t.Errorf("%g a second 8 s later, want %g", got, rates.Whole)
+	}
+}
