Keep the end of the time in which a home lets nothing through

A daemon that became the second home by the loss of the first one lets nothing through for 15 s. If the next home was lost within that time the 15 s began again, although the daemon had heard of its placements, and the first home gives no leaves any more after its own 15 s. The end is now kept; the takeover rate holds after it.

TestHomeThatHeardOfTheSecondOneTakesOver fails without the change.

--- a/core/process/warmup/duty.go
+++ b/core/process/warmup/duty.go
@@ -36,10 +36,9 @@
 	homes homes.Homes
 	share float64
 	known bool
-	// heldUntil ends the TakeoverTime or RejoinTime; unaware is true if this daemon lets nothing through
-	// until then.
-	heldUntil time.Time
-	unaware   bool
+	// heldUntil ends the TakeoverTime or RejoinTime. This daemon lets nothing through until
+	// unawareUntil, which is no later.
+	heldUntil, unawareUntil time.Time
 }
 
 // Observe records the homes of the group as self knows them, and the share of the fleet that
@@ -48,14 +47,16 @@
 func (d *Duty) Observe(self names.Host, h homes.Homes, share float64, settled bool, now time.Time) {
 	if d.known && settled {
 		if d.firstLost(self, h) {
-			d.unaware = !d.hears(self) || d.unaware && now.Before(d.heldUntil)
 			d.heldUntil = now.Add(TakeoverTime)
+			if !d.hears(self) {
+				d.unawareUntil = d.heldUntil
+			}
 		}
 		if share > d.share {
-			// The other half let through no more than the takeover rate beside this one.
-			d.unaware = d.share != half || d.unaware && now.Before(d.heldUntil)
-			if until := now.Add(RejoinTime); until.After(d.heldUntil) {
-				d.heldUntil = until
+			until := now.Add(RejoinTime)
+			d.heldUntil = later(d.heldUntil, until)
+			if d.share != half { // the other half let through no more than the takeover rate
+				d.unawareUntil = later(d.unawareUntil, until)
 			}
 		}
 	}
@@ -87,17 +88,23 @@
 // larger part, so that it is the share of the whole rate, at most the takeover rate: the
 // other half may not know of the partition yet.
 func (d *Duty) Flow(self names.Host, r Rates, now time.Time) ratelimits.Flow {
-	held := now.Before(d.heldUntil)
 	switch {
 	case d.share < 1 && d.share != half:
 		return r.flow(math.Floor(d.share * r.Spare))
-	case held && d.unaware || !d.hears(self):
+	case now.Before(d.unawareUntil) || !d.hears(self):
 		return r.flow(0)
 	case d.share == half:
 		return r.flow(min(math.Floor(half*r.Whole), r.Takeover))
-	case held || len(d.homes.Deciders) == 0 || d.homes.Deciders[0] != self:
+	case now.Before(d.heldUntil) || len(d.homes.Deciders) == 0 || d.homes.Deciders[0] != self:
 		return r.flow(r.Takeover)
 	default:
 		return r.flow(r.Whole)
 	}
 }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/core/process/warmup/table_test.go
+++ b/core/process/warmup/table_test.go
@@ -124,3 +124,21 @@
 		t.Errorf("%g a second 8 s later, want %g", got, rates.Whole)
 	}
 }
+
+// The first home dies, and the next one shortly before the third daemon has been the second
+// home for TakeoverTime. Guards against a third daemon that gives no leaves for twice this
+// time: the first home gives none any more after it.
+func TestHomeThatHeardOfTheSecondOneTakesOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rates := RatesOf(coldRate, overage, slack)
+	var d Duty
+	d.Observe("c", homes.Homes{Deciders: []names.Host{"a", "b"}}, 1, true, now)
+	d.Observe("c", homes.Homes{Deciders: []names.Host{"b", "c"}}, 1, true, now)
+	d.Observe("c", homes.Homes{Deciders: []names.Host{"c", "d"}}, 1, true, now.Add(TakeoverTime-time.Second))
+	if got := d.Flow("c", rates, now.Add(TakeoverTime-time.Second)).Rate; got > 0 {
+		t.Errorf("%g a second while the first home may give leaves", got)
+	}
+	if got := d.Flow("c", rates, now.Add(TakeoverTime)).Rate; got != rates.Takeover {
+		t.Errorf("%g a second, want %g", got, rates.Takeover)
+	}
+}
