--- a/core/process/warmup/replay_test.go
+++ b/core/process/warmup/replay_test.go
@@ -32,6 +32,9 @@
 	retryInterval      = 3 * time.Second
 	batchDelay         = 15 * time.Millisecond
 	sweepInterval      = 500 * time.Millisecond
+	// unsettledTime is how long a daemon that has joined is asked as a home before it
+	// follows changes of homes: from homes.minAge to targetstate.settleTime.
+	unsettledTime = 3 * time.Second
 )
 
 type event struct {
@@ -54,6 +57,7 @@
 // daemon is one daemon of the fleet. The rendezvous order is that of the indices, from first.
 type daemon struct {
 	self  int
+	host  names.Host
 	table *Table
 	duty  Duty
 	// side is the part of a partitioned fleet that it is on; -1 if it is dead. sees is the
@@ -62,8 +66,12 @@
 	side         int
 	sees, counts []int
 	live         int
-	skip         map[int]time.Time
-	slow         bool
+	// homes holds the homes as it knows them; nil after a change of the members.
+	homes *homes.Homes
+	skip  map[names.Host]time.Time
+	slow  bool
+	// settledAt is when it follows changes of the homes; zero if it has started long ago.
+	settledAt time.Time
 }
 
 // fleet sends requests to one cold target.
@@ -72,20 +80,24 @@
 	random  *rand.Rand
 	queue   events
 	daemons []*daemon
+	byHost  map[names.Host]*daemon
 	order   []int
 	sent    []time.Time
 }
 
 var target = replicas.Incarnation{ID: "t", Started: 1}
 
-func host(i int) names.Host { return names.Host(fmt.Sprint(i)) }
+// rates are what homes let through to the target.
+var rates = RatesOf(coldRate, overage, slack)
 
 func newFleet(n int, seed uint64) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, uint64(n)))}
+	f := &fleet{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, uint64(n))), byHost: make(map[names.Host]*daemon, n)}
 	f.order = f.random.Perm(n)
+	whole := make([]int, n)
 	for i := range n {
-		d := &daemon{self: i, table: New(), sees: make([]int, n), counts: make([]int, n), live: n, skip: make(map[int]time.Time)}
+		d := &daemon{self: i, host: names.Host(fmt.Sprint(i)), table: New(), sees: whole, counts: whole, live: n, skip: make(map[names.Host]time.Time)}
 		f.daemons = append(f.daemons, d)
+		f.byHost[d.host] = d
 		d.table.Observe(&replicas.Target{ID: target.ID, Started: target.Started, ColdLeft: longestCold}, &Warmup{}, true, f.now)
 		f.after(time.Duration(f.random.Int64N(int64(sweepInterval))), func() { f.sweep(d) })
 	}
@@ -100,27 +112,37 @@
 
 func (f *fleet) delay() time.Duration { return f.between(minDelay, maxDelay) }
 
-// homesOf returns the homes as a daemon knows them.
+// homesOf returns the homes as a daemon knows them, as homes.Select does: those that it
+// suspects are asked after the others until it counts them as dead.
 func (f *fleet) homesOf(d *daemon) homes.Homes {
-	first := func(side []int) []names.Host {
-		var list []names.Host
-		for _, i := range f.order {
-			if len(list) == homes.Count {
-				break
-			}
-			if side[i] == side[d.self] {
-				list = append(list, host(i))
-			}
+	if d.homes != nil {
+		return *d.homes
+	}
+	var fit, suspected, inOrder []names.Host
+	for _, i := range f.order {
+		if len(fit) == homes.Count && len(inOrder) >= homes.Count {
+			break
+		}
+		sees, counts := d.sees[i] == d.sees[d.self], d.counts[i] == d.counts[d.self]
+		switch {
+		case sees:
+			fit = append(fit, f.daemons[i].host)
+		case counts:
+			suspected = append(suspected, f.daemons[i].host)
+		}
+		if sees || counts {
+			inOrder = append(inOrder, f.daemons[i].host)
 		}
-		return list
 	}
-	h := homes.Homes{Deciders: first(d.sees)}
+	first := func(list []names.Host) []names.Host { return list[:min(len(list), homes.Count)] }
+	h := homes.Homes{Deciders: first(slices.Concat(fit, suspected))}
 	h.Listeners = slices.Clone(h.Deciders)
-	for _, other := range first(d.counts) {
+	for _, other := range first(inOrder) {
 		if !slices.Contains(h.Listeners, other) {
 			h.Listeners = append(h.Listeners, other)
 		}
 	}
+	d.homes = &h
 	return h
 }
 
@@ -129,13 +151,13 @@
 	d.table.Left(target, &Warmup{}, time.Time{}, f.now)
 	var known ratelimits.Fleet
 	known.Share(len(f.daemons), f.now)
-	d.duty.Observe(host(d.self), f.homesOf(d), known.Share(d.live, f.now), true, f.now)
-	return d.duty.Flow(host(d.self), RatesOf(coldRate, overage, slack), f.now)
+	d.duty.Observe(d.host, f.homesOf(d), known.Share(d.live, f.now), !f.now.Before(d.settledAt), f.now)
+	return d.duty.Flow(d.host, rates, f.now)
 }
 
 func (f *fleet) sweep(d *daemon) {
 	flow := f.observe(d)
-	d.table.SetHome(target.ID, flow, slices.Contains(f.homesOf(d).Deciders, host(d.self)), f.now)
+	d.table.SetHome(target.ID, flow, slices.Contains(f.homesOf(d).Deciders, d.host), f.now)
 	f.after(sweepInterval, func() { f.sweep(d) })
 }
 
@@ -151,8 +173,12 @@
 	suspicion := time.Duration(4 * max(1, math.Log10(float64(len(f.daemons)))) * float64(time.Second))
 	for _, d := range f.daemons {
 		suspected := f.between(time.Second, 3*time.Second)
-		f.after(suspected, func() { d.sees = sides })
-		f.after(suspected+suspicion-f.between(0, time.Second), func() { d.counts, d.live = sides, live[d.side] })
+		f.after(suspected, func() { d.sees, d.homes = sides, nil })
+		counted := suspected + suspicion - f.between(0, time.Second)
+		if live[d.side] > d.live { // the others refute the suspicion as soon as they are heard
+			counted = suspected
+		}
+		f.after(counted, func() { d.counts, d.live, d.homes = sides, live[d.side], nil })
 	}
 }
 
@@ -169,14 +195,12 @@
 		if len(list) == 0 {
 			return // a daemon that reaches no home sends nothing
 		}
-		var index int
-		_, _ = fmt.Sscan(string(list[0]), &index) // hosts are numbers
-		home := f.daemons[index]
+		home := f.byHost[list[0]]
 		switch {
-		case f.now.Before(d.skip[index]):
+		case f.now.Before(d.skip[home.host]):
 			ask(list[1:])
 		case !f.reaches(d, home):
-			f.after(askTimeout, func() { d.skip[index] = f.now.Add(retryInterval); ask(list[1:]) })
+			f.after(askTimeout, func() { d.skip[home.host] = f.now.Add(retryInterval); ask(list[1:]) })
 		default:
 			f.after(f.delay(), func() { f.decide(home, d, asked) })
 		}
@@ -195,9 +219,7 @@
 			return
 		}
 		for _, listener := range f.homesOf(d).Listeners {
-			var index int
-			_, _ = fmt.Sscan(string(listener), &index) // hosts are numbers
-			if other := f.daemons[index]; other != home && f.reaches(d, other) {
+			if other := f.byHost[listener]; other != home && f.reaches(d, other) {
 				f.after(batchDelay+f.delay(), func() { other.table.Take(target.ID, f.observe(other), f.now) })
 			}
 		}
@@ -264,11 +286,16 @@
 				d.slow = i%2 == 0
 			}
 		}},
-		{"first home is replaced by a live one", 0.7, func(f *fleet) {
+		{"first home is replaced by one that joins", 0.7, func(f *fleet) {
 			for i := range 6 {
 				f.after(time.Duration(5+5*i)*time.Second, func() {
 					last := len(f.order) - 1
+					joined := f.daemons[f.order[last]]
+					joined.duty, joined.settledAt = Duty{}, f.now.Add(unsettledTime)
 					f.order = append([]int{f.order[last]}, f.order[:last]...)
+					for _, d := range f.daemons {
+						d.homes = nil
+					}
 				})
 			}
 		}},
@@ -290,13 +317,17 @@
 			f.after(10*time.Second, func() { f.divide(part(f, 0.52)) })
 			f.after(40*time.Second, func() { f.divide(whole) })
 		}},
+		{"halves", 0, func(f *fleet) {
+			f.after(10*time.Second, func() { f.divide(part(f, 0.5)) })
+			f.after(40*time.Second, func() { f.divide(whole) })
+		}},
 		{"three parts", 0, func(f *fleet) {
 			f.after(10*time.Second, func() { f.divide(part(f, 0.34, 0.67)) })
 			f.after(40*time.Second, func() { f.divide(whole) })
 		}},
 		{"each alone", 0, func(f *fleet) { f.after(10*time.Second, func() { f.divide(func(i int) int { return i }) }) }},
 	} {
-		for _, daemons := range []int{8, 61, 295, 830} {
+		for _, daemons := range []int{2, 8, 61, 295, 830} {
 			t.Run(fmt.Sprint(scenario.name, "/", daemons), func(t *testing.T) {
 				for seed := range uint64(max(24/daemons, 1)) {
 					f := newFleet(daemons, seed)
--- a/core/process/warmup/table_test.go
+++ b/core/process/warmup/table_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/homes"
 	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/process/replicas"
 	"github.com/cockroachdb/datadriven"
@@ -81,3 +83,62 @@
 		t.Errorf("%g a second are used of %g", r.Whole, coldRate)
 	}
 }
+
+// The first home uses the whole rate and dies. The second one has charged all of its requests
+// at the lower takeover rate. Guards against a debt from requests that no longer count in the
+// second of the bound, for which callers would be refused.
+func TestSecondHomeOwesNoMoreThanASecond(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table, rates := New(), RatesOf(coldRate, overage, slack)
+	table.Observe(&replicas.Target{ID: "t", ColdLeft: time.Hour}, &Warmup{}, false, now)
+	var d Duty
+	d.Observe("b", homes.Homes{Deciders: []names.Host{"a", "b"}}, 1, true, now)
+	for range 10 * int(coldRate) {
+		now = now.Add(time.Second / coldRate)
+		table.SetHome("t", d.Flow("b", rates, now), true, now)
+		table.Take("t", d.Flow("b", rates, now), now)
+	}
+	d.Observe("b", homes.Homes{Deciders: []names.Host{"b", "c"}}, 1, true, now)
+	flow := d.Flow("b", rates, now)
+	longest := time.Second + time.Duration(float64(time.Second)/flow.Rate)
+	if wait := table.Wait("t", flow, now); wait > longest {
+		t.Errorf("the first leave is given after %s, want %s", wait, longest)
+	}
+}
+
+// A partition ends, and the first home was at the smaller part. All daemons ask it again.
+// Guards against a home that gives no leaves for longer than targets are cold, 8 s in the
+// users' load.
+func TestFirstHomeGivesLeavesSoonAfterAPartition(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rates, h := RatesOf(coldRate, overage, slack), homes.Homes{Deciders: []names.Host{"a", "b"}}
+	var d Duty
+	for _, share := range []float64{1, 0.4, 1} {
+		now = now.Add(time.Minute)
+		d.Observe("a", h, share, true, now)
+	}
+	if got := d.Flow("a", rates, now).Rate; got > 0 {
+		t.Errorf("%g a second while the other part may not know of the end", got)
+	}
+	if got := d.Flow("a", rates, now.Add(8*time.Second)).Rate; got != rates.Whole {
+		t.Errorf("%g a second 8 s later, want %g", got, rates.Whole)
+	}
+}
+
+// The first home dies, and the next one shortly before the third daemon has been the second
+// home for TakeoverTime. Guards against a third daemon that gives no leaves for twice this
+// time: the first home gives none any more after it.
+func TestHomeThatHeardOfTheSecondOneTakesOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rates := RatesOf(coldRate, overage, slack)
+	var d Duty
+	d.Observe("c", homes.Homes{Deciders: []names.Host{"a", "b"}}, 1, true, now)
+	d.Observe("c", homes.Homes{Deciders: []names.Host{"b", "c"}}, 1, true, now)
+	d.Observe("c", homes.Homes{Deciders: []names.Host{"c", "d"}}, 1, true, now.Add(TakeoverTime-time.Second))
+	if got := d.Flow("c", rates, now.Add(TakeoverTime-time.Second)).Rate; got > 0 {
+		t.Errorf("%g a second while the first home may give leaves", got)
+	}
+	if got := d.Flow("c", rates, now.Add(TakeoverTime)).Rate; got != rates.Takeover {
+		t.Errorf("%g a second, want %g", got, rates.Takeover)
+	}
+}
--- a/serving/process/targetstate/cold.go
+++ b/serving/process/targetstate/cold.go
@@ -193,8 +193,12 @@
 // targets are slower, and take few requests a second, which are left to those that need them.
 // The caller must hold b.mu.
 func (b *Board) placeWarmFirst(r *placement.Request, service *routing.Service, usable []placement.Candidate) placement.Decision {
-	warm := slices.DeleteFunc(slices.Clone(usable), func(c placement.Candidate) bool { return c.Cold })
-	if len(warm) == len(usable) || len(warm) == 0 {
+	isCold := func(c placement.Candidate) bool { return c.Cold }
+	if !slices.ContainsFunc(usable, isCold) {
+		return b.config.Placer.Place(r, service, usable)
+	}
+	warm := slices.DeleteFunc(slices.Clone(usable), isCold)
+	if len(warm) == 0 {
 		return b.config.Placer.Place(r, service, usable)
 	}
 	d := b.config.Placer.Place(r, service, warm)
@@ -225,14 +229,21 @@
 	}
 }
 
-// giveColdLeave reports whether a request is placed on a cold target, which makes the decision
-// a leave. The caller must hold b.mu.
-func (b *Board) giveColdLeave(usable []placement.Candidate, id names.Target, now time.Time) bool {
-	cold := slices.ContainsFunc(usable, func(c placement.Candidate) bool { return c.Target == id && c.Cold })
-	if cold {
-		b.cold().table.CountLeave(now)
+// giveColdLeave reports whether a request is placed on a target that is cold as far as this
+// daemon or the asking one knows, which makes the decision a leave. If this daemon knows the
+// target as warm although it was told otherwise, it knows a later statement or has read the
+// same one earlier. The caller must hold b.mu.
+func (b *Board) giveColdLeave(a *dispatchsync.Ask, targets []replicas.Target, usable []placement.Candidate, id names.Target, now time.Time) bool {
+	s, _ := b.follow(a.Group.Service, now)
+	if s == nil {
+		return false
+	}
+	if slices.ContainsFunc(usable, func(c placement.Candidate) bool { return c.Target == id && c.Cold }) {
+		s.table.CountLeave(now)
+		return true
 	}
-	return cold
+	i := incarnationOf(targets, id)
+	return slices.ContainsFunc(a.Cold, func(c dispatchsync.ColdTarget) bool { return c.Incarnation == i })
 }
 
 // warmAfter returns the time until the first cold target of a list is warm, zero if none is
@@ -356,7 +367,7 @@
 			continue
 		}
 		if left := b.coldLeft(&target, now); left > 0 {
-			list = append(list, dispatchsync.ColdTarget{Incarnation: target.Incarnation(), Left: left})
+			list = append(list, dispatchsync.ColdTarget{Incarnation: target.Incarnation(), Left: s.table.Claim(id, left, now)})
 		}
 		if len(list) == maxClaims {
 			break
