placement: refuse late prompts before they make others late

At a peak nearly all urgent short prompts were late, while less urgent prompts were in time: prompts that were already late waited at every engine and took each slot that became free, and late long prompts were prefilled at the expense of those that could still be in time.

Costs are now weighted by rank (a factor of two for each), with the same decisions as before where all ranks are equal. Once no engine has both a slot and memory, late light prompts wait at an eighth of the engines, returned ones at a quarter, and others are refused. A heavy prompt that is late only because of the load is refused once. Retry-After follows the predicted room, spread over those refused. The caller's estimate of the answer's length enters placement.

--- a/core/process/inflight/inflight.go
+++ b/core/process/inflight/inflight.go
@@ -33,9 +33,10 @@
 	Tokens int
 	// Decodes is set for the target that decodes the answer.
 	Decodes bool
-	// Size is the weight of the request, see placement.Size. GapTarget is the
-	// longest pause between tokens that the caller accepts. Both are set only for
-	// the target that decodes the answer.
+	// Size is the cost of delaying the answer: the size of the request, see
+	// placement.Size, times the weight of its rank, see overload.Weight. GapTarget
+	// is the longest pause between tokens that the caller accepts. Both are set
+	// only for the target that decodes the answer.
 	Size      int
 	GapTarget time.Duration
 	// Deferred parts have lower priority than all others until their prefill
@@ -89,6 +90,8 @@
 	SizeByGapClass [len(GapClassBounds)]int
 	// Tokens is the memory in use or reserved, in tokens.
 	Tokens int
+	// ReadAt is the time for which the load was computed; zero if there is none.
+	ReadAt time.Time
 }
 
 // Table holds the dispatches of the fleet.
@@ -280,6 +283,9 @@
 		load.Requests += s.unaccounted
 		load.Answers += s.unaccounted
 	}
+	if load.Requests > 0 {
+		load.ReadAt = now
+	}
 	return load
 }
 
--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -31,6 +31,7 @@
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/inflight"
+	"carobspoke.example/core/request/overload"
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/routing"
 )
@@ -132,15 +133,17 @@
 	Refusal *verdict.Error
 }
 
-// Placer places the requests of one daemon.
+// Placer places the requests of one daemon. It is not safe for concurrent use.
 type Placer struct {
 	settings Settings
 	random   *rand.Rand
+	// services holds what is remembered of the requests for engines.
+	services map[names.Service]*overload.State
 }
 
 // New returns a Placer with the given settings and source of randomness.
 func New(s Settings, random *rand.Rand) *Placer {
-	return &Placer{settings: s, random: random}
+	return &Placer{settings: s, random: random, services: make(map[names.Service]*overload.State)}
 }
 
 // Place selects the targets of a request among the candidates of its service.
@@ -152,20 +155,23 @@
 	if service.Engine == nil || r.PromptTokens == 0 {
 		return p.placeCall(usable)
 	}
-	d := p.placePrompt(r, service.Engine, usable)
+	in := *r
+	in.AnswerTokens = overload.ExpectedAnswer(r.AnswerTokens, r.AnswerHint)
+	a := p.assess(&in, service, usable)
+	d := p.placePrompt(a, usable)
+	if d.Refusal == nil {
+		a.state.Placed(r.Customer, Size(&in), a.now)
+	}
 	d.Priority = adjustPriority(d.Priority, r.Rank)
 	return d
 }
 
-// defaultRank is the rank of callers without a configured priority.
-const defaultRank = 1
-
 // adjustPriority returns the engine priority (0 is the highest) minus one for
 // callers whose rank is below the default, who are more urgent, and plus one for
 // those above it. Among prompts of the same kind the more urgent caller thus goes
 // first.
 func adjustPriority(priority, rank int) int {
-	return min(max(priority+min(max(rank-defaultRank, -1), 1), 0), lowestPriority)
+	return min(max(priority+min(max(rank-overload.DefaultRank, -1), 1), 0), lowestPriority)
 }
 
 // filter drops the targets in r.Exclude, those with an open breaker and, for short
