placement: keep less urgent prompts from being in time more often than urgent ones

At peaks of the first customer's mix urgent short prompts were in time less often than medium and long prompts of lower priority.

The home now counts, by priority, first events in time, refusals and the answers that parts of prompts are predicted to pause. While too few urgent requests are in time, less urgent ones that are in time more often are refused for the first time. Late prompts wait behind those in time of all priorities. The weight is a factor of three for each rank. A part of a prompt counts as a pause together with the prefill ahead of it. Prompts that would be refused wait only for the memory of their parts. Customers over their share, measured by work, are refused first once 90% of the slots are taken. Nothing is refused for lack of room while fewer than half of the slots are taken and nothing waits.

--- a/core/request/overload/overload.go
+++ b/core/request/overload/overload.go
@@ -1,19 +1,23 @@
 // Package overload decides which requests of a service are delayed or refused when
-// its engines have too little room, so that the callers lose least.
+// its engines have too little room, so that callers lose least.
 //
 // # Load patterns
 //
 // A peak of short prompts takes all slots. A prompt that waits for a slot is late, and
-// takes the slot that a later prompt would have found free: if all are served in the
-// order of arrival, all are late for as long as the peak lasts. Late prompts therefore
-// wait at a few engines only (LateEngines), and more of them are refused, with a
-// Retry-After that spreads their return (State.RetryAfter).
+// takes the slot that a later prompt would have found free: if all wait, all are late
+// for as long as the peak lasts. Late prompts therefore wait at few engines
+// (Room.MaxLateEngines), and the others are refused. Their Retry-After leaves most of the
+// freed slots to requests that come for the first time (State.RetryAfter).
 //
 // A peak of long prompts pauses the answers of all engines. Costs are weighted by rank
-// (Weight), so that less urgent long prompts keep off engines with urgent answers.
+// (Weight), so that less urgent prompts avoid engines with more urgent answers.
 //
-// A customer that asks for more than its share is refused first, but only when the
-// slots run out (State.OverShare, Room.Scarce).
+// A peak of one kind must not harm more urgent kinds more than itself. While too few
+// urgent requests are in time, less urgent ones that are in time more often are refused
+// (State.AheadOfUrgent).
+//
+// A customer that uses more than its share is refused first, but only when the slots run
+// out (State.OverShare, Room.Scarce).
 //
 // A State is not safe for concurrent use. Nothing here does I/O or reads a clock.
 package overload
@@ -22,17 +26,17 @@
 	"math"
 	"time"
 
-	"carobspoke.example/core/names"
-	"carobspoke.example/core/request/fairness"
+	"carobspoke.example/core/process/inflight"
 )
 
 // DefaultRank is the rank of callers without a configured priority; its weight is one.
 const DefaultRank = 1
 
 const (
-	// weightPerRank is the ratio of the weights of two successive ranks. A long prompt of
-	// rank 2 has ten times the size of a short one and is worth four short ones of rank 0.
-	weightPerRank = 2.0
+	// weightPerRank is the ratio of the weights of two successive ranks. With it a long
+	// prompt, which has ten times the size of a short one, costs as much as one short
+	// prompt if it is two ranks less urgent.
+	weightPerRank = 3.0
 	// maxWeightedRank is the rank above which all ranks have the same weight.
 	maxWeightedRank = 4
 )
@@ -66,25 +70,42 @@
 	LateEngines int
 	// SlotTime is the predicted time for which an answer takes a slot.
 	SlotTime time.Duration
+	// Recent counts the recent first events by inflight.RankClass.
+	Recent [inflight.RankClasses]inflight.Recent
 }
 
-// Add adds an engine with the given slots and requests, of which deferred are waiting.
-func (r *Room) Add(slots, requests, deferred int) {
+// Add adds an engine with the given slots and load.
+func (r *Room) Add(slots int, load *inflight.Load) {
 	r.Engines++
 	r.Slots += slots
-	r.Taken += min(requests, slots)
-	r.Waiting += max(requests-slots, 0)
-	if deferred > 0 {
+	r.Taken += min(load.Answers, slots)
+	r.Waiting += max(load.Answers-slots, 0)
+	if load.Deferred > 0 {
 		r.LateEngines++
 	}
+	for i := range load.FirstEvents {
+		r.Recent[i].All += load.FirstEvents[i].All
+		r.Recent[i].InTime += load.FirstEvents[i].InTime
+	}
 }
 
 // Ample reports whether fewer than half of the slots are taken and no request waits for one.
 // Nothing is refused for lack of room then.
 func (r *Room) Ample() bool { return 2*r.Taken < r.Slots && r.Waiting == 0 }
 
-// scarceShare is the share of the slots above which a customer over its share, or a request
-// less urgent than others, leaves the free ones to the rest.
+// Mixed reports whether requests of several ranks have had first events recently.
+func (r *Room) Mixed() bool {
+	n := 0
+	for i := range r.Recent {
+		if r.Recent[i].All >= 1 {
+			n++
+		}
+	}
+	return n > 1
+}
+
+// scarceShare is the share of the slots above which the free ones are left to customers within
+// their shares.
 const scarceShare = 0.9
 
 // Scarce reports whether almost all slots are taken.
@@ -107,82 +128,3 @@
 	}
 	return max(1, int(share*float64(r.Engines)))
 }
-
-// ranks is the number of ranks that are told apart.
-const ranks = 10
-
-// State is what a home remembers of the requests of a service.
-type State struct {
-	usage *fairness.Usage
-	// seen is when a request of each rank arrived last.
-	seen [ranks]time.Time
-	// lastReturn is the latest time at which a refused caller was told to return.
-	lastReturn time.Time
-}
-
-// NewState returns the state of a service that has had no requests.
-func NewState() *State { return &State{usage: fairness.New()} }
-
-// Arrived records the arrival of a request.
-func (s *State) Arrived(rank int, now time.Time) { s.seen[min(max(rank, 0), ranks-1)] = now }
-
-// Placed records work of a customer, in the unit of placement.Size. Requests without a
-// customer are not counted.
-func (s *State) Placed(c names.Customer, size int, now time.Time) {
-	if c != "" {
-		s.usage.Add(now, c, 1, size)
-	}
-}
-
-// rankMemory is how long a rank counts as in use after its last request. At the users' rates
-// each kind of prompt arrives several times in it.
-const rankMemory = 10 * time.Second
-
-// MoreUrgent reports whether more urgent requests than those of a rank arrived recently.
-func (s *State) MoreUrgent(rank int, now time.Time) bool {
-	for r := range min(max(rank, 0), ranks-1) {
-		if !s.seen[r].IsZero() && now.Sub(s.seen[r]) < rankMemory {
-			return true
-		}
-	}
-	return false
-}
-
-// overShareRatio is the ratio to the average use above which a customer counts as over its
-// share. Usage varies by this much between equal customers at the users' rates.
-const overShareRatio = 1.5
-
-// OverShare reports whether a customer recently used much more than the average customer.
-func (s *State) OverShare(c names.Customer, now time.Time) bool {
-	return c != "" && s.usage.RatioToAverage(now, c) > overShareRatio
-}
-
-const (
-	// returnShare is the share of the freed slots that is promised to refused callers. The
-	// rest is left to requests that come for the first time.
-	returnShare = 0.25
-	// maxReturnShare is the share of the time left after which a refused caller must have
-	// returned, so that its request can still be served.
-	maxReturnShare = 0.5
-)
-
-// RetryAfter returns the delay after which a refused caller should return: when there is
-// predicted to be room, after those refused before it, and not before wait. random is in
-// [0, 1); it spreads the callers who cannot wait for their turn.
-func (s *State) RetryAfter(room *Room, wait, timeLeft time.Duration, random float64, now time.Time) time.Duration {
-	latest := time.Duration(maxReturnShare * float64(timeLeft))
-	wait = min(wait, latest)
-	interval := time.Duration(0)
-	if room.Slots > 0 {
-		interval = time.Duration(float64(room.SlotTime) / (returnShare * float64(room.Slots)))
-	}
-	at := now.Add(wait)
-	if turn := s.lastReturn.Add(interval); turn.After(at) {
-		at = turn
-	}
-	if delay := at.Sub(now); delay <= latest {
-		s.lastReturn = at
-		return delay
-	}
-	return wait + time.Duration(random*float64(latest-wait))
-}
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -34,6 +34,8 @@
 	}
 	var d Decision
 	switch {
+	case a.yields():
+		d.Refusal = p.refuse(a, a.LatencyTarget)
 	case tokens <= capacity && (prefill < p.settings.HeavyPrefill || !a.engine.ParallelPrefill):
 		d = p.placeLight(a, usable, prefill)
 	default:
@@ -46,7 +48,7 @@
 			d.Refusal = p.overloaded()
 		}
 	case d.FirstEvent > p.maxFirstEvent(a):
-		d.Refusal = p.overloaded()
+		d.Refusal = p.refuse(a, d.FirstEvent-p.maxFirstEvent(a))
 	case a.TimeToShutdown > 0 && time.Duration(p.settings.ShutdownTimeFactor*float64(d.Completion)) > a.TimeToShutdown:
 		d.Refusal = verdict.New(verdict.NotRun, verdict.DaemonDraining, "the daemon stops before the answer would end").WithRetryAfter(p.settings.ShutdownRetryAfter)
 	}
@@ -61,6 +63,9 @@
 	if a.FirstEventTimeout > 0 {
 		timeout = min(timeout, a.FirstEventTimeout)
 	}
+	if a.Returned || a.room.Ample() {
+		return timeout
+	}
 	return time.Duration(p.settings.FirstEventTimeoutShare * float64(timeout))
 }
 
@@ -84,8 +89,7 @@
 		ahead = max(ahead-c.Load.Deferred, slots)
 	}
 	if ahead >= slots {
-		slotTime := DecodeTime(a.engine, a.engine.MeanAnswerTokens, slots, a.engine.MeanPromptTokens)
-		wait += time.Duration(ahead-slots+1) * slotTime / time.Duration(slots)
+		wait += time.Duration(ahead-slots+1) * slotTime(a.engine, slots) / time.Duration(slots)
 	}
 	return wait + p.memoryWait(a, c)
 }
@@ -95,7 +99,7 @@
 	if a.engine.MemoryTokens <= 0 {
 		return 0
 	}
-	excess := c.Load.Tokens + a.PromptTokens + a.AnswerTokens - int(p.settings.MemoryShare*float64(a.engine.MemoryTokens))
+	excess := c.Load.Tokens + a.memory - int(p.settings.MemoryShare*float64(a.engine.MemoryTokens))
 	if excess <= 0 {
 		return 0
 	}
@@ -148,61 +152,15 @@
 			best, bestTime = i, first
 		}
 	}
+	if bestTime > acceptable && a.room.Ample() && a.room.Mixed() {
+		best, bestTime = p.firstInTime(a, usable, prefill, best, bestTime)
+	}
 	if bestTime > a.LatencyTarget {
 		return p.placeLate(a, usable, prefill)
 	}
 	return p.useOne(a, &usable[best], prefill, bestTime, lightPriority)
 }
 
-// placeLate places or refuses a light prompt that would be late at every target. While slots are
-// free it is deferred anywhere. If almost none is, a deferred prompt takes a slot that a
-// later one would have found free, so that deferred prompts are kept to few targets.
-func (p *Placer) placeLate(a *arrival, usable []Candidate, prefill time.Duration) Decision {
-	anywhere, target := p.deferLight(a, usable, prefill)
-	if a.AnswerStarted || p.isOpen(a, target) {
-		return anywhere
-	}
-	maxLate := a.room.MaxLateEngines(a.Returned)
-	list := slices.DeleteFunc(usable, func(c Candidate) bool {
-		late := p.queueWait(a, &c, true)+p.slotToFirstEvent(a, &c, prefill) > p.maxFirstEvent(a)
-		return late || a.room.LateEngines > maxLate || a.room.LateEngines == maxLate && c.Load.Deferred == 0
-	})
-	if len(list) == 0 {
-		return Decision{Refusal: p.refuse(a, p.settings.OverloadRetryMin)}
-	}
-	slices.SortStableFunc(list, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(b.Load.Deferred, a.Load.Deferred), cmp.Compare(b.Order, a.Order))
-	})
-	d, _ := p.deferLight(a, list[:1], prefill)
-	return d
-}
-
-// isOpen reports whether a prompt need not wait for a slot or memory at a candidate.
-func (p *Placer) isOpen(a *arrival, c *Candidate) bool {
-	return c.Load.Answers < max(c.Slots, 1) && p.memoryWait(a, c) == 0
-}
-
-// refuse returns the refusal of a prompt for which there is predicted to be no room before wait.
-func (p *Placer) refuse(a *arrival, wait time.Duration) *verdict.Error {
-	delay := a.state.RetryAfter(&a.room, wait, a.TimeLeft, p.random.Float64(), a.now)
-	return verdict.New(verdict.NotRun, verdict.Overloaded, "no target can serve the request in time").WithRetryAfter(delay)
-}
-
-// deferLight selects the target with the earliest predicted first event when
-// the prompt waits for all requests that are already there.
-func (p *Placer) deferLight(a *arrival, usable []Candidate, prefill time.Duration) (Decision, *Candidate) {
-	best, bestTime := 0, time.Duration(0)
-	for i := range usable {
-		first := p.queueWait(a, &usable[i], true) + p.slotToFirstEvent(a, &usable[i], prefill)
-		if i == 0 || first < bestTime {
-			best, bestTime = i, first
-		}
-	}
-	d := p.useOne(a, &usable[best], prefill, bestTime, deferredLightPriority)
-	d.Parts[0].Deferred = true
-	return d, &usable[best]
-}
-
 // useOne places a prompt at one target, without helpers.
 func (p *Placer) useOne(a *arrival, c *Candidate, prefill, first time.Duration, priority int) Decision {
 	return Decision{
@@ -232,7 +190,7 @@
 	list := make([]ratedCandidate, 0, len(usable))
 	for i := range usable {
 		c := &usable[i]
-		pause := partPrefill + PassTime(a.engine, c.Load.Answers, a.engine.MeanPromptTokens)
+		pause := c.Load.Backlog + partPrefill + PassTime(a.engine, c.Load.Answers, a.engine.MeanPromptTokens)
 		item := ratedCandidate{candidate: c, wait: p.queueWait(a, c, false) + c.Load.Backlog}
 		for class, bound := range inflight.GapClassBounds {
 			if pause > bound-p.settings.PauseMargin {
@@ -270,30 +228,39 @@
 	if minTargets > maxTargets {
 		return Decision{Refusal: p.overloaded()}
 	}
+	best := p.cheapestSplit(a, usable, prefill, minTargets, maxTargets)
+	if minTargets > 1 && best.FirstEvent > p.maxFirstEvent(a) {
+		// Wait only for the memory of a part at each target, instead of a refusal.
+		a.memory /= minTargets
+		best = p.cheapestSplit(a, usable, prefill, minTargets, maxTargets)
+	}
+	if excess := best.FirstEvent - a.aim(); excess > 0 && p.shedsLate(a, len(usable), prefill) {
+		return Decision{Refusal: p.refuse(a, excess)}
+	}
+	splitMemory(&best, minTargets, a.PromptTokens+a.AnswerTokens)
+	return best
+}
+
+// cheapestSplit returns the placement of a prompt at minTargets to maxTargets targets that has the
+// lowest cost.
+func (p *Placer) cheapestSplit(a *arrival, usable []Candidate, prefill time.Duration, minTargets, maxTargets int) Decision {
 	var best Decision
 	bestCost := math.Inf(1)
 	for n := minTargets; n <= maxTargets; n++ {
 		partPrefill := prefill / time.Duration(n)
-		list := p.rate(a, usable, partPrefill)[:n]
+		list := p.rate(a, usable, partPrefill)
+		if a.memory < a.PromptTokens || len(a.Exclude) > 0 {
+			p.freeMemoryFirst(a, list)
+		}
+		list = list[:n]
 		d := p.useSeveral(a, list, partPrefill, heavyPromptPriority(prefill))
 		if cost := p.splitCost(a, d.FirstEvent, list); cost < bestCost {
 			bestCost, best = cost, d
 		}
 	}
-	splitMemory(&best, minTargets, a.PromptTokens+a.AnswerTokens)
-	if excess := best.FirstEvent - a.LatencyTarget; excess > 0 && p.shedsLate(a, len(usable), prefill) {
-		return Decision{Refusal: p.refuse(a, max(excess, p.settings.OverloadRetryMin))}
-	}
 	return best
 }
 
-// shedsLate reports whether a heavy prompt that would be late is refused: it comes for the
-// first time, and would be in time if the targets were free.
-func (p *Placer) shedsLate(a *arrival, targets int, prefill time.Duration) bool {
-	idle := prefill / time.Duration(min(targets, p.settings.MaxHelpers+1))
-	return !a.Returned && !a.AnswerStarted && !a.room.Ample() && idle < a.LatencyTarget
-}
-
 // withoutLimited returns the candidates that have named no limit.
 func withoutLimited(list []Candidate) []Candidate {
 	return slices.DeleteFunc(slices.Clone(list), func(c Candidate) bool { return c.Limited })
