admission: spread the returns of callers refused for lack of capacity

Callers that were refused at the same moment got the same Retry-After, apart from a jitter of a half, and returned together to be refused again.

They now return one after the other, as fast as the model's targets prefill their prompts (overload.Returns, which the platform's entrance uses as well), within the same bounds.

--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -49,6 +49,7 @@
 	"carobspoke.example/core/request/class"
 	"carobspoke.example/core/request/facts"
 	"carobspoke.example/core/request/fairness"
+	"carobspoke.example/core/request/overload"
 	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
 )
@@ -130,6 +131,8 @@
 type modelState struct {
 	prompts class.PromptStats
 	answers class.AnswerStats
+	// returns spreads the callers that are refused for lack of capacity.
+	returns overload.Returns
 }
 
 // New returns a controller that takes over the given load table. From then on
@@ -187,7 +190,8 @@
 	if a.Request.Class == target.Spanning {
 		return Action{Kind: Span, Request: a.Request}
 	}
-	action, _ := c.decide(now, m, &a, candidates)
+	unchanged := *m
+	action, _ := c.decide(now, &unchanged, &a, candidates)
 	return action
 }
 
@@ -212,11 +216,11 @@
 	chosen := findCandidate(candidates, d.Target)
 	end := c.predictEnd(now, m, a, d, chosen)
 	if overrun := end.Sub(a.Request.Deadline); overrun > 0 && !a.Request.Deadline.IsZero() {
-		return refusePlaced(a, d, c.refuseLate(now, m, a, chosen, overrun)), nil
+		return refusePlaced(a, d, c.refuseLate(now, m, a, chosen, len(candidates), overrun)), nil
 	}
 	limit := fairness.ScaleLimit(c.settings.queueLimit(chosen.PrefillTime(&a.Request)), c.usage.RatioToAverage(now, a.Request.Customer))
 	if excess := chosen.QueueTime() - limit; excess > 0 {
-		return refusePlaced(a, d, c.refusalWithRetry(verdict.Overloaded, "too much is waiting", excess)), nil
+		return refusePlaced(a, d, c.refuseOverloaded(now, m, a, chosen, len(candidates), excess, "too much is waiting")), nil
 	}
 	return Action{Kind: Start, Request: a.Request, Decision: d, Priority: Priority(&a.Request)}, chosen
 }
--- a/core/request/admission/admission_test.go
+++ b/core/request/admission/admission_test.go
@@ -131,3 +131,24 @@
 		c.Finished(now, a.Request.ID, load.Success, 10)
 	}
 }
+
+// Callers refused at the same moment must return one after the other: together they would be refused
+// again. Explain must not count.
+func TestRefusedCallersReturnOneAfterTheOther(t *testing.T) {
+	c := newController(1)
+	for i := range 3 {
+		c.Admit(at(0), arrival(strconv.Itoa(i), 8000, 60_000))
+	}
+	first := c.Admit(at(0), arrival("first", 8000, 2000)).Refusal
+	for range 100 {
+		c.Explain(at(0), arrival("explained", 8000, 2000))
+	}
+	for i := range 20 {
+		c.Admit(at(0), arrival("r"+strconv.Itoa(i), 8000, 2000))
+	}
+	last := c.Admit(at(0), arrival("last", 8000, 2000)).Refusal
+	// 20 prompts of 0.8 s each come between them; the jitter of the first is at most a half.
+	if least := first.RetryAfter*2/3 + 16*time.Second; last.RetryAfter < least || last.RetryAfter > MaxRetryAfter*3/2 {
+		t.Fatalf("retry after %s, the first after %s, want at least %s", last.RetryAfter, first.RetryAfter, least)
+	}
+}
--- a/core/request/admission/predict.go
+++ b/core/request/admission/predict.go
@@ -40,14 +40,25 @@
 // later than its deadline by overrun. The refusal has a retry-after only if the
 // request could meet its deadline at an idle target.
 func (c *Controller) refuseLate(
-	now time.Time, m *modelState, a *Arrival, chosen *choice.Candidate, overrun time.Duration,
+	now time.Time, m *modelState, a *Arrival, chosen *choice.Candidate, targets int, overrun time.Duration,
 ) *verdict.Error {
 	tokens := time.Duration(m.answers.PredictTokens(a.Request.MaxTokens))
 	idle := chosen.PrefillTime(&a.Request) + tokens*min(choice.StepTime(chosen), choice.DefaultStepTime)
 	if now.Add(idle).After(a.Request.Deadline) {
 		return verdict.New(verdict.NotRun, verdict.DeadlineTooShort, "the deadline is too short for this request")
 	}
-	return c.refusalWithRetry(verdict.Overloaded, "the answer would come too late", overrun)
+	return c.refuseOverloaded(now, m, a, chosen, targets, overrun, "the answer would come too late")
+}
+
+// refuseOverloaded returns the refusal of a request for which there is predicted to be capacity after
+// wait. Callers refused before it return first, as fast as the model's targets can prefill their
+// prompts.
+func (c *Controller) refuseOverloaded(
+	now time.Time, m *modelState, a *Arrival, chosen *choice.Candidate, targets int, wait time.Duration, message string,
+) *verdict.Error {
+	interval := chosen.PrefillTime(&a.Request) / time.Duration(max(targets, 1))
+	wait = m.returns.Next(max(wait, MinRetryAfter), interval, MaxRetryAfter, c.random.Float64(), now)
+	return c.refusalWithRetry(verdict.Overloaded, message, wait)
 }
 
 // refusalWithRetry returns a refusal with a retry-after of about the given wait.
