edge: count refusals and first events by priority

At an overload operators could not see which priorities were refused or late.

Add carobspoke_priority_refused{priority,reason} and carobspoke_first_event_seconds{priority,value}, with the predicted and the actual time from the send to the first event. The log lines "answered" and "not answered" also have the priority and the tokens of the prompt. Deferred requests by priority need a field of the request that relay/place.go sets, and are not counted yet.

--- a/serving/process/edge/metrics.go
+++ b/serving/process/edge/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"regexp"
+	"strconv"
 
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/routing"
@@ -33,6 +34,8 @@
 	registry         *prometheus.Registry
 	stages           *prometheus.HistogramVec
 	predictionErrors *prometheus.HistogramVec
+	firstEvents      *prometheus.HistogramVec
+	refusals         *prometheus.CounterVec
 }
 
 func newMetrics(d *Daemon) *Metrics {
@@ -43,7 +46,13 @@
 	m.predictionErrors = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: prefix + "first_event_error_ratio", Help: "Time to the first event divided by its prediction, by class.", Buckets: errorBuckets,
 	}, []string{"class"})
-	m.registry.MustRegister(m.stages, m.predictionErrors, stateCollector{d}, registryCollector{m.counters.Registry()})
+	m.firstEvents = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: prefix + "first_event_seconds", Help: "Time from the send to the first event, predicted and actual, by priority.", Buckets: stageBuckets,
+	}, []string{"priority", "value"})
+	m.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: prefix + "priority_refused", Help: "Requests that were refused and did not run, by priority and reason.",
+	}, []string{"priority", "reason"})
+	m.registry.MustRegister(m.stages, m.predictionErrors, m.firstEvents, m.refusals, stateCollector{d}, registryCollector{m.counters.Registry()})
 	return m
 }
 
@@ -55,6 +64,16 @@
 // Refused implements relay.Observer.
 func (m *Metrics) Refused(err *verdict.Error) { m.counters.RecordError(err) }
 
+// RefusedAt implements relay.PriorityObserver.
+func (m *Metrics) RefusedAt(priority int, reason verdict.Reason) {
+	m.refusals.WithLabelValues(priorityLabel(priority), string(reason)).Inc()
+}
+
+// maxPriorityLabel bounds the values of the label priority.
+const maxPriorityLabel = 9
+
+func priorityLabel(priority int) string { return strconv.Itoa(min(max(priority, 0), maxPriorityLabel)) }
+
 // Retried implements relay.Observer.
 func (m *Metrics) Retried(reason verdict.Reason) { m.counters.RecordRetry(reason) }
 
@@ -70,6 +89,9 @@
 	}
 	if t.Predicted > 0 {
 		m.predictionErrors.WithLabelValues(class).Observe(float64(t.SendToFirstEvent) / float64(t.Predicted))
+		priority := priorityLabel(t.Priority)
+		m.firstEvents.WithLabelValues(priority, "predicted").Observe(t.Predicted.Seconds())
+		m.firstEvents.WithLabelValues(priority, "actual").Observe(t.SendToFirstEvent.Seconds())
 	}
 }
 
--- a/serving/request/relay/finish.go
+++ b/serving/request/relay/finish.go
@@ -9,6 +9,12 @@
 	"go.uber.org/zap"
 )
 
+// PriorityObserver is an Observer that also counts refusals by priority.
+type PriorityObserver interface {
+	// RefusedAt counts a request of a priority that provably did not run.
+	RefusedAt(priority int, reason verdict.Reason)
+}
+
 // finish answers the caller with the error, or logs the answer if err is nil.
 func (q *request) finish(err error) {
 	now := time.Now()
@@ -19,7 +25,7 @@
 		q.relay.Log.Info("answered", zap.String("request", q.info.ID), zap.String("route", q.route.Name),
 			zap.String("class", string(t.Class)), zap.Duration("queue", t.Queue), zap.Duration("first", t.FirstEvent),
 			zap.Duration("took", took), zap.Duration("longest_pause", t.LongestPause), zap.Int("sends", q.sends),
-			q.lastReply.field())
+			zap.Int("priority", t.Priority), zap.Int("tokens", q.info.PromptTokens), q.lastReply.field())
 		return
 	}
 	failure := verdict.From(err)
@@ -28,6 +34,9 @@
 	}
 	failure = q.withRoomAfter(failure)
 	q.relay.Observer.Refused(failure)
+	if o, ok := q.relay.Observer.(PriorityObserver); ok && q.route != nil && failure.Verdict == verdict.NotRun {
+		o.RefusedAt(q.priority(), failure.Reason)
+	}
 	q.logFailure(failure, took)
 	if failure.Reason == verdict.CallerGone {
 		panic(http.ErrAbortHandler)
@@ -43,9 +52,9 @@
 }
 
 func (q *request) logFailure(failure *verdict.Error, took time.Duration) {
-	route := ""
+	route, priority := "", zap.Skip()
 	if q.route != nil {
-		route = q.route.Name
+		route, priority = q.route.Name, zap.Int("priority", q.priority())
 	}
 	version := names.Version(0)
 	if q.table != nil {
@@ -54,7 +63,8 @@
 	q.relay.Log.Info("not answered", zap.String("request", q.info.ID), zap.String("route", route),
 		zap.String("reason", string(failure.Reason)), zap.String("verdict", failure.Verdict.String()),
 		zap.Duration("took", took), zap.Duration("retry_after", failure.RetryAfter), zap.Int("sends", q.sends),
-		zap.Bool("begun", q.answerStarted), zap.Uint64("version", uint64(version)), q.lastReply.field(), causeField(failure))
+		zap.Bool("begun", q.answerStarted), zap.Uint64("version", uint64(version)), priority, zap.Int("tokens", q.info.PromptTokens),
+		q.lastReply.field(), causeField(failure))
 }
 
 // causeField returns the log field for the cause of a failure, without the
--- a/serving/request/relay/timing.go
+++ b/serving/request/relay/timing.go
@@ -45,6 +45,8 @@
 type Timing struct {
 	Kind  routing.Kind
 	Class Class
+	// Priority is the caller's priority; 0 is the most urgent.
+	Priority int
 	// Queue is the time to the first send, FirstEvent the time to the first
 	// event and Total the time to the end, all since the request's arrival.
 	// LongestPause is the longest time between two events, zero for a call.
@@ -57,7 +59,7 @@
 
 // timing returns the durations of the stages of an answered request.
 func (q *request) timing(now time.Time) *Timing {
-	t := &Timing{Kind: q.route.Kind, Class: classOf(q.route, &q.info), Total: now.Sub(q.started), LongestPause: q.longestPause}
+	t := &Timing{Kind: q.route.Kind, Class: classOf(q.route, &q.info), Priority: q.priority(), Total: now.Sub(q.started), LongestPause: q.longestPause}
 	t.FirstEvent = t.Total
 	if !q.firstEventAt.IsZero() {
 		t.FirstEvent = q.firstEventAt.Sub(q.started)
