--- a/core/process/inflight/inflight.go
+++ b/core/process/inflight/inflight.go
@@ -125,7 +125,7 @@
 	// Tokens is the memory in use or reserved, in tokens.
 	Tokens int
 	// AnswersByClass counts the answers by gap class, see GapClassBounds, and RankClass.
-	AnswersByClass [len(GapClassBounds)][RankClasses]int
+	AnswersByClass [len(GapClassBounds)][RankClasses]int32
 	// FirstEvents counts the recent first events by RankClass.
 	FirstEvents [RankClasses]Recent
 	// ReadAt is the time for which the load was computed; zero if there is none.
@@ -205,7 +205,7 @@
 	if p.Decodes {
 		s.load.Answers += n
 		s.load.SizeByGapClass[gapClass(p.GapTarget)] += n * p.Size
-		s.load.AnswersByClass[gapClass(p.GapTarget)][RankClass(p.Rank)] += n
+		s.load.AnswersByClass[gapClass(p.GapTarget)][RankClass(p.Rank)] += int32(n)
 	}
 }
 
@@ -294,10 +294,7 @@
 	}
 	if elapsed := now.Sub(s.updatedAt); elapsed > 0 {
 		s.backlog = max(s.backlog-elapsed, 0)
-		factor := DecayFactor(elapsed)
-		for i := range s.load.FirstEvents {
-			s.load.FirstEvents[i].Scale(factor)
-		}
+		s.decayFirstEvents(elapsed)
 		s.updatedAt = now
 	}
 	if s.pendingPrefill > 0 {
@@ -306,6 +303,17 @@
 	return s
 }
 
+// decayFirstEvents applies the decay of a time to the counts of first events.
+func (s *targetState) decayFirstEvents(elapsed time.Duration) {
+	if s.load.FirstEvents == ([RankClasses]Recent{}) {
+		return
+	}
+	factor := DecayFactor(elapsed)
+	for i := range s.load.FirstEvents {
+		s.load.FirstEvents[i].Scale(factor)
+	}
+}
+
 // reportValidity is how long the requests that a target reports beyond those in
 // the table count as load. After a restart or in a partition, the dispatches of
 // other daemons are not in the table.
--- a/core/request/overload/overload_test.go
+++ b/core/request/overload/overload_test.go
@@ -74,7 +74,7 @@
 			t.Errorf("rank %d, %v of 100 urgent and %v of 20 others in time: %t", c.rank, c.urgent, c.other, got)
 		}
 	}
-	s.Paused(&[inflight.RankClasses]int{80}, start)
+	s.Paused(&[inflight.RankClasses]int32{80}, start)
 	if !s.AheadOfUrgent(2, recent(95, 20), start) || s.AheadOfUrgent(2, recent(95, 20), start.Add(time.Minute)) {
 		t.Error("paused urgent answers must count until they are forgotten")
 	}
--- a/core/request/overload/state.go
+++ b/core/request/overload/state.go
@@ -29,7 +29,7 @@
 }
 
 // Paused records that answers are about to be paused for longer than their callers accept.
-func (s *State) Paused(answers *[inflight.RankClasses]int, now time.Time) {
+func (s *State) Paused(answers *[inflight.RankClasses]int32, now time.Time) {
 	s.decay(now)
 	for i, n := range answers {
 		s.paused[i] += float64(n)
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -182,6 +182,8 @@
 	// delayedSize is the size of the answers at the target that the part would
 	// pause for longer than their callers accept.
 	delayedSize int
+	// cost is that of the wait and the delayed answers.
+	cost float64
 }
 
 // rate returns the candidates for a part of a prompt that takes partPrefill,
@@ -197,13 +199,11 @@
 				item.delayedSize += c.Load.SizeByGapClass[class]
 			}
 		}
+		item.cost = a.weight*item.wait.Seconds()*p.settings.WaitCostPerSecond + float64(item.delayedSize)
 		list = append(list, item)
 	}
-	cost := func(x *ratedCandidate) float64 {
-		return a.weight*x.wait.Seconds()*p.settings.WaitCostPerSecond + float64(x.delayedSize)
-	}
 	slices.SortStableFunc(list, func(a, b ratedCandidate) int {
-		return cmp.Or(cmp.Compare(cost(&a), cost(&b)), cmp.Compare(b.candidate.Order, a.candidate.Order))
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.candidate.Order, a.candidate.Order))
 	})
 	return list
 }
