placement: count every refusal with free slots in the replay

The replay did not count refusals for lack of reserved memory among those with fewer than half of the slots taken, although the callers are refused all the same.

A condition without effect is removed.

--- a/core/request/placement/peaks_test.go
+++ b/core/request/placement/peaks_test.go
@@ -155,7 +155,7 @@
 	j.request.TimeLeft, j.request.Exclude = j.due-now, nil
 	d := r.place(j, list)
 	if d.Refusal != nil {
-		if taken*2 < 12*len(list) && d.Refusal.Reason == verdict.Overloaded {
+		if taken*2 < 12*len(list) {
 			r.ample++
 		}
 		again := j.request.Returned || now+d.Refusal.RetryAfter >= j.due
@@ -393,8 +393,7 @@
 
 // TestPeaksOfThreeKinds replays usual load and peaks, one with a quarter of the engines lost. It guards
 // against refusals while fewer than half of the slots are taken, against kinds that are served less than
-// a quarter as often as all, and against a peak of short urgent prompts at which less urgent ones are
-// in time more often.
+// a quarter as often as all, and against peaks at which less urgent prompts are in time more often.
 func TestPeaksOfThreeKinds(t *testing.T) {
 	for _, c := range []peak{
 		{"A", mixA(), 45, shortKind, 1},
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -249,7 +249,7 @@
 	for n := minTargets; n <= maxTargets; n++ {
 		partPrefill := prefill / time.Duration(n)
 		list := p.rate(a, usable, partPrefill)
-		if a.memory < a.PromptTokens || len(a.Exclude) > 0 {
+		if a.memory < a.PromptTokens {
 			p.freeMemoryFirst(a, list)
 		}
 		list = list[:n]
