--- a/core/request/placement/placement_test.go
+++ b/core/request/placement/placement_test.go
@@ -274,3 +274,27 @@
 		t.Errorf("the customer within its share is refused: %v", err)
 	}
 }
+
+// A cold target crashes under more than a few requests a second. Guards against prompts that go there
+// while warm targets serve them, and against cold helpers.
+func TestColdTargetsAreUsedLast(t *testing.T) {
+	list := idle(6)
+	list[0].Cold = true
+	if d := placer().Place(short(), service(), list); d.Target != "b" {
+		t.Errorf("light prompt placed at %s", d.Target)
+	}
+	for _, part := range placer().Place(long(210_000), service(), list).Parts {
+		if part.Target == "a" {
+			t.Error("a cold target is a helper")
+		}
+	}
+	for i := range list[1:] {
+		list[i+1].Load = inflight.Load{Requests: 16, Answers: 16, Backlog: 2 * time.Second}
+	}
+	if d := placer().Place(short(), service(), list); d.Target != "a" {
+		t.Errorf("light prompt placed at %s, which is late", d.Target)
+	}
+	if d := placer().Place(long(210_000), service(), list[:1]); d.Target != "a" || len(d.Helpers) > 0 {
+		t.Errorf("long prompt placed at %q with %d helpers", d.Target, len(d.Helpers))
+	}
+}
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -135,30 +135,42 @@
 }
 
 // placeLight selects the first target in order that is fast enough, or else the
-// fastest. A prompt that would be late at every target is deferred: prompts that
+// fastest, and a cold one only if no warm one meets the latency target. A prompt that would be late at every target is deferred: prompts that
 // can still meet their latency target go first, so that during overload most
 // are in time instead of all late.
 func (p *Placer) placeLight(a *arrival, usable []Candidate, prefill time.Duration) Decision {
 	slices.SortStableFunc(usable, func(a, b Candidate) int { return cmp.Compare(a.Order, b.Order) })
 	acceptable := time.Duration(p.settings.PackingShare * float64(a.LatencyTarget))
+	candidates := usable
+	if warm := withoutCold(usable); len(warm) > 0 && len(warm) < len(usable) {
+		if _, first := p.firstFast(a, warm, prefill, acceptable); first <= a.LatencyTarget {
+			candidates = warm
+		}
+	}
+	best, bestTime := p.firstFast(a, candidates, prefill, acceptable)
+	if bestTime > acceptable && a.room.Ample() && a.room.Mixed() {
+		best, bestTime = p.firstInTime(a, candidates, prefill, best, bestTime)
+	}
+	if bestTime > a.LatencyTarget {
+		return p.placeLate(a, usable, prefill)
+	}
+	return p.useOne(a, &candidates[best], prefill, bestTime, lightPriority)
+}
+
+// firstFast returns the first target in order with a predicted first event within acceptable, or else
+// the fastest, and that prediction.
+func (p *Placer) firstFast(a *arrival, usable []Candidate, prefill, acceptable time.Duration) (int, time.Duration) {
 	best, bestTime := 0, time.Duration(0)
 	for i := range usable {
 		first := p.firstEvent(a, &usable[i], prefill)
 		if first <= acceptable {
-			best, bestTime = i, first
-			break
+			return i, first
 		}
 		if i == 0 || first < bestTime {
 			best, bestTime = i, first
 		}
 	}
-	if bestTime > acceptable && a.room.Ample() && a.room.Mixed() {
-		best, bestTime = p.firstInTime(a, usable, prefill, best, bestTime)
-	}
-	if bestTime > a.LatencyTarget {
-		return p.placeLate(a, usable, prefill)
-	}
-	return p.useOne(a, &usable[best], prefill, bestTime, lightPriority)
+	return best, bestTime
 }
 
 // useOne places a prompt at one target, without helpers.
@@ -215,12 +227,12 @@
 // prompt that exceeds the memory of one engine gets at least as many targets as
 // are needed to hold it together.
 //
-// A target that has named a limit is no helper, since orders to reserve and renew memory
-// there would count. It prefills a prompt alone if there is no other target.
+// A target that has named a limit, or is cold, is no helper, since orders to reserve and renew
+// memory there would count. It prefills a prompt alone if there is no other target.
 func (p *Placer) placeHeavy(a *arrival, usable []Candidate, prefill time.Duration, capacity int) Decision {
 	minTargets := (a.PromptTokens + a.AnswerTokens + capacity - 1) / capacity
 	maxTargets := min(len(usable), p.settings.MaxHelpers+1)
-	if unlimited := withoutLimited(usable); len(unlimited) > 0 {
+	if unlimited := withoutLimited(withoutCold(usable)); len(unlimited) > 0 {
 		usable, maxTargets = unlimited, min(maxTargets, len(unlimited))
 	} else {
 		maxTargets = min(maxTargets, 1)
@@ -266,6 +278,15 @@
 	return slices.DeleteFunc(slices.Clone(list), func(c Candidate) bool { return c.Limited })
 }
 
+// withoutCold returns the candidates that are warm. It returns the list itself if all are.
+func withoutCold(list []Candidate) []Candidate {
+	isCold := func(c Candidate) bool { return c.Cold }
+	if !slices.ContainsFunc(list, isCold) {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), isCold)
+}
+
 // splitMemory divides the memory of a prompt that does not fit into one engine
 // evenly among the first targets, with reservations at the helpers.
 func splitMemory(d *Decision, targets, tokens int) {
