--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -22,7 +22,10 @@
 // of the time to its first token plus that of the other answers that it delays.
 //
 // Requests are never queued in the daemon: each is dispatched or refused at
-// once.
+// once. Package overload decides, where there is too little room, which of them are
+// delayed or refused; costs are weighted by rank. Nothing is refused for lack of room
+// while fewer than half of the slots are taken and no request waits for one, unless the
+// request cannot be served within its time left.
 package placement
 
 import (
@@ -31,7 +34,11 @@
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/inflight"
+<<<<<<< HEAD
 	"carobspoke.example/core/process/refusals"
+=======
+	"carobspoke.example/core/request/overload"
+>>>>>>> overload
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/routing"
 )
@@ -136,15 +143,17 @@
 	Refusal *verdict.Error
 }
 
-// Placer places the requests of one daemon.
+// Placer places the requests of one daemon. It is not safe for concurrent use.
 type Placer struct {
 	settings Settings
 	random   *rand.Rand
+	// services holds what is remembered of the requests for engines.
+	services map[names.Service]*overload.State
 }
 
 // New returns a Placer with the given settings and source of randomness.
 func New(s Settings, random *rand.Rand) *Placer {
-	return &Placer{settings: s, random: random}
+	return &Placer{settings: s, random: random, services: make(map[names.Service]*overload.State)}
 }
 
 // Place selects the targets of a request among the candidates of its service.
@@ -156,20 +165,27 @@
 	if service.Engine == nil || r.PromptTokens == 0 {
 		return p.placeCall(usable)
 	}
-	d := p.placePrompt(r, service.Engine, usable)
+	in := *r
+	in.AnswerTokens = overload.ExpectedAnswer(r.AnswerTokens, r.AnswerHint)
+	a := p.assess(&in, service, usable)
+	d := p.placePrompt(a, usable)
+	switch {
+	case d.Refusal == nil:
+		a.state.Placed(r.Customer, Size(&in), a.now)
+		p.recordPauses(a, &d, usable)
+	case !r.Returned:
+		a.state.Refused(r.Rank, a.now)
+	}
 	d.Priority = adjustPriority(d.Priority, r.Rank)
 	return d
 }
 
-// defaultRank is the rank of callers without a configured priority.
-const defaultRank = 1
-
 // adjustPriority returns the engine priority (0 is the highest) minus one for
 // callers whose rank is below the default, who are more urgent, and plus one for
 // those above it. Among prompts of the same kind the more urgent caller thus goes
 // first.
 func adjustPriority(priority, rank int) int {
-	return min(max(priority+min(max(rank-defaultRank, -1), 1), 0), lowestPriority)
+	return min(max(priority+min(max(rank-overload.DefaultRank, -1), 1), 0), lowestPriority)
 }
 
 // filter drops the targets in r.Exclude, those with an open breaker and, for short
--- a/core/request/placement/placement_test.go
+++ b/core/request/placement/placement_test.go
@@ -245,3 +245,56 @@
 		}
 	}
 }
+
+// A customer over its share is refused first, but only once the slots run out. Guards against refusals
+// for fairness while there is room.
+func TestCustomerOverItsShareIsRefusedFirst(t *testing.T) {
+	load := inflight.Load{Requests: 15, Answers: 15, ReadAt: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	p := placer()
+	place := func(customer names.Customer, load inflight.Load) *verdict.Error {
+		list := idle(4)
+		for i := range list {
+			list[i].Load = load
+		}
+		r := short()
+		r.Customer = customer
+		return p.Place(r, service(), list).Refusal
+	}
+	_ = place("small", load)
+	for range 20 {
+		_ = place("large", inflight.Load{Requests: 7, Answers: 7, ReadAt: load.ReadAt})
+	}
+	if err := place("large", inflight.Load{Requests: 7, Answers: 7, ReadAt: load.ReadAt}); err != nil {
+		t.Errorf("refused with free slots: %v", err)
+	}
+	if err := place("large", load); err == nil {
+		t.Error("the customer over its share is not refused")
+	}
+	if err := place("small", load); err != nil {
+		t.Errorf("the customer within its share is refused: %v", err)
+	}
+}
+
+// A cold target crashes under more than a few requests a second. Guards against prompts that go there
+// while warm targets serve them, and against cold helpers.
+func TestColdTargetsAreUsedLast(t *testing.T) {
+	list := idle(6)
+	list[0].Cold = true
+	if d := placer().Place(short(), service(), list); d.Target != "b" {
+		t.Errorf("light prompt placed at %s", d.Target)
+	}
+	for _, part := range placer().Place(long(210_000), service(), list).Parts {
+		if part.Target == "a" {
+			t.Error("a cold target is a helper")
+		}
+	}
+	for i := range list[1:] {
+		list[i+1].Load = inflight.Load{Requests: 16, Answers: 16, Backlog: 2 * time.Second}
+	}
+	if d := placer().Place(short(), service(), list); d.Target != "a" {
+		t.Errorf("light prompt placed at %s, which is late", d.Target)
+	}
+	if d := placer().Place(long(210_000), service(), list[:1]); d.Target != "a" || len(d.Helpers) > 0 {
+		t.Errorf("long prompt placed at %q with %d helpers", d.Target, len(d.Helpers))
+	}
+}
