--- a/core/process/inflight/inflight.go
+++ b/core/process/inflight/inflight.go
@@ -12,7 +12,6 @@
 package inflight
 
 import (
-	"math"
 	"time"
 
 	"carobspoke.example/core/names"
@@ -43,11 +42,6 @@
 	// Deferred parts have lower priority than all others until their prefill
 	// is done.
 	Deferred bool
-	// Rank is the caller's priority, and LatencyTarget the desired time to the first
-	// event; zero if unknown. Both are set only for the target that decodes the
-	// answer, and only in parts that this daemon has placed.
-	Rank          int
-	LatencyTarget time.Duration
 }
 
 // Dispatch is a unit of work that one daemon has sent.
@@ -77,34 +71,6 @@
 	return len(GapClassBounds) - 1
 }
 
-// RankClasses is the number of ranks that are told apart; the last class holds all others.
-const RankClasses = 4
-
-// RankClass returns the class of a rank.
-func RankClass(rank int) int { return min(max(rank, 0), RankClasses-1) }
-
-// Recent counts recent requests and those of them that were in time, with exponential decay.
-type Recent struct{ All, InTime float64 }
-
-// recentMemory is the time in which a Recent decays to about a third (1/e). Peaks last 3 to 10 s.
-const recentMemory = 3 * time.Second
-
-// DecayFactor returns the factor by which a Recent decays in a time.
-func DecayFactor(elapsed time.Duration) float64 {
-	return math.Exp(-elapsed.Seconds() / recentMemory.Seconds())
-}
-
-// Scale multiplies the counts by a factor.
-func (r *Recent) Scale(factor float64) { r.All, r.InTime = factor*r.All, factor*r.InTime }
-
-// Add adds a request.
-func (r *Recent) Add(inTime bool) {
-	r.All++
-	if inTime {
-		r.InTime++
-	}
-}
-
 // Load is the load of one target.
 type Load struct {
 	// Backlog is the prefill time ahead of a new prompt.
@@ -124,10 +90,6 @@
 	SizeByGapClass [len(GapClassBounds)]int
 	// Tokens is the memory in use or reserved, in tokens.
 	Tokens int
-	// AnswersByClass counts the answers by gap class, see GapClassBounds, and RankClass.
-	AnswersByClass [len(GapClassBounds)][RankClasses]int32
-	// FirstEvents counts the recent first events by RankClass.
-	FirstEvents [RankClasses]Recent
 	// ReadAt is the time for which the load was computed; zero if there is none.
 	ReadAt time.Time
 }
@@ -141,7 +103,6 @@
 type entry struct {
 	dispatch  Dispatch
 	prefilled bool
-	begun     time.Time
 	expires   time.Time
 }
 
@@ -178,7 +139,7 @@
 		}
 		return
 	}
-	t.entries[d.Key] = &entry{dispatch: d, begun: now, expires: expires, prefilled: d.Prefilled}
+	t.entries[d.Key] = &entry{dispatch: d, expires: expires, prefilled: d.Prefilled}
 	for i := range d.Parts {
 		p := &d.Parts[i]
 		s := t.advance(p.Target, now)
@@ -205,7 +166,6 @@
 	if p.Decodes {
 		s.load.Answers += n
 		s.load.SizeByGapClass[gapClass(p.GapTarget)] += n * p.Size
-		s.load.AnswersByClass[gapClass(p.GapTarget)][RankClass(p.Rank)] += int32(n)
 	}
 }
 
@@ -218,10 +178,6 @@
 	}
 	e.prefilled = true
 	t.removePrefill(e, now)
-	if first := &e.dispatch.Parts[0]; first.LatencyTarget > 0 {
-		s := t.advance(first.Target, now)
-		s.load.FirstEvents[RankClass(first.Rank)].Add(now.Sub(e.begun) <= first.LatencyTarget)
-	}
 	return true
 }
 
@@ -294,7 +250,6 @@
 	}
 	if elapsed := now.Sub(s.updatedAt); elapsed > 0 {
 		s.backlog = max(s.backlog-elapsed, 0)
-		s.decayFirstEvents(elapsed)
 		s.updatedAt = now
 	}
 	if s.pendingPrefill > 0 {
@@ -303,17 +258,6 @@
 	return s
 }
 
-// decayFirstEvents applies the decay of a time to the counts of first events.
-func (s *targetState) decayFirstEvents(elapsed time.Duration) {
-	if s.load.FirstEvents == ([RankClasses]Recent{}) {
-		return
-	}
-	factor := DecayFactor(elapsed)
-	for i := range s.load.FirstEvents {
-		s.load.FirstEvents[i].Scale(factor)
-	}
-}
-
 // reportValidity is how long the requests that a target reports beyond those in
 // the table count as load. After a restart or in a partition, the dispatches of
 // other daemons are not in the table.
--- a/core/request/overload/overload.go
+++ b/core/request/overload/overload.go
@@ -1,23 +1,25 @@
-// Package overload decides which requests of a service are delayed or refused when
-// its engines have too little room, so that callers lose least.
+// Package overload decides which requests of a service are delayed or refused when its
+// engines have too little room, so that callers lose least.
 //
 // # Load patterns
 //
 // A peak of short prompts takes all slots. A prompt that waits for a slot is late, and
-// takes the slot that a later prompt would have found free: if all wait, all are late
-// for as long as the peak lasts. Late prompts therefore wait at few engines
-// (Room.MaxLateEngines), and the others are refused. Their Retry-After leaves most of the
-// freed slots to requests that come for the first time (State.RetryAfter).
+// takes the slot that a later prompt would have found free: if all are served in the
+// order of arrival, all are late for as long as the peak lasts. Late prompts therefore
+// wait at few engines (Room.MaxLateEngines), and the others are refused, with a
+// Retry-After that leaves most of the freed slots to new requests (State.RetryAfter).
 //
-// A peak of long prompts pauses the answers of all engines. Costs are weighted by rank
-// (Weight), so that less urgent prompts avoid engines with more urgent answers.
+// A peak of long prompts takes the time of all engines, and pauses their answers. The
+// prefill of a prompt grows with the square of its length, and what its caller gains only
+// with the length: the longest prompts gain least for the time that they take. If the
+// demand exceeds what the engines can prefill, those that gain least are refused first
+// (Demand.Excess). Costs and gains are weighted by rank (Weight).
 //
-// A peak of one kind must not harm more urgent kinds more than itself. While too few
-// urgent requests are in time, less urgent ones that are in time more often are refused
-// (State.AheadOfUrgent).
+// To be refused twice is the worst outcome for a caller. A request that returns is not
+// refused to make room for others.
 //
-// A customer that uses more than its share is refused first, but only when the slots run
-// out (State.OverShare, Room.Scarce).
+// A customer that asks for more than its share is refused first, but only when the
+// slots run out (State.OverShare, Room.Scarce).
 //
 // A State is not safe for concurrent use. Nothing here does I/O or reads a clock.
 package overload
@@ -25,18 +27,15 @@
 import (
 	"math"
 	"time"
-
-	"carobspoke.example/core/process/inflight"
 )
 
 // DefaultRank is the rank of callers without a configured priority; its weight is one.
 const DefaultRank = 1
 
 const (
-	// weightPerRank is the ratio of the weights of two successive ranks. With it a long
-	// prompt, which has ten times the size of a short one, costs as much as one short
-	// prompt if it is two ranks less urgent.
-	weightPerRank = 3.0
+	// weightPerRank is the ratio of the weights of two successive ranks. A long prompt of
+	// rank 2 has ten times the size of a short one and is worth four short ones of rank 0.
+	weightPerRank = 2.0
 	// maxWeightedRank is the rank above which all ranks have the same weight.
 	maxWeightedRank = 4
 )
@@ -70,42 +69,25 @@
 	LateEngines int
 	// SlotTime is the predicted time for which an answer takes a slot.
 	SlotTime time.Duration
-	// Recent counts the recent first events by inflight.RankClass.
-	Recent [inflight.RankClasses]inflight.Recent
 }
 
-// Add adds an engine with the given slots and load.
-func (r *Room) Add(slots int, load *inflight.Load) {
+// Add adds an engine with the given slots and requests, of which deferred are waiting.
+func (r *Room) Add(slots, requests, deferred int) {
 	r.Engines++
 	r.Slots += slots
-	r.Taken += min(load.Answers, slots)
-	r.Waiting += max(load.Answers-slots, 0)
-	if load.Deferred > 0 {
+	r.Taken += min(requests, slots)
+	r.Waiting += max(requests-slots, 0)
+	if deferred > 0 {
 		r.LateEngines++
 	}
-	for i := range load.FirstEvents {
-		r.Recent[i].All += load.FirstEvents[i].All
-		r.Recent[i].InTime += load.FirstEvents[i].InTime
-	}
 }
 
 // Ample reports whether fewer than half of the slots are taken and no request waits for one.
 // Nothing is refused for lack of room then.
 func (r *Room) Ample() bool { return 2*r.Taken < r.Slots && r.Waiting == 0 }
 
-// Mixed reports whether requests of several ranks have had first events recently.
-func (r *Room) Mixed() bool {
-	n := 0
-	for i := range r.Recent {
-		if r.Recent[i].All >= 1 {
-			n++
-		}
-	}
-	return n > 1
-}
-
-// scarceShare is the share of the slots above which the free ones are left to customers within
-// their shares.
+// scarceShare is the share of the slots above which a customer over its share, or a request
+// less urgent than others, leaves the free ones to the rest.
 const scarceShare = 0.9
 
 // Scarce reports whether almost all slots are taken.
--- a/core/request/overload/state.go
+++ b/core/request/overload/state.go
@@ -4,88 +4,20 @@
 	"time"
 
 	"carobspoke.example/core/names"
-	"carobspoke.example/core/process/inflight"
 	"carobspoke.example/core/request/fairness"
 )
 
 // State is what a home remembers of the requests of a service.
 type State struct {
-	usage *fairness.Usage
-	// refused counts the recent refusals, and paused the recent answers that were paused for
-	// too long, of each class of ranks at updatedAt.
-	refused   [inflight.RankClasses]float64
-	paused    [inflight.RankClasses]float64
-	updatedAt time.Time
-	returns   Returns
+	// Demand is the prefill work that requests ask for.
+	Demand  Demand
+	usage   *fairness.Usage
+	returns Returns
 }
 
 // NewState returns the state of a service that has had no requests.
 func NewState() *State { return &State{usage: fairness.New()} }
 
-// Refused records that a request that came for the first time is refused.
-func (s *State) Refused(rank int, now time.Time) {
-	s.decay(now)
-	s.refused[inflight.RankClass(rank)]++
-}
-
-// Paused records that answers are about to be paused for longer than their callers accept.
-func (s *State) Paused(answers *[inflight.RankClasses]int32, now time.Time) {
-	s.decay(now)
-	for i, n := range answers {
-		s.paused[i] += float64(n)
-	}
-}
-
-// decay applies the decay since the last update.
-func (s *State) decay(now time.Time) {
-	elapsed := now.Sub(s.updatedAt)
-	if elapsed <= 0 {
-		return
-	}
-	factor := inflight.DecayFactor(elapsed)
-	for i := range s.refused {
-		s.refused[i] *= factor
-		s.paused[i] *= factor
-	}
-	s.updatedAt = now
-}
-
-const (
-	// minRecent is the number of recent requests of a class from which its share counts.
-	minRecent = 3.0
-	// peakShare is the share in time of more urgent requests below which less urgent ones
-	// must not be in time more often. At usual load 95 in 100 short prompts are in time.
-	peakShare = 0.9
-	// urgentMargin is the share of the urgent requests' share in time up to which less urgent
-	// ones may be in time. The difference allows for late first events that are still to come
-	// and for pauses that are not predicted.
-	urgentMargin = 0.7
-)
-
-// AheadOfUrgent reports whether some more urgent requests than those of a rank are in time less
-// often than these, and too seldom.
-func (s *State) AheadOfUrgent(rank int, room *Room, now time.Time) bool {
-	s.decay(now)
-	class := inflight.RankClass(rank)
-	own := s.recent(class, room)
-	for c := range class {
-		urgent := s.recent(c, room)
-		if urgent.All < minRecent || urgent.InTime >= peakShare*urgent.All {
-			continue
-		}
-		if (own.InTime+1)*urgent.All > urgentMargin*urgent.InTime*(own.All+1) {
-			return true
-		}
-	}
-	return false
-}
-
-// recent returns the recent requests of a class, and those of them that were answered in time.
-func (s *State) recent(class int, room *Room) inflight.Recent {
-	first := &room.Recent[class]
-	return inflight.Recent{All: first.All + s.refused[class], InTime: max(first.InTime-s.paused[class], 0)}
-}
-
 // Placed records work of a customer, in the unit of placement.Size. Requests without a
 // customer are not counted.
 func (s *State) Placed(c names.Customer, size int, now time.Time) {
@@ -108,9 +40,9 @@
 	// returnShare is the share of the freed slots that is promised to refused callers. The
 	// rest is left to requests that come for the first time.
 	returnShare = 0.25
-	// maxReturnShare is the share of the time left within which a refused caller must return,
-	// so that its request can still be served.
-	maxReturnShare = 0.5
+	// maxReturnShare is the share of the time left within which a refused caller returns.
+	// Callers heed a Retry-After of up to a third of the time that they have left.
+	maxReturnShare = 0.3
 )
 
 // RetryAfter returns the delay after which a refused caller should return: not before wait, and
--- a/core/request/placement/arrival.go
+++ b/core/request/placement/arrival.go
@@ -19,33 +19,34 @@
 	now time.Time
 	// weight multiplies the costs of delaying the prompt.
 	weight float64
-	// memory is what the prompt and its answer take at an engine, in tokens.
-	memory int
+	// exceedsRoom is true if the engines cannot prefill the prompt beside those that gain more
+	// for the engines' time.
+	exceedsRoom bool
 }
 
 // assess returns a prompt with the state of its service. It takes time linear in the
 // candidates.
 func (p *Placer) assess(r *Request, service *routing.Service, usable []Candidate) *arrival {
-	a := &arrival{Request: r, engine: service.Engine, state: p.services[service.Name], weight: overload.Weight(r.Rank), memory: r.PromptTokens + r.AnswerTokens}
+	a := &arrival{Request: r, engine: service.Engine, state: p.services[service.Name], weight: overload.Weight(r.Rank)}
 	if a.state == nil {
 		a.state = overload.NewState()
 		p.services[service.Name] = a.state
 	}
 	for i := range usable {
 		load := &usable[i].Load
-		a.room.Add(max(usable[i].Slots, 1), load)
+		a.room.Add(max(usable[i].Slots, 1), load.Answers, load.Deferred)
 		if load.ReadAt.After(a.now) {
 			a.now = load.ReadAt
 		}
 	}
-	a.room.SlotTime = slotTime(a.engine, max(a.engine.Slots, 1))
+	a.room.SlotTime = p.slotTime(a.engine)
 	return a
 }
 
 // slotTime predicts the time for which an answer of the mean length takes a slot of an engine
 // whose slots are all taken.
-func slotTime(e *routing.Engine, slots int) time.Duration {
-	return DecodeTime(e, e.MeanAnswerTokens, slots, e.MeanPromptTokens)
+func (p *Placer) slotTime(e *routing.Engine) time.Duration {
+	return DecodeTime(e, e.MeanAnswerTokens, max(e.Slots, 1), e.MeanPromptTokens)
 }
 
 // weightedSize returns the cost of delaying the prompt.
@@ -53,17 +54,12 @@
 
 // answerPart returns the work at the target that generates the answer.
 func (a *arrival) answerPart(c *Candidate, prefill time.Duration) inflight.Part {
-	part := inflight.Part{
+	return inflight.Part{
 		Target:    c.Target,
 		Prefill:   prefill,
 		Tokens:    a.PromptTokens + a.AnswerTokens,
 		Decodes:   true,
 		Size:      a.weightedSize(),
 		GapTarget: a.GapTarget,
-		Rank:      a.Rank,
 	}
-	if !a.Returned {
-		part.LatencyTarget = a.LatencyTarget
-	}
-	return part
 }
--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -22,10 +22,7 @@
 // of the time to its first token plus that of the other answers that it delays.
 //
 // Requests are never queued in the daemon: each is dispatched or refused at
-// once. Package overload decides, where there is too little room, which of them are
-// delayed or refused; costs are weighted by rank. Nothing is refused for lack of room
-// while fewer than half of the slots are taken and no request waits for one, unless the
-// request cannot be served within its time left.
+// once.
 package placement
 
 import (
@@ -34,11 +31,8 @@
 
 	"carobspoke.example/core/names"
 	"carobspoke.example/core/process/inflight"
-<<<<<<< HEAD
 	"carobspoke.example/core/process/refusals"
-=======
 	"carobspoke.example/core/request/overload"
->>>>>>> overload
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/routing"
 )
@@ -169,12 +163,8 @@
 	in.AnswerTokens = overload.ExpectedAnswer(r.AnswerTokens, r.AnswerHint)
 	a := p.assess(&in, service, usable)
 	d := p.placePrompt(a, usable)
-	switch {
-	case d.Refusal == nil:
+	if d.Refusal == nil {
 		a.state.Placed(r.Customer, Size(&in), a.now)
-		p.recordPauses(a, &d, usable)
-	case !r.Returned:
-		a.state.Refused(r.Rank, a.now)
 	}
 	d.Priority = adjustPriority(d.Priority, r.Rank)
 	return d
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -32,10 +32,9 @@
 	if a.engine.MemoryTokens <= 0 {
 		capacity = math.MaxInt32 // the engine's memory is not published
 	}
+	a.exceedsRoom = p.exceedsRoom(a, prefill)
 	var d Decision
 	switch {
-	case a.yields():
-		d.Refusal = p.refuse(a, a.LatencyTarget)
 	case tokens <= capacity && (prefill < p.settings.HeavyPrefill || !a.engine.ParallelPrefill):
 		d = p.placeLight(a, usable, prefill)
 	default:
@@ -48,7 +47,7 @@
 			d.Refusal = p.overloaded()
 		}
 	case d.FirstEvent > p.maxFirstEvent(a):
-		d.Refusal = p.refuse(a, d.FirstEvent-p.maxFirstEvent(a))
+		d.Refusal = p.overloaded()
 	case a.TimeToShutdown > 0 && time.Duration(p.settings.ShutdownTimeFactor*float64(d.Completion)) > a.TimeToShutdown:
 		d.Refusal = verdict.New(verdict.NotRun, verdict.DaemonDraining, "the daemon stops before the answer would end").WithRetryAfter(p.settings.ShutdownRetryAfter)
 	}
@@ -63,9 +62,6 @@
 	if a.FirstEventTimeout > 0 {
 		timeout = min(timeout, a.FirstEventTimeout)
 	}
-	if a.Returned || a.room.Ample() {
-		return timeout
-	}
 	return time.Duration(p.settings.FirstEventTimeoutShare * float64(timeout))
 }
 
@@ -89,7 +85,8 @@
 		ahead = max(ahead-c.Load.Deferred, slots)
 	}
 	if ahead >= slots {
-		wait += time.Duration(ahead-slots+1) * slotTime(a.engine, slots) / time.Duration(slots)
+		slotTime := DecodeTime(a.engine, a.engine.MeanAnswerTokens, slots, a.engine.MeanPromptTokens)
+		wait += time.Duration(ahead-slots+1) * slotTime / time.Duration(slots)
 	}
 	return wait + p.memoryWait(a, c)
 }
@@ -99,7 +96,7 @@
 	if a.engine.MemoryTokens <= 0 {
 		return 0
 	}
-	excess := c.Load.Tokens + a.memory - int(p.settings.MemoryShare*float64(a.engine.MemoryTokens))
+	excess := c.Load.Tokens + a.PromptTokens + a.AnswerTokens - int(p.settings.MemoryShare*float64(a.engine.MemoryTokens))
 	if excess <= 0 {
 		return 0
 	}
@@ -135,42 +132,76 @@
 }
 
 // placeLight selects the first target in order that is fast enough, or else the
-// fastest, and a cold one only if no warm one meets the latency target. A prompt that would be late at every target is deferred: prompts that
+// fastest. A prompt that would be late at every target is deferred: prompts that
 // can still meet their latency target go first, so that during overload most
 // are in time instead of all late.
 func (p *Placer) placeLight(a *arrival, usable []Candidate, prefill time.Duration) Decision {
 	slices.SortStableFunc(usable, func(a, b Candidate) int { return cmp.Compare(a.Order, b.Order) })
 	acceptable := time.Duration(p.settings.PackingShare * float64(a.LatencyTarget))
-	candidates := usable
-	if warm := withoutCold(usable); len(warm) > 0 && len(warm) < len(usable) {
-		if _, first := p.firstFast(a, warm, prefill, acceptable); first <= a.LatencyTarget {
-			candidates = warm
+	best, bestTime := 0, time.Duration(0)
+	for i := range usable {
+		first := p.firstEvent(a, &usable[i], prefill)
+		if first <= acceptable {
+			best, bestTime = i, first
+			break
+		}
+		if i == 0 || first < bestTime {
+			best, bestTime = i, first
 		}
-	}
-	best, bestTime := p.firstFast(a, candidates, prefill, acceptable)
-	if bestTime > acceptable && a.room.Ample() && a.room.Mixed() {
-		best, bestTime = p.firstInTime(a, candidates, prefill, best, bestTime)
 	}
 	if bestTime > a.LatencyTarget {
 		return p.placeLate(a, usable, prefill)
 	}
-	return p.useOne(a, &candidates[best], prefill, bestTime, lightPriority)
+	return p.useOne(a, &usable[best], prefill, bestTime, lightPriority)
+}
+
+// placeLate places or refuses a light prompt that would be late at every target. While slots are
+// free it is deferred anywhere. If almost none is, a deferred prompt takes a slot that a
+// later one would have found free, so that deferred prompts are kept to few targets.
+func (p *Placer) placeLate(a *arrival, usable []Candidate, prefill time.Duration) Decision {
+	anywhere, target := p.deferLight(a, usable, prefill)
+	if a.AnswerStarted || p.isOpen(a, target) {
+		return anywhere
+	}
+	maxLate := a.room.MaxLateEngines(a.Returned)
+	list := slices.DeleteFunc(usable, func(c Candidate) bool {
+		late := p.queueWait(a, &c, true)+p.slotToFirstEvent(a, &c, prefill) > p.maxFirstEvent(a)
+		return late || a.room.LateEngines > maxLate || a.room.LateEngines == maxLate && c.Load.Deferred == 0
+	})
+	if len(list) == 0 {
+		return Decision{Refusal: p.refuse(a, p.settings.OverloadRetryMin)}
+	}
+	slices.SortStableFunc(list, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(b.Load.Deferred, a.Load.Deferred), cmp.Compare(b.Order, a.Order))
+	})
+	d, _ := p.deferLight(a, list[:1], prefill)
+	return d
+}
+
+// isOpen reports whether a prompt need not wait for a slot or memory at a candidate.
+func (p *Placer) isOpen(a *arrival, c *Candidate) bool {
+	return c.Load.Answers < max(c.Slots, 1) && p.memoryWait(a, c) == 0
+}
+
+// refuse returns the refusal of a prompt for which there is predicted to be no room before wait.
+func (p *Placer) refuse(a *arrival, wait time.Duration) *verdict.Error {
+	delay := a.state.RetryAfter(&a.room, wait, a.TimeLeft, p.random.Float64(), a.now)
+	return verdict.New(verdict.NotRun, verdict.Overloaded, "no target can serve the request in time").WithRetryAfter(delay)
 }
 
-// firstFast returns the first target in order with a predicted first event within acceptable, or else
-// the fastest, and that prediction.
-func (p *Placer) firstFast(a *arrival, usable []Candidate, prefill, acceptable time.Duration) (int, time.Duration) {
+// deferLight selects the target with the earliest predicted first event when
+// the prompt waits for all requests that are already there.
+func (p *Placer) deferLight(a *arrival, usable []Candidate, prefill time.Duration) (Decision, *Candidate) {
 	best, bestTime := 0, time.Duration(0)
 	for i := range usable {
-		first := p.firstEvent(a, &usable[i], prefill)
-		if first <= acceptable {
-			return i, first
-		}
+		first := p.queueWait(a, &usable[i], true) + p.slotToFirstEvent(a, &usable[i], prefill)
 		if i == 0 || first < bestTime {
 			best, bestTime = i, first
 		}
 	}
-	return best, bestTime
+	d := p.useOne(a, &usable[best], prefill, bestTime, deferredLightPriority)
+	d.Parts[0].Deferred = true
+	return d, &usable[best]
 }
 
 // useOne places a prompt at one target, without helpers.
@@ -194,8 +225,6 @@
 	// delayedSize is the size of the answers at the target that the part would
 	// pause for longer than their callers accept.
 	delayedSize int
-	// cost is that of the wait and the delayed answers.
-	cost float64
 }
 
 // rate returns the candidates for a part of a prompt that takes partPrefill,
@@ -204,18 +233,20 @@
 	list := make([]ratedCandidate, 0, len(usable))
 	for i := range usable {
 		c := &usable[i]
-		pause := c.Load.Backlog + partPrefill + PassTime(a.engine, c.Load.Answers, a.engine.MeanPromptTokens)
+		pause := partPrefill + PassTime(a.engine, c.Load.Answers, a.engine.MeanPromptTokens)
 		item := ratedCandidate{candidate: c, wait: p.queueWait(a, c, false) + c.Load.Backlog}
 		for class, bound := range inflight.GapClassBounds {
 			if pause > bound-p.settings.PauseMargin {
 				item.delayedSize += c.Load.SizeByGapClass[class]
 			}
 		}
-		item.cost = a.weight*item.wait.Seconds()*p.settings.WaitCostPerSecond + float64(item.delayedSize)
 		list = append(list, item)
 	}
+	cost := func(x *ratedCandidate) float64 {
+		return a.weight*x.wait.Seconds()*p.settings.WaitCostPerSecond + float64(x.delayedSize)
+	}
 	slices.SortStableFunc(list, func(a, b ratedCandidate) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.candidate.Order, a.candidate.Order))
+		return cmp.Or(cmp.Compare(cost(&a), cost(&b)), cmp.Compare(b.candidate.Order, a.candidate.Order))
 	})
 	return list
 }
@@ -227,12 +258,12 @@
 // prompt that exceeds the memory of one engine gets at least as many targets as
 // are needed to hold it together.
 //
-// A target that has named a limit, or is cold, is no helper, since orders to reserve and renew
-// memory there would count. It prefills a prompt alone if there is no other target.
+// A target that has named a limit is no helper, since orders to reserve and renew memory
+// there would count. It prefills a prompt alone if there is no other target.
 func (p *Placer) placeHeavy(a *arrival, usable []Candidate, prefill time.Duration, capacity int) Decision {
 	minTargets := (a.PromptTokens + a.AnswerTokens + capacity - 1) / capacity
 	maxTargets := min(len(usable), p.settings.MaxHelpers+1)
-	if unlimited := withoutLimited(withoutCold(usable)); len(unlimited) > 0 {
+	if unlimited := withoutLimited(usable); len(unlimited) > 0 {
 		usable, maxTargets = unlimited, min(maxTargets, len(unlimited))
 	} else {
 		maxTargets = min(maxTargets, 1)
@@ -240,53 +271,41 @@
 	if minTargets > maxTargets {
 		return Decision{Refusal: p.overloaded()}
 	}
-	best := p.cheapestSplit(a, usable, prefill, minTargets, maxTargets)
-	if minTargets > 1 && best.FirstEvent > p.maxFirstEvent(a) {
-		// Wait only for the memory of a part at each target, instead of a refusal.
-		a.memory /= minTargets
-		best = p.cheapestSplit(a, usable, prefill, minTargets, maxTargets)
-	}
-	if excess := best.FirstEvent - a.aim(); excess > 0 && p.shedsLate(a, len(usable), prefill) {
-		return Decision{Refusal: p.refuse(a, excess)}
+	if a.exceedsRoom {
+		if a.mayShed() {
+			return Decision{Refusal: p.refuse(a, shedRetryAfter)}
+		}
+		maxTargets = minTargets // so that it delays few other answers
 	}
-	splitMemory(&best, minTargets, a.PromptTokens+a.AnswerTokens)
-	return best
-}
-
-// cheapestSplit returns the placement of a prompt at minTargets to maxTargets targets that has the
-// lowest cost.
-func (p *Placer) cheapestSplit(a *arrival, usable []Candidate, prefill time.Duration, minTargets, maxTargets int) Decision {
 	var best Decision
 	bestCost := math.Inf(1)
 	for n := minTargets; n <= maxTargets; n++ {
 		partPrefill := prefill / time.Duration(n)
-		list := p.rate(a, usable, partPrefill)
-		if a.memory < a.PromptTokens {
-			p.freeMemoryFirst(a, list)
-		}
-		list = list[:n]
+		list := p.rate(a, usable, partPrefill)[:n]
 		d := p.useSeveral(a, list, partPrefill, heavyPromptPriority(prefill))
 		if cost := p.splitCost(a, d.FirstEvent, list); cost < bestCost {
 			bestCost, best = cost, d
 		}
 	}
+	splitMemory(&best, minTargets, a.PromptTokens+a.AnswerTokens)
+	if excess := best.FirstEvent - a.LatencyTarget; excess > 0 && p.shedsLate(a, len(usable), prefill) {
+		return Decision{Refusal: p.refuse(a, max(excess, p.settings.OverloadRetryMin))}
+	}
 	return best
 }
 
+// shedsLate reports whether a heavy prompt that would be late is refused: it comes for the
+// first time, and would be in time if the targets were free.
+func (p *Placer) shedsLate(a *arrival, targets int, prefill time.Duration) bool {
+	idle := prefill / time.Duration(min(targets, p.settings.MaxHelpers+1))
+	return a.mayShed() && idle < a.LatencyTarget
+}
+
 // withoutLimited returns the candidates that have named no limit.
 func withoutLimited(list []Candidate) []Candidate {
 	return slices.DeleteFunc(slices.Clone(list), func(c Candidate) bool { return c.Limited })
 }
 
-// withoutCold returns the candidates that are warm. It returns the list itself if all are.
-func withoutCold(list []Candidate) []Candidate {
-	isCold := func(c Candidate) bool { return c.Cold }
-	if !slices.ContainsFunc(list, isCold) {
-		return list
-	}
-	return slices.DeleteFunc(slices.Clone(list), isCold)
-}
-
 // splitMemory divides the memory of a prompt that does not fit into one engine
 // evenly among the first targets, with reservations at the helpers.
 func splitMemory(d *Decision, targets, tokens int) {
--- /dev/null
+++ b/core/request/placement/shed.go
@@ -0,0 +1,25 @@
+package placement
+
+import "time"
+
+const (
+	// prefillShare is the share of the engines' time that prefills can take: in the rest they
+	// generate answers.
+	prefillShare = 0.45
+	// shedRetryAfter is the earliest time at which a prompt returns that was refused because the
+	// demand exceeds the room. Peaks last for several seconds.
+	shedRetryAfter = 4 * time.Second
+)
+
+// mayShed reports whether the prompt may be refused although it can still be answered: it comes
+// for the first time, and there is not ample room.
+func (a *arrival) mayShed() bool { return !a.Returned && !a.AnswerStarted && !a.room.Ample() }
+
+// exceedsRoom records the demand of a prompt, and reports whether it exceeds what the engines can
+// prefill beside the prompts that gain more for the engines' time.
+func (p *Placer) exceedsRoom(a *arrival, prefill time.Duration) bool {
+	gain, work := a.weight*float64(Size(a.Request)), prefill.Seconds()
+	a.state.Demand.Add(gain, work, a.now)
+	excess := a.state.Demand.Excess(gain, work, prefillShare*float64(a.room.Engines))
+	return excess > 0 && !a.room.Ample() && excess > p.random.Float64()
+}
