--- a/serving/process/edge/metrics.go
+++ b/serving/process/edge/metrics.go
@@ -46,9 +46,6 @@
 	m.predictionErrors = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: prefix + "first_event_error_ratio", Help: "Time to the first event divided by its prediction, by class.", Buckets: errorBuckets,
 	}, []string{"class"})
-<<<<<<< HEAD
-	m.registry.MustRegister(m.stages, m.predictionErrors, stateCollector{d}, coldCollector{d}, registryCollector{m.counters.Registry()})
-=======
 	m.firstEvents = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: prefix + "first_event_seconds", Help: "Time from the send to the first event, predicted and actual, by priority.", Buckets: stageBuckets,
 	}, []string{"priority", "value"})
@@ -56,7 +53,6 @@
 		Name: prefix + "priority_refused", Help: "Requests that were refused and did not run, by priority and reason.",
 	}, []string{"priority", "reason"})
 	m.registry.MustRegister(m.stages, m.predictionErrors, m.firstEvents, m.refusals, stateCollector{d}, coldCollector{d}, registryCollector{m.counters.Registry()})
->>>>>>> overload
 	return m
 }
 
