placement: refuse late prompts once, and those that gain least for the engines' time

At a peak all prompts were late: each that waited took the slot that a later one would have found free, and the longest prompts, whose prefill grows with the square of their length, took the engines' time from all others.

Late prompts wait at few engines, and others are refused once, with a Retry-After that spreads their return; requests that return are recognised and not refused to make room. If the demand for prefills exceeds 0.6 of the engines, prompts that gain least for the time go first.

--- a/core/request/overload/state.go
+++ b/core/request/overload/state.go
@@ -40,9 +40,9 @@
 	// returnShare is the share of the freed slots that is promised to refused callers. The
 	// rest is left to requests that come for the first time.
 	returnShare = 0.25
-	// maxReturnShare is the share of the time left within which a refused caller returns.
-	// Callers heed a Retry-After of up to a third of the time that they have left.
-	maxReturnShare = 0.3
+	// maxReturnShare is the share of the time left within which a refused caller must return,
+	// so that its request can still be served.
+	maxReturnShare = 0.5
 )
 
 // RetryAfter returns the delay after which a refused caller should return: not before wait, and
--- a/core/request/placement/shed.go
+++ b/core/request/placement/shed.go
@@ -5,10 +5,10 @@
 const (
 	// prefillShare is the share of the engines' time that prefills can take: in the rest they
 	// generate answers.
-	prefillShare = 0.45
+	prefillShare = 0.6
 	// shedRetryAfter is the earliest time at which a prompt returns that was refused because the
-	// demand exceeds the room. Peaks last for several seconds.
-	shedRetryAfter = 4 * time.Second
+	// demand exceeds the room: a later one leaves it too little of its caller's patience.
+	shedRetryAfter = 2500 * time.Millisecond
 )
 
 // mayShed reports whether the prompt may be refused although it can still be answered: it comes
