--- a/tools/slopes/slopes.go
+++ b/tools/slopes/slopes.go
@@ -1,5 +1,5 @@
 // Package slopes measures how the costs of each control mechanism scale with the
-// size of the fleet, and prints the tables of docs/CAPACITY.md.
+// size of the fleet, and prints the tables of docs/SLOPES.md.
 //
 // It runs the mechanisms' pure code in one process and in virtual time, without
 // sockets, sealing or other processes. Byte counts are those that the code itself
@@ -50,7 +50,7 @@
 // PartitionTime.
 const LargeFleet = 200
 
-// FullOptions returns the options of the tables in docs/CAPACITY.md.
+// FullOptions returns the options of the tables in docs/SLOPES.md.
 func FullOptions() Options {
 	return Options{
 		Sizes:              []int{9, 50, 200, 400, 830},
