--- a/core/request/placement/placement_test.go
+++ b/core/request/placement/placement_test.go
@@ -245,3 +245,32 @@
 		}
 	}
 }
+
+// A customer over its share is refused first, but only once the slots run out. Guards against refusals
+// for fairness while there is room.
+func TestCustomerOverItsShareIsRefusedFirst(t *testing.T) {
+	load := inflight.Load{Requests: 15, Answers: 15, ReadAt: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	p := placer()
+	place := func(customer names.Customer, load inflight.Load) *verdict.Error {
+		list := idle(4)
+		for i := range list {
+			list[i].Load = load
+		}
+		r := short()
+		r.Customer = customer
+		return p.Place(r, service(), list).Refusal
+	}
+	_ = place("small", load)
+	for range 20 {
+		_ = place("large", inflight.Load{Requests: 7, Answers: 7, ReadAt: load.ReadAt})
+	}
+	if err := place("large", inflight.Load{Requests: 7, Answers: 7, ReadAt: load.ReadAt}); err != nil {
+		t.Errorf("refused with free slots: %v", err)
+	}
+	if err := place("large", load); err == nil {
+		t.Error("the customer over its share is not refused")
+	}
+	if err := place("small", load); err != nil {
+		t.Errorf("the customer within its share is refused: %v", err)
+	}
+}
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -35,6 +35,8 @@
 	a.exceedsRoom = p.exceedsRoom(a, prefill)
 	var d Decision
 	switch {
+	case a.isOverShare():
+		d.Refusal = p.refuse(a, 0)
 	case tokens <= capacity && (prefill < p.settings.HeavyPrefill || !a.engine.ParallelPrefill):
 		d = p.placeLight(a, usable, prefill)
 	default:
--- a/core/request/placement/shed.go
+++ b/core/request/placement/shed.go
@@ -15,6 +15,12 @@
 // for the first time, and there is not ample room.
 func (a *arrival) mayShed() bool { return !a.Returned && !a.AnswerStarted && !a.room.Ample() }
 
+// isOverShare reports whether the prompt is refused because its customer uses more than its share
+// while almost all slots are taken.
+func (a *arrival) isOverShare() bool {
+	return a.mayShed() && a.room.Scarce() && a.state.OverShare(a.Customer, a.now)
+}
+
 // exceedsRoom records the demand of a prompt, and reports whether it exceeds what the engines can
 // prefill beside the prompts that gain more for the engines' time.
 func (p *Placer) exceedsRoom(a *arrival, prefill time.Duration) bool {
