Follow the homes of all groups whose targets may be cold

A daemon followed the homes of a group only for a minute after a request of its own. One without callers that became the first home had no history of the group, took itself for its only home and used the whole rate beside the home that it had replaced: 54 requests in a second in the new test, where 44 are allowed. Each daemon now follows the groups of all services with a rate for cold targets.

--- a/core/version/routing/table.go
+++ b/core/version/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -90,6 +91,9 @@
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name names.Service) *Service { return t.services[name] }
 
+// ServiceNames returns the names of all services, in no order.
+func (t *Table) ServiceNames() []names.Service { return slices.Collect(maps.Keys(t.services)) }
+
 // CustomerByKey returns the customer that has an API key, or nil.
 func (t *Table) CustomerByKey(key string) *Customer { return t.byKey[key] }
 
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -176,6 +176,7 @@
 		Placer:    placement.New(placement.Default(), random()),
 		Random:    random(),
 		Service:   d.serviceNamed,
+		Services:  d.serviceNames,
 		Targets:   d.targetsOf,
 		Listed:    d.listedTarget,
 		StopReuse: d.targetPool.CloseIdle,
--- a/serving/process/edge/view.go
+++ b/serving/process/edge/view.go
@@ -160,6 +160,15 @@
 	return view.Table.Service(name)
 }
 
+// serviceNames returns the names of the services in the configuration in force.
+func (d *Daemon) serviceNames() []names.Service {
+	view := d.follower.View()
+	if view == nil {
+		return nil
+	}
+	return view.Table.ServiceNames()
+}
+
 // targetsOf returns the usable targets of a service.
 func (d *Daemon) targetsOf(service names.Service) []replicas.Target {
 	view := d.follower.View()
--- a/serving/process/targetstate/cold.go
+++ b/serving/process/targetstate/cold.go
@@ -24,8 +24,14 @@
 	// wholeSweepInterval is the interval at which all targets are looked at, and not only
 	// cold ones: those that get no requests may have become cold.
 	wholeSweepInterval = 2 * time.Second
-	// dutyRetention is how long the homes of a group that gets no requests are followed.
+	// dutyRetention is how long the homes of a group that gets no requests are followed as
+	// closely as those of the others.
 	dutyRetention = time.Minute
+	// idleDutyInterval is the interval at which the homes of the other groups are looked up,
+	// and maxIdleLookUps bounds these look-ups in a sweep. With hundreds of members they take
+	// some 0.2% of a core.
+	idleDutyInterval = 2 * time.Second
+	maxIdleLookUps   = 50
 	// settleTime is how long after its start a daemon does not follow changes of homes,
 	// since it asks its seeds until homes.JoinTime.
 	settleTime = homes.JoinTime + RefreshInterval
@@ -59,6 +65,8 @@
 type followedDuty struct {
 	warmup.Duty
 	observedAt, usedAt time.Time
+	// listedAt is when the group was last one of a known service.
+	listedAt time.Time
 }
 
 // cold returns the state of cold targets; nil if no service has had any. The caller must hold
@@ -379,17 +387,11 @@
 // sweepCold observes the targets and the homes, and drops the warm-up state that has ended.
 // The caller must hold b.mu.
 func (b *Board) sweepCold(now time.Time) {
-	s := b.cold()
+	s := b.followAll(now)
 	if s == nil {
 		return
 	}
-	for g, d := range s.duties {
-		if now.Sub(d.usedAt) > dutyRetention {
-			delete(s.duties, g)
-			continue
-		}
-		b.observeDuty(d, g, now)
-	}
+	b.observeDuties(s, now)
 	for name, f := range s.services {
 		s.observeList(f, b.config.Targets(name), true, now)
 	}
@@ -408,6 +410,46 @@
 	}
 }
 
+// followAll follows the groups of all services whose targets may be cold, since this daemon may
+// become a home of any of them. Only one that knows the homes before can tell that it replaces
+// another. followAll returns nil if no service has had cold targets. The caller must hold b.mu.
+func (b *Board) followAll(now time.Time) *coldState {
+	for _, name := range b.config.Services() {
+		s, _ := b.follow(name, now)
+		if s == nil {
+			continue
+		}
+		groups := homes.Groups(len(b.config.Targets(name)))
+		for i := range groups {
+			g := homes.Group{Service: name, Index: i, Groups: groups}
+			d, ok := s.duties[g]
+			if !ok {
+				d = &followedDuty{}
+				s.duties[g] = d
+			}
+			d.listedAt = now
+		}
+	}
+	return b.cold()
+}
+
+// observeDuties looks up the homes of the groups that are followed, and drops groups that are
+// neither used nor listed any more. The caller must hold b.mu.
+func (b *Board) observeDuties(s *coldState, now time.Time) {
+	idle := 0
+	for g, d := range s.duties { // in random order, so that each idle group has its turn
+		switch used := now.Sub(d.usedAt) <= dutyRetention; {
+		case used:
+			b.observeDuty(d, g, now)
+		case d.listedAt.Before(now):
+			delete(s.duties, g)
+		case idle < maxIdleLookUps && now.Sub(d.observedAt) >= idleDutyInterval:
+			idle++
+			b.observeDuty(d, g, now)
+		}
+	}
+}
+
 // sweepAllTargets looks at all targets of services with cold targets. The caller must hold
 // b.mu.
 func (b *Board) sweepAllTargets(s *coldState, now time.Time) {
--- a/serving/process/targetstate/cold_test.go
+++ b/serving/process/targetstate/cold_test.go
@@ -107,6 +107,63 @@
 	})
 }
 
+// For half of the daemons two others become the homes, which have no callers and have not been
+// asked before. Guards against a home that uses the whole rate beside the one it has replaced,
+// since it does not know that there was another one.
+func TestColdBoundHoldsWithHomesThatHaveNoCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newColdFleet(t, 40, 1, 1, time.Hour)
+		f.callers = 38
+		f.seen = make(map[names.Host]homes.Homes)
+		f.after(10*time.Second, func() {
+			next := []names.Host{host(38), host(39)}
+			for i := 20; i < 40; i++ {
+				f.seen[host(i)] = homes.Homes{Deciders: next, Listeners: next}
+			}
+		})
+		f.run(200, 16*time.Second)
+		f.checkCold(1, time.Now().Add(-16*time.Second), false)
+	})
+}
+
+// A daemon without callers sees many groups whose targets may be cold. Guards against look-ups
+// of homes that take more of its processor time the more services there are.
+func TestLookUpsOfHomesWithoutCallersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newColdFleet(t, 1, 1, 0, 0)
+		board := f.boards[host(0)]
+		var services []names.Service
+		for i := range 10 * maxIdleLookUps {
+			services = append(services, names.Service(fmt.Sprint("s-", i)))
+		}
+		lookUps, seen := 0, make(map[names.Service]bool)
+		lookUp := board.config.Homes
+		board.config.Homes = func(g homes.Group) homes.Homes {
+			lookUps++
+			seen[g.Service] = true
+			return lookUp(g)
+		}
+		board.config.Services = func() []names.Service { return services }
+		board.config.Service = func(names.Service) *routing.Service { return &coldService }
+		for range 100 {
+			lookUps = 0
+			f.sweep()
+			if lookUps > maxIdleLookUps {
+				t.Fatalf("%d look-ups in a sweep, %d are allowed", lookUps, maxIdleLookUps)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		if len(seen) < len(services) {
+			t.Errorf("the homes of %d of %d services were looked up", len(seen), len(services))
+		}
+		services = nil
+		f.sweep()
+		if left := len(board.coldTargets.duties); left > 0 {
+			t.Errorf("%d groups of services that are gone are followed", left)
+		}
+	})
+}
+
 // A target is cold beside warm ones. Guards against calls that a cold target answers while
 // warm ones are free, and against one that stays unused while they are not. Warm targets have
 // slots for some 80 calls a second here.
--- a/serving/process/targetstate/limit_test.go
+++ b/serving/process/targetstate/limit_test.go
@@ -58,9 +58,11 @@
 	// arrivals from daemons that were told toldTime before are counted, as in the users' rule.
 	told     map[toldOf]time.Time
 	toldOnly bool
-	refused  []time.Duration
-	served   int
-	queue    eventQueue
+	// callers is the number of daemons that have callers, the first ones; zero for all.
+	callers int
+	refused []time.Duration
+	served  int
+	queue   eventQueue
 }
 
 // toldOf is a daemon that was told of the limit of a target.
@@ -87,9 +89,13 @@
 // run sends calls from random daemons at a rate per second, and sweeps all boards.
 func (f *limitedFleet) run(perSecond float64, d time.Duration) {
 	end := time.Now().Add(d)
+	callers := f.callers
+	if callers == 0 {
+		callers = len(f.boards)
+	}
 	var arrive, sweep func()
 	arrive = func() {
-		f.call(host(f.random.IntN(len(f.boards))))
+		f.call(host(f.random.IntN(callers)))
 		f.after(time.Duration(f.random.ExpFloat64()/perSecond*float64(time.Second)), arrive)
 	}
 	sweep = func() {
--- a/serving/process/targetstate/targetstate.go
+++ b/serving/process/targetstate/targetstate.go
@@ -52,6 +52,9 @@
 	Random *rand.Rand
 	// Service returns the parameters of a service, or nil if it is unknown.
 	Service func(names.Service) *routing.Service
+	// Services returns the names of the known services. It is called with the lock of the
+	// board held.
+	Services func() []names.Service
 	// Targets returns the usable targets of a service, sorted by ID.
 	Targets func(names.Service) []replicas.Target
 	// Listed returns the usable target with an ID, and whether there is one. It is
@@ -125,8 +128,11 @@
 }
 
 // New returns a board with no dispatches. Evacuated, TakenBack and RegionOf may be nil where no
-// data centre is evacuated and none has a region.
+// data centre is evacuated and none has a region, and Services where no targets are cold.
 func New(c Config) *Board {
+	if c.Services == nil {
+		c.Services = func() []names.Service { return nil }
+	}
 	if c.Evacuated == nil {
 		c.Evacuated = func(names.DataCentre) bool { return false }
 	}
--- a/serving/process/targetstate/targetstate_test.go
+++ b/serving/process/targetstate/targetstate_test.go
@@ -156,7 +156,8 @@
 				}
 				return c.service
 			},
-			Targets: func(names.Service) []replicas.Target { return c.lists[self] },
+			Services: func() []names.Service { return []names.Service{service.Name} },
+			Targets:  func(names.Service) []replicas.Target { return c.lists[self] },
 			Listed: func(id names.Target) (replicas.Target, bool) {
 				at, ok := find(c.lists[self], id)
 				if !ok {
