Don't probe a removed target of an evacuated data centre

The data centre of a target that left the list while a request ran there was not known to the check of probes, so that probes reached it. Probes now name their dispatch, as reservations do, which holds the data centres.

--- a/serving/process/targetstate/eligibility.go
+++ b/serving/process/targetstate/eligibility.go
@@ -286,18 +286,26 @@
 func (b *Board) mayReserve(ctx context.Context, id names.Target) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var own *ownDispatch
-	if key, ok := relay.DispatchOf(ctx); ok {
-		own = b.own[key.Number]
-	}
+	own := b.ownOf(ctx)
 	return own != nil && own.sent || !b.evacuatedTarget(id, own)
 }
 
-// inEvacuated reports whether a listed target is in an evacuated data centre.
-func (b *Board) inEvacuated(id names.Target) bool {
+// inEvacuated reports whether a target is in an evacuated data centre, as listed or as it was
+// when the dispatch that a context names was placed there.
+func (b *Board) inEvacuated(ctx context.Context, id names.Target) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.evacuatedTarget(id, nil)
+	return b.evacuatedTarget(id, b.ownOf(ctx))
+}
+
+// ownOf returns the dispatch of this daemon that the context of an order or a probe names; nil
+// if it names none that runs. The caller must hold b.mu.
+func (b *Board) ownOf(ctx context.Context) *ownDispatch {
+	key, ok := relay.DispatchOf(ctx)
+	if !ok {
+		return nil
+	}
+	return b.own[key.Number]
 }
 
 // logRejected logs that a home has named targets that this daemon does not use because of their
--- a/serving/process/targetstate/eligibility_test.go
+++ b/serving/process/targetstate/eligibility_test.go
@@ -257,6 +257,29 @@
 	}
 }
 
+// A target of an evacuated data centre is removed from the list while a request runs there.
+// Guards against probes that reach it since its data centre is not known any more.
+func TestRemovedTargetInEvacuatedDataCentreIsNotProbed(t *testing.T) {
+	c := newPlaces(2, 3)
+	board, client := c.boards[host(0)], countingClient{sent: make(map[string]int)}
+	p, err := board.Place(t.Context(), call(), &service)
+	if err != nil || board.MaySend(p) != nil {
+		t.Fatal("not sent", err)
+	}
+	id := p.Decision.Target
+	at, _ := find(c.lists[host(0)], id)
+	dc := c.lists[host(0)][at].DataCentre
+	c.lists[host(0)] = slices.Delete(slices.Clone(c.lists[host(0)]), at, at+1)
+	orders, ctx := NewOrders(board, client), relay.WithDispatch(t.Context(), p.Key)
+	if err := orders.Probe(ctx, "x", id); err != nil || client.sent["probe"] != 1 {
+		t.Fatalf("probe without an evacuation: %v, sent %v", err, client.sent)
+	}
+	c.evacuate(dc, host(0))
+	if err := orders.Probe(ctx, "x", id); err != nil || client.sent["probe"] != 1 {
+		t.Errorf("probe of an evacuated target: %v, sent %v", err, client.sent)
+	}
+}
+
 // within is a call that may reach some regions.
 func within(regions ...names.Region) *placement.Request {
 	r := call()
--- a/serving/process/targetstate/orders.go
+++ b/serving/process/targetstate/orders.go
@@ -55,7 +55,7 @@
 // target counts as alive: it has refused a request a short time ago, and its connections
 // still show if it dies. The same holds while its data centre is evacuated.
 func (o *Orders) Probe(ctx context.Context, address string, id names.Target) error {
-	if o.board.wantsNothing(id) || o.board.inEvacuated(id) {
+	if o.board.wantsNothing(id) || o.board.inEvacuated(ctx, id) {
 		o.board.config.Count(countWithheld)
 		return nil
 	}
--- a/serving/request/relay/place.go
+++ b/serving/request/relay/place.go
@@ -131,13 +131,13 @@
 
 type dispatchContext struct{}
 
-// WithDispatch returns a context for the reservations of a dispatch.
+// WithDispatch returns a context for the reservations and probes of a dispatch.
 func WithDispatch(ctx context.Context, k inflight.Key) context.Context {
 	return context.WithValue(ctx, dispatchContext{}, k)
 }
 
-// DispatchOf returns the dispatch that an order is sent for, and whether the context of the
-// order names one.
+// DispatchOf returns the dispatch that an order or a probe is sent for, and whether its context
+// names one.
 func DispatchOf(ctx context.Context) (inflight.Key, bool) {
 	k, ok := ctx.Value(dispatchContext{}).(inflight.Key)
 	return k, ok
--- a/serving/request/relay/probe.go
+++ b/serving/request/relay/probe.go
@@ -48,7 +48,7 @@
 			return
 		case <-ticker.C:
 		}
-		ctx, cancel := context.WithTimeout(a.ctx, probeTimeout)
+		ctx, cancel := context.WithTimeout(WithDispatch(a.ctx, a.placed.Key), probeTimeout)
 		err := a.relay.Prober.Probe(ctx, a.placed.Address, a.placed.Decision.Target)
 		cancel()
 		if err == nil {
--- a/serving/request/relay/probe_test.go
+++ b/serving/request/relay/probe_test.go
@@ -11,10 +11,13 @@
 	"go.uber.org/zap"
 )
 
-// failingProber answers probes until failsAt.
+// failingProber answers probes until failsAt. It answers none that names no dispatch.
 type failingProber struct{ failsAt time.Time }
 
 func (m failingProber) Probe(ctx context.Context, _ string, _ names.Target) error {
+	if _, ok := DispatchOf(ctx); !ok {
+		return errors.New("the probe names no dispatch")
+	}
 	if time.Now().Before(m.failsAt) {
 		return nil
 	}
