Begin no request in an evacuated data centre through an open tunnel

A daemon checked evacuations for a peer when it opened a connection, and not when the peer's request arrived on it. A peer that was paused or cut off in between wrote its request to the target through a daemon that knew of the evacuation.

--- a/serving/connection/tunnel/server.go
+++ b/serving/connection/tunnel/server.go
@@ -43,6 +43,9 @@
 	// Admit returns STATUS_OPEN if a peer's request may be sent to a target at an
 	// address now, and otherwise why not.
 	Admit(id names.Target, address string) peerpb.TunnelDown_Status
+	// Evacuated reports whether the data centre of a target is evacuated, so that no request
+	// may begin there.
+	Evacuated(id names.Target) bool
 	// ReachesTargets reports whether the daemon reaches targets, other than the given
 	// one.
 	ReachesTargets(ctx context.Context, other names.Target) bool
@@ -97,7 +100,7 @@
 	}
 	stop := context.AfterFunc(stream.Context(), func() { _ = conn.Close() }) // unblocks the copies
 	defer stop()
-	go copyUp(stream, conn)
+	go s.copyUp(stream, conn, id)
 	return s.copyDown(stream, conn, id)
 }
 
@@ -113,12 +116,14 @@
 	return stream.Send(&peerpb.TunnelDown{Status: why, ReachesTargets: reachesTargets})
 }
 
-// copyUp copies bytes to the target until the peer or the target ends.
-func copyUp(stream grpc.BidiStreamingServer[peerpb.TunnelUp, peerpb.TunnelDown], conn net.Conn) {
-	for {
+// copyUp copies bytes to the target until the peer or the target ends. The target's data centre
+// may have been evacuated since the connection was opened, unknown to a peer that was paused or
+// cut off: the request then does not begin.
+func (s *Server) copyUp(stream grpc.BidiStreamingServer[peerpb.TunnelUp, peerpb.TunnelDown], conn net.Conn, id names.Target) {
+	for begun := false; ; begun = true {
 		up, err := stream.Recv()
-		if err != nil {
-			_ = conn.Close() // the peer is not interested in the answer any more
+		if err != nil || !begun && s.Gate.Evacuated(id) {
+			_ = conn.Close() // the peer is not interested in the answer any more, or learns that there is none
 			return
 		}
 		if _, err := conn.Write(up.GetData()); err != nil {
--- a/serving/connection/tunnel/tunnel_test.go
+++ b/serving/connection/tunnel/tunnel_test.go
@@ -37,6 +37,13 @@
 	heads       int
 	connected   int
 	unreachable int
+	evacuated   bool
+}
+
+func (g *fakeGate) Evacuated(names.Target) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evacuated
 }
 
 func (g *fakeGate) Admit(names.Target, string) peerpb.TunnelDown_Status {
@@ -213,6 +220,46 @@
 	}
 }
 
+// The data centre of the target is evacuated after the connection was opened. Guards against a
+// request that the peer writes there although it knows better than the near end, which may have
+// been paused, and against the end of a request whose first bytes were written before.
+func TestNoRequestBeginsInEvacuatedDataCentre(t *testing.T) {
+	evacuate := func(f *farEnd) {
+		f.gate.mu.Lock()
+		defer f.gate.mu.Unlock()
+		f.gate.evacuated = true
+	}
+	f := newFarEnd(t)
+	read := make(chan int, 1)
+	conn := f.dial(t, target(t, func(conn net.Conn) {
+		n, _ := conn.Read(make([]byte, 9))
+		_ = conn.Close() // an end in order
+		read <- n
+	}))
+	evacuate(f)
+	if _, err := io.WriteString(conn, "request"); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := conn.Read(make([]byte, 9)); n > 0 || err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("the near end reads %d bytes, %v", n, err)
+	}
+	if n := <-read; n > 0 {
+		t.Errorf("%d bytes reached the target", n)
+	}
+	f = newFarEnd(t)
+	conn = f.dial(t, target(t, func(conn net.Conn) { _, _ = io.Copy(conn, conn) }))
+	for _, part := range []string{"first", "other"} {
+		if _, err := io.WriteString(conn, part); err != nil {
+			t.Fatal(err)
+		}
+		got := make([]byte, len(part))
+		if _, err := io.ReadFull(conn, got); err != nil || string(got) != part {
+			t.Fatalf("%q, %v", got, err)
+		}
+		evacuate(f)
+	}
+}
+
 // A body of 3 MB passes both ways, in order.
 func TestLargeBodiesPassUnchanged(t *testing.T) {
 	f := newFarEnd(t)
--- a/serving/process/edge/paths.go
+++ b/serving/process/edge/paths.go
@@ -123,6 +123,12 @@
 	}
 }
 
+// Evacuated implements tunnel.Gate.
+func (g gate) Evacuated(id names.Target) bool {
+	target, ok := g.listedTarget(id)
+	return ok && g.evacuated(target.DataCentre)
+}
+
 const (
 	// confirmTimeout bounds the connections that show whether this host reaches targets.
 	confirmTimeout = 100 * time.Millisecond
