Look up evacuations once for each run of targets of a data centre

Each request looked up the evacuation of every target that precedes the first usable one, with the lock of the board held: 508 look-ups for a service of 1,000 targets whose first half is evacuated.

--- a/serving/process/targetstate/eligibility_test.go
+++ b/serving/process/targetstate/eligibility_test.go
@@ -135,6 +135,33 @@
 	}
 }
 
+// The first half of a list is evacuated. Guards against look-ups for each request that grow with
+// the number of targets, with the lock of the board held.
+func TestLookUpsOfEvacuationsDoNotGrowWithTheFleet(t *testing.T) {
+	c := newPlaces(4, 1000)
+	for _, list := range c.lists {
+		for i := range list {
+			list[i].DataCentre = "a"
+			if i < len(list)/2 {
+				list[i].DataCentre = "b"
+			}
+		}
+	}
+	c.evacuate("b", host(3))
+	board := c.boards[host(3)]
+	lookUps, isEvacuated := 0, board.config.Evacuated
+	board.config.Evacuated = func(dc names.DataCentre) bool {
+		lookUps++
+		return isEvacuated(dc)
+	}
+	if _, err := board.Place(t.Context(), call(), &service); err != nil {
+		t.Fatal(err)
+	}
+	if lookUps > 50 {
+		t.Errorf("%d look-ups for a request", lookUps)
+	}
+}
+
 // A data centre is taken back. The daemon must use it with the next request, also while its homes
 // have not heard of it.
 func TestDataCentreThatIsTakenBackIsUsedAtOnce(t *testing.T) {
--- a/serving/process/targetstate/statement.go
+++ b/serving/process/targetstate/statement.go
@@ -230,8 +230,13 @@
 // roomAfter reports whether no target of a list that a request may reach takes requests, and
 // after which time one does that has asked for time; zero if none has. The caller must hold b.mu.
 func (b *Board) roomAfter(targets []replicas.Target, rule *placeRule, now time.Time) (none bool, after time.Duration) {
+	reached := false
 	for i := range targets {
-		if !b.mayReach(targets[i].DataCentre, rule) {
+		// Mostly the targets of a data centre follow each other in the list.
+		if i == 0 || targets[i].DataCentre != targets[i-1].DataCentre {
+			reached = b.mayReach(targets[i].DataCentre, rule)
+		}
+		if !reached {
 			continue
 		}
 		refusal := b.refusal(targets[i].Incarnation(), now)
