--- a/tools/hostile/hostile_test.go
+++ b/tools/hostile/hostile_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -204,3 +205,23 @@
 	}
 	checkUsage(t, readUsage(t, site), smallestHost)
 }
+
+// Guards against a cost of heads that refuses a legal one: the names are short and all
+// different, and the body is of the largest size.
+func TestLargestHeadOfShortLinesIsServed(t *testing.T) {
+	site := startSite(t, smallestHost)
+	header := make(http.Header)
+	const base, colonAndEnd = 36, len(": \r\n")
+	for i, size := int64(0), usualHeadBytes; ; i++ {
+		name := "X" + strconv.FormatInt(i, base)
+		if size += len(name) + colonAndEnd; size > maxHeadBytes {
+			break
+		}
+		header[name] = []string{""}
+	}
+	if err := site.request(t.Context(), "short-lines", header, bytes.NewReader(fullBody())); err != nil {
+		t.Error(err)
+	}
+	t.Logf("%d lines", len(header))
+	checkUsage(t, readUsage(t, site), smallestHost)
+}
