Bound the time in which a caller reads a refusal

A caller that sent requests without reading their refusals kept its connection for good: no write deadline was set before a request was complete.

--- a/serving/request/relay/body.go
+++ b/serving/request/relay/body.go
@@ -54,7 +54,8 @@
 		return verdict.New(verdict.NotRun, verdict.BodyTooLarge, "the body is over the limit")
 	}
 	controller := http.NewResponseController(q.w)
-	_ = controller.SetReadDeadline(q.deadline) // not all writers support deadlines
+	_ = controller.SetReadDeadline(q.deadline)                          // not all writers support deadlines
+	_ = controller.SetWriteDeadline(q.deadline.Add(q.relay.unreadTime)) // as above; the server may write 100 Continue
 	body, err := q.receive(http.MaxBytesReader(q.w, q.r.Body, limit), limit)
 	q.bodyRead = err == nil
 	q.r.Trailer = nil // it is not forwarded
--- a/serving/request/relay/finish.go
+++ b/serving/request/relay/finish.go
@@ -44,6 +44,9 @@
 	if q.answerStarted {
 		panic(http.ErrAbortHandler) // the caller must detect that the answer is incomplete
 	}
+	// Without a deadline, callers that send requests and read no refusals would keep their
+	// connections for good.
+	_ = http.NewResponseController(q.w).SetWriteDeadline(now.Add(q.relay.unreadTime)) // not all writers support deadlines
 	h := q.w.Header()
 	clear(h)
 	status := q.relay.Codec.Refuse(h, &q.info, failure)
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -283,7 +283,6 @@
 	if !q.account.Serve() {
 		return q.noRoom()
 	}
-	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(q.relay.unreadTime)) // not all writers support deadlines
 	q.shared = suspects.NewRequest(q.customerName(), q.r.Method, q.r.URL.RequestURI(), q.body, q.info.Parts)
 	q.shared.Service = suspects.HashService(q.service.Name)
 	return q.checkSuspects()
--- a/serving/request/relay/unread_test.go
+++ b/serving/request/relay/unread_test.go
@@ -82,3 +82,28 @@
 		t.Errorf("%d bytes of answers are held", used[memory.Answers])
 	}
 }
+
+// TestRefusalsThatAreNotReadEnd has a caller that sends requests without reading their
+// refusals, until a refusal cannot be written. It guards against connections that stay open
+// for good: one that gives way is only ended by the goroutine that writes, and too many that
+// do not end keep all others out.
+func TestRefusalsThatAreNotReadEnd(t *testing.T) {
+	f, guard := boundedFixture(t, memory.ForHost(184<<20))
+	f.relay.unreadTime = 100 * time.Millisecond
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+	requests := strings.Repeat("GET /read/x HTTP/1.1\r\nHost: host.example\r\nId: r1\r\nKey: unknown\r\n\r\n", 100)
+	for err == nil {
+		_, err = conn.Write([]byte(requests))
+	}
+	for until := time.Now().Add(10 * time.Second); guard.Connections(memory.Callers) > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("the connection of a caller that does not read has not ended")
+		}
+	}
+}
