Refuse a request that arrives on an idle connection as it gives way

The connection was closed without reading, so the system reset it, and the caller could not tell that its request did not run. The connection is read once more, and a request that has arrived is answered with 503.

--- a/serving/connection/callers/callers_test.go
+++ b/serving/connection/callers/callers_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"carobspoke.example/core/process/memory"
+	"github.com/pkg/errors"
 )
 
 // daemon is a server behind a Listener, whose handler counts the requests that it got.
@@ -188,3 +189,37 @@
 		t.Errorf("%d bytes of heads, the limit is %d", used[memory.Heads], limit)
 	}
 }
+
+// TestRequestThatMeetsEvictionIsRefused guards against a reset of a connection that gives way
+// while it is idle, when a request has just arrived on it: its caller could not tell that the
+// request did not run.
+func TestRequestThatMeetsEvictionIsRefused(t *testing.T) {
+	inner, err := Listen(t.Context(), "127.0.0.1:0", 64<<10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	guard := NewGuard(memory.Config{Limit: mb, Large: mb / 2, Answers: mb / 4})
+	listener := guard.NewListener(inner, Options{Connections: 10, ConnectionBytes: 1 << 10, HTTP: true, MaxHeadBytes: 16 << 10})
+	t.Cleanup(func() { _ = listener.Close() })
+	for request, want := range map[string]int{last: http.StatusServiceUnavailable, "": 0} {
+		caller, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = caller.Close() })
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(caller, request)
+		time.Sleep(50 * time.Millisecond) // the request is in the buffer of the socket
+		guard.spare(memory.Callers)
+		if n, err := conn.Read(make([]byte, 4<<10)); n != 0 || !errors.Is(err, io.EOF) {
+			t.Errorf("request %q: read %d bytes, %v", request, n, err)
+		}
+		_ = conn.Close()
+		if status, retryAfter := readAnswer(bufio.NewReader(caller)); status != want || (retryAfter != "") != (want > 0) {
+			t.Errorf("request %q: status %d, retry after %q, want %d", request, status, retryAfter, want)
+		}
+	}
+}
--- a/serving/connection/callers/conn.go
+++ b/serving/connection/callers/conn.go
@@ -32,6 +32,10 @@
 	// caller might not read the refusal. It is shorter while memory is short.
 	refusalTime      = 500 * time.Millisecond
 	shortRefusalTime = 50 * time.Millisecond
+	// lastReadTime is how long an idle connection that gives way is read once more. A
+	// request that has arrived is refused then; a close would reset the connection, and its
+	// caller could not tell that the request did not run.
+	lastReadTime = time.Millisecond
 )
 
 // refusal is an answer that is written before net/http has parsed a request.
@@ -157,14 +161,14 @@
 
 // refuse writes an answer if the caller has sent anything, and returns io.EOF. It reads and
 // drops what the caller goes on to send for a while, into a buffer; a connection that gives
-// way is not read any more.
+// way is read for lastReadTime at most.
 func (c *Conn) refuse(why refusal, buffer []byte) error {
 	c.phase.Store(phaseRequest)
 	wait := refusalTime
 	switch {
 	case why == headTooLarge:
 		c.guard.closedHead.Add(1)
-	case c.head.bytes == 0:
+	case c.head.bytes == 0 && !c.lastRead(buffer):
 		c.given(&c.guard.closedMemory)
 		return io.EOF
 	default:
@@ -182,6 +186,14 @@
 	return io.EOF
 }
 
+// lastRead reads from an idle connection that gives way, and reports whether a request has
+// arrived on it.
+func (c *Conn) lastRead(buffer []byte) bool {
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lastReadTime)) // fails only if the connection is closed
+	n, _ := c.TCPConn.Read(buffer)                              // an error has n == 0
+	return n > 0
+}
+
 // given counts a connection that gives way: towards the counter for memory, or towards the
 // one for connections if there were too many of them.
 func (c *Conn) given(forMemory *atomic.Uint64) {
