Bound the time of early errors that a caller does not read

An answer of net/http to a head that it cannot parse is written before any handler sets a deadline. A caller that reads nothing kept its connection for good, also after it had given way, when it counts towards the connections that keep others out. Such an answer has 5 s from the end of the head, or from when the connection gives way.

--- a/serving/connection/callers/callers_test.go
+++ b/serving/connection/callers/callers_test.go
@@ -223,3 +223,50 @@
 		}
 	}
 }
+
+// TestEarlyErrorThatIsNotReadEnds has a caller that reads nothing, so that an answer of net/http
+// to a head which it cannot parse does not fit into the socket. It guards against connections
+// that stay open for good after they gave way.
+func TestEarlyErrorThatIsNotReadEnds(t *testing.T) {
+	for name, sent := range map[string]string{"complete head": "bad\r\n\r\n", "no head": ""} {
+		t.Run(name, func(t *testing.T) {
+			inner, err := Listen(t.Context(), "127.0.0.1:0", 64<<10)
+			if err != nil {
+				t.Fatal(err)
+			}
+			guard := NewGuard(memory.Config{Limit: mb, Large: mb / 2, Answers: mb / 4})
+			listener := guard.NewListener(inner, Options{Connections: 10, ConnectionBytes: 1 << 10, HTTP: true, MaxHeadBytes: 16 << 10})
+			defer func() { _ = listener.Close() }()
+			caller, err := net.Dial("tcp", inner.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = caller.Close() }()
+			conn, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+			for err == nil {
+				_, err = conn.Write(make([]byte, 64<<10))
+			}
+			_ = conn.SetWriteDeadline(time.Time{})
+			if _, _ = io.WriteString(caller, sent); sent != "" {
+				_, _ = conn.Read(make([]byte, 4<<10))
+			}
+			ended := make(chan struct{})
+			go func() {
+				_, _ = conn.Write(make([]byte, 64<<10))
+				close(ended)
+			}()
+			time.Sleep(50 * time.Millisecond)
+			guard.spare(memory.Callers)
+			select {
+			case <-ended:
+			case <-time.After(20 * time.Second):
+				t.Error("the answer is still being written")
+			}
+		})
+	}
+}
--- a/serving/connection/callers/conn.go
+++ b/serving/connection/callers/conn.go
@@ -36,6 +36,10 @@
 	// request that has arrived is refused then; a close would reset the connection, and its
 	// caller could not tell that the request did not run.
 	lastReadTime = time.Millisecond
+	// earlyErrorTime bounds the time in which net/http writes an error for a head that it
+	// cannot parse. A caller that does not read would otherwise keep its connection for
+	// good. Handlers set a deadline of their own before they write.
+	earlyErrorTime = 5 * time.Second
 )
 
 // refusal is an answer that is written before net/http has parsed a request.
@@ -91,6 +95,9 @@
 	c.mu.Lock()
 	c.evicted, c.why = true, why
 	_ = c.TCPConn.SetReadDeadline(past) // fails only if the connection is closed
+	if c.phase.Load() == phaseHead {    // all answers before were written
+		_ = c.SetWriteDeadline(time.Now().Add(earlyErrorTime)) // as above
+	}
 	c.mu.Unlock()
 	if !c.options.HTTP {
 		c.given(&c.guard.closedMemory)
@@ -154,6 +161,7 @@
 		return memoryShort
 	}
 	if complete {
+		_ = c.SetWriteDeadline(now.Add(earlyErrorTime)) // fails only if the connection is closed
 		c.phase.Store(phaseRequest)
 	}
 	return noRefusal
