--- a/serving/connection/callers/conn.go
+++ b/serving/connection/callers/conn.go
@@ -32,6 +32,14 @@
 	// caller might not read the refusal. It is shorter while memory is short.
 	refusalTime      = 500 * time.Millisecond
 	shortRefusalTime = 50 * time.Millisecond
+	// lastReadTime is how long an idle connection that gives way is read once more. A
+	// request that has arrived is refused then; a close would reset the connection, and its
+	// caller could not tell that the request did not run.
+	lastReadTime = time.Millisecond
+	// earlyErrorTime bounds the time in which net/http writes an error for a head that it
+	// cannot parse. A caller that does not read would otherwise keep its connection for
+	// good. Handlers set a deadline of their own before they write.
+	earlyErrorTime = 5 * time.Second
 )
 
 // refusal is an answer that is written before net/http has parsed a request.
@@ -87,6 +95,9 @@
 	c.mu.Lock()
 	c.evicted, c.why = true, why
 	_ = c.TCPConn.SetReadDeadline(past) // fails only if the connection is closed
+	if c.phase.Load() == phaseHead {    // all answers before were written
+		_ = c.SetWriteDeadline(time.Now().Add(earlyErrorTime)) // as above
+	}
 	c.mu.Unlock()
 	if !c.options.HTTP {
 		c.given(&c.guard.closedMemory)
@@ -150,6 +161,7 @@
 		return memoryShort
 	}
 	if complete {
+		_ = c.SetWriteDeadline(now.Add(earlyErrorTime)) // fails only if the connection is closed
 		c.phase.Store(phaseRequest)
 	}
 	return noRefusal
@@ -157,14 +169,14 @@
 
 // refuse writes an answer if the caller has sent anything, and returns io.EOF. It reads and
 // drops what the caller goes on to send for a while, into a buffer; a connection that gives
-// way is not read any more.
+// way is read for lastReadTime at most.
 func (c *Conn) refuse(why refusal, buffer []byte) error {
 	c.phase.Store(phaseRequest)
 	wait := refusalTime
 	switch {
 	case why == headTooLarge:
 		c.guard.closedHead.Add(1)
-	case c.head.bytes == 0:
+	case c.head.bytes == 0 && !c.lastRead(buffer):
 		c.given(&c.guard.closedMemory)
 		return io.EOF
 	default:
@@ -182,6 +194,14 @@
 	return io.EOF
 }
 
+// lastRead reads from an idle connection that gives way, and reports whether a request has
+// arrived on it.
+func (c *Conn) lastRead(buffer []byte) bool {
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lastReadTime)) // fails only if the connection is closed
+	n, _ := c.TCPConn.Read(buffer)                              // an error has n == 0
+	return n > 0
+}
+
 // given counts a connection that gives way: towards the counter for memory, or towards the
 // one for connections if there were too many of them.
 func (c *Conn) given(forMemory *atomic.Uint64) {
