placement: never refuse a retry to make room

A request whose first target had failed could be refused as overloaded when it was placed again. It may have run, so that its caller got 502 where a second target would have served it. Questions to homes say that an attempt was sent before.

--- a/core/request/placement/placement.go
+++ b/core/request/placement/placement.go
@@ -71,6 +71,9 @@
 	// daemon that decides knows.
 	Fingerprint refusals.Fingerprint
 	Returned    bool
+	// Retried reports whether an attempt of the request was sent to a target before, so
+	// that it may have run.
+	Retried bool
 	// Regions are the regions that the request may reach; empty if there is no
 	// restriction.
 	Regions []names.Region
--- a/core/request/placement/placement_test.go
+++ b/core/request/placement/placement_test.go
@@ -274,3 +274,28 @@
 		t.Errorf("the customer within its share is refused: %v", err)
 	}
 }
+
+// Guards against a request that may have run and is then refused to make room: its caller would
+// get no answer, and could not tell whether it ran.
+func TestRetriesAreNotRefusedForRoom(t *testing.T) {
+	// All slots are taken, so that the prompt would be late, and late prompts wait at other engines.
+	load := inflight.Load{Requests: 18, Answers: 18, ReadAt: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	place := func(retried bool) Decision {
+		list := idle(16)
+		for i := range list {
+			list[i].Load = load
+			if i < 3 {
+				list[i].Load.Deferred = 1
+			}
+		}
+		r := short()
+		r.Retried = retried
+		return placer().Place(r, service(), list)
+	}
+	if d := place(false); d.Refusal == nil {
+		t.Error("a new prompt is placed")
+	}
+	if d := place(true); d.Refusal != nil {
+		t.Errorf("a retry is refused: %v", d.Refusal)
+	}
+}
--- a/core/request/placement/prompt.go
+++ b/core/request/placement/prompt.go
@@ -165,7 +165,7 @@
 	if a.AnswerStarted || p.isOpen(a, target) {
 		return anywhere
 	}
-	maxLate := a.room.MaxLateEngines(a.Returned)
+	maxLate := a.room.MaxLateEngines(a.Returned || a.Retried)
 	list := slices.DeleteFunc(usable, func(c Candidate) bool {
 		late := p.queueWait(a, &c, true)+p.slotToFirstEvent(a, &c, prefill) > p.maxFirstEvent(a)
 		return late || a.room.LateEngines > maxLate || a.room.LateEngines == maxLate && c.Load.Deferred == 0
--- a/core/request/placement/shed.go
+++ b/core/request/placement/shed.go
@@ -12,8 +12,10 @@
 )
 
 // mayShed reports whether the prompt may be refused although it can still be answered: it comes
-// for the first time, and there is not ample room.
-func (a *arrival) mayShed() bool { return !a.Returned && !a.AnswerStarted && !a.room.Ample() }
+// for the first time, no attempt of it was sent, and there is not ample room.
+func (a *arrival) mayShed() bool {
+	return !a.Returned && !a.Retried && !a.AnswerStarted && !a.room.Ample()
+}
 
 // isOverShare reports whether the prompt is refused because its customer uses more than its share
 // while almost all slots are taken.
--- a/serving/process/dispatchsync/convert.go
+++ b/serving/process/dispatchsync/convert.go
@@ -152,7 +152,7 @@
 		FirstEventTimeoutMs: millis(r.FirstEventTimeout), Rank: int32(r.Rank),
 		Exclude: encodeNames(r.Exclude), Avoid: encodeNames(a.Avoid), Redirected: a.Redirected, Limits: limits,
 		Evacuated: encodeNames(a.Evacuated), Regions: encodeNames(r.Regions), Customer: string(r.Customer),
-		AnswerHint: uint32(r.AnswerHint), Fingerprint: uint64(r.Fingerprint), Cold: encodeCold(a.Cold),
+		AnswerHint: uint32(r.AnswerHint), Fingerprint: uint64(r.Fingerprint), Cold: encodeCold(a.Cold), Retried: r.Retried,
 	}
 }
 
@@ -171,7 +171,7 @@
 			TimeLeft: fromMillis(m.GetTimeLeftMs()), TimeToShutdown: fromMillis(m.GetTimeToShutdownMs()), AnswerStarted: m.GetAnswerStarted(),
 			FirstEventTimeout: fromMillis(m.GetFirstEventTimeoutMs()), Rank: int(m.GetRank()),
 			Exclude: decodeNames[names.Target](m.GetExclude()), Regions: decodeNames[names.Region](m.GetRegions()),
-			Customer: names.Customer(m.GetCustomer()), AnswerHint: int(m.GetAnswerHint()), Fingerprint: refusals.Fingerprint(m.GetFingerprint()),
+			Customer: names.Customer(m.GetCustomer()), AnswerHint: int(m.GetAnswerHint()), Fingerprint: refusals.Fingerprint(m.GetFingerprint()), Retried: m.GetRetried(),
 		},
 		Avoid: decodeNames[names.Target](m.GetAvoid()), Redirected: m.GetRedirected(), Limits: limits,
 		Evacuated: decodeNames[names.DataCentre](m.GetEvacuated()), Cold: decodeCold(m.GetCold()),
--- a/serving/process/dispatchsync/dispatchsync_test.go
+++ b/serving/process/dispatchsync/dispatchsync_test.go
@@ -320,7 +320,7 @@
 		Request: placement.Request{
 			PromptTokens: 600_000, AnswerTokens: 700, LatencyTarget: 4 * time.Second, GapTarget: time.Second, TimeLeft: 14500 * time.Millisecond,
 			TimeToShutdown: 9 * time.Second, AnswerStarted: true, FirstEventTimeout: 16 * time.Second, Rank: -1, Exclude: []names.Target{"u"},
-			Regions: []names.Region{"r"}, Customer: "c", AnswerHint: 500, Fingerprint: 1 << 63,
+			Regions: []names.Region{"r"}, Customer: "c", AnswerHint: 500, Fingerprint: 1 << 63, Retried: true,
 		},
 		Avoid: []names.Target{"v"}, Redirected: true, Evacuated: []names.DataCentre{"b"},
 		Cold: []ColdTarget{{Incarnation: replicas.Incarnation{ID: "x", Started: 4}, Left: 2 * time.Second}},
--- a/serving/request/relay/place.go
+++ b/serving/request/relay/place.go
@@ -39,6 +39,7 @@
 		Customer:          q.customerName(),
 		AnswerHint:        q.info.AnswerHint,
 		Fingerprint:       q.fingerprint(),
+		Retried:           q.sends > 0,
 		Regions:           regions,
 		Exclude:           q.exclude,
 	}
