published: log what a refusal by the configuration rests on

The logs could not tell why a daemon took an old configuration for the newest one. A refusal of an unknown route or key now names the age of the last confirmation and what it was learnt from: the store, a peer or whose heartbeat. A heartbeat that waits after its age was read is logged, and the times of applying a batch, of reading from a peer and of that wait are histograms (published_stage_seconds). No decision changes.

--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -155,7 +155,7 @@
 	client := &published.Client{Hosts: d.recordHosts, Pool: d.peerPool}
 	d.follower = published.New(published.Config{
 		Source: d.Source, Decoder: d.Decoder, Peers: client, Log: d.Log,
-		OnPosition: d.positionChanged, OnNews: d.wakeHeartbeats, Situation: d.situation, Random: random(),
+		OnPosition: d.positionChanged, OnNews: d.wakeHeartbeats, Situation: d.situation, Observe: d.metrics.observeStage, Random: random(),
 	})
 	machine := core.DefaultConfig()
 	machine.Regions = d.Settings.Regions
@@ -209,7 +209,7 @@
 		Codec: d.Codec, Board: d.board, Suspects: d.suspects,
 		Budget: d.budgets,
 		Pool:   d.targetPool, Reserver: d.reserver, Prober: d.orders, Observer: d.metrics,
-		Table: d.table, AwaitTable: d.awaitTable, TargetListRevision: d.follower.Revision, TargetListAge: d.follower.Age, TimeToShutdown: d.timeLeft, RetryAfter: d.retryAfter, Random: rand.Float64,
+		Configuration: d.configuration, AwaitTable: d.awaitTable, TargetListRevision: d.follower.Revision, TargetListAge: d.follower.Age, TimeToShutdown: d.timeLeft, RetryAfter: d.retryAfter, Random: rand.Float64,
 		GrowAnswers: d.guard.GrowAnswers, AnswerUnread: d.guard.AnswerUnread, Log: d.Log,
 	})
 	d.callerServer = &http.Server{
--- a/serving/process/edge/metrics.go
+++ b/serving/process/edge/metrics.go
@@ -4,10 +4,12 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"time"
 
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/core/version/routing"
 	"carobspoke.example/serving/process/counters"
+	"carobspoke.example/serving/process/published"
 	"carobspoke.example/serving/request/relay"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -36,6 +38,7 @@
 	predictionErrors *prometheus.HistogramVec
 	firstEvents      *prometheus.HistogramVec
 	refusals         *prometheus.CounterVec
+	publishedStages  *prometheus.HistogramVec
 }
 
 func newMetrics(d *Daemon) *Metrics {
@@ -52,7 +55,10 @@
 	m.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: prefix + "priority_refused", Help: "Requests that were refused and did not run, by priority and reason.",
 	}, []string{"priority", "reason"})
-	m.registry.MustRegister(m.stages, m.predictionErrors, m.firstEvents, m.refusals, stateCollector{d}, coldCollector{d}, registryCollector{m.counters.Registry()})
+	m.publishedStages = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: prefix + "published_stage_seconds", Help: "Time of a stage of taking in published records: to apply a batch, to read from a peer, and between the reading of a heartbeat's age and its send.", Buckets: stageBuckets,
+	}, []string{"stage"})
+	m.registry.MustRegister(m.publishedStages, m.stages, m.predictionErrors, m.firstEvents, m.refusals, stateCollector{d}, coldCollector{d}, registryCollector{m.counters.Registry()})
 	return m
 }
 
@@ -95,6 +101,11 @@
 	}
 }
 
+// observeStage records the time of a stage of taking in published records.
+func (m *Metrics) observeStage(s published.Stage, took time.Duration) {
+	m.publishedStages.WithLabelValues(string(s)).Observe(took.Seconds())
+}
+
 // handler returns a handler that serves the metrics in the Prometheus text format.
 func (m *Metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
--- a/serving/process/edge/view.go
+++ b/serving/process/edge/view.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"carobspoke.example/core/version/routing"
 	"carobspoke.example/serving/connection/upstream"
 	"carobspoke.example/serving/process/published"
+	"carobspoke.example/serving/request/relay"
 )
 
 // isPublished reports whether a target is published. It returns true for any target
@@ -84,15 +86,19 @@
 	return upstream.MaxIdlePerDaemon(most, len(d.members.Live()))
 }
 
-// table returns the configuration in force, or nil, and whether it is recent. Just after a pause
-// of the process it waits until it may be.
-func (d *Daemon) table() (*routing.Table, bool) {
+// configuration returns the configuration in force. Just after a pause of the process it waits
+// until that may be recent.
+func (d *Daemon) configuration() relay.Configuration {
 	d.follower.AwaitAfterPause()
 	view := d.follower.View()
 	if view == nil {
-		return nil, false
+		return relay.Configuration{}
+	}
+	evidence := d.follower.Evidence()
+	age := time.Since(evidence.ConfirmedAt)
+	return relay.Configuration{
+		Table: view.Table, Recent: age < published.MaxFreshAge, Age: age, Evidence: strings.TrimSpace(string(evidence.Origin) + " " + string(evidence.From)),
 	}
-	return view.Table, d.follower.UpToDate()
 }
 
 // awaitTable waits for the first configuration until the daemon is bootTime old. After a
--- a/serving/process/published/apply.go
+++ b/serving/process/published/apply.go
@@ -20,7 +20,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	position := f.Position()
-	b := Batch{Position: position, ConfirmedAt: f.lastConfirmed.Get(), Settled: f.directory.Settled(now)}
+	b := Batch{Position: position, ConfirmedAt: f.Evidence().ConfirmedAt, Settled: f.directory.Settled(now)}
 	if position.Compare(after) <= 0 {
 		return b
 	}
@@ -52,7 +52,8 @@
 
 // applyBatch applies a batch unless it is older than the records; a newer configuration
 // is taken from any batch. from is its origin, for the log.
-func (f *Follower) applyBatch(b Batch, from string) {
+func (f *Follower) applyBatch(b Batch, from Origin) {
+	began := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.Position()
@@ -66,7 +67,7 @@
 	case b.Position.Era > known.Era && !known.IsZero() && !b.Complete:
 		return // its revisions cannot be joined to the known ones
 	}
-	now, o := time.Now(), origin{from: from, era: b.Position.Era}
+	now, o := time.Now(), origin{from: string(from), era: b.Position.Era}
 	if b.Position.Era > known.Era && !known.IsZero() {
 		f.restore(&b, now)
 	}
@@ -91,8 +92,10 @@
 	}
 	f.position.Store(&b.Position)
 	f.publishView()
-	f.log.Info("published records taken in", zap.String("from", from), zap.String("peer", string(b.Peer)), zap.Uint64("era", b.Position.Era), zap.Uint64("revision", b.Position.Revision),
-		zap.Int("records", len(b.Records)), zap.Bool("whole", b.Complete), zap.Int("targets", len(f.directory.List(now))))
+	took := time.Since(began)
+	f.observe(StageApply, took)
+	f.log.Info("published records taken in", zap.String("from", string(from)), zap.String("peer", string(b.Peer)), zap.Uint64("era", b.Position.Era), zap.Uint64("revision", b.Position.Revision),
+		zap.Int("records", len(b.Records)), zap.Bool("whole", b.Complete), zap.Int("targets", len(f.directory.List(now))), zap.Duration("took", took))
 	f.onPosition(b.Position)
 }
 
--- a/serving/process/published/evacuation_test.go
+++ b/serving/process/published/evacuation_test.go
@@ -175,11 +175,11 @@
 		peer.applyBatch(list, "source")
 		f := newFollower(newSource(), &fakePeers{follower: peer}, false)
 		f.applyBatch(list, "source")
-		f.lastConfirmed.Set(time.Now())
+		f.evidence.advance(Evidence{ConfirmedAt: time.Now()})
 		f.pause.Ran(time.Now())
 		peer.applyBatch(Batch{Position: at(6), Records: []Record{{Key: "evacuate/b", Revision: 6}}}, "source")
 		time.Sleep(10 * time.Second) // none of its loops runs
-		peer.lastConfirmed.Set(time.Now())
+		peer.evidence.advance(Evidence{ConfirmedAt: time.Now()})
 		go func() {
 			time.Sleep(50 * time.Millisecond)
 			f.ObserveHeartbeat("peer", peer.Heartbeat())
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -154,17 +154,17 @@
 	}
 	f.answeredAt = batch.ConfirmedAt
 	f.markSourceAvailable(now)
-	f.applyBatch(batch, "source")
-	f.confirm(&batch)
+	f.applyBatch(batch, FromSource)
+	f.confirm(&batch, FromSource)
 }
 
 // confirm records the moment as of which a batch that was applied shows that the records
 // are complete.
-func (f *Follower) confirm(b *Batch) {
+func (f *Follower) confirm(b *Batch, origin Origin) {
 	if f.isNewer(b.Position) {
 		return // the batch was not applied
 	}
-	f.lastConfirmed.Advance(b.ConfirmedAt)
+	f.evidence.advance(Evidence{ConfirmedAt: b.ConfirmedAt, LearntAt: time.Now(), Origin: origin, From: b.Peer})
 	f.announce()
 }
 
@@ -215,6 +215,7 @@
 	}
 	began := time.Now()
 	batch, err := f.peers.Read(ctx, from, after)
+	f.observe(StagePeerRead, time.Since(began))
 	if err != nil {
 		f.log.Info("peer not read", zap.String("peer", string(from)), zap.Uint64("after", after.Revision), zap.Duration("took", time.Since(began)),
 			zap.Uint64("version", uint64(f.configVersion())), zap.String("error", err.Error()))
@@ -226,8 +227,8 @@
 		}
 		return
 	}
-	f.applyBatch(batch, "peer")
-	f.confirm(&batch)
+	f.applyBatch(batch, FromPeer)
+	f.confirm(&batch, FromPeer)
 }
 
 // selectPeer returns the peer to read a pending position from: the peer that
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -73,6 +73,22 @@
 	configReadDelay = 500 * time.Millisecond
 	// maxHistory bounds the number of changes that are kept for peers.
 	maxHistory = 512
+	// minLoggedWait is the least wait of a heartbeat between the reading of its age and
+	// its send that is logged.
+	minLoggedWait = 20 * time.Millisecond
+)
+
+// Stage is a part of the way of a change to the requests of this daemon.
+type Stage string
+
+// Stages whose times are observed.
+const (
+	// StageApply is the time from the arrival of a batch until requests use it.
+	StageApply Stage = "apply"
+	// StagePeerRead is the time of a read from a peer.
+	StagePeerRead Stage = "peer_read"
+	// StageHeartbeat is the time between the reading of a heartbeat's age and its send.
+	StageHeartbeat Stage = "heartbeat"
 )
 
 // Record is one published item in the publisher's own encoding.
@@ -169,6 +185,8 @@
 	// sets the ages of heartbeats, Empty and Lagging.
 	situation func() watching.Situation
 	plan      *watching.Plan
+	// observe is called with the time of each stage, possibly with mu held.
+	observe func(s Stage, took time.Duration)
 	// volunteering is true while this daemon watches the source in place of the
 	// watchers.
 	volunteering atomic.Bool
@@ -176,10 +194,10 @@
 	view atomic.Pointer[View]
 	// firstView is closed when the first view is published.
 	firstView chan struct{}
-	// lastConfirmed is the moment as of which the records are known to be complete.
-	lastConfirmed atomictime.Time
-	position      atomic.Pointer[replicas.Position]
-	pending       atomic.Pointer[pendingPosition]
+	// evidence is the last confirmation of the records.
+	evidence evidenceCell
+	position atomic.Pointer[replicas.Position]
+	pending  atomic.Pointer[pendingPosition]
 	// announced is the newest configuration that a peer has announced, or nil.
 	announced     atomic.Pointer[announcedConfig]
 	lastHeartbeat atomictime.Time
@@ -249,7 +267,10 @@
 	// Situation returns this daemon's part in watching the source: the fields
 	// Watcher, Leaving, Peers and Age.
 	Situation func() watching.Situation
-	Random    *rand.Rand
+	// Observe is called with the time of each stage. It must not call the follower. Nil
+	// observes nothing.
+	Observe func(s Stage, took time.Duration)
+	Random  *rand.Rand
 }
 
 // New returns a follower without records.
@@ -258,7 +279,10 @@
 		source: c.Source, decoder: c.Decoder, peers: c.Peers, log: c.Log, onPosition: c.OnPosition, onNews: c.OnNews,
 		situation: c.Situation, plan: watching.New(c.Random),
 		firstView: make(chan struct{}), wake: make(chan struct{}, 1), records: make(map[string]Record), unusable: make(map[string]bool), directory: replicas.New(),
-		evacuations: evacuation.New(),
+		evacuations: evacuation.New(), observe: c.Observe,
+	}
+	if f.observe == nil {
+		f.observe = func(Stage, time.Duration) {}
 	}
 	f.position.Store(&replicas.Position{})
 	return f
@@ -292,7 +316,10 @@
 }
 
 // Age returns the time since the moment as of which the source last confirmed the records.
-func (f *Follower) Age() time.Duration { return f.lastConfirmed.Age() }
+func (f *Follower) Age() time.Duration { return time.Since(f.Evidence().ConfirmedAt) }
+
+// Evidence returns the last confirmation of the records.
+func (f *Follower) Evidence() Evidence { return f.evidence.get() }
 
 // Position returns the position of the records; zero before the first.
 func (f *Follower) Position() replicas.Position { return *f.position.Load() }
@@ -396,10 +423,17 @@
 
 // Heartbeat returns this daemon's heartbeat, for a daemon that watches the source.
 func (f *Follower) Heartbeat() Heartbeat {
+	began := time.Now()
 	confirmed := f.Age() // before the position, which may change meanwhile
-	return Heartbeat{
+	h := Heartbeat{
 		Position: f.Position(), Confirmed: confirmed, Settled: f.Settled(), ConfigVersion: f.configVersion(), Lost: f.lost(),
 	}
+	waited := time.Since(began)
+	f.observe(StageHeartbeat, waited)
+	if waited > minLoggedWait {
+		f.log.Info("heartbeat delayed", zap.Duration("waited", waited), zap.Duration("age", confirmed), zap.Uint64("revision", h.Position.Revision), zap.Uint64("known", f.Revision()))
+	}
+	return h
 }
 
 // ObserveHeartbeat processes a watcher's heartbeat. One whose sender has lost the source,
@@ -428,7 +462,7 @@
 	if h.Settled && h.Position == f.Position() {
 		f.dropMissing()
 	}
-	f.lastConfirmed.Advance(now.Add(-h.Confirmed))
+	f.evidence.advance(Evidence{ConfirmedAt: now.Add(-h.Confirmed), LearntAt: time.Now(), Origin: FromHeartbeat, From: from})
 	f.announce()
 }
 
@@ -439,7 +473,7 @@
 // announce calls onNews if the records were confirmed confirmedStep after what was
 // announced last.
 func (f *Follower) announce() {
-	confirmed := f.lastConfirmed.Get()
+	confirmed := f.Evidence().ConfirmedAt
 	if confirmed.Sub(f.announcedAt.Get()) >= confirmedStep {
 		f.announcedAt.Set(confirmed)
 		f.onNews()
--- a/serving/request/relay/endings_test.go
+++ b/serving/request/relay/endings_test.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.relay.Table = func() (*routing.Table, bool) { return table, f.recent }
+	f.relay.Configuration = func() Configuration { return Configuration{Table: table, Recent: f.recent} }
 }
 
 // TestResetDuringLongBodyNeverEndsAsComplete has a reset while the body is still being
--- a/serving/request/relay/fake_test.go
+++ b/serving/request/relay/fake_test.go
@@ -330,7 +330,7 @@
 		Codec: fakeCodec{}, Board: f.board, Suspects: f.board, Budget: fakeBudget{budget: f.budget},
 		Pool: upstream.NewPool(), Reserver: &fakeReserver{}, Observer: fakeObserver{timings: f.timings},
 		TargetListRevision: func() uint64 { return 1 }, TargetListAge: func() time.Duration { return 0 },
-		Table:          func() (*routing.Table, bool) { return table, f.recent },
+		Configuration:  func() Configuration { return Configuration{Table: table, Recent: f.recent} },
 		AwaitTable:     func(context.Context) bool { return false },
 		TimeToShutdown: func() (time.Duration, bool) { return f.timeToShutdown, f.timeToShutdown > 0 },
 		RetryAfter:     func() time.Duration { return time.Second },
--- a/serving/request/relay/finish.go
+++ b/serving/request/relay/finish.go
@@ -67,7 +67,18 @@
 		zap.String("reason", string(failure.Reason)), zap.String("verdict", failure.Verdict.String()),
 		zap.Duration("took", took), zap.Duration("retry_after", failure.RetryAfter), zap.Int("sends", q.sends),
 		zap.Bool("begun", q.answerStarted), zap.Uint64("version", uint64(version)), priority, zap.Int("tokens", q.info.PromptTokens),
-		q.lastReply.field(), causeField(failure))
+		q.lastReply.field(), q.config.field(failure.Reason), causeField(failure))
+}
+
+// field returns the log field for what a refusal says of the configuration, which depends on
+// its age.
+func (c *Configuration) field(reason verdict.Reason) zap.Field {
+	switch reason {
+	case verdict.UnknownService, verdict.Unauthenticated, verdict.NotReady:
+		return zap.Dict("configuration", zap.Bool("recent", c.Recent), zap.Duration("age", c.Age), zap.String("evidence", c.Evidence))
+	default:
+		return zap.Skip()
+	}
 }
 
 // causeField returns the log field for the cause of a failure, without the
--- a/serving/request/relay/log_test.go
+++ b/serving/request/relay/log_test.go
@@ -36,7 +36,7 @@
 func TestEachReasonAndVerdictIsLogged(t *testing.T) {
 	f := newFixture(t)
 	logs := f.observeLog()
-	table, _ := f.relay.Table()
+	table := f.relay.Configuration().Table
 	for _, reason := range verdict.Reasons() {
 		for _, v := range []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun, verdict.Ran} {
 			logs.TakeAll()
--- a/serving/request/relay/regions_test.go
+++ b/serving/request/relay/regions_test.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.relay.Table = func() (*routing.Table, bool) { return table, true }
+	f.relay.Configuration = func() Configuration { return Configuration{Table: table, Recent: true} }
 	board := &regionBoard{fakeBoard: f.board}
 	f.relay.Board = board
 	dialled := &[][]names.Region{}
--- a/serving/request/relay/relay.go
+++ b/serving/request/relay/relay.go
@@ -123,6 +123,18 @@
 	Answered(t *Timing)
 }
 
+// Configuration is the configuration in force and what is known of its age.
+type Configuration struct {
+	// Table is nil before the first configuration.
+	Table *routing.Table
+	// Recent is true if the configuration is known to have been the newest one recently.
+	Recent bool
+	// Age is the time since the moment as of which the configuration is known to have been
+	// the newest one, and Evidence what that rests on. Both are for the log.
+	Age      time.Duration
+	Evidence string
+}
+
 // Deps are the dependencies of a Relay.
 type Deps struct {
 	Codec    Codec
@@ -133,9 +145,8 @@
 	Reserver Reserver
 	Prober   Prober
 	Observer Observer
-	// Table returns the configuration in force, nil before the first, and
-	// whether it is known to be recent.
-	Table func() (*routing.Table, bool)
+	// Configuration returns the configuration in force.
+	Configuration func() Configuration
 	// AwaitTable waits for the first configuration while the daemon starts, and
 	// reports whether one is in force. It returns at once if none is expected soon.
 	AwaitTable func(ctx context.Context) bool
@@ -194,7 +205,9 @@
 	started time.Time
 	account account
 
-	info     RequestInfo
+	info RequestInfo
+	// config is the configuration in force when the request came, table its table.
+	config   Configuration
 	table    *routing.Table
 	route    *routing.Route
 	service  *routing.Service
@@ -246,19 +259,20 @@
 // admit checks the request against the configuration in force and reads its
 // body.
 func (q *request) admit() error {
-	table, recent := q.relay.Table()
-	if table == nil && q.relay.AwaitTable(q.r.Context()) {
-		table, recent = q.relay.Table()
+	config := q.relay.Configuration()
+	if config.Table == nil && q.relay.AwaitTable(q.r.Context()) {
+		config = q.relay.Configuration()
 	}
 	info, err := q.relay.Codec.ParseRequest(q.r)
 	q.info = info
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.BadRequest, "the request's header cannot be read")
 	}
-	if table == nil {
+	if config.Table == nil {
 		return verdict.New(verdict.NotRun, verdict.NotReady, "no configuration is in force yet").WithRetryAfter(q.relay.RetryAfter())
 	}
-	q.table = table
+	q.config, q.table = config, config.Table
+	table := q.table
 	size := headerSize(q.r)
 	if limit := table.Limits.HeaderBytes; limit > 0 && size > limit {
 		return verdict.New(verdict.NotRun, verdict.HeaderTooLarge, "the header is over the limit")
@@ -267,7 +281,7 @@
 		return err
 	}
 	if err := q.authorise(); err != nil {
-		if !recent {
+		if !config.Recent {
 			return verdict.Wrap(err, verdict.NotRun, verdict.NotReady, "the configuration in force may be outdated").WithRetryAfter(q.relay.RetryAfter())
 		}
 		return err
--- a/serving/request/relay/statement.go
+++ b/serving/request/relay/statement.go
@@ -47,9 +47,9 @@
 
 // permit reports whether the request may still be sent to its target. It may have waited for
 // reservations and for its connection. If the process was paused meanwhile, the board may not
-// know of evacuations that all others know; Table then waits for the records.
+// know of evacuations that all others know; Configuration then waits for the records.
 func (a *attempt) permit() error {
-	_, _ = a.relay.Table()
+	_ = a.relay.Configuration()
 	err := a.relay.Board.MaySend(a.placed)
 	if err == nil {
 		err = a.checkSuspects()
