--- a/serving/process/edge/view.go
+++ b/serving/process/edge/view.go
@@ -90,11 +90,10 @@
 // until that may be recent.
 func (d *Daemon) configuration() relay.Configuration {
 	d.follower.AwaitAfterPause()
-	view := d.follower.View()
+	view, evidence := d.follower.Current()
 	if view == nil {
 		return relay.Configuration{}
 	}
-	evidence := d.follower.Evidence()
 	age := time.Since(evidence.ConfirmedAt)
 	return relay.Configuration{
 		Table: view.Table, Recent: age < published.MaxFreshAge, Age: age, Evidence: strings.TrimSpace(string(evidence.Origin) + " " + string(evidence.From)),
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -291,6 +291,13 @@
 // View returns the state in force, or nil before the first configuration.
 func (f *Follower) View() *View { return f.view.Load() }
 
+// Current returns the state in force, nil before the first configuration, and the last
+// confirmation of the records.
+func (f *Follower) Current() (*View, Evidence) {
+	view := f.View()
+	return view, f.Evidence()
+}
+
 // FirstView returns a channel that is closed once View returns a state.
 func (f *Follower) FirstView() <-chan struct{} { return f.firstView }
 
