published: send the moment of a confirmation, not an age that has aged

Callers got 404 for routes of a version that had been acknowledged over 2 s before. A relay that applied a batch read the age of its last confirmation, waited for the batch, and sent the age as of before the wait, with the position of before the batch. Daemons with the same position took their records for complete up to the length of the batch later than they were, and relays handed that on.

It becomes an age at the send, after the time of the send was read, so that a process that stands still between the two makes the age larger. The receiver reads its clocks in the order that errs to the same side.

Tests state moments in place of ages. The exact comparison of an age in TestHomesReceiveProgress becomes one of moments within 50 ms, since the two are read at different times.

--- a/serving/process/dispatchsync/dispatchsync.go
+++ b/serving/process/dispatchsync/dispatchsync.go
@@ -173,11 +173,11 @@
 func (e *Exchange) SendHeartbeat(to []names.Host, h published.Heartbeat) {
 	batch := e.newBatch()
 	batch.Era, batch.Revision = h.Position.Era, h.Position.Revision
-	batch.ConfirmedMs = uint32(h.Confirmed.Milliseconds())
 	batch.Settled = h.Settled
 	batch.ConfigVersion = uint64(h.ConfigVersion)
 	batch.SourceLost = h.Lost
 	batch.SentMs = uint64(boottime.Now().Milliseconds())
+	batch.ConfirmedMs = ageMillis(h.ConfirmedAt, time.Now()) // as of SentMs or later
 	for _, host := range to {
 		e.send(host, batch)
 	}
@@ -305,12 +305,13 @@
 		e.config.Sink.Begin(d, idle)
 	}
 	if b.GetRevision() > 0 {
-		h := decodeHeartbeat(b)
+		readAt := time.Now() // before boottime.Now, so that a pause between the two adds to the age
+		var delay time.Duration
 		if b.GetSentMs() > 0 {
 			sender := inflight.Key{Host: key.Host, Incarnation: key.Incarnation}
-			h.Confirmed += e.transit.Delay(sender, fromMillis64(b.GetSentMs()), boottime.Now())
+			delay = e.transit.Delay(sender, fromMillis64(b.GetSentMs()), boottime.Now())
 		}
-		e.config.Sink.ObserveHeartbeat(key.Host, h)
+		e.config.Sink.ObserveHeartbeat(key.Host, decodeHeartbeat(b, readAt.Add(-delay)))
 	}
 	for _, number := range b.GetRead() {
 		key.Number = number
--- a/serving/process/dispatchsync/dispatchsync_test.go
+++ b/serving/process/dispatchsync/dispatchsync_test.go
@@ -207,12 +207,15 @@
 	})
 	from.exchange.FirstEvent(to, 3)
 	eventually(t, "the first event", func() bool { return home.sink.at("x").Backlog == 0 })
-	heartbeat := published.Heartbeat{Position: replicas.Position{Era: 2, Revision: 77}, Confirmed: 90 * time.Millisecond, Settled: true, ConfigVersion: 5, Lost: true}
+	heartbeat := published.Heartbeat{Position: replicas.Position{Era: 2, Revision: 77}, ConfirmedAt: time.Now().Add(-90 * time.Millisecond), Settled: true, ConfigVersion: 5, Lost: true}
 	from.exchange.SendHeartbeat(to, heartbeat)
 	eventually(t, "the heartbeat", func() bool {
 		home.sink.mu.Lock()
 		defer home.sink.mu.Unlock()
-		return home.sink.heartbeat == heartbeat
+		got := home.sink.heartbeat
+		late := got.ConfirmedAt.Sub(heartbeat.ConfirmedAt)
+		got.ConfirmedAt = heartbeat.ConfirmedAt
+		return got == heartbeat && late.Abs() < 50*time.Millisecond
 	})
 	accusation := suspects.Accusation{End: 1 << 63, Service: 1 << 31, Suspects: []suspects.Suspect{{Item: 1 << 63, Customer: 1 << 31}, {Item: 2}}}
 	from.exchange.RecordEnd(to, &accusation)
@@ -413,7 +416,7 @@
 	from, to := pair(t)
 	const confirmed, held = 100 * time.Millisecond, 300 * time.Millisecond
 	send := func(at uint64) time.Duration {
-		from.exchange.SendHeartbeat([]names.Host{to.host}, published.Heartbeat{Position: replicas.Position{Revision: at}, Confirmed: confirmed})
+		from.exchange.SendHeartbeat([]names.Host{to.host}, published.Heartbeat{Position: replicas.Position{Revision: at}, ConfirmedAt: time.Now().Add(-confirmed)})
 		var got published.Heartbeat
 		eventually(t, "the heartbeat", func() bool {
 			to.sink.mu.Lock()
@@ -421,7 +424,7 @@
 			got = to.sink.heartbeat
 			return got.Position.Revision == at
 		})
-		return got.Confirmed
+		return time.Since(got.ConfirmedAt)
 	}
 	if got := send(1); got > confirmed+held/2 {
 		t.Fatalf("confirmed %s ago, %s when it was sent", got, confirmed)
@@ -434,7 +437,7 @@
 		})
 	}()
 	<-blocked
-	from.exchange.SendHeartbeat([]names.Host{to.host}, published.Heartbeat{Position: replicas.Position{Revision: 2}, Confirmed: confirmed})
+	from.exchange.SendHeartbeat([]names.Host{to.host}, published.Heartbeat{Position: replicas.Position{Revision: 2}, ConfirmedAt: time.Now().Add(-confirmed)})
 	time.AfterFunc(held, func() { close(release) })
 	if got := send(3); got < confirmed+held/2 {
 		t.Fatalf("confirmed %s ago, after a wait of %s", got, held)
--- a/serving/process/published/era_test.go
+++ b/serving/process/published/era_test.go
@@ -140,7 +140,7 @@
 		t.Fatal("the position of a peer in an earlier era is to be read")
 	}
 	confirmed := f.Age()
-	f.ObserveHeartbeat("old", Heartbeat{Position: at(1000), Settled: true})
+	f.ObserveHeartbeat("old", Heartbeat{Position: at(1000), Settled: true, ConfirmedAt: time.Now()})
 	if f.Age() < confirmed {
 		t.Fatal("a heartbeat of an earlier era confirmed the records")
 	}
--- a/serving/process/published/listener_test.go
+++ b/serving/process/published/listener_test.go
@@ -26,7 +26,7 @@
 	listener := newFollower(own, &fakePeers{follower: watcher}, false)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	listener.ObserveHeartbeat("watcher", Heartbeat{Position: watcher.Position()})
+	listener.ObserveHeartbeat("watcher", Heartbeat{Position: watcher.Position(), ConfirmedAt: time.Now()})
 	go func() {
 		defer close(done)
 		listener.Run(ctx)
@@ -36,7 +36,7 @@
 		<-done
 	}()
 	heartbeat := func() {
-		listener.ObserveHeartbeat("watcher", Heartbeat{Position: watcher.Position(), Confirmed: watcher.Age()})
+		listener.ObserveHeartbeat("watcher", Heartbeat{Position: watcher.Position(), ConfirmedAt: watcher.Evidence().ConfirmedAt})
 	}
 	s.put("config", "vv")
 	s.put("target/b", "ready")
@@ -71,11 +71,11 @@
 // source does not answer are ignored.
 func TestUnconfirmedHeartbeatIsIgnored(t *testing.T) {
 	f := newFollower(newSource(), &fakePeers{}, false)
-	f.ObserveHeartbeat("watcher", Heartbeat{Position: at(0), Confirmed: MaxFreshAge + time.Second})
+	f.ObserveHeartbeat("watcher", Heartbeat{Position: at(0), ConfirmedAt: time.Now().Add(-(MaxFreshAge + time.Second))})
 	if !f.heartbeatsExpired() {
 		t.Fatal("a heartbeat without a current confirmation was accepted")
 	}
-	f.ObserveHeartbeat("watcher", Heartbeat{Position: at(0)})
+	f.ObserveHeartbeat("watcher", Heartbeat{Position: at(0), ConfirmedAt: time.Now()})
 	if f.heartbeatsExpired() || !f.UpToDate() {
 		t.Fatal("a confirmed heartbeat was ignored")
 	}
@@ -87,7 +87,7 @@
 	s.put("config", "v")
 	f := followAs(t, s, &fakePeers{}, false)
 	eventually(t, "version 1", func() bool { return version(f) == 1 })
-	f.ObserveHeartbeat("watcher", Heartbeat{Position: f.Position()})
+	f.ObserveHeartbeat("watcher", Heartbeat{Position: f.Position(), ConfirmedAt: time.Now()})
 	s.put("config", "vvv")
 	began := time.Now()
 	f.ObservePeerPosition(at(f.Revision()+1), "watcher")
@@ -117,10 +117,10 @@
 		defer f.mu.Unlock()
 		return f.sourceDown
 	})
-	f.ObserveHeartbeat("watcher", Heartbeat{Position: f.Position()})
+	f.ObserveHeartbeat("watcher", Heartbeat{Position: f.Position(), ConfirmedAt: time.Now()})
 	until := time.Now().Add(replicas.RepublishGrace + 100*time.Millisecond)
 	for time.Now().Before(until) {
-		f.ObserveHeartbeat("watcher", Heartbeat{Position: f.Position()})
+		f.ObserveHeartbeat("watcher", Heartbeat{Position: f.Position(), ConfirmedAt: time.Now()})
 		time.Sleep(50 * time.Millisecond)
 	}
 	f.applyBatch(Batch{Position: at(50), Records: []Record{{Key: "target/a", Revision: 50, Deleted: true}}}, "peer")
@@ -145,7 +145,7 @@
 			t.Fatal("peerLagTimeout did not expire although no peer returned a revision")
 		}
 	}
-	f.ObserveHeartbeat("beating", Heartbeat{Position: at(1)})
+	f.ObserveHeartbeat("beating", Heartbeat{Position: at(1), ConfirmedAt: time.Now()})
 	f.readPeer(t.Context())
 	f.readPeer(t.Context())
 	if p.asked[0] != "beating" || p.asked[1] != "" {
@@ -168,12 +168,12 @@
 		if kept := len(f.directory.List(time.Now())) == 1; kept == settled {
 			t.Errorf("after changes of a peer with settled %t: target kept: %t", settled, kept)
 		}
-		f.ObserveHeartbeat("watcher", Heartbeat{Position: at(8), Settled: true}) // older than the change
-		f.ObserveHeartbeat("watcher", Heartbeat{Position: at(9)})
+		f.ObserveHeartbeat("watcher", Heartbeat{Position: at(8), Settled: true, ConfirmedAt: time.Now()}) // older than the change
+		f.ObserveHeartbeat("watcher", Heartbeat{Position: at(9), ConfirmedAt: time.Now()})
 		if kept := len(f.directory.List(time.Now())) == 1; kept == settled {
 			t.Errorf("after heartbeats that are older or not settled, changes with settled %t: target kept: %t", settled, kept)
 		}
-		f.ObserveHeartbeat("watcher", Heartbeat{Position: at(9), Settled: true})
+		f.ObserveHeartbeat("watcher", Heartbeat{Position: at(9), Settled: true, ConfirmedAt: time.Now()})
 		if len(f.directory.List(time.Now())) != 0 {
 			t.Error("target kept after the heartbeat of a settled watcher")
 		}
@@ -189,16 +189,20 @@
 	s.put("target/a", "ready")
 	f := followAs(t, s, &fakePeers{}, false)
 	eventually(t, "version 1", func() bool { return f.View() != nil && version(f) == 1 })
-	heartbeat := Heartbeat{Position: f.Position(), Confirmed: 100 * time.Millisecond, ConfigVersion: 1}
-	for range 10 {
+	heartbeat := Heartbeat{Position: f.Position(), ConfigVersion: 1}
+	beat := func() {
+		heartbeat.ConfirmedAt = time.Now().Add(-100 * time.Millisecond)
 		f.ObserveHeartbeat("watcher", heartbeat)
+	}
+	for range 10 {
+		beat()
 		time.Sleep(50 * time.Millisecond)
 	}
 	s.put("config", "vv")
 	heartbeat.Lost = true
 	began := time.Now()
 	eventually(t, "version 2", func() bool {
-		f.ObserveHeartbeat("watcher", heartbeat)
+		beat()
 		return version(f) == 2
 	})
 	// Ten peers wait for up to 1 s after the heartbeats ended.
@@ -214,12 +218,12 @@
 // depend on it.
 func TestRelayTellsThatSourceIsLost(t *testing.T) {
 	f := newFollower(newSource(), &fakePeers{}, false)
-	f.ObserveHeartbeat("watcher", Heartbeat{})
+	f.ObserveHeartbeat("watcher", Heartbeat{ConfirmedAt: time.Now()})
 	if f.Heartbeat().Lost {
 		t.Fatal("lost while a watcher confirms the records")
 	}
 	time.Sleep(HeartbeatInterval + 50*time.Millisecond)
-	f.ObserveHeartbeat("watcher", Heartbeat{Lost: true})
+	f.ObserveHeartbeat("watcher", Heartbeat{Lost: true, ConfirmedAt: time.Now()})
 	if !f.Heartbeat().Lost {
 		t.Fatal("not lost though the only watcher is refused")
 	}
@@ -241,14 +245,14 @@
 	eventually(t, "version 1", func() bool { return f.View() != nil && version(f) == 1 })
 	position := f.Position()
 	eventually(t, "no call of its own", func() bool {
-		f.ObserveHeartbeat("watcher", Heartbeat{Position: position, ConfigVersion: 1})
+		f.ObserveHeartbeat("watcher", Heartbeat{Position: position, ConfigVersion: 1, ConfirmedAt: time.Now()})
 		return !f.Volunteering()
 	})
 	hung := time.Now()
 	s.put("config", "vv")
 	eventually(t, "version 2", func() bool {
 		for _, from := range []names.Host{"watcher", "relay"} {
-			f.ObserveHeartbeat(from, Heartbeat{Position: position, Confirmed: time.Since(hung), ConfigVersion: 1})
+			f.ObserveHeartbeat(from, Heartbeat{Position: position, ConfirmedAt: hung, ConfigVersion: 1})
 		}
 		return version(f) == 2
 	})
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -73,8 +73,7 @@
 	configReadDelay = 500 * time.Millisecond
 	// maxHistory bounds the number of changes that are kept for peers.
 	maxHistory = 512
-	// minLoggedWait is the least wait of a heartbeat between the reading of its age and
-	// its send that is logged.
+	// minLoggedWait is the least wait of a heartbeat for a batch that is logged.
 	minLoggedWait = 20 * time.Millisecond
 )
 
@@ -87,7 +86,7 @@
 	StageApply Stage = "apply"
 	// StagePeerRead is the time of a read from a peer.
 	StagePeerRead Stage = "peer_read"
-	// StageHeartbeat is the time between the reading of a heartbeat's age and its send.
+	// StageHeartbeat is the time for which a heartbeat waits for a batch that is being applied.
 	StageHeartbeat Stage = "heartbeat"
 )
 
@@ -404,10 +403,10 @@
 
 // Heartbeat is what a watcher tells the daemons of its data centre.
 type Heartbeat struct {
-	// Position is the newest position that the watcher knows, Confirmed the time
-	// since the source last confirmed it.
-	Position  replicas.Position
-	Confirmed time.Duration
+	// Position is the newest position that the watcher knows, ConfirmedAt the moment as of
+	// which the source last confirmed it.
+	Position    replicas.Position
+	ConfirmedAt time.Time
 	// Settled is true if the targets that the watcher does not list are gone.
 	Settled bool
 	// ConfigVersion is the version of the configuration in force at the watcher.
@@ -418,29 +417,33 @@
 }
 
 // lost reports whether the source refuses this daemon or, for one that does not call it,
-// those that it hears.
-func (f *Follower) lost() bool {
-	if f.Volunteering() || f.situation().Watcher {
-		f.mu.Lock()
-		defer f.mu.Unlock()
+// those that it hears. The caller must hold f.mu.
+func (f *Follower) lost(watches bool) bool {
+	if watches {
 		return f.sourceDown
 	}
 	return f.lastStaleHeartbeat.Age() < watching.HeartbeatTimeout && f.HeartbeatAge() > HeartbeatInterval
 }
 
-// Heartbeat returns this daemon's heartbeat, for a daemon that watches the source.
+// Heartbeat returns this daemon's heartbeat, for a daemon that watches the source. Its fields
+// are of one moment, at which no batch is being applied.
 func (f *Follower) Heartbeat() Heartbeat {
-	began := time.Now()
-	confirmed := f.Age() // before the position, which may change meanwhile
-	h := Heartbeat{
-		Position: f.Position(), Confirmed: confirmed, Settled: f.Settled(), ConfigVersion: f.configVersion(), Lost: f.lost(),
+	began, watches := time.Now(), f.Volunteering() || f.situation().Watcher
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.observeHeartbeatWait(time.Since(began))
+	return Heartbeat{
+		Position: f.Position(), ConfirmedAt: f.Evidence().ConfirmedAt, Settled: f.directory.Settled(time.Now()),
+		ConfigVersion: f.configVersion(), Lost: f.lost(watches),
 	}
-	waited := time.Since(began)
+}
+
+// observeHeartbeatWait records how long a heartbeat waited for a batch that was being applied.
+func (f *Follower) observeHeartbeatWait(waited time.Duration) {
 	f.observe(StageHeartbeat, waited)
 	if waited > minLoggedWait {
-		f.log.Info("heartbeat delayed", zap.Duration("waited", waited), zap.Duration("age", confirmed), zap.Uint64("revision", h.Position.Revision), zap.Uint64("known", f.Revision()))
+		f.log.Info("heartbeat delayed", zap.Duration("waited", waited), zap.Duration("age", f.Age()), zap.Uint64("revision", f.Revision()))
 	}
-	return h
 }
 
 // ObserveHeartbeat processes a watcher's heartbeat. One whose sender has lost the source,
@@ -454,7 +457,7 @@
 	switch {
 	case h.Position.Era < f.Position().Era:
 		return
-	case h.Lost || h.Confirmed > watching.MaxUnconfirmed:
+	case h.Lost || now.Sub(h.ConfirmedAt) > watching.MaxUnconfirmed:
 		f.lastStaleHeartbeat.Set(now)
 		f.ObservePeerPosition(h.Position, from)
 		return
@@ -469,7 +472,7 @@
 	if h.Settled && h.Position == f.Position() {
 		f.dropMissing()
 	}
-	f.evidence.advance(Evidence{ConfirmedAt: now.Add(-h.Confirmed), LearntAt: time.Now(), Origin: FromHeartbeat, From: from})
+	f.evidence.advance(Evidence{ConfirmedAt: h.ConfirmedAt, LearntAt: time.Now(), Origin: FromHeartbeat, From: from})
 	f.announce()
 }
 
