published: read the confirmation before the state that it is to hold for

A request read the configuration in force and then the moment of the last confirmation. A newer version could come into force and be confirmed in between, so that the request took the older one for confirmed and refused the newer one's routes with 404. On a host that is short of processor time the gap is as long as the process stands still.

Read in the other order, the state may only be newer than the confirmation. TestStateIsNotOlderThanItsEvidence failed in most runs before and passes.

--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -290,11 +290,11 @@
 // View returns the state in force, or nil before the first configuration.
 func (f *Follower) View() *View { return f.view.Load() }
 
-// Current returns the state in force, nil before the first configuration, and the last
-// confirmation of the records.
+// Current returns the state in force, nil before the first configuration, and a confirmation of
+// the records that holds for it. The state may be newer than the confirmation.
 func (f *Follower) Current() (*View, Evidence) {
-	view := f.View()
-	return view, f.Evidence()
+	evidence := f.Evidence() // before the view, which is in force when its records are confirmed
+	return f.View(), evidence
 }
 
 // FirstView returns a channel that is closed once View returns a state.
