dispatchsync: date heartbeats by round trips, not by the fastest one

Callers got 404 for routes of confirmed versions also where no batch was being applied. The receiver of a heartbeat counted its delay beyond the sender's fastest one, so that the first one of a sender counted as not held up at all, and where two processes stand still for most of each tenth of a second, so did the wait that all of them have in common; once more for each daemon that hands the confirmation on.

A peer that is read from now tells its clock, read after the question had arrived: what that clock shows later was not before the question. A confirmation is dated by it (watching.Clocks), so that it errs to the old side only, whatever the processors do. A heartbeat of a sender whose clock is not known confirms nothing and causes one read from it, which itself confirms the records. Senders of earlier releases say so by a missing field and are read by as before.

--- a/serving/process/dispatchsync/convert.go
+++ b/serving/process/dispatchsync/convert.go
@@ -134,11 +134,11 @@
 	return uint32(min(now.Sub(at).Milliseconds()+1, math.MaxUint32))
 }
 
-// decodeHeartbeat decodes a heartbeat that was sent at a moment by the clock of this daemon.
-func decodeHeartbeat(b *peerpb.DispatchBatch, sentAt time.Time) published.Heartbeat {
+// decodeHeartbeat decodes a heartbeat but for the moment of its confirmation.
+func decodeHeartbeat(b *peerpb.DispatchBatch) published.Heartbeat {
 	return published.Heartbeat{
-		Position:    replicas.Position{Era: b.GetEra(), Revision: b.GetRevision()},
-		ConfirmedAt: sentAt.Add(-fromMillis(b.GetConfirmedMs())), Settled: b.GetSettled(), ConfigVersion: names.Version(b.GetConfigVersion()),
+		Position: replicas.Position{Era: b.GetEra(), Revision: b.GetRevision()},
+		Settled:  b.GetSettled(), ConfigVersion: names.Version(b.GetConfigVersion()),
 		Lost: b.GetSourceLost(),
 	}
 }
--- a/serving/process/dispatchsync/dispatchsync.go
+++ b/serving/process/dispatchsync/dispatchsync.go
@@ -20,7 +20,6 @@
 	"carobspoke.example/core/process/ratelimits"
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/process/suspects"
-	"carobspoke.example/core/process/watching"
 	"carobspoke.example/serving/peerpb"
 	"carobspoke.example/serving/process/boottime"
 	"carobspoke.example/serving/process/published"
@@ -94,8 +93,8 @@
 	// wake signals to Run that there is a pending batch.
 	wake chan struct{}
 
-	// transit measures the delay of heartbeats. Only the receiving goroutine uses it.
-	transit watching.Transit[inflight.Key]
+	// clocks dates the confirmations in heartbeats.
+	clocks peerClocks
 }
 
 // pendingBatch is a batch that is not sent yet, and its approximate size in bytes.
@@ -177,6 +176,7 @@
 	batch.ConfigVersion = uint64(h.ConfigVersion)
 	batch.SourceLost = h.Lost
 	batch.SentMs = uint64(boottime.Now().Milliseconds())
+	batch.TellsClock = batch.SentMs > 0
 	batch.ConfirmedMs = ageMillis(h.ConfirmedAt, time.Now()) // as of SentMs or later
 	for _, host := range to {
 		e.send(host, batch)
@@ -305,13 +305,7 @@
 		e.config.Sink.Begin(d, idle)
 	}
 	if b.GetRevision() > 0 {
-		readAt := time.Now() // before boottime.Now, so that a pause between the two adds to the age
-		var delay time.Duration
-		if b.GetSentMs() > 0 {
-			sender := inflight.Key{Host: key.Host, Incarnation: key.Incarnation}
-			delay = e.transit.Delay(sender, fromMillis64(b.GetSentMs()), boottime.Now())
-		}
-		e.config.Sink.ObserveHeartbeat(key.Host, decodeHeartbeat(b, readAt.Add(-delay)))
+		e.receiveHeartbeat(key, b)
 	}
 	for _, number := range b.GetRead() {
 		key.Number = number
--- a/serving/process/edge/edge.go
+++ b/serving/process/edge/edge.go
@@ -152,7 +152,7 @@
 		return errors.Wrap(err, "sharing")
 	}
 	d.shareConn = share
-	client := &published.Client{Hosts: d.recordHosts, Pool: d.peerPool}
+	client := &published.Client{Hosts: d.recordHosts, Pool: d.peerPool, ObserveClock: d.observeClock}
 	d.follower = published.New(published.Config{
 		Source: d.Source, Decoder: d.Decoder, Peers: client, Log: d.Log,
 		OnPosition: d.positionChanged, OnNews: d.wakeHeartbeats, Situation: d.situation, Observe: d.metrics.observeStage, Random: random(),
@@ -197,7 +197,7 @@
 		Sink: exchangeSink{PeerSink: d.board.PeerSink(), Follower: d.follower, Guard: d.suspects}, Log: d.Log,
 	})
 	d.peerServer = peers.NewBoundedServer(nil, noopStats{}, peerBounds())
-	peerpb.RegisterPublicationsServer(d.peerServer, &published.Server{Records: d.follower.Records})
+	peerpb.RegisterPublicationsServer(d.peerServer, &published.Server{Records: d.follower.Records, Incarnation: d.incarnation})
 	d.tunnels = &tunnel.Server{Gate: gate{d}, Dial: d.dialDirect()}
 	peerpb.RegisterTunnelsServer(d.peerServer, d.tunnels)
 	return nil
--- a/serving/process/edge/watchers.go
+++ b/serving/process/edge/watchers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carobspoke.example/core/names"
+	"carobspoke.example/core/process/inflight"
 	core "carobspoke.example/core/process/membership"
 	"carobspoke.example/core/process/watching"
 	"carobspoke.example/serving/process/published"
@@ -170,6 +171,11 @@
 	}
 }
 
+// observeClock relates the clock of a peer to that of this daemon, for its heartbeats.
+func (d *Daemon) observeClock(of names.Host, incarnation names.Incarnation, asked, read time.Duration) {
+	d.exchange.ObserveClock(inflight.Key{Host: of, Incarnation: incarnation}, asked, read)
+}
+
 // sendHeartbeats sends heartbeats to the daemons that depend on this one. A heartbeat
 // holds the position and age of its records.
 func (d *Daemon) sendHeartbeats(ctx context.Context) {
--- a/serving/process/published/confirmation_test.go
+++ b/serving/process/published/confirmation_test.go
@@ -1,6 +1,7 @@
 package published
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -48,6 +49,35 @@
 	}
 }
 
+// Guards against relying on a heartbeat whose sender's clock is not known, and against not asking
+// the sender for it.
+func TestHeartbeatOfUnknownClockIsFollowedByRead(t *testing.T) {
+	p := &fakePeers{batch: Batch{Position: at(1), ConfirmedAt: time.Now()}}
+	f := newFollower(newSource(), p, false)
+	f.applyBatch(Batch{Position: at(1), Complete: true, Records: []Record{{Key: "config", Value: []byte("v"), Revision: 1}}}, FromPeer)
+	f.ObserveHeartbeat("relay", Heartbeat{Position: at(1), ConfirmedAt: time.Now(), ClockUnknown: true})
+	if got := f.Evidence(); !got.ConfirmedAt.IsZero() {
+		t.Fatalf("confirmed by %+v", got)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.readClocks(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	f.ObserveHeartbeat("relay", Heartbeat{Position: at(1), ConfirmedAt: time.Now(), ClockUnknown: true, MustRead: true})
+	eventually(t, "a read from the sender", func() bool { return f.Evidence().Origin == FromPeer })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.asked) != 1 || p.asked[0] != "relay" {
+		t.Fatalf("read from %v", p.asked)
+	}
+}
+
 // TestStateIsNotOlderThanItsEvidence puts versions in force one after the other, each confirmed
 // after it is in force. Guards against requests that read the state before a version and the
 // confirmation after it, and refuse the version's routes.
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -48,6 +48,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { f.followPeers(ctx) })
 	running.Go(func() { f.expire(ctx) })
+	running.Go(func() { f.readClocks(ctx) })
 	f.followSource(ctx)
 	running.Wait()
 }
@@ -231,6 +232,33 @@
 	f.confirm(&batch, FromPeer)
 }
 
+// readSoon has readClocks read from a peer. More than maxToRead peers are dropped: their next
+// heartbeats ask again.
+func (f *Follower) readSoon(from names.Host) {
+	select {
+	case f.toRead <- from:
+	default:
+	}
+}
+
+// readClocks reads from the peers whose clocks are not known. Such a read also confirms the
+// records.
+func (f *Follower) readClocks(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case from := <-f.toRead:
+			batch, err := f.peers.Read(ctx, from, f.Position())
+			if err != nil {
+				continue // the next heartbeat asks again
+			}
+			f.applyBatch(batch, FromPeer)
+			f.confirm(&batch, FromPeer)
+		}
+	}
+}
+
 // selectPeer returns the peer to read a pending position from: the peer that
 // announced it, else the watcher that sent the last heartbeat. It returns an
 // empty host, which stands for any peer, if there is no current watcher or a read
--- a/serving/process/published/peers.go
+++ b/serving/process/published/peers.go
@@ -14,6 +14,7 @@
 	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/serving/connection/peers"
 	"carobspoke.example/serving/peerpb"
+	"carobspoke.example/serving/process/boottime"
 	"github.com/pkg/errors"
 )
 
@@ -39,6 +40,8 @@
 	peerpb.UnimplementedPublicationsServer
 	// Records returns the records after a position, as Follower.Records does.
 	Records func(after replicas.Position) Batch
+	// Incarnation is that of this daemon. Readers relate its clock to theirs.
+	Incarnation names.Incarnation
 
 	mu         sync.Mutex
 	compressed map[string]compressedValue
@@ -51,9 +54,14 @@
 
 // Read implements peerpb.PublicationsServer.
 func (s *Server) Read(_ context.Context, r *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
+	clock := boottime.Now() // the sooner after the request has arrived, the more exact
 	batch := s.Records(replicas.Position{Era: r.GetEra(), Revision: r.GetAfter()})
 	reply := &peerpb.PublishedReply{
 		Era: batch.Position.Era, Revision: batch.Position.Revision, Whole: batch.Complete, Settled: batch.Settled,
+		Incarnation: uint64(s.Incarnation),
+	}
+	if clock > 0 {
+		reply.ClockMs = uint64(clock.Milliseconds()) + 1 // rounded up
 	}
 	if !batch.ConfirmedAt.IsZero() {
 		age := uint32(min(time.Since(batch.ConfirmedAt).Milliseconds()+1, math.MaxUint32)) // rounded up
@@ -127,6 +135,9 @@
 	// Hosts returns the peers that may be read from.
 	Hosts func() []names.Host
 	Pool  *peers.Pool
+	// ObserveClock receives that a peer read its clock after this daemon had asked it, each
+	// by its own clock since its boot. It may be nil.
+	ObserveClock func(of names.Host, incarnation names.Incarnation, asked, read time.Duration)
 }
 
 // Read implements Peers. An empty host stands for one of Hosts, chosen at random.
@@ -144,12 +155,15 @@
 	if err != nil {
 		return Batch{}, err
 	}
-	sent := time.Now()
+	asked, sent := boottime.Now(), time.Now()
 	reply, err := peerpb.NewPublicationsClient(conn).Read(ctx, &peerpb.PublishedRequest{After: after.Revision, Era: after.Era})
 	if err != nil {
 		c.Pool.Remove(from)
 		return Batch{}, errors.Wrapf(err, "published: read from peer %s", from)
 	}
+	if clock := reply.GetClockMs(); clock > 0 && c.ObserveClock != nil {
+		c.ObserveClock(from, names.Incarnation(reply.GetIncarnation()), asked, time.Duration(clock)*time.Millisecond)
+	}
 	batch := Batch{
 		Position: replicas.Position{Era: reply.GetEra(), Revision: reply.GetRevision()}, Complete: reply.GetWhole(), Settled: reply.GetSettled(),
 		Peer: from,
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -71,6 +71,8 @@
 	// configReadDelay is how long a daemon that hears of a configuration waits for the
 	// changes that contain it, before it reads the complete list of a peer.
 	configReadDelay = 500 * time.Millisecond
+	// maxToRead bounds the peers that wait to be read from for their clocks.
+	maxToRead = 16
 	// maxHistory bounds the number of changes that are kept for peers.
 	maxHistory = 512
 	// minLoggedWait is the least wait of a heartbeat for a batch that is logged.
@@ -207,6 +209,8 @@
 	// lastWatcher is the sender of the last heartbeat.
 	lastWatcher atomic.Pointer[names.Host]
 	wake        chan struct{}
+	// toRead holds the peers to be read from although they have announced nothing new.
+	toRead chan names.Host
 
 	// answeredAt is the moment as of which the source last confirmed the records to this
 	// daemon itself. Only followSource uses it.
@@ -277,7 +281,7 @@
 	f := &Follower{
 		source: c.Source, decoder: c.Decoder, peers: c.Peers, log: c.Log, onPosition: c.OnPosition, onNews: c.OnNews,
 		situation: c.Situation, plan: watching.New(c.Random),
-		firstView: make(chan struct{}), wake: make(chan struct{}, 1), records: make(map[string]Record), unusable: make(map[string]bool), directory: replicas.New(),
+		firstView: make(chan struct{}), wake: make(chan struct{}, 1), toRead: make(chan names.Host, maxToRead), records: make(map[string]Record), unusable: make(map[string]bool), directory: replicas.New(),
 		evacuations: evacuation.New(), observe: c.Observe,
 	}
 	if f.observe == nil {
@@ -414,6 +418,9 @@
 	// Lost is true if the source refuses the sender, or if the sender hears only
 	// daemons that the source refuses.
 	Lost bool
+	// ClockUnknown is true at the receiver if ConfirmedAt is not known, since the clock of the
+	// sender is not. MustRead is true if a read from the sender is to show its clock.
+	ClockUnknown, MustRead bool
 }
 
 // lost reports whether the source refuses this daemon or, for one that does not call it,
@@ -454,9 +461,15 @@
 func (f *Follower) ObserveHeartbeat(from names.Host, h Heartbeat) {
 	f.ObserveConfigVersion(h.ConfigVersion, from)
 	now := time.Now()
+	if h.MustRead {
+		f.readSoon(from)
+	}
 	switch {
 	case h.Position.Era < f.Position().Era:
 		return
+	case h.ClockUnknown && !h.Lost:
+		f.ObservePeerPosition(h.Position, from)
+		return
 	case h.Lost || now.Sub(h.ConfirmedAt) > watching.MaxUnconfirmed:
 		f.lastStaleHeartbeat.Set(now)
 		f.ObservePeerPosition(h.Position, from)
