--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -221,10 +221,12 @@
 	records map[string]Record
 	// unusable holds the keys of the records that cannot be decoded.
 	unusable map[string]bool
-	// configKey is the key of the configuration in force.
+	// configKey is the key of the configuration in force, whose record records holds.
 	configKey string
+	// unusableConfig is the later record of configKey that cannot be decoded, or nil.
+	unusableConfig *Record
 	// history holds the last change of each key after the revision historyStart, sorted
-	// by revision.
+	// by revision, and that of the configuration in force.
 	history      []Record
 	historyStart uint64
 	directory    *replicas.Directory
