relay: tell a target the time left at the send

The header with the time left was built before the last check whether the request may be sent. That check waits for recent records after a pause of the process, up to 300 ms, and the target was told that much too long a time: it works on when the caller has left. The header is now built after the check.

--- a/serving/request/relay/attempt.go
+++ b/serving/request/relay/attempt.go
@@ -119,9 +119,10 @@
 		NewConnection: !a.route.Repeatable(), IsOwnAnswer: a.isOwnAnswer,
 	}
 	send.Permit = func() error {
+		err := a.permit() // it may wait
 		a.sentAt = time.Now()
 		send.Header = a.outgoingHeader(helpers) // the connection may have taken some of the time left
-		return a.permit()
+		return err
 	}
 	regions, _ := a.regions() // place has refused a request that may reach none
 	exchange, err := a.relay.Pool.Do(upstream.WithRegions(a.ctx, regions), send)
