reserve: count the delay of an order from its end

A target may execute an unanswered order MaxOrderDelay after it was sent. The time of sending was read before the connection was opened, up to 600 ms too early, and the last release could come before the order: its memory then stayed reserved until it lapsed. Now the time at which the attempt ended counts, which is after the send.

TestOrderOfSlowConnectionIsReleased (virtual time): memory held for 3.45 s with a connection that opens in 550 ms, 1.5 s at most are allowed; passes with the change.

--- a/serving/request/reserve/reserve.go
+++ b/serving/request/reserve/reserve.go
@@ -79,7 +79,7 @@
 	// renewalsEnded is closed when no renewal is in flight any more. A renewal
 	// that arrives after the release would reserve the memory again.
 	renewalsEnded chan struct{}
-	// lastUnanswered is when the last reserve order that failed was sent.
+	// lastUnanswered is a time at which the last reserve order that failed had been sent.
 	lastUnanswered atomictime.Time
 }
 
@@ -127,12 +127,11 @@
 }
 
 func (m *Manager) sendReserve(ctx context.Context, r *reservation) error {
-	sent := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := m.orders.Reserve(ctx, r.address, r.target, r.id, r.tokens, TTL)
 	if err != nil && !errors.Is(err, ErrNotSent) {
-		r.lastUnanswered.Set(sent)
+		r.lastUnanswered.Set(time.Now()) // the order may have waited for its connection
 	}
 	return err
 }
