keeper: free nothing after the lease was lost during the read

A keeper checked its lease, read what the engine holds, and freed streams and handles by it, however long the read took. keeping.Lease asks to check again right before an order. Now the lease is checked after the read.

TestReplacedKeeperFreesNothing: a daemon that was replaced during the read freed a handle; it frees none with the change.

--- a/serving/process/keeper/worker.go
+++ b/serving/process/keeper/worker.go
@@ -144,6 +144,9 @@
 		w.k.counts.add("holdings_failed")
 		return
 	}
+	if !w.holdsLease() {
+		return // it was lost during the read
+	}
 	unneeded := w.sweeper.Sweep(holdings, now, w.k.config.FleetView.RunningIncarnation)
 	for _, handle := range unneeded.Handles {
 		w.recordFreed("handle", string(handle.ID), handle.Cause, w.engine.Free(ctx, handle.ID))
