warmup: do not begin a cold period again with a restoration

An entry that a restored list lacks stays usable with revision zero. The table took it for one that was written again, and counted its time left, which is as of its writing, from the restoration: the target was cold for too long, by the time since its entry was read, at most the age of the copy and some seconds.

TestColdPeriodDoesNotBeginAgainWithRestoration: cold for 20 s more, 15 s are left; passes with the change.

--- a/core/process/warmup/table.go
+++ b/core/process/warmup/table.go
@@ -131,7 +131,8 @@
 	}
 	s.listedAt = now
 	first := !s.listed
-	if !first && t.Revision == s.revision {
+	if !first && (t.Revision == s.revision || t.Revision == 0) {
+		s.revision = t.Revision // zero is an entry that was read before a restoration
 		return
 	}
 	s.listed, s.revision = true, t.Revision
