targetstate: read the time of a repetition after its wait

The repetition of dispatches read the time, waited for the lock, and computed how long each target has been idle. A target that sent something during the wait had an idle time below zero, which stands for no activity: homes were told nothing of it for another second.

--- a/serving/process/targetstate/home.go
+++ b/serving/process/targetstate/home.go
@@ -177,9 +177,9 @@
 		dispatch inflight.Dispatch
 		idle     time.Duration
 	}
-	now := time.Now()
 	var list []repetition
 	b.mu.Lock()
+	now := time.Now() // after the wait for the lock, in which targets may have sent something
 	for _, own := range b.own {
 		r := repetition{dispatch: own.leased(now), idle: noActivity}
 		if !own.lastActivity.IsZero() {
