--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -217,6 +217,11 @@
 	pauseMu sync.Mutex
 	pause   watching.Pause
 
+	// applying is held while a batch is applied, so that batches of the source and of peers
+	// follow one another. It is locked before mu.
+	applying sync.Mutex
+
+	// mu guards what follows. It is not held while a configuration is decoded.
 	mu      sync.Mutex
 	records map[string]Record
 	// unusable holds the keys of the records that cannot be decoded.
