published: decode configurations without the follower's lock

While a daemon decoded a configuration, it neither sent nor handled heartbeats, and reads of its peers waited up to their timeout of 900 ms: one slow decoding at a relay held its whole data centre up.

The lock is now taken to look at what is known, and again to apply what was decoded in between. Batches of the source and of peers follow one another by a lock of their own. The position is stored after the state that holds its changes, where it was before it, so that no confirmation of a position is ahead of what requests see.

--- a/serving/process/published/apply.go
+++ b/serving/process/published/apply.go
@@ -53,13 +53,18 @@
 
 // applyBatch applies a batch unless it is older than the records; a newer configuration
 // is taken from any batch. from is its origin, for the log.
+//
+// Any number of goroutines may call it. Batches are applied one after the other, so that
+// positions never decrease. The state that contains the changes up to a position is in force
+// before Position returns it, and hence before anything confirms it. Configurations are decoded without f.mu:
+// until they are in force, heartbeats, peers and requests have the state before the batch.
 func (f *Follower) applyBatch(b Batch, from Origin) {
 	began := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	slices.SortStableFunc(b.Records, func(x, y Record) int { return cmp.Compare(x.Revision, y.Revision) })
 	known := f.Position()
 	order := b.Position.Compare(known)
-	slices.SortStableFunc(b.Records, func(x, y Record) int { return cmp.Compare(x.Revision, y.Revision) })
 	switch {
 	case order < 0:
 		f.applyConfigs(b.Records)
@@ -69,15 +74,30 @@
 	case b.Position.Era > known.Era && !known.IsZero() && !b.Complete:
 		return // its revisions cannot be joined to the known ones
 	}
-	now, o := time.Now(), origin{from: string(from), era: b.Position.Era}
+	contents := f.decodeBatch(b.Records, f.known())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.applyContents(&b, contents, known, origin{from: string(from), era: b.Position.Era}, now)
+	f.publishView()
+	f.position.Store(&b.Position)
+	took := time.Since(began)
+	f.observe(StageApply, took)
+	f.log.Info("published records taken in", zap.String("from", string(from)), zap.String("peer", string(b.Peer)), zap.Uint64("era", b.Position.Era), zap.Uint64("revision", b.Position.Revision),
+		zap.Int("records", len(b.Records)), zap.Bool("whole", b.Complete), zap.Int("targets", len(f.directory.List(now))), zap.Duration("took", took))
+	f.onPosition(b.Position)
+}
+
+// applyContents applies the records of a batch, whose contents were decoded. The caller must
+// hold f.applying and f.mu.
+func (f *Follower) applyContents(b *Batch, contents []content, known replicas.Position, o origin, now time.Time) {
 	if b.Position.Era > known.Era && !known.IsZero() {
-		f.restore(&b, now)
+		f.restore(b, now)
 	}
 	if b.Complete {
-		f.removeAbsent(&b, o, now)
+		f.removeAbsent(b, o, now)
 		f.history, f.historyStart = nil, b.Position.Revision
 	}
-	contents := f.decodeBatch(b.Records, f.known())
 	for i := range b.Records {
 		f.applyRecord(&b.Records[i], &contents[i], o, now)
 	}
@@ -92,13 +112,6 @@
 	if b.Settled {
 		f.directory.DropMissing(now)
 	}
-	f.position.Store(&b.Position)
-	f.publishView()
-	took := time.Since(began)
-	f.observe(StageApply, took)
-	f.log.Info("published records taken in", zap.String("from", string(from)), zap.String("peer", string(b.Peer)), zap.Uint64("era", b.Position.Era), zap.Uint64("revision", b.Position.Revision),
-		zap.Int("records", len(b.Records)), zap.Bool("whole", b.Complete), zap.Int("targets", len(f.directory.List(now))), zap.Duration("took", took))
-	f.onPosition(b.Position)
 }
 
 // restore begins a new era with its complete list. Revisions of the era before cannot be
@@ -117,13 +130,15 @@
 		zap.Int("records", len(b.Records)))
 }
 
-// known returns what is known of the configuration. The caller must hold f.mu.
+// known returns what is known of the configuration.
 func (f *Follower) known() known {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return known{inForce: f.records[f.configKey], version: f.configVersion(), unusable: f.unusableConfig}
 }
 
 // applyConfigs puts a configuration of a batch, sorted by revision, in force if it is newer. The
-// caller must hold f.mu.
+// caller must hold f.applying, but not f.mu.
 func (f *Follower) applyConfigs(records []Record) {
 	records = slices.DeleteFunc(slices.Clone(records), func(r Record) bool {
 		_, isTarget := f.decoder.TargetOf(r.Key)
@@ -131,6 +146,8 @@
 		return isTarget || isEvacuation || r.Deleted
 	})
 	contents := f.decodeBatch(records, f.known())
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for i := range records {
 		if r := records[i]; f.installConfig(&contents[i]) {
 			r.Revision = 0 // of another position than the other records
