published: read the time left of a suspension after the wait for the lock

A peer that read the records of a daemon while that one applied a batch took a target of a restoration for unusable for longer by the length of the wait, and handed that on. The time is now read with the lock held.

TestSuspensionThatWaitsIsNoLonger failed before (300 ms longer for a wait of 300 ms) and passes.

--- a/serving/process/published/apply.go
+++ b/serving/process/published/apply.go
@@ -14,10 +14,9 @@
 // Records returns the changes after a position, or all records if the changes since
 // then are no longer kept.
 func (f *Follower) Records(after replicas.Position) Batch {
-	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	position := f.Position()
+	now, position := time.Now(), f.Position()
 	b := Batch{Position: position, ConfirmedAt: f.Evidence().ConfirmedAt, Settled: f.directory.Settled(now)}
 	if position.Compare(after) <= 0 {
 		return b
