published: compare positions with the lock held, and ask for whole milliseconds

A heartbeat of a watcher that lists the same position says that missing targets are gone. The position was compared before the wait for the lock, in which a batch could be applied: targets that a later position lacks would have been dropped on the word of the earlier one.

The wait of a watch is cut to whole milliseconds on the wire; the moment that its answer confirms was computed from the uncut one, up to 1 ms too late.

--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -116,7 +116,7 @@
 		batch.ConfirmedAt = sent
 		return batch, err
 	}
-	wait := watching.WatchTimeFor(sent.Sub(f.answeredAt))
+	wait := watching.WatchTimeFor(sent.Sub(f.answeredAt)).Truncate(time.Millisecond) // the source waits for whole ones
 	batch, err := f.source.Watch(ctx, f.Revision(), wait)
 	batch.ConfirmedAt = watching.ConfirmedAt(sent, wait, len(batch.Records) > 0, time.Now())
 	return batch, err
@@ -279,11 +279,14 @@
 	return f.directory.Settled(time.Now())
 }
 
-// dropMissing drops missing targets, after a watcher with the same revision has
-// reported that they are gone.
-func (f *Follower) dropMissing() {
+// dropMissing drops missing targets, after a watcher has reported that they are gone as of a
+// position, if that is the position of the records.
+func (f *Follower) dropMissing(asOf replicas.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if asOf != f.Position() {
+		return
+	}
 	if f.directory.DropMissing(time.Now()) {
 		f.log.Info("missing targets were dropped, a watcher says that they are gone", zap.Uint64("revision", f.Revision()))
 		f.publishView()
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -489,8 +489,8 @@
 		return
 	}
 	f.markSourceAvailable(now)
-	if h.Settled && h.Position == f.Position() {
-		f.dropMissing()
+	if h.Settled {
+		f.dropMissing(h.Position)
 	}
 	f.evidence.advance(Evidence{ConfirmedAt: h.ConfirmedAt, LearntAt: time.Now(), Origin: FromHeartbeat, From: from})
 	f.announce()
