emulator: answer a watch that ends with the changes that have come

If a change and the end of the wait were due at once, as on a busy machine, the answer could lack a change from before its end, which daemons rightly take for a confirmation that there was none. The events are read again at the end of the wait.

--- a/tools/emulator/store.go
+++ b/tools/emulator/store.go
@@ -324,6 +324,7 @@
 	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	ended := false
 	for {
 		if !s.waitResponsive(r) {
 			return
@@ -334,7 +335,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		if len(body.Events) > 0 {
+		if len(body.Events) > 0 || ended {
 			s.setEra(w, era)
 			_ = json.NewEncoder(w).Encode(&body) // fails only if the caller has gone
 			return
@@ -342,9 +343,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			s.setEra(w, era)
-			_ = json.NewEncoder(w).Encode(&body) // fails only if the caller has gone
-			return
+			ended = true // a change may have come since the events were read
 		case <-r.Context().Done():
 			return
 		}
