soak: add storms of versions at daemons that are held to a share of a core

Callers saw 404 on routes that were acknowledged over two seconds before, and no run of the soak holds daemons to a small share of a core.

--- a/tools/soak/command.go
+++ b/tools/soak/command.go
@@ -14,7 +14,7 @@
 
 // Command returns the command `carobspoke soak`.
 func Command() *cli.Command {
-	defaults := DefaultConfig()
+	defaults, storms := DefaultConfig(), DefaultStormConfig()
 	return &cli.Command{
 		Name:  "soak",
 		Usage: "run daemons against the emulator of the platform while faults are injected, and check their guarantees",
@@ -39,6 +39,16 @@
 			&cli.BoolFlag{Name: "cold", Usage: "targets also bear few requests after their start, after their data centre was taken back, and at times"},
 			&cli.BoolFlag{Name: "regions", Usage: "streams and orders may reach one of two regions alone"},
 			&cli.IntFlag{Name: "changes", Usage: "instead of all that: `NUMBER` of changes, each while the readers of the store are disturbed or after a restoration, with nine daemons in three data centres that are asked whether it is in force"},
+			&cli.IntFlag{Name: "storms", Usage: "instead of all that: `NUMBER` of storms of versions, with daemons in three data centres that are held to a share of a core and are asked whether each version is in force; the flags below are for --storms"},
+			&cli.FloatFlag{Name: "share", Value: storms.Share, Usage: "`SHARE` of the time in which a daemon runs"},
+			&cli.DurationFlag{Name: "period", Value: storms.Period, Usage: "`TIME` in which each daemon is stopped once"},
+			&cli.BoolFlag{Name: "aligned", Usage: "all daemons are stopped at the same moment"},
+			&cli.IntFlag{Name: "routes", Value: storms.Routes, Usage: "`NUMBER` of routes that do not change"},
+			&cli.IntFlag{Name: "versions", Value: storms.Versions, Usage: "`NUMBER` of versions in a storm"},
+			&cli.DurationFlag{Name: "gap", Value: storms.Gap, Usage: "`TIME` between two versions of a storm"},
+			&cli.IntFlag{Name: "busy", Usage: "`NUMBER` of threads that keep the machine busy"},
+			&cli.IntFlag{Name: "kills", Usage: "`NUMBER` of daemons that are killed and started in each storm"},
+			&cli.IntFlag{Name: "stalls", Usage: "`NUMBER` of daemons that are stopped for up to two seconds in each storm"},
 			&cli.StringFlag{Name: "beside", Usage: "`PATH` of another build of carobspoked, which every second daemon runs"},
 			&cli.StringFlag{Name: "folder", Value: filepath.Join(os.TempDir(), "carobspoke-soak"), Usage: "`FOLDER` for settings and logs, with a folder of its own for each process"},
 		},
@@ -46,12 +56,23 @@
 	}
 }
 
-// run runs one seed, of changes if there are any.
-func run(ctx context.Context, c Config, changes int) (*Report, error) {
-	if changes > 0 {
-		return RunChanges(ctx, c, changes)
+// run runs one seed, of storms or changes if there are any.
+func run(ctx context.Context, c *cli.Command, config Config) (*Report, error) {
+	switch {
+	case c.Int("storms") > 0:
+		if !c.IsSet("daemons") {
+			config.Daemons = changesDaemons
+		}
+		return RunStorms(ctx, config, StormConfig{
+			Storms: c.Int("storms"), Versions: c.Int("versions"), Gap: c.Duration("gap"), Routes: c.Int("routes"),
+			Share: c.Float("share"), Period: c.Duration("period"), Aligned: c.Bool("aligned"),
+			Busy: c.Int("busy"), Kills: c.Int("kills"), Stalls: c.Int("stalls"),
+		})
+	case c.Int("changes") > 0:
+		return RunChanges(ctx, config, c.Int("changes"))
+	default:
+		return Run(ctx, config)
 	}
-	return Run(ctx, c)
 }
 
 func runCommand(ctx context.Context, c *cli.Command) error {
@@ -75,7 +96,7 @@
 			Program: program, Beside: c.String("beside"),
 		}
 		config.Folder = filepath.Join(folder, strconv.FormatUint(config.Seed, 10))
-		report, err := run(ctx, config, c.Int("changes"))
+		report, err := run(ctx, c, config)
 		if err != nil {
 			return err
 		}
--- a/tools/soak/process.go
+++ b/tools/soak/process.go
@@ -63,8 +63,8 @@
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sendLocked(s)
 	if p.command != nil {
-		_ = p.command.Process.Signal(s) // the process may have exited
 		p.disturbedAt = time.Now()
 	}
 }
@@ -81,6 +81,40 @@
 	}
 }
 
+// hold is pause for a process that is stopped as a matter of course: it doesn't count as
+// disturbed, and no process that is started meanwhile is stopped.
+func (p *process) hold() (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pauses++
+	p.sendLocked(syscall.SIGSTOP)
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.pauses--
+		if p.pauses == 0 {
+			p.sendLocked(syscall.SIGCONT)
+		}
+	}
+}
+
+// sendLocked sends a signal to the process if it is running. The caller holds mu.
+func (p *process) sendLocked(s syscall.Signal) {
+	if p.command != nil {
+		_ = p.command.Process.Signal(s) // the process may have exited
+	}
+}
+
+// pid returns the process's ID, or 0 if it isn't running.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	return p.command.Process.Pid
+}
+
 func (p *process) countPauses(change int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -28,6 +28,8 @@
 	Reservations int
 	// Prompts are the outcomes of a run with Config.Parts.
 	Prompts Prompts
+	// Storms are the outcomes of RunStorms, nil for other runs.
+	Storms *StormResult
 }
 
 // String returns the report in a few lines.
@@ -38,6 +40,9 @@
 	if r.Prompts.Crashes > 0 {
 		text += "\n  " + r.Prompts.String()
 	}
+	if r.Storms != nil {
+		text += "\n  " + r.Storms.String()
+	}
 	for _, violation := range r.Violations {
 		text += "\n  violation: " + violation
 	}
--- a/tools/soak/testbed.go
+++ b/tools/soak/testbed.go
@@ -218,20 +218,27 @@
 	b.version++
 	version, keys := b.version, b.keysOfCustomer()
 	b.mu.Unlock()
-	route := func(name string, kind routing.Kind, service names.Service, timeout time.Duration) routing.Route {
-		return routing.Route{
-			Name: name, Hostname: hostname, Prefix: "/" + name + "/", Kind: kind, Timeout: timeout, LatencyTarget: 300 * time.Millisecond,
-			GapTarget: 200 * time.Millisecond, MaxAttempts: 2, Resumable: kind == routing.Streaming,
-			Services: []routing.WeightedService{{Service: service, Weight: 1}}, Regions: b.config.allowedRegions(name),
-		}
+	return b.store.PutConfig(b.buildConfig(version, keys))
+}
+
+// route returns a route to one service.
+func (b *testbed) route(name string, kind routing.Kind, service names.Service, timeout time.Duration) routing.Route {
+	return routing.Route{
+		Name: name, Hostname: hostname, Prefix: "/" + name + "/", Kind: kind, Timeout: timeout, LatencyTarget: 300 * time.Millisecond,
+		GapTarget: 200 * time.Millisecond, MaxAttempts: 2, Resumable: kind == routing.Streaming,
+		Services: []routing.WeightedService{{Service: service, Weight: 1}}, Regions: b.config.allowedRegions(name),
 	}
+}
+
+// buildConfig returns a version of the configuration with the customer's keys.
+func (b *testbed) buildConfig(version names.Version, keys []string) *routing.Config {
 	config := &routing.Config{
 		Version: version,
 		Routes: []routing.Route{
-			route("stream", routing.Streaming, engineService, 5*time.Second),
-			route("read", routing.Idempotent, plainService, 2*time.Second),
-			route("order", routing.NonIdempotent, plainService, 2*time.Second),
-			route(fmt.Sprintf("version-%d", version), routing.Idempotent, plainService, 2*time.Second),
+			b.route("stream", routing.Streaming, engineService, 5*time.Second),
+			b.route("read", routing.Idempotent, plainService, 2*time.Second),
+			b.route("order", routing.NonIdempotent, plainService, 2*time.Second),
+			b.route(fmt.Sprintf("version-%d", version), routing.Idempotent, plainService, 2*time.Second),
 		},
 		Services: []routing.Service{{Name: plainService, MaxConnections: 100}, {Name: engineService, MaxConnections: 100, Engine: &routing.Engine{
 			Slots: 8, MemoryTokens: 450_000, StepsPerPass: 10, StepTime: time.Millisecond, PrefillRate: 256_000, ChunkTokens: 2048, MeanPromptTokens: 5000, MeanAnswerTokens: 150,
@@ -242,7 +249,7 @@
 	for i := range config.Services {
 		b.config.addCold(&config.Services[i])
 	}
-	return b.store.PutConfig(config)
+	return config
 }
 
 // firstHostByte is the last byte of the first daemon's address.
