soak: tell how far a refusal overstates what its daemon knows

A refusal names the age of its confirmation, read after the request was sent. If that confirmation is later than the acknowledgement, the daemon claims to know a version that it lacks, whenever the request was sent.

--- a/tools/soak/stormjudge.go
+++ b/tools/soak/stormjudge.go
@@ -1,17 +1,12 @@
 package soak
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
 	"slices"
 	"sort"
 	"strings"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 const (
@@ -93,6 +88,10 @@
 	Unanswered     int
 	// Origins counts the refusals later than changeBound by the origin of their evidence.
 	Origins map[string]int
+	// Overstated are refusals of an added route by a daemon that claims to know all changes up
+	// to a moment after the acknowledgement, whenever they were sent, with the least time between
+	// the two.
+	Overstated Tally
 	// Median and P99 are of the times from the acknowledgement to the sending of the first
 	// request that was served on an added route, over Pairs of daemons and versions. Unserved
 	// pairs were not served in stormAskTime.
@@ -107,9 +106,9 @@
 
 // String returns the outcome in a few lines.
 func (r *StormResult) String() string {
-	text := fmt.Sprintf("later than %s: refused as unknown %s, by evidence %v, ran although dropped %s, unavailable %s; regressed %s; "+
+	text := fmt.Sprintf("later than %s: refused as unknown %s, by evidence %v, refused on a confirmation after the acknowledgement at any time %s, ran although dropped %s, unavailable %s; regressed %s; "+
 		"in force after a median of %s, 99%% %s, %d of %d not in %s; unavailable at any time %v, unanswered %d; heartbeats delayed %s; load average %.1f, at most %.1f",
-		changeBound, r.Refused, r.Origins, r.Ran, r.Unavailable, r.Regressed, r.Median.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.Unserved, r.Pairs+r.Unserved, stormAskTime,
+		changeBound, r.Refused, r.Origins, r.Overstated, r.Ran, r.Unavailable, r.Regressed, r.Median.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.Unserved, r.Pairs+r.Unserved, stormAskTime,
 		r.AllUnavailable, r.Unanswered, r.Delayed, r.Load, r.MaxLoad)
 	core, running, stop := 0.0, 0.0, time.Duration(0)
 	for _, s := range r.Shares {
@@ -165,6 +164,9 @@
 			continue
 		}
 		late := a.sent.Sub(acknowledged[a.version])
+		if by, ok := logs.overstated(a, late); ok {
+			r.Overstated.add(by)
+		}
 		if late > changeBound {
 			if a.status == http.StatusServiceUnavailable {
 				r.Unavailable.add(late)
@@ -301,102 +303,3 @@
 	since := a.sent.Sub(list[i].at)
 	return since, since > regressSlack
 }
-
-// refusal is a daemon's log line on a request that it did not answer.
-type refusal struct {
-	Time          string  `json:"time"`
-	Message       string  `json:"msg"`
-	Request       string  `json:"request"`
-	Reason        string  `json:"reason"`
-	Version       uint64  `json:"version"`
-	Waited        float64 `json:"waited"`
-	Configuration struct {
-		Recent   bool    `json:"recent"`
-		Age      float64 `json:"age"`
-		Evidence string  `json:"evidence"`
-	} `json:"configuration"`
-}
-
-// String returns what the refusal rests on, or nothing if it isn't known.
-func (r refusal) String() string {
-	if r.Request == "" {
-		return ""
-	}
-	return fmt.Sprintf(" (logged at %s: %s, version %d, confirmed %.0f ms before by %s)", r.Time, r.Reason, r.Version, r.Configuration.Age, r.Configuration.Evidence)
-}
-
-// daemonLogs is what the logs of the daemons show.
-type daemonLogs struct {
-	// refusals are by the ID of the request.
-	refusals map[string]refusal
-	delayed  Tally
-}
-
-// readLogs reads the logs of the daemons.
-func readLogs(hosts []*host) (*daemonLogs, error) {
-	logs := &daemonLogs{refusals: make(map[string]refusal)}
-	for _, h := range hosts {
-		if err := logs.read(h.log); err != nil {
-			return nil, err
-		}
-	}
-	return logs, nil
-}
-
-func (l *daemonLogs) read(path string) error {
-	return eachLine(path, func(line string) {
-		refused := strings.Contains(line, `"msg":"not answered"`)
-		if !refused && !strings.Contains(line, `"msg":"heartbeat delayed"`) {
-			return
-		}
-		var r refusal
-		if json.Unmarshal([]byte(line), &r) != nil {
-			return // a line that was being written
-		}
-		if refused {
-			l.refusals[r.Request] = r
-		} else {
-			l.delayed.add(time.Duration(r.Waited * float64(time.Millisecond)))
-		}
-	})
-}
-
-// relays returns the daemons from which others have read.
-func relays(hosts []*host) []*host {
-	named := make(map[string]bool)
-	for _, h := range hosts {
-		_ = eachLine(h.log, func(line string) { // without a log there are none
-			var r struct {
-				Message string `json:"msg"`
-				Peer    string `json:"peer"`
-			}
-			if strings.Contains(line, `"msg":"published records taken in"`) && json.Unmarshal([]byte(line), &r) == nil {
-				named[r.Peer] = true
-			}
-		})
-	}
-	var list []*host
-	for _, h := range hosts {
-		if named[h.settings.Name] {
-			list = append(list, h)
-		}
-	}
-	return list
-}
-
-// eachLine calls f for each line of a file.
-func eachLine(path string, f func(string)) error {
-	file, err := os.Open(path)
-	if err != nil {
-		return errors.Wrap(err, "soak")
-	}
-	defer func() { _ = file.Close() }() // it is only read
-	lines := bufio.NewReader(file)
-	for {
-		line, err := lines.ReadString('\n')
-		if err != nil {
-			return nil //nolint:nilerr // the last line ends with the file
-		}
-		f(line)
-	}
-}
--- a/tools/soak/storms.go
+++ b/tools/soak/storms.go
@@ -3,20 +3,16 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"carobspoke.example/core/names"
 	"carobspoke.example/core/version/routing"
-	"carobspoke.example/platform"
-	"carobspoke.example/tools/emulator"
 	"github.com/pkg/errors"
 )
 
@@ -71,11 +67,13 @@
 	// kept and fresh send requests on connections that are kept and on new ones.
 	kept, fresh *http.Client
 	number      atomic.Int64
+	// first is the version before the first storm, last that of the last one.
+	first, last int
 	// incarnations counts the starts of each daemon.
 	incarnations map[*host]*atomic.Int64
 
 	mu sync.Mutex
-	// acknowledged are the moments of the versions of the storms, the first of which is 1.
+	// acknowledged are the moments at which the versions were.
 	acknowledged map[int]time.Time
 	answers      []answer
 	excuses      []excuse
@@ -97,7 +95,7 @@
 		return nil, err
 	}
 	s := newStorms(b, storm)
-	if err := s.publish(0); err != nil {
+	if err := s.publish(); err != nil {
 		return nil, err
 	}
 	if err := b.waitReady(ctx); err != nil {
@@ -123,7 +121,7 @@
 
 func newStorms(b *testbed, c StormConfig) *storms {
 	s := &storms{
-		testbed: b, config: c, acknowledged: make(map[int]time.Time), incarnations: make(map[*host]*atomic.Int64),
+		testbed: b, config: c, first: int(b.version) + 1, last: int(b.version) + 1 + c.Storms*c.Versions, acknowledged: make(map[int]time.Time), incarnations: make(map[*host]*atomic.Int64),
 		kept:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxAsked}},
 		fresh: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -143,7 +141,7 @@
 	defer running.Wait()
 	defer cancel()
 	for i := range s.config.Storms {
-		if err := s.playStorm(ctx, i*s.config.Versions); err != nil {
+		if err := s.playStorm(ctx, s.first+i*s.config.Versions); err != nil {
 			return err
 		}
 	}
@@ -178,8 +176,8 @@
 		running.Go(func() { s.stall(asking, d) })
 	}
 	next := time.Now()
-	for i := range s.config.Versions {
-		if err := s.publish(before + i + 1); err != nil {
+	for range s.config.Versions {
+		if err := s.publish(); err != nil {
 			return err
 		}
 		next = next.Add(s.config.Gap)
@@ -189,28 +187,28 @@
 	return ctx.Err()
 }
 
-// publish publishes a version of the storms. Version 0 has none of the added routes, and all
-// routes and keys that the others drop.
-func (s *storms) publish(v int) error {
+// publish publishes the next version. The first one has none of the added routes, and all routes
+// and keys that the others drop.
+func (s *storms) publish() error {
 	b := s.testbed
 	b.mu.Lock()
 	b.version++
-	version := b.version
+	v := int(b.version)
 	b.mu.Unlock()
-	keys, most := []string{key}, s.config.Storms*s.config.Versions
-	for w := v + 1; w <= most; w++ {
+	keys := []string{key}
+	for w := v + 1; w <= s.last; w++ {
 		if w%keyInterval == 0 {
 			keys = append(keys, takenKey(w))
 		}
 	}
-	config := b.buildConfig(version, keys)
+	config := b.buildConfig(names.Version(v), keys)
 	add := func(name string) {
 		config.Routes = append(config.Routes, b.route(name, routing.Idempotent, plainService, 2*time.Second))
 	}
 	for i := range s.config.Routes {
 		add(fmt.Sprintf("filler-%d", i))
 	}
-	for w := 1; w <= most; w++ {
+	for w := s.first + 1; w <= s.last; w++ {
 		if w <= v {
 			add(addedRoute(w))
 		} else {
@@ -311,184 +309,3 @@
 	defer s.mu.Unlock()
 	s.excuses = append(s.excuses, excuse{host: h.settings.Name, from: from, until: time.Now().Add(settleTime)})
 }
-
-// askHost asks a daemon for the versions of a storm until ctx ends.
-func (s *storms) askHost(ctx context.Context, h *host, before int, random *rand.Rand) {
-	a := &inquiry{storms: s, host: h, random: random, served: make(map[int]bool), gone: make(map[int]bool)}
-	ticks := time.NewTicker(stormAskInterval)
-	defer ticks.Stop()
-	defer a.running.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C:
-		}
-		q, ok := a.next(before)
-		if !ok || a.open.Load() >= maxAsked {
-			continue
-		}
-		a.open.Add(1)
-		a.running.Go(func() {
-			defer a.open.Add(-1)
-			a.ask(context.WithoutCancel(ctx), q)
-		})
-	}
-}
-
-// kind is what a request of a storm is for.
-type kind string
-
-// Kinds of requests.
-const (
-	onAdded    kind = "an added route"
-	onDropped  kind = "a dropped route"
-	withOldKey kind = "a key that was taken away"
-)
-
-// question is a request that shows whether a version is in force.
-type question struct {
-	kind    kind
-	version int
-}
-
-// inquiry chooses the requests to one daemon in one storm.
-type inquiry struct {
-	*storms
-	host    *host
-	random  *rand.Rand
-	running sync.WaitGroup
-	open    atomic.Int64
-
-	mu sync.Mutex
-	// served and gone are the versions whose added route was served, and whose dropped
-	// route or key was refused.
-	served, gone map[int]bool
-}
-
-// next returns the next request: for a version that is not in force beyond its bound, otherwise
-// for any that is not known to be in force, otherwise now and then for any.
-func (a *inquiry) next(before int) (question, bool) {
-	late, open, all := a.candidates(before)
-	a.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	const idle = 4
-	switch {
-	case len(late) > 0:
-		return late[a.random.IntN(len(late))], true
-	case len(open) > 0:
-		return open[a.random.IntN(len(open))], true
-	case len(all) > 0 && a.random.IntN(idle) == 0:
-		return all[0], true
-	default:
-		return question{}, false
-	}
-}
-
-// candidates returns the requests for the versions of the storm that are late, those that are
-// open, and all.
-func (a *inquiry) candidates(before int) (late, open, all []question) {
-	a.storms.mu.Lock()
-	acknowledged := maps.Clone(a.acknowledged)
-	a.storms.mu.Unlock()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for v := before + 1; v <= before+a.config.Versions; v++ {
-		age := time.Since(acknowledged[v])
-		if acknowledged[v].IsZero() || age > stormAskTime {
-			continue
-		}
-		for _, q := range questions(v) {
-			all = append(all, q)
-			known := a.gone[v]
-			if q.kind == onAdded {
-				known = a.served[v]
-			}
-			switch {
-			case known:
-			case age > changeBound:
-				late = append(late, q)
-			default:
-				open = append(open, q)
-			}
-		}
-	}
-	return late, open, all
-}
-
-// questions returns the requests that show whether a version is in force.
-func questions(v int) []question {
-	list := []question{{onAdded, v}, {onAdded, v}, {onDropped, v}}
-	if v%keyInterval == 0 {
-		list = append(list, question{withOldKey, v})
-	}
-	return list
-}
-
-// ask sends a request and records its answer.
-func (a *inquiry) ask(ctx context.Context, q question) {
-	route, with, client := addedRoute(q.version), key, a.kept
-	switch q.kind {
-	case onAdded:
-	case onDropped:
-		route = droppedRoute(q.version)
-	case withOldKey:
-		route, with = "read", takenKey(q.version)
-	}
-	n := a.number.Add(1)
-	if n%newConnections == 0 {
-		client = a.fresh
-	}
-	r := answer{question: q, host: a.host.settings.Name, id: "ask-" + strconv.FormatInt(n, 10), incarnation: a.incarnations[a.host].Load()}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.host.settings.CallerAddress.String()+"/"+route+"/x", http.NoBody)
-	if err != nil {
-		a.checker.RecordViolation("a request cannot be built: %v", err)
-		return
-	}
-	setHeaders(request, r.id, with)
-	r.sent = time.Now()
-	r.status = status(client, request)
-	r.answered = time.Now()
-	r.restarted = a.incarnations[a.host].Load() != r.incarnation
-	a.record(&r)
-}
-
-// setHeaders sets the headers of a request that may be repeated.
-func setHeaders(r *http.Request, id, with string) {
-	r.Host = hostname
-	r.Header.Set(platform.HeaderAttempt, id)
-	r.Header.Set(platform.HeaderKey, with)
-	r.Header.Set(platform.HeaderDeadline, strconv.FormatInt(callTimeout.Milliseconds(), 10))
-	r.Header.Set(emulator.HeaderExpectedCustomer, customer)
-	r.Header.Set(emulator.HeaderRepeatable, "1")
-}
-
-// status returns the status of the answer, or zero if there is none.
-func status(client *http.Client, r *http.Request) int {
-	response, err := client.Do(r)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = response.Body.Close() }() // only the status counts
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return 0
-	}
-	return response.StatusCode
-}
-
-// record records an answer.
-func (a *inquiry) record(r *answer) {
-	a.storms.mu.Lock()
-	a.answers = append(a.answers, *r)
-	a.storms.mu.Unlock()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	switch {
-	case r.kind == onAdded && r.ran():
-		a.served[r.version] = true
-	case r.kind != onAdded && r.refusedAsUnknown():
-		a.gone[r.version] = true
-	}
-}
-
