soak: list the answers of storms beside the logs

To tell which confirmation a late refusal rests on, its request has to be found in the logs of other daemons. The folder of a run now has a line for each answer. Unit tests cover which answers count.

--- a/tools/soak/stormlogs.go
+++ b/tools/soak/stormlogs.go
@@ -127,3 +127,14 @@
 		f(line)
 	}
 }
+
+// writeAnswers writes a line for each answer, to be read beside the logs of the daemons.
+func writeAnswers(path string, answers []answer, acknowledged map[int]time.Time) error {
+	text := []byte("id,host,incarnation,kind,version,sent,after_acknowledgement_ms,took_ms,status\n")
+	for i := range answers {
+		a := &answers[i]
+		text = fmt.Appendf(text, "%s,%s,%d,%s,%d,%s,%d,%d,%d\n", a.id, a.host, a.incarnation, a.kind, a.version, a.sent.UTC().Format(time.RFC3339Nano),
+			a.sent.Sub(acknowledged[a.version]).Milliseconds(), a.answered.Sub(a.sent).Milliseconds(), a.status)
+	}
+	return errors.Wrap(os.WriteFile(path, text, 0o600), "soak")
+}
--- a/tools/soak/storms.go
+++ b/tools/soak/storms.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,8 @@
 	keyInterval = 4
 	// minStall and maxStall bound the time for which a daemon is stalled.
 	minStall, maxStall = 100 * time.Millisecond, 2 * time.Second
+	// answersFile lists the answers, in the folder of the run.
+	answersFile = "answers.csv"
 	// logTime is how long the daemons may take to write their logs at the end.
 	logTime = 500 * time.Millisecond
 )
@@ -111,6 +114,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := writeAnswers(filepath.Join(c.Folder, answersFile), s.answers, s.acknowledged); err != nil {
+		return nil, err
+	}
 	result, violations := judge(s.answers, s.acknowledged, s.excuses, logs)
 	result.addShares(t)
 	return &Report{
--- /dev/null
+++ b/tools/soak/storms_test.go
@@ -0,0 +1,105 @@
+package soak
+
+import (
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestAddedRoutesAreServedInTimeOnSlowHosts guards against daemons that hold their records for
+// complete, and refuse routes that were added over two seconds before, while they catch up slowly.
+func TestAddedRoutesAreServedInTimeOnSlowHosts(t *testing.T) {
+	program, err := Build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := DefaultConfig()
+	c.Seed, c.Daemons, c.Program, c.Folder = 1, changesDaemons, program, filepath.Join(t.TempDir(), "1")
+	report, err := RunStorms(t.Context(), c, DefaultStormConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report)
+	if err := report.Err(); err != nil {
+		t.Error(err)
+	}
+	if s := report.Storms; s.Pairs < s.Unserved || report.Counts.Served == 0 {
+		t.Errorf("%d of %d pairs of daemons and versions were served, %d requests in all", s.Pairs, s.Pairs+s.Unserved, report.Counts.Served)
+	}
+}
+
+func TestJudgeCountsAnswersThatOnlyOlderVersionsAllow(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	acknowledged := map[int]time.Time{4: at(0), 5: at(100)}
+	request := func(k kind, version, sentMS, status int) answer {
+		return answer{question: question{k, version}, host: "host-1", id: "ask", sent: at(sentMS), answered: at(sentMS + 10), status: status}
+	}
+	restarted := request(onAdded, 4, 1500, http.StatusNotFound)
+	restarted.incarnation = 1
+	for _, c := range []struct {
+		name                         string
+		answers                      []answer
+		excuses                      []excuse
+		refused, ran, late503, regrs int
+	}{
+		{"refused within the bound", []answer{request(onAdded, 4, 1999, http.StatusNotFound)}, nil, 0, 0, 0, 0},
+		{"refused late", []answer{request(onAdded, 4, 2001, http.StatusNotFound), request(onAdded, 5, 2101, http.StatusForbidden)}, nil, 2, 0, 0, 0},
+		{"refused a dropped route", []answer{request(onDropped, 4, 2500, http.StatusNotFound)}, nil, 0, 0, 0, 0},
+		{"ran late", []answer{request(onDropped, 4, 2500, http.StatusOK), request(withOldKey, 4, 2500, http.StatusOK)}, nil, 0, 2, 0, 0},
+		{"unavailable late", []answer{request(onAdded, 4, 2500, http.StatusServiceUnavailable)}, nil, 0, 0, 1, 0},
+		{"excused", []answer{request(onAdded, 4, 2500, http.StatusNotFound)}, []excuse{{"host-1", at(2505), at(6000)}}, 0, 0, 0, 0},
+		{"another daemon is excused", []answer{request(onAdded, 4, 2500, http.StatusNotFound)}, []excuse{{"host-2", at(2505), at(6000)}}, 1, 0, 0, 0},
+		{"regressed", []answer{request(onAdded, 5, 500, http.StatusOK), request(onAdded, 4, 800, http.StatusNotFound), request(onDropped, 5, 800, http.StatusOK)}, nil, 0, 0, 0, 2},
+		{"just seen", []answer{request(onAdded, 5, 500, http.StatusOK), request(onAdded, 4, 760, http.StatusNotFound)}, nil, 0, 0, 0, 0},
+		{"a newer version", []answer{request(onAdded, 4, 500, http.StatusOK), request(onAdded, 5, 1500, http.StatusNotFound)}, nil, 0, 0, 0, 0},
+		{"another incarnation", []answer{request(onAdded, 5, 500, http.StatusOK), restarted}, nil, 0, 0, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, violations := judge(c.answers, acknowledged, c.excuses, &daemonLogs{})
+			if r.Refused.Count != c.refused || r.Ran.Count != c.ran || r.Unavailable.Count != c.late503 || r.Regressed.Count != c.regrs {
+				t.Errorf("refused %v, ran %v, unavailable %v, regressed %v, want %d, %d, %d, %d", r.Refused, r.Ran, r.Unavailable, r.Regressed, c.refused, c.ran, c.late503, c.regrs)
+			}
+			if want := c.refused + c.ran + c.regrs; len(violations) != want {
+				t.Errorf("violations %q, want %d", violations, want)
+			}
+		})
+	}
+}
+
+func TestRefusalOnLaterConfirmationIsOverstated(t *testing.T) {
+	var confirmed refusal
+	confirmed.Request, confirmed.Configuration.Age = "ask", 400
+	logs := &daemonLogs{refusals: map[string]refusal{"ask": confirmed}}
+	a := answer{question: question{onAdded, 4}, id: "ask", status: http.StatusNotFound}
+	if by, ok := logs.overstated(&a, 500*time.Millisecond); !ok || by != 100*time.Millisecond {
+		t.Errorf("overstated by %s (%t), want 100ms", by, ok)
+	}
+	if by, ok := logs.overstated(&a, 300*time.Millisecond); ok {
+		t.Errorf("overstated by %s although the version was acknowledged after the confirmation", by)
+	}
+}
+
+func TestQuantile(t *testing.T) {
+	times := []time.Duration{1, 2, 3, 4}
+	for q, want := range map[float64]time.Duration{0.25: 1, 0.5: 2, 0.51: 3, 0.99: 4} {
+		if got := quantile(times, q); got != want {
+			t.Errorf("quantile %g is %d, want %d", q, got, want)
+		}
+	}
+	if got := quantile(nil, 0.5); got != 0 {
+		t.Errorf("quantile of nothing is %d, want 0", got)
+	}
+}
+
+func TestParseProcessorTime(t *testing.T) {
+	line := "71 (a daemon (1)) S " + strings.Repeat("0 ", 10) + "7 5 " + strings.Repeat("0 ", 20)
+	if got := parseProcessorTime(line); got != 120*time.Millisecond {
+		t.Errorf("processor time %s, want 120ms", got)
+	}
+	if got := parseProcessorTime("71 (a"); got != 0 {
+		t.Errorf("processor time %s of a broken line, want 0", got)
+	}
+}
