--- a/tools/soak/storms.go
+++ b/tools/soak/storms.go
@@ -119,6 +119,9 @@
 	}
 	result, violations := judge(s.answers, s.acknowledged, s.excuses, logs)
 	result.addShares(t)
+	if result.Pairs == 0 {
+		return nil, errors.New("soak: no daemon served an added route")
+	}
 	return &Report{
 		Seed: c.Seed, Counts: countAnswers(s.answers), Violations: append(b.checker.Violations(), violations...), Faults: b.faults,
 		StoreRequests: b.store.Requests(), Storms: result,
