emulator: encode a bounded number of the store's answers at once

Beside a race-detected test program the store encoded answers more slowly than daemons gave up and asked again; each answer of a storm holds megabytes. One run of TestAddedRoutesAreServedInTimeOnSlowHosts took 28 GB until the kernel ended it. At most eight answers are encoded at once, and none whose caller has gone.

--- a/tools/emulator/store.go
+++ b/tools/emulator/store.go
@@ -36,6 +36,9 @@
 	modeCount
 )
 
+// maxEncoding bounds the answers that are encoded at once.
+const maxEncoding = 8
+
 // record is an entry of the store, or an event of a watch. Deleted marks the
 // removal of an entry.
 type record struct {
@@ -70,6 +73,8 @@
 	// evacuatedSince is since when each key of an evacuation has been held.
 	evacuatedSince map[string]time.Time
 	requests       int
+	// encoding holds an element for each answer that is being encoded.
+	encoding chan struct{}
 }
 
 // NewStore returns an empty store.
@@ -77,6 +82,7 @@
 	return &Store{
 		records: make(map[string]record), lost: make(map[string]record), revision: 1, changed: make(chan struct{}),
 		refusedClients: make(map[netip.Addr]bool), evacuatedSince: make(map[string]time.Time),
+		encoding: make(chan struct{}, maxEncoding),
 	}
 }
 
@@ -292,7 +298,20 @@
 	s.mu.Unlock()
 	slices.SortFunc(body.Entries, func(x, y record) int { return strings.Compare(x.Key, y.Key) })
 	s.setEra(w, era)
-	_ = json.NewEncoder(w).Encode(&body) // fails only if the caller has gone
+	s.send(w, r, &body)
+}
+
+// send encodes an answer, unless its caller has gone in the meantime. At most maxEncoding
+// answers are encoded at once, so that callers that give up and ask again on a busy machine do not
+// make the store hold ever more of them.
+func (s *Store) send(w http.ResponseWriter, r *http.Request, body *response) {
+	select {
+	case s.encoding <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-s.encoding }()
+	_ = json.NewEncoder(w).Encode(body) // fails only if the caller has gone
 }
 
 // waitResponsive waits while the store is unresponsive. It reports whether the
@@ -337,7 +356,7 @@
 		}
 		if len(body.Events) > 0 || ended {
 			s.setEra(w, era)
-			_ = json.NewEncoder(w).Encode(&body) // fails only if the caller has gone
+			s.send(w, r, &body)
 			return
 		}
 		select {
