suspects: show a refusal that grows by the waits of a stopped daemon

A daemon takes the time left of a refusal as of when it handles the message, and repeats that. If it stands still in between, the others adopt the later end from it.

TestRepeatedRefusalEndsInTime, without stops, goes on to pass.

--- a/core/process/suspects/audit_test.go
+++ b/core/process/suspects/audit_test.go
@@ -18,7 +18,7 @@
 			if ends == EndsToRefuseLong {
 				lasts = RefusedFor
 			}
-			last := repeatRefusal(t, daemons, ends, longest, lasts+30*time.Second)
+			last := repeatRefusal(t, daemons, ends, longest, 0, 1, lasts+30*time.Second)
 			if late := last.Sub(at(lasts)); late > longest+TickInterval {
 				t.Errorf("%d ends, messages take up to %s: the refusal lasts %s longer than the %s after the last end", ends, longest, late, lasts)
 			}
@@ -26,48 +26,46 @@
 	}
 }
 
+// TestRefusalOfStoppedDaemonEndsInTime has one of the daemons stand still for half of the time,
+// whose messages wait for as long. Guards against a refusal that grows by each such wait, since
+// the daemon hands on what it takes for the time left.
+func TestRefusalOfStoppedDaemonEndsInTime(t *testing.T) {
+	const daemons, longest, stopped = 5, time.Second, 2500 * time.Millisecond
+	for seed := range uint64(10) {
+		last := repeatRefusal(t, daemons, EndsToRefuseLong, longest, stopped, seed, RefusedFor+3*time.Minute)
+		if late := last.Sub(at(RefusedFor)); late > longest+stopped+TickInterval {
+			t.Errorf("seed %d: a daemon is stopped for %s at a time: the refusal lasts %s longer than the %s after the last end", seed, stopped, late, RefusedFor)
+		}
+	}
+}
+
 // repeatRefusal lets the first of some daemons refuse the part "bad" after some ends, and returns
-// when the last one refuses it no more.
-func repeatRefusal(t *testing.T, daemons, ends int, longest, lasts time.Duration) (last time.Time) {
+// when the last one refuses it no more. The last daemon stands still for stopped, and runs for as
+// long, in turn.
+func repeatRefusal(t *testing.T, daemons, ends int, longest, stopped time.Duration, seed uint64, lasts time.Duration) (last time.Time) {
 	t.Helper()
-	type inFlight struct {
-		to *Exchange
-		at time.Time
-		m  Message
-	}
-	random := rand.New(rand.NewPCG(1, 2))
+	random := rand.New(rand.NewPCG(seed, 2))
 	var all []*Exchange
 	for range daemons {
 		all = append(all, NewExchange(start.Add(-time.Hour)))
 	}
 	crash(all[0].table, 0, ends, start, "c", "bad")
-	var messages []inFlight
-	seen := make(map[*Exchange]map[string]uint64) // gossip drops what has a sequence that is not higher
+	d := delivery{seen: make(map[*Exchange]map[string]uint64)}
 	for _, x := range all {
-		seen[x] = make(map[string]uint64)
+		d.seen[x] = make(map[string]uint64)
 	}
 	for now := start; now.Before(start.Add(lasts)); now = now.Add(TickInterval) {
-		rest := messages[:0]
-		for _, m := range messages {
-			if m.at.After(now) {
-				rest = append(rest, m)
-				continue
-			}
-			if m.m.Sequence <= seen[m.to][m.m.Key] {
+		stands := func(x *Exchange) bool { return x == all[daemons-1] && now.Sub(start)%max(2*stopped, 1) < stopped }
+		d.deliver(t, now, stands)
+		for _, from := range all {
+			if stands(from) {
 				continue
 			}
-			seen[m.to][m.m.Key] = m.m.Sequence
-			if _, err := m.to.Receive(&m.m, now); err != nil {
-				t.Fatal(err)
-			}
-		}
-		messages = rest
-		for _, from := range all {
 			for _, m := range from.Tick(now) {
-				seen[from][m.Key] = max(seen[from][m.Key], m.Sequence)
+				d.seen[from][m.Key] = max(d.seen[from][m.Key], m.Sequence)
 				for _, to := range all {
 					if to != from {
-						messages = append(messages, inFlight{to: to, at: now.Add(time.Duration(random.Int64N(int64(longest)))), m: m})
+						d.messages = append(d.messages, inFlight{to: to, at: now.Add(time.Duration(random.Int64N(int64(longest)))), m: m})
 					}
 				}
 			}
@@ -79,6 +77,39 @@
 	return last
 }
 
+// delivery holds the messages that daemons send to each other.
+type delivery struct {
+	messages []inFlight
+	// seen holds the sequences that the daemons know: gossip drops messages with lower ones.
+	seen map[*Exchange]map[string]uint64
+}
+
+type inFlight struct {
+	to *Exchange
+	at time.Time
+	m  Message
+}
+
+// deliver delivers the messages that are due to the daemons that do not stand still.
+func (d *delivery) deliver(t *testing.T, now time.Time, stands func(*Exchange) bool) {
+	t.Helper()
+	rest := d.messages[:0]
+	for _, m := range d.messages {
+		if m.at.After(now) || stands(m.to) {
+			rest = append(rest, m)
+			continue
+		}
+		if m.m.Sequence <= d.seen[m.to][m.m.Key] {
+			continue
+		}
+		d.seen[m.to][m.m.Key] = m.m.Sequence
+		if _, err := m.to.Receive(&m.m, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.messages = rest
+}
+
 // TestLateClearanceDropsNoLaterEnd has a clearance arrive after the ends that followed its sound
 // request. Guards against taking the request for a later one: the ends then count no more, and
 // the part that crashes targets goes on to do so.
