published: tell cached compressed values apart by their bytes

The cache of compressed values compared revisions. A configuration that was read from a peer of another position has revision zero, and so has every record known from before a restoration: a peer's reader could get the older one of two such configurations, and of two records of one key in one reply always got one value twice.

TestCompressedValueIsThatOfItsRecord failed before.

--- a/serving/process/published/peers.go
+++ b/serving/process/published/peers.go
@@ -40,13 +40,10 @@
 	// Records returns the records after a position, as Follower.Records does.
 	Records func(after replicas.Position) Batch
 
-	mu         sync.Mutex
-	compressed map[string]compressedValue
-}
-
-type compressedValue struct {
-	revision uint64
-	bytes    []byte
+	mu sync.Mutex
+	// compressed holds compressed values by the first byte of the value, which is never
+	// modified. Revisions do not tell the values of a key apart: a record may have none.
+	compressed map[*byte][]byte
 }
 
 // Read implements peerpb.PublicationsServer.
@@ -72,8 +69,8 @@
 	return reply, nil
 }
 
-// encodeRecord encodes a record for a peer. Large values are compressed, once a
-// revision: the result is cached.
+// encodeRecord encodes a record for a peer. Large values are compressed once: the
+// result is cached.
 func (s *Server) encodeRecord(r *Record) (*peerpb.PublishedRecord, error) {
 	out := &peerpb.PublishedRecord{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted}
 	if len(r.Value) < compressMinBytes {
@@ -81,19 +78,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	cached, ok := s.compressed[r.Key]
-	if !ok || cached.revision != r.Revision {
-		bytes, err := compress(r.Value)
-		if err != nil {
+	packed, ok := s.compressed[&r.Value[0]]
+	if !ok {
+		var err error
+		if packed, err = compress(r.Value); err != nil {
 			return nil, err
 		}
-		cached = compressedValue{revision: r.Revision, bytes: bytes}
 		if s.compressed == nil || len(s.compressed) >= maxCompressedValues {
-			s.compressed = make(map[string]compressedValue)
+			s.compressed = make(map[*byte][]byte)
 		}
-		s.compressed[r.Key] = cached
+		s.compressed[&r.Value[0]] = packed
 	}
-	out.Value, out.Packed = cached.bytes, true
+	out.Value, out.Packed = packed, true
 	return out, nil
 }
 
