published: read the list after changes that take too long to read

Callers of slow hosts met versions seconds late in storms: a watch returns every version since the last one, and one whose answer was not complete within 0.7 s was repeated from the same position, with still more versions. The store counted as lost meanwhile, so that other daemons called it, too.

An answer that has begun and is not complete in time is now an error of its own (ErrUnfinished). The list, which holds one record of each key, is read next. TestChangesThatTakeTooLongAreListed failed before (version 3 not within 5 s).

--- a/serving/process/published/confirmation_test.go
+++ b/serving/process/published/confirmation_test.go
@@ -110,3 +110,25 @@
 		}
 	}
 }
+
+// Guards against watching again from the same position after an answer with many versions that
+// was not complete in time: the next one holds more versions and takes longer.
+func TestChangesThatTakeTooLongAreListed(t *testing.T) {
+	s := newSource()
+	s.put("config", "v")
+	f := follow(t, s, &fakePeers{})
+	eventually(t, "version 1", func() bool { return version(f) == 1 })
+	s.set(func(s *fakeSource) { s.unfinished = true })
+	s.put("config", "vv")
+	s.put("config", "vvv")
+	began := time.Now()
+	eventually(t, "version 3", func() bool { return version(f) == 3 })
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("in force after %s", took)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sourceDown {
+		t.Error("a source that answers slowly counts as lost")
+	}
+}
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -75,6 +75,11 @@
 			f.log.Info("the publisher has forgotten its changes, the list is read again", zap.Uint64("revision", f.Revision()))
 			relist = true
 			continue
+		case errors.Is(err, ErrUnfinished) && !relist:
+			// The next watch would return more changes of the same keys, and the list holds one of each.
+			f.log.Info("the publisher's changes take too long to read, its list is read", zap.Uint64("revision", f.Revision()), zap.String("error", err.Error()))
+			relist = true
+			continue
 		}
 		if err != nil {
 			f.sourceFailed(ctx, err)
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -127,6 +127,9 @@
 // changes since the revision.
 var ErrCompacted = errors.New("published: the source no longer has the changes since the revision")
 
+// ErrUnfinished is returned by Source if an answer had begun and was not complete in time.
+var ErrUnfinished = errors.New("published: the answer of the source was not complete in time")
+
 // Source reads the platform's records. With an error, the era of a returned batch is
 // that of the answer if there was one, else zero.
 type Source interface {
--- a/serving/process/published/published_test.go
+++ b/serving/process/published/published_test.go
@@ -22,15 +22,17 @@
 
 // fakeSource is a Source whose answers a test sets.
 type fakeSource struct {
-	mu        sync.Mutex
-	records   map[string]Record
-	changes   []Record
-	revision  uint64
-	era       uint64
-	down      bool
-	compacted uint64
-	lists     int
-	watches   int
+	mu       sync.Mutex
+	records  map[string]Record
+	changes  []Record
+	revision uint64
+	era      uint64
+	down     bool
+	// unfinished is true if watches that have changes do not end in time.
+	unfinished bool
+	compacted  uint64
+	lists      int
+	watches    int
 }
 
 // at returns a position of the first era.
@@ -95,6 +97,9 @@
 			}
 		}
 		s.mu.Unlock()
+		if len(b.Records) > 0 && s.isUnfinished() {
+			return Batch{}, ErrUnfinished
+		}
 		if len(b.Records) > 0 || time.Now().After(until) || ctx.Err() != nil {
 			return b, nil
 		}
@@ -102,6 +107,12 @@
 	}
 }
 
+func (s *fakeSource) isUnfinished() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unfinished
+}
+
 // fakeDecoder decodes "config" records, whose version is the length of the value,
 // and "target/" records.
 type fakeDecoder struct{}
