--- a/serving/process/published/clock_read_test.go
+++ b/serving/process/published/clock_read_test.go
@@ -108,7 +108,9 @@
 		close(ends)
 		pool.Close()
 		server.Stop()
-		<-served
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
 	}()
 	late := make(chan error, 1)
 	go func() {
