watching: repeat a slow question for a clock soon

The first question to a sender waits for its connection. A slow one made the bound of the sender's clock too low, and it was repeated after 4 s only: after a question of 0.7 s confirmations of 0.6 s ago counted as 1.3 s old, more than MaxUnconfirmed, so that daemons would call the store and relays tell that it is lost. While the bound may be over 250 ms too low, the pauses between questions begin at 1 s and double.

TestSlowFirstRoundTripIsRepeatedSoon failed before.

--- a/core/process/watching/clock.go
+++ b/core/process/watching/clock.go
@@ -24,6 +24,12 @@
 	// bound precise, maxRecheckDoublings times: the sender or this daemon is slow, or far away.
 	recheckPause        = 4 * time.Second
 	maxRecheckDoublings = 4
+	// largeBoundError is how much too low a bound may be without an early repetition of a
+	// question that was slow, as the first one often is. The pauses begin at earlyPause and double
+	// up to maxEarlyDoublings times.
+	largeBoundError   = 250 * time.Millisecond
+	earlyPause        = time.Second
+	maxEarlyDoublings = 6
 )
 
 // Clocks translates times of other daemons' clocks into the own one, so that a moment is never
@@ -119,11 +125,12 @@
 func (c *Clocks[S]) MustAsk(of S, sentAt, readAt time.Duration) bool {
 	s := c.sender(of)
 	s.checkJump(sentAt, readAt)
-	if s.known && readAt-s.trip.local(sentAt) <= maxBoundError {
+	boundError := readAt - s.trip.local(sentAt)
+	if s.known && boundError <= maxBoundError {
 		s.questions, s.preciseAt = 0, max(s.preciseAt, readAt)
 		return false
 	}
-	if s.asked && readAt < s.nextQuestion() {
+	if s.asked && readAt < s.nextQuestion(boundError) {
 		return false
 	}
 	s.questions++
@@ -131,10 +138,14 @@
 	return true
 }
 
-// nextQuestion returns the time of the next question to a sender that was asked before.
-func (s *senderClock[S]) nextQuestion() time.Duration {
-	if !s.known {
+// nextQuestion returns the time of the next question to a sender that was asked before. boundError
+// is how much too low the bound is at most.
+func (s *senderClock[S]) nextQuestion(boundError time.Duration) time.Duration {
+	switch {
+	case !s.known:
 		return s.askedAt + minAskPause
+	case boundError > largeBoundError:
+		return s.askedAt + earlyPause<<min(max(s.questions-1, 0), maxEarlyDoublings)
 	}
 	return max(s.askedAt, s.preciseAt) + recheckPause<<min(max(s.questions-1, 0), maxRecheckDoublings)
 }
