published: keep a peer's connection after one late read

A read that was late closed the connection to the peer, and with it every other call on it: reads that were answered in time, and tunnels to targets. Now two late reads in a row close it, or any other error.

--- a/serving/process/published/peers.go
+++ b/serving/process/published/peers.go
@@ -16,6 +16,8 @@
 	"carobspoke.example/serving/peerpb"
 	"carobspoke.example/serving/process/boottime"
 	"github.com/pkg/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
 // peerReadTimeout bounds a read from a peer, which may include setting up the
@@ -134,6 +136,33 @@
 	// ObserveClock receives that a peer read its clock after this daemon had asked it, each
 	// by its own clock since its boot. It may be nil.
 	ObserveClock func(of names.Host, incarnation names.Incarnation, asked, read time.Duration)
+
+	mu sync.Mutex
+	// late counts the reads from a peer that were late since its last answer.
+	late map[names.Host]int
+}
+
+// maxLateReads is the number of late reads in a row from which a connection counts as broken. One may
+// be late because the peer is slow, and others share its connection.
+const maxLateReads = 2
+
+// recordResult closes the connection to a peer if the result of a read shows that it is broken.
+func (c *Client) recordResult(of names.Host, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		delete(c.late, of)
+		return
+	}
+	if status.Code(err) == codes.DeadlineExceeded && c.late[of]+1 < maxLateReads {
+		if c.late == nil {
+			c.late = make(map[names.Host]int)
+		}
+		c.late[of]++
+		return
+	}
+	delete(c.late, of)
+	c.Pool.Remove(of)
 }
 
 // Read implements Peers. An empty host stands for one of Hosts, chosen at random.
@@ -153,8 +182,8 @@
 	}
 	asked, sent := boottime.Now(), time.Now()
 	reply, err := peerpb.NewPublicationsClient(conn).Read(ctx, &peerpb.PublishedRequest{After: after.Revision, Era: after.Era})
+	c.recordResult(from, err)
 	if err != nil {
-		c.Pool.Remove(from)
 		return Batch{}, errors.Wrapf(err, "published: read from peer %s", from)
 	}
 	if clock := reply.GetClockMs(); clock > 0 && c.ObserveClock != nil {
