published: read the clocks of peers at the same time

Reads for clocks waited in one queue. A peer whose heartbeats arrive and that answers no reads held up those of all others for 0.9 s each time, and filled the queue; the heartbeats of the others confirmed nothing meanwhile. Each peer now has one read under way at most, and the reads don't wait for each other. One that fails is logged and observed like other reads from peers.

TestPeerThatAnswersNoReadsDelaysNoOther failed before.

--- a/serving/process/published/clock_read_test.go
+++ b/serving/process/published/clock_read_test.go
@@ -63,7 +63,7 @@
 		case <-p.read:
 			return
 		case <-limit:
-			t.Fatalf("the clock of the other peer is not read within %s, %d reads wait", 2*peerReadTimeout, len(f.toRead))
+			t.Fatalf("the clock of the other peer is not read within %s, %d reads wait", 2*peerReadTimeout, len(f.clockReads.due))
 		case <-tick.C:
 		}
 	}
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -219,49 +219,29 @@
 	case !after.IsZero():
 		return
 	}
-	began := time.Now()
-	batch, err := f.peers.Read(ctx, from, after)
-	f.observe(StagePeerRead, time.Since(began))
-	if err != nil {
-		f.log.Info("peer not read", zap.String("peer", string(from)), zap.Uint64("after", after.Revision), zap.Duration("took", time.Since(began)),
-			zap.Uint64("version", uint64(f.configVersion())), zap.String("error", err.Error()))
+	if err := f.readFrom(ctx, from, after); err != nil {
 		if pending != nil {
 			f.pending.CompareAndSwap(pending, &pendingPosition{position: pending.position, since: pending.since, readFailed: true}) // the next read may go to any peer
 		}
 		if config != nil {
 			f.announced.CompareAndSwap(config, &announcedConfig{version: config.version, readAt: config.readAt, until: config.until}) // as above
 		}
-		return
 	}
-	f.applyBatch(batch, FromPeer)
-	f.confirm(&batch, FromPeer)
 }
 
-// readSoon has readClocks read from a peer. More than maxToRead peers are dropped: their next
-// heartbeats ask again.
-func (f *Follower) readSoon(from names.Host) {
-	select {
-	case f.toRead <- from:
-	default:
-	}
-}
-
-// readClocks reads from the peers whose clocks are not known. Such a read also confirms the
-// records.
-func (f *Follower) readClocks(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case from := <-f.toRead:
-			batch, err := f.peers.Read(ctx, from, f.Position())
-			if err != nil {
-				continue // the next heartbeat asks again
-			}
-			f.applyBatch(batch, FromPeer)
-			f.confirm(&batch, FromPeer)
-		}
+// readFrom reads from a peer and applies what it returns. An error is logged.
+func (f *Follower) readFrom(ctx context.Context, from names.Host, after replicas.Position) error {
+	began := time.Now()
+	batch, err := f.peers.Read(ctx, from, after)
+	f.observe(StagePeerRead, time.Since(began))
+	if err != nil {
+		f.log.Info("peer not read", zap.String("peer", string(from)), zap.Uint64("after", after.Revision), zap.Duration("took", time.Since(began)),
+			zap.Uint64("version", uint64(f.configVersion())), zap.String("error", err.Error()))
+		return err
 	}
+	f.applyBatch(batch, FromPeer)
+	f.confirm(&batch, FromPeer)
+	return nil
 }
 
 // selectPeer returns the peer to read a pending position from: the peer that
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -71,8 +71,6 @@
 	// configReadDelay is how long a daemon that hears of a configuration waits for the
 	// changes that contain it, before it reads the complete list of a peer.
 	configReadDelay = 500 * time.Millisecond
-	// maxToRead bounds the peers that wait to be read from for their clocks.
-	maxToRead = 16
 	// maxHistory bounds the number of changes that are kept for peers.
 	maxHistory = 512
 	// minLoggedWait is the least wait of a heartbeat for a batch that is logged.
@@ -212,8 +210,8 @@
 	// lastWatcher is the sender of the last heartbeat.
 	lastWatcher atomic.Pointer[names.Host]
 	wake        chan struct{}
-	// toRead holds the peers to be read from although they have announced nothing new.
-	toRead chan names.Host
+	// clockReads holds the peers that are read from although they have announced nothing new.
+	clockReads clockReads
 
 	// answeredAt is the moment as of which the source last confirmed the records to this
 	// daemon itself. Only followSource uses it.
@@ -291,7 +289,7 @@
 	f := &Follower{
 		source: c.Source, decoder: c.Decoder, peers: c.Peers, log: c.Log, onPosition: c.OnPosition, onNews: c.OnNews,
 		situation: c.Situation, plan: watching.New(c.Random),
-		firstView: make(chan struct{}), wake: make(chan struct{}, 1), toRead: make(chan names.Host, maxToRead), records: make(map[string]Record), unusable: make(map[string]bool), directory: replicas.New(),
+		firstView: make(chan struct{}), wake: make(chan struct{}, 1), clockReads: newClockReads(), records: make(map[string]Record), unusable: make(map[string]bool), directory: replicas.New(),
 		evacuations: evacuation.New(), observe: c.Observe,
 	}
 	if f.observe == nil {
@@ -472,7 +470,7 @@
 	f.ObserveConfigVersion(h.ConfigVersion, from)
 	now := time.Now()
 	if h.MustRead {
-		f.readSoon(from)
+		f.clockReads.begin(from)
 	}
 	switch {
 	case h.Position.Era < f.Position().Era:
