--- a/core/process/watching/delay_test.go
+++ b/core/process/watching/delay_test.go
@@ -9,8 +9,8 @@
 // against taking their confirmations for as recent as the moment at which they are read.
 func TestDelayOfMessagesThatWereHeldUp(t *testing.T) {
 	const offset = 40 * time.Minute // between the two clocks
-	var transit Clocks[string]
-	delay := func(sent, way time.Duration) time.Duration { return transit.Delay("watcher", sent, sent+offset+way) }
+	var clocks Clocks[string]
+	delay := func(sent, way time.Duration) time.Duration { return clocks.Delay("watcher", sent, sent+offset+way) }
 	for n := range 10 {
 		if got := delay(time.Duration(n)*400*time.Millisecond, 2*time.Millisecond); got != 0 {
 			t.Fatalf("message %d was held up for %s", n, got)
@@ -25,17 +25,17 @@
 	if got := delay(5*time.Second, time.Millisecond); got != 0 {
 		t.Errorf("%s for the fastest message", got)
 	}
-	if got := transit.Delay("other", 0, time.Hour); got != 0 {
+	if got := clocks.Delay("other", 0, time.Hour); got != 0 {
 		t.Errorf("%s for the first message of a sender", got)
 	}
 }
 
 // Guards against the drift of the clocks: it must not look like a growing delay.
 func TestDriftOfClocksIsNoDelay(t *testing.T) {
-	var transit Clocks[string]
+	var clocks Clocks[string]
 	const ppm = 100
 	for sent := time.Duration(0); sent < 24*time.Hour; sent += time.Second {
-		if got := transit.Delay("watcher", sent, sent+sent*ppm/1e6); got != 0 {
+		if got := clocks.Delay("watcher", sent, sent+sent*ppm/1e6); got != 0 {
 			t.Fatalf("%s after %s", got, sent)
 		}
 	}
--- a/serving/process/edge/metrics.go
+++ b/serving/process/edge/metrics.go
@@ -56,7 +56,7 @@
 		Name: prefix + "priority_refused", Help: "Requests that were refused and did not run, by priority and reason.",
 	}, []string{"priority", "reason"})
 	m.publishedStages = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Name: prefix + "published_stage_seconds", Help: "Time of a stage of taking in published records: to apply a batch, to read from a peer, and the wait of a heartbeat for a batch.", Buckets: stageBuckets,
+		Name: prefix + "published_stage_seconds", Help: "Time of a stage of taking in published records: to apply a batch, to read from a peer, and the wait of a heartbeat before it is made.", Buckets: stageBuckets,
 	}, []string{"stage"})
 	m.registry.MustRegister(m.publishedStages, m.stages, m.predictionErrors, m.firstEvents, m.refusals, stateCollector{d}, coldCollector{d}, registryCollector{m.counters.Registry()})
 	return m
--- a/serving/process/published/apply.go
+++ b/serving/process/published/apply.go
@@ -55,8 +55,9 @@
 //
 // Any number of goroutines may call it. Batches are applied one after the other, so that
 // positions never decrease. The state that contains the changes up to a position is in force
-// before Position returns it, and hence before anything confirms it. Configurations are decoded without f.mu:
-// until they are in force, heartbeats, peers and requests have the state before the batch.
+// before Position returns it, and hence before anything confirms it. Configurations are decoded
+// without f.mu: until they are in force, heartbeats, peers and requests have the state before
+// the batch.
 func (f *Follower) applyBatch(b Batch, from Origin) {
 	began := time.Now()
 	f.applying.Lock()
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -73,7 +73,7 @@
 	configReadDelay = 500 * time.Millisecond
 	// maxHistory bounds the number of changes that are kept for peers.
 	maxHistory = 512
-	// minLoggedWait is the least wait of a heartbeat for a batch that is logged.
+	// minLoggedWait is the least wait of a heartbeat for f.mu that is logged.
 	minLoggedWait = 20 * time.Millisecond
 )
 
@@ -82,11 +82,12 @@
 
 // Stages whose times are observed.
 const (
-	// StageApply is the time from the arrival of a batch until requests use it.
+	// StageApply is the time from the arrival of a batch until requests use it, with the wait for
+	// another batch.
 	StageApply Stage = "apply"
 	// StagePeerRead is the time of a read from a peer.
 	StagePeerRead Stage = "peer_read"
-	// StageHeartbeat is the time for which a heartbeat waits for a batch that is being applied.
+	// StageHeartbeat is the time for which a heartbeat waits for f.mu.
 	StageHeartbeat Stage = "heartbeat"
 )
 
@@ -441,7 +442,7 @@
 }
 
 // Heartbeat returns this daemon's heartbeat, for a daemon that watches the source. Its fields
-// are of one moment, at which no batch is being applied.
+// are of one moment, between two batches.
 func (f *Follower) Heartbeat() Heartbeat {
 	began, watches := time.Now(), f.Volunteering() || f.situation().Watcher
 	f.mu.Lock()
