--- a/serving/process/dispatchsync/convert.go
+++ b/serving/process/dispatchsync/convert.go
@@ -129,10 +129,16 @@
 	return a
 }
 
+// ageMillis returns the time since a moment in ms, rounded up.
+func ageMillis(at, now time.Time) uint32 {
+	return uint32(min(now.Sub(at).Milliseconds()+1, math.MaxUint32))
+}
+
+// decodeHeartbeat decodes a heartbeat but for the moment of its confirmation.
 func decodeHeartbeat(b *peerpb.DispatchBatch) published.Heartbeat {
 	return published.Heartbeat{
-		Position:  replicas.Position{Era: b.GetEra(), Revision: b.GetRevision()},
-		Confirmed: fromMillis(b.GetConfirmedMs()), Settled: b.GetSettled(), ConfigVersion: names.Version(b.GetConfigVersion()),
+		Position: replicas.Position{Era: b.GetEra(), Revision: b.GetRevision()},
+		Settled:  b.GetSettled(), ConfigVersion: names.Version(b.GetConfigVersion()),
 		Lost: b.GetSourceLost(),
 	}
 }
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -71,10 +71,11 @@
 	// configReadDelay is how long a daemon that hears of a configuration waits for the
 	// changes that contain it, before it reads the complete list of a peer.
 	configReadDelay = 500 * time.Millisecond
+	// maxToRead bounds the peers that wait to be read from for their clocks.
+	maxToRead = 16
 	// maxHistory bounds the number of changes that are kept for peers.
 	maxHistory = 512
-	// minLoggedWait is the least wait of a heartbeat between the reading of its age and
-	// its send that is logged.
+	// minLoggedWait is the least wait of a heartbeat for a batch that is logged.
 	minLoggedWait = 20 * time.Millisecond
 )
 
@@ -87,7 +88,7 @@
 	StageApply Stage = "apply"
 	// StagePeerRead is the time of a read from a peer.
 	StagePeerRead Stage = "peer_read"
-	// StageHeartbeat is the time between the reading of a heartbeat's age and its send.
+	// StageHeartbeat is the time for which a heartbeat waits for a batch that is being applied.
 	StageHeartbeat Stage = "heartbeat"
 )
 
@@ -208,6 +209,8 @@
 	// lastWatcher is the sender of the last heartbeat.
 	lastWatcher atomic.Pointer[names.Host]
 	wake        chan struct{}
+	// toRead holds the peers to be read from although they have announced nothing new.
+	toRead chan names.Host
 
 	// answeredAt is the moment as of which the source last confirmed the records to this
 	// daemon itself. Only followSource uses it.
@@ -221,10 +224,12 @@
 	records map[string]Record
 	// unusable holds the keys of the records that cannot be decoded.
 	unusable map[string]bool
-	// configKey is the key of the configuration in force.
+	// configKey is the key of the configuration in force, whose record records holds.
 	configKey string
+	// unusableConfig is the later record of configKey that cannot be decoded, or nil.
+	unusableConfig *Record
 	// history holds the last change of each key after the revision historyStart, sorted
-	// by revision.
+	// by revision, and that of the configuration in force.
 	history      []Record
 	historyStart uint64
 	directory    *replicas.Directory
@@ -278,7 +283,7 @@
 	f := &Follower{
 		source: c.Source, decoder: c.Decoder, peers: c.Peers, log: c.Log, onPosition: c.OnPosition, onNews: c.OnNews,
 		situation: c.Situation, plan: watching.New(c.Random),
-		firstView: make(chan struct{}), wake: make(chan struct{}, 1), records: make(map[string]Record), unusable: make(map[string]bool), directory: replicas.New(),
+		firstView: make(chan struct{}), wake: make(chan struct{}, 1), toRead: make(chan names.Host, maxToRead), records: make(map[string]Record), unusable: make(map[string]bool), directory: replicas.New(),
 		evacuations: evacuation.New(), observe: c.Observe,
 	}
 	if f.observe == nil {
@@ -291,11 +296,11 @@
 // View returns the state in force, or nil before the first configuration.
 func (f *Follower) View() *View { return f.view.Load() }
 
-// Current returns the state in force, nil before the first configuration, and the last
-// confirmation of the records.
+// Current returns the state in force, nil before the first configuration, and a confirmation of
+// the records that holds for it. The state may be newer than the confirmation.
 func (f *Follower) Current() (*View, Evidence) {
-	view := f.View()
-	return view, f.Evidence()
+	evidence := f.Evidence() // before the view, which is in force when its records are confirmed
+	return f.View(), evidence
 }
 
 // FirstView returns a channel that is closed once View returns a state.
@@ -404,10 +409,10 @@
 
 // Heartbeat is what a watcher tells the daemons of its data centre.
 type Heartbeat struct {
-	// Position is the newest position that the watcher knows, Confirmed the time
-	// since the source last confirmed it.
-	Position  replicas.Position
-	Confirmed time.Duration
+	// Position is the newest position that the watcher knows, ConfirmedAt the moment as of
+	// which the source last confirmed it.
+	Position    replicas.Position
+	ConfirmedAt time.Time
 	// Settled is true if the targets that the watcher does not list are gone.
 	Settled bool
 	// ConfigVersion is the version of the configuration in force at the watcher.
@@ -415,32 +420,39 @@
 	// Lost is true if the source refuses the sender, or if the sender hears only
 	// daemons that the source refuses.
 	Lost bool
+	// ClockUnknown is true at the receiver if ConfirmedAt is not known, since the clock of the
+	// sender is not. MustRead is true if a read from the sender is to show its clock.
+	ClockUnknown, MustRead bool
 }
 
 // lost reports whether the source refuses this daemon or, for one that does not call it,
-// those that it hears.
-func (f *Follower) lost() bool {
-	if f.Volunteering() || f.situation().Watcher {
-		f.mu.Lock()
-		defer f.mu.Unlock()
+// those that it hears. The caller must hold f.mu.
+func (f *Follower) lost(watches bool) bool {
+	if watches {
 		return f.sourceDown
 	}
 	return f.lastStaleHeartbeat.Age() < watching.HeartbeatTimeout && f.HeartbeatAge() > HeartbeatInterval
 }
 
-// Heartbeat returns this daemon's heartbeat, for a daemon that watches the source.
+// Heartbeat returns this daemon's heartbeat, for a daemon that watches the source. Its fields
+// are of one moment, at which no batch is being applied.
 func (f *Follower) Heartbeat() Heartbeat {
-	began := time.Now()
-	confirmed := f.Age() // before the position, which may change meanwhile
-	h := Heartbeat{
-		Position: f.Position(), Confirmed: confirmed, Settled: f.Settled(), ConfigVersion: f.configVersion(), Lost: f.lost(),
+	began, watches := time.Now(), f.Volunteering() || f.situation().Watcher
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.observeHeartbeatWait(time.Since(began))
+	return Heartbeat{
+		Position: f.Position(), ConfirmedAt: f.Evidence().ConfirmedAt, Settled: f.directory.Settled(time.Now()),
+		ConfigVersion: f.configVersion(), Lost: f.lost(watches),
 	}
-	waited := time.Since(began)
+}
+
+// observeHeartbeatWait records how long a heartbeat waited for a batch that was being applied.
+func (f *Follower) observeHeartbeatWait(waited time.Duration) {
 	f.observe(StageHeartbeat, waited)
 	if waited > minLoggedWait {
-		f.log.Info("heartbeat delayed", zap.Duration("waited", waited), zap.Duration("age", confirmed), zap.Uint64("revision", h.Position.Revision), zap.Uint64("known", f.Revision()))
+		f.log.Info("heartbeat delayed", zap.Duration("waited", waited), zap.Duration("age", f.Age()), zap.Uint64("revision", f.Revision()))
 	}
-	return h
 }
 
 // ObserveHeartbeat processes a watcher's heartbeat. One whose sender has lost the source,
@@ -451,10 +463,16 @@
 func (f *Follower) ObserveHeartbeat(from names.Host, h Heartbeat) {
 	f.ObserveConfigVersion(h.ConfigVersion, from)
 	now := time.Now()
+	if h.MustRead {
+		f.readSoon(from)
+	}
 	switch {
 	case h.Position.Era < f.Position().Era:
 		return
-	case h.Lost || h.Confirmed > watching.MaxUnconfirmed:
+	case h.ClockUnknown && !h.Lost:
+		f.ObservePeerPosition(h.Position, from)
+		return
+	case h.Lost || now.Sub(h.ConfirmedAt) > watching.MaxUnconfirmed:
 		f.lastStaleHeartbeat.Set(now)
 		f.ObservePeerPosition(h.Position, from)
 		return
@@ -469,7 +487,7 @@
 	if h.Settled && h.Position == f.Position() {
 		f.dropMissing()
 	}
-	f.evidence.advance(Evidence{ConfirmedAt: now.Add(-h.Confirmed), LearntAt: time.Now(), Origin: FromHeartbeat, From: from})
+	f.evidence.advance(Evidence{ConfirmedAt: h.ConfirmedAt, LearntAt: time.Now(), Origin: FromHeartbeat, From: from})
 	f.announce()
 }
 
