--- a/tools/soak/stormjudge.go
+++ b/tools/soak/stormjudge.go
@@ -97,6 +97,9 @@
 	// pairs were not served in stormAskTime.
 	Median, P99     time.Duration
 	Pairs, Unserved int
+	// Excuses is how often a daemon was killed, or stopped for longer than its share asks, so
+	// that its answers until settleTime afterwards don't count.
+	Excuses int
 	// Delayed are heartbeats that waited before they were sent after their age was read.
 	Delayed Tally
 	Shares  []Share
@@ -107,9 +110,9 @@
 // String returns the outcome in a few lines.
 func (r *StormResult) String() string {
 	text := fmt.Sprintf("later than %s: refused as unknown %s, by evidence %v, refused on a confirmation after the acknowledgement at any time %s, ran although dropped %s, unavailable %s; regressed %s; "+
-		"in force after a median of %s, 99%% %s, %d of %d not in %s; unavailable at any time %v, unanswered %d; heartbeats delayed %s; load average %.1f, at most %.1f",
+		"in force after a median of %s, 99%% %s, %d of %d not in %s; unavailable at any time %v, unanswered %d; heartbeats delayed %s; %d times a daemon did not count; load average %.1f, at most %.1f",
 		changeBound, r.Refused, r.Origins, r.Overstated, r.Ran, r.Unavailable, r.Regressed, r.Median.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.Unserved, r.Pairs+r.Unserved, stormAskTime,
-		r.AllUnavailable, r.Unanswered, r.Delayed, r.Load, r.MaxLoad)
+		r.AllUnavailable, r.Unanswered, r.Delayed, r.Excuses, r.Load, r.MaxLoad)
 	core, running, stop := 0.0, 0.0, time.Duration(0)
 	for _, s := range r.Shares {
 		core, running, stop = core+s.Core/float64(len(r.Shares)), running+s.Running/float64(len(r.Shares)), max(stop, s.LongestStop)
@@ -151,7 +154,7 @@
 func judge(answers []answer, acknowledged map[int]time.Time, excuses []excuse, logs *daemonLogs) (*StormResult, []string) {
 	answers = slices.Clone(answers)
 	slices.SortFunc(answers, func(a, b answer) int { return a.sent.Compare(b.sent) })
-	r := &StormResult{AllUnavailable: make(map[string]int), Origins: make(map[string]int), Delayed: logs.delayed}
+	r := &StormResult{Excuses: len(excuses), AllUnavailable: make(map[string]int), Origins: make(map[string]int), Delayed: logs.delayed}
 	effects := effectsOf(answers)
 	var violations []string
 	violate := func(a *answer, format string, args ...any) {
--- a/tools/soak/storms.go
+++ b/tools/soak/storms.go
@@ -105,7 +105,10 @@
 		return nil, err
 	}
 	time.Sleep(2 * settleTime) // the daemons know each other
-	t := &throttle{share: storm.Share, period: storm.Period}
+	t := &throttle{share: storm.Share, period: storm.Period, overlong: func(h *host, from time.Time) {
+		s.excuse(h, from)
+		b.recordFault("%s stopped for %s, longer than planned", h.settings.Name, time.Since(from))
+	}}
 	if err := s.play(ctx, t); err != nil {
 		return nil, err
 	}
--- a/tools/soak/throttle.go
+++ b/tools/soak/throttle.go
@@ -23,10 +23,13 @@
 type throttle struct {
 	share  float64
 	period time.Duration
+	// overlong is called with the start of each stop that lasted minStall longer than planned,
+	// since this machine was too busy to end it.
+	overlong func(h *host, from time.Time)
 
 	mu     sync.Mutex
 	shares map[*host]*Share
-	// longest and mean load average of the machine.
+	// loadMax is the highest load average of the machine, loadSum the sum of loadSamples.
 	loadMax, loadSum float64
 	loadSamples      int
 }
@@ -81,7 +84,11 @@
 		end := h.hold()
 		sleepUntil(ctx, start.Add(t.period))
 		end()
-		t.record(h, time.Since(stopped))
+		took := time.Since(stopped)
+		t.record(h, took)
+		if took > t.period-runs+minStall {
+			t.overlong(h, stopped)
+		}
 	}
 }
 
