published: decode no version of an overtaken batch that has been replaced

Two batches are often under way to a daemon, from the store and from a peer, and one overtakes the other. The configuration of the one that was overtaken was decoded all the same to learn its version, for as long as any other, and the next change waited. Its version is now read from the record first.

TestOvertakenBatchIsNotDecoded failed before.

--- a/serving/process/published/apply.go
+++ b/serving/process/published/apply.go
@@ -140,12 +140,13 @@
 // applyConfigs puts a configuration of a batch, sorted by revision, in force if it is newer. The
 // caller must hold f.applying, but not f.mu.
 func (f *Follower) applyConfigs(records []Record) {
+	k := f.known()
 	records = slices.DeleteFunc(slices.Clone(records), func(r Record) bool {
 		_, isTarget := f.decoder.TargetOf(r.Key)
 		_, isEvacuation := f.decoder.EvacuationOf(r.Key)
-		return isTarget || isEvacuation || r.Deleted
+		return isTarget || isEvacuation || r.Deleted || f.isReplacedVersion(&r, k.version)
 	})
-	contents := f.decodeBatch(records, f.known())
+	contents := f.decodeBatch(records, k)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range records {
--- a/serving/process/published/apply_test.go
+++ b/serving/process/published/apply_test.go
@@ -236,3 +236,19 @@
 	}
 	b.ReportMetric(float64(d.decoded.Load())/float64(b.N), "decoded/op")
 }
+
+// Guards against decoding a version that has been replaced, from a peer or an answer of the source
+// that was overtaken: on a slow host the next change waits for it.
+func TestOvertakenBatchIsNotDecoded(t *testing.T) {
+	f, d := newCountingFollower()
+	f.applyBatch(changes(0, "1", "5"), FromSource)
+	before := d.decoded.Load()
+	f.applyBatch(Batch{Position: at(1), Records: []Record{configRecord(1, "4")}}, FromPeer)
+	if n := d.decoded.Load() - before; n != 0 || version(f) != 5 {
+		t.Errorf("%d configurations decoded, version %d in force", n, version(f))
+	}
+	f.applyBatch(Batch{Position: at(1), Records: []Record{configRecord(1, "6")}}, FromPeer)
+	if version(f) != 6 {
+		t.Errorf("version %d in force, want 6, which an older position holds after a restoration", version(f))
+	}
+}
--- a/serving/process/published/decode.go
+++ b/serving/process/published/decode.go
@@ -120,6 +120,13 @@
 	return version
 }
 
+// isReplacedVersion reports whether a record is known to hold no newer version than the one in
+// force, so that it needs no decoding. A version in force of zero is none.
+func (f *Follower) isReplacedVersion(r *Record, inForce names.Version) bool {
+	version := f.versionOf(r)
+	return version > 0 && version <= inForce
+}
+
 // decodeConfig decodes a record of the configuration, and indexes it if it is newer than a
 // version.
 func (f *Follower) decodeConfig(r *Record, newerThan names.Version) content {
