--- a/tools/soak/stormjudge.go
+++ b/tools/soak/stormjudge.go
@@ -90,7 +90,8 @@
 	Origins map[string]int
 	// Overstated are refusals of an added route by a daemon that claims to know all changes up
 	// to a moment after the acknowledgement, whenever they were sent, with the least time between
-	// the two.
+	// the two. Those within changeBound are violations too: such a daemon takes records for
+	// complete that are not.
 	Overstated Tally
 	// Median and P99 are of the times from the acknowledgement to the sending of the first
 	// request that was served on an added route, over Pairs of daemons and versions. Unserved
@@ -169,6 +170,9 @@
 		late := a.sent.Sub(acknowledged[a.version])
 		if by, ok := logs.overstated(a, late); ok {
 			r.Overstated.add(by)
+			if late <= changeBound {
+				violate(a, "acknowledged %s before the confirmation on which it rests", by.Round(time.Millisecond))
+			}
 		}
 		if late > changeBound {
 			if a.status == http.StatusServiceUnavailable {
--- a/tools/soak/storms_test.go
+++ b/tools/soak/storms_test.go
@@ -83,6 +83,11 @@
 	if by, ok := logs.overstated(&a, 300*time.Millisecond); ok {
 		t.Errorf("overstated by %s although the version was acknowledged after the confirmation", by)
 	}
+	now := time.Now()
+	a.sent, a.answered = now.Add(500*time.Millisecond), now.Add(510*time.Millisecond)
+	if r, violations := judge([]answer{a}, map[int]time.Time{4: now}, nil, logs); r.Overstated.Count != 1 || len(violations) != 1 {
+		t.Errorf("overstated %v, violations %q, want one each", r.Overstated, violations)
+	}
 }
 
 func TestQuantile(t *testing.T) {
