--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -75,6 +75,11 @@
 			f.log.Info("the publisher has forgotten its changes, the list is read again", zap.Uint64("revision", f.Revision()))
 			relist = true
 			continue
+		case errors.Is(err, ErrUnfinished) && !relist:
+			// The next watch would return more changes of the same keys, and the list holds one of each.
+			f.log.Info("the publisher's changes take too long to read, its list is read", zap.Uint64("revision", f.Revision()), zap.String("error", err.Error()))
+			relist = true
+			continue
 		}
 		if err != nil {
 			f.sourceFailed(ctx, err)
@@ -116,7 +121,7 @@
 		batch.ConfirmedAt = sent
 		return batch, err
 	}
-	wait := watching.WatchTimeFor(sent.Sub(f.answeredAt))
+	wait := watching.WatchTimeFor(sent.Sub(f.answeredAt)).Truncate(time.Millisecond) // the source waits for whole ones
 	batch, err := f.source.Watch(ctx, f.Revision(), wait)
 	batch.ConfirmedAt = watching.ConfirmedAt(sent, wait, len(batch.Records) > 0, time.Now())
 	return batch, err
@@ -214,49 +219,29 @@
 	case !after.IsZero():
 		return
 	}
-	began := time.Now()
-	batch, err := f.peers.Read(ctx, from, after)
-	f.observe(StagePeerRead, time.Since(began))
-	if err != nil {
-		f.log.Info("peer not read", zap.String("peer", string(from)), zap.Uint64("after", after.Revision), zap.Duration("took", time.Since(began)),
-			zap.Uint64("version", uint64(f.configVersion())), zap.String("error", err.Error()))
+	if err := f.readFrom(ctx, from, after); err != nil {
 		if pending != nil {
 			f.pending.CompareAndSwap(pending, &pendingPosition{position: pending.position, since: pending.since, readFailed: true}) // the next read may go to any peer
 		}
 		if config != nil {
 			f.announced.CompareAndSwap(config, &announcedConfig{version: config.version, readAt: config.readAt, until: config.until}) // as above
 		}
-		return
-	}
-	f.applyBatch(batch, FromPeer)
-	f.confirm(&batch, FromPeer)
-}
-
-// readSoon has readClocks read from a peer. More than maxToRead peers are dropped: their next
-// heartbeats ask again.
-func (f *Follower) readSoon(from names.Host) {
-	select {
-	case f.toRead <- from:
-	default:
 	}
 }
 
-// readClocks reads from the peers whose clocks are not known. Such a read also confirms the
-// records.
-func (f *Follower) readClocks(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case from := <-f.toRead:
-			batch, err := f.peers.Read(ctx, from, f.Position())
-			if err != nil {
-				continue // the next heartbeat asks again
-			}
-			f.applyBatch(batch, FromPeer)
-			f.confirm(&batch, FromPeer)
-		}
+// readFrom reads from a peer and applies what it returns. An error is logged.
+func (f *Follower) readFrom(ctx context.Context, from names.Host, after replicas.Position) error {
+	began := time.Now()
+	batch, err := f.peers.Read(ctx, from, after)
+	f.observe(StagePeerRead, time.Since(began))
+	if err != nil {
+		f.log.Info("peer not read", zap.String("peer", string(from)), zap.Uint64("after", after.Revision), zap.Duration("took", time.Since(began)),
+			zap.Uint64("version", uint64(f.configVersion())), zap.String("error", err.Error()))
+		return err
 	}
+	f.applyBatch(batch, FromPeer)
+	f.confirm(&batch, FromPeer)
+	return nil
 }
 
 // selectPeer returns the peer to read a pending position from: the peer that
@@ -279,11 +264,14 @@
 	return f.directory.Settled(time.Now())
 }
 
-// dropMissing drops missing targets, after a watcher with the same revision has
-// reported that they are gone.
-func (f *Follower) dropMissing() {
+// dropMissing drops missing targets, after a watcher has reported that they are gone as of a
+// position, if that is the position of the records.
+func (f *Follower) dropMissing(asOf replicas.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if asOf != f.Position() {
+		return
+	}
 	if f.directory.DropMissing(time.Now()) {
 		f.log.Info("missing targets were dropped, a watcher says that they are gone", zap.Uint64("revision", f.Revision()))
 		f.publishView()
--- a/serving/process/published/peers.go
+++ b/serving/process/published/peers.go
@@ -16,6 +16,8 @@
 	"carobspoke.example/serving/peerpb"
 	"carobspoke.example/serving/process/boottime"
 	"github.com/pkg/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
 // peerReadTimeout bounds a read from a peer, which may include setting up the
@@ -43,13 +45,10 @@
 	// Incarnation is that of this daemon. Readers relate its clock to theirs.
 	Incarnation names.Incarnation
 
-	mu         sync.Mutex
-	compressed map[string]compressedValue
-}
-
-type compressedValue struct {
-	revision uint64
-	bytes    []byte
+	mu sync.Mutex
+	// compressed holds compressed values by the first byte of the value, which is never
+	// modified. Revisions do not tell the values of a key apart: a record may have none.
+	compressed map[*byte][]byte
 }
 
 // Read implements peerpb.PublicationsServer.
@@ -80,8 +79,8 @@
 	return reply, nil
 }
 
-// encodeRecord encodes a record for a peer. Large values are compressed, once a
-// revision: the result is cached.
+// encodeRecord encodes a record for a peer. Large values are compressed once: the
+// result is cached.
 func (s *Server) encodeRecord(r *Record) (*peerpb.PublishedRecord, error) {
 	out := &peerpb.PublishedRecord{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted}
 	if len(r.Value) < compressMinBytes {
@@ -89,19 +88,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	cached, ok := s.compressed[r.Key]
-	if !ok || cached.revision != r.Revision {
-		bytes, err := compress(r.Value)
-		if err != nil {
+	packed, ok := s.compressed[&r.Value[0]]
+	if !ok {
+		var err error
+		if packed, err = compress(r.Value); err != nil {
 			return nil, err
 		}
-		cached = compressedValue{revision: r.Revision, bytes: bytes}
 		if s.compressed == nil || len(s.compressed) >= maxCompressedValues {
-			s.compressed = make(map[string]compressedValue)
+			s.compressed = make(map[*byte][]byte)
 		}
-		s.compressed[r.Key] = cached
+		s.compressed[&r.Value[0]] = packed
 	}
-	out.Value, out.Packed = cached.bytes, true
+	out.Value, out.Packed = packed, true
 	return out, nil
 }
 
@@ -138,6 +136,33 @@
 	// ObserveClock receives that a peer read its clock after this daemon had asked it, each
 	// by its own clock since its boot. It may be nil.
 	ObserveClock func(of names.Host, incarnation names.Incarnation, asked, read time.Duration)
+
+	mu sync.Mutex
+	// late counts the reads from a peer that were late since its last answer.
+	late map[names.Host]int
+}
+
+// maxLateReads is the number of late reads in a row from which a connection counts as broken. One may
+// be late because the peer is slow, and others share its connection.
+const maxLateReads = 2
+
+// recordResult closes the connection to a peer if the result of a read shows that it is broken.
+func (c *Client) recordResult(of names.Host, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		delete(c.late, of)
+		return
+	}
+	if status.Code(err) == codes.DeadlineExceeded && c.late[of]+1 < maxLateReads {
+		if c.late == nil {
+			c.late = make(map[names.Host]int)
+		}
+		c.late[of]++
+		return
+	}
+	delete(c.late, of)
+	c.Pool.Remove(of)
 }
 
 // Read implements Peers. An empty host stands for one of Hosts, chosen at random.
@@ -157,8 +182,8 @@
 	}
 	asked, sent := boottime.Now(), time.Now()
 	reply, err := peerpb.NewPublicationsClient(conn).Read(ctx, &peerpb.PublishedRequest{After: after.Revision, Era: after.Era})
+	c.recordResult(from, err)
 	if err != nil {
-		c.Pool.Remove(from)
 		return Batch{}, errors.Wrapf(err, "published: read from peer %s", from)
 	}
 	if clock := reply.GetClockMs(); clock > 0 && c.ObserveClock != nil {
--- a/serving/process/published/published.go
+++ b/serving/process/published/published.go
@@ -71,11 +71,9 @@
 	// configReadDelay is how long a daemon that hears of a configuration waits for the
 	// changes that contain it, before it reads the complete list of a peer.
 	configReadDelay = 500 * time.Millisecond
-	// maxToRead bounds the peers that wait to be read from for their clocks.
-	maxToRead = 16
 	// maxHistory bounds the number of changes that are kept for peers.
 	maxHistory = 512
-	// minLoggedWait is the least wait of a heartbeat for a batch that is logged.
+	// minLoggedWait is the least wait of a heartbeat for f.mu that is logged.
 	minLoggedWait = 20 * time.Millisecond
 )
 
@@ -84,11 +82,12 @@
 
 // Stages whose times are observed.
 const (
-	// StageApply is the time from the arrival of a batch until requests use it.
+	// StageApply is the time from the arrival of a batch until requests use it, with the wait for
+	// another batch.
 	StageApply Stage = "apply"
 	// StagePeerRead is the time of a read from a peer.
 	StagePeerRead Stage = "peer_read"
-	// StageHeartbeat is the time for which a heartbeat waits for a batch that is being applied.
+	// StageHeartbeat is the time for which a heartbeat waits for f.mu.
 	StageHeartbeat Stage = "heartbeat"
 )
 
@@ -127,6 +126,9 @@
 // changes since the revision.
 var ErrCompacted = errors.New("published: the source no longer has the changes since the revision")
 
+// ErrUnfinished is returned by Source if an answer had begun and was not complete in time.
+var ErrUnfinished = errors.New("published: the answer of the source was not complete in time")
+
 // Source reads the platform's records. With an error, the era of a returned batch is
 // that of the answer if there was one, else zero.
 type Source interface {
@@ -209,8 +211,8 @@
 	// lastWatcher is the sender of the last heartbeat.
 	lastWatcher atomic.Pointer[names.Host]
 	wake        chan struct{}
-	// toRead holds the peers to be read from although they have announced nothing new.
-	toRead chan names.Host
+	// clockReads holds the peers that are read from although they have announced nothing new.
+	clockReads clockReads
 
 	// answeredAt is the moment as of which the source last confirmed the records to this
 	// daemon itself. Only followSource uses it.
@@ -220,6 +222,11 @@
 	pauseMu sync.Mutex
 	pause   watching.Pause
 
+	// applying is held while a batch is applied, so that batches of the source and of peers
+	// follow one another. It is locked before mu.
+	applying sync.Mutex
+
+	// mu guards what follows. It is not held while a configuration is decoded.
 	mu      sync.Mutex
 	records map[string]Record
 	// unusable holds the keys of the records that cannot be decoded.
@@ -283,7 +290,7 @@
 	f := &Follower{
 		source: c.Source, decoder: c.Decoder, peers: c.Peers, log: c.Log, onPosition: c.OnPosition, onNews: c.OnNews,
 		situation: c.Situation, plan: watching.New(c.Random),
-		firstView: make(chan struct{}), wake: make(chan struct{}, 1), toRead: make(chan names.Host, maxToRead), records: make(map[string]Record), unusable: make(map[string]bool), directory: replicas.New(),
+		firstView: make(chan struct{}), wake: make(chan struct{}, 1), clockReads: newClockReads(), records: make(map[string]Record), unusable: make(map[string]bool), directory: replicas.New(),
 		evacuations: evacuation.New(), observe: c.Observe,
 	}
 	if f.observe == nil {
@@ -435,7 +442,7 @@
 }
 
 // Heartbeat returns this daemon's heartbeat, for a daemon that watches the source. Its fields
-// are of one moment, at which no batch is being applied.
+// are of one moment, between two batches.
 func (f *Follower) Heartbeat() Heartbeat {
 	began, watches := time.Now(), f.Volunteering() || f.situation().Watcher
 	f.mu.Lock()
@@ -464,7 +471,7 @@
 	f.ObserveConfigVersion(h.ConfigVersion, from)
 	now := time.Now()
 	if h.MustRead {
-		f.readSoon(from)
+		f.clockReads.begin(from)
 	}
 	switch {
 	case h.Position.Era < f.Position().Era:
@@ -484,8 +491,8 @@
 		return
 	}
 	f.markSourceAvailable(now)
-	if h.Settled && h.Position == f.Position() {
-		f.dropMissing()
+	if h.Settled {
+		f.dropMissing(h.Position)
 	}
 	f.evidence.advance(Evidence{ConfirmedAt: h.ConfirmedAt, LearntAt: time.Now(), Origin: FromHeartbeat, From: from})
 	f.announce()
