--- a/tools/soak/storms_test.go
+++ b/tools/soak/storms_test.go
@@ -22,7 +22,7 @@
 	if output, err := exec.CommandContext(ctx, "go", "build", "-o", program, "carobspoke.example/tools/cmd/carobspoke").CombinedOutput(); err != nil {
 		t.Fatalf("go build: %v: %s", err, output)
 	}
-	command := exec.CommandContext(ctx, program, "soak", "--seed", "1", "--storms", "3", "--share", "0.14", "--folder", t.TempDir())
+	command := exec.CommandContext(ctx, program, "soak", "--seed", "1", "--storms", "3", "--folder", t.TempDir())
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // its daemons end with it
 	command.Cancel = func() error { return syscall.Kill(-command.Process.Pid, syscall.SIGKILL) }
 	output, err := command.CombinedOutput()
