--- a/core/process/watching/clock.go
+++ b/core/process/watching/clock.go
@@ -36,7 +36,7 @@
 // taken for later than it was, however long messages and processes wait. All clocks are those of
 // package boottime: they also run while their host is suspended, show any time and drift apart
 // by at most one part in maxClockDrift. S identifies a sender and must differ for each start of
-// a daemon, since the clock of a host that was booted begins anew.
+// a daemon, since the clock of a host starts from zero when it is booted.
 //
 // If this daemon asked at a, by its clock, and the other one read its own clock at r while it
 // answered, then r was not before a. What the other clock shows at m is therefore not before
@@ -120,7 +120,7 @@
 
 // MustAsk reports whether a daemon must be asked for its clock, given a message that it sent at
 // sentAt by its clock and that was read at readAt by the own one. It must if its clock is not
-// known, or if no message has shown of late that the bound is at most maxBoundError too low. The
+// known, or if no recent message shows that the bound is at most maxBoundError too low. The
 // caller then sends a question: MustAsk counts it, and the next one follows after a pause.
 func (c *Clocks[S]) MustAsk(of S, sentAt, readAt time.Duration) bool {
 	s := c.sender(of)
--- a/core/process/watching/clock_test.go
+++ b/core/process/watching/clock_test.go
@@ -61,7 +61,7 @@
 	settleTime      = 20 * time.Second
 )
 
-// chain replays a watcher, which is confirmed every confirmInterval, and daemons that hear of it
+// chain replays a watcher, which is confirmed every confirmInterval, and daemons that learn of it
 // one from the other. There is no network: a message arrives after networkTime, and is read when
 // its receiver runs.
 type chain struct {
--- a/serving/process/published/evidence.go
+++ b/serving/process/published/evidence.go
@@ -25,9 +25,7 @@
 	// ConfirmedAt is the moment as of which the records are known to be complete, zero
 	// before the first confirmation.
 	ConfirmedAt time.Time
-	// LearntAt is when this daemon learnt of it.
-	LearntAt time.Time
-	Origin   Origin
+	Origin      Origin
 	// From is the daemon that it was learnt from, empty for the source.
 	From names.Host
 }
--- a/serving/process/published/follow.go
+++ b/serving/process/published/follow.go
@@ -170,7 +170,7 @@
 	if f.isNewer(b.Position) {
 		return // the batch was not applied
 	}
-	f.evidence.advance(Evidence{ConfirmedAt: b.ConfirmedAt, LearntAt: time.Now(), Origin: origin, From: b.Peer})
+	f.evidence.advance(Evidence{ConfirmedAt: b.ConfirmedAt, Origin: origin, From: b.Peer})
 	f.announce()
 }
 
--- a/serving/process/published/peers.go
+++ b/serving/process/published/peers.go
@@ -142,8 +142,8 @@
 	late map[names.Host]int
 }
 
-// maxLateReads is the number of late reads in a row from which a connection counts as broken. One may
-// be late because the peer is slow, and others share its connection.
+// maxLateReads is the number of consecutive late reads after which a connection counts as broken. A
+// single one may be due to a slow peer, and other calls share the connection.
 const maxLateReads = 2
 
 // recordResult closes the connection to a peer if the result of a read shows that it is broken.
