Review case 7: an entry with fields missing is used, and a call runs at another service

The case shows requests of a route to sewa-app that run at a replica of lekhak-llm, after another writer has put an entry without zone, version, seq and born over the replica's.

--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -162,12 +162,7 @@
 			MemoryBytes: memoryBytes, Descriptors: descriptors,
 		}}
 		h.file, h.log = filepath.Join(b.folder, h.settings.Name+".json"), filepath.Join(b.folder, h.settings.Name+".log")
-		text, err := platform.EncodeSettings(h.settings)
-		if err != nil {
-			return err
-		}
-		const mode = 0o600
-		if err := os.WriteFile(h.file, text, mode); err != nil {
+		if err := h.writeSettings(); err != nil {
 			return err
 		}
 		b.hosts = append(b.hosts, h)
@@ -175,6 +170,16 @@
 	return nil
 }
 
+// writeSettings writes the settings file of a daemon.
+func (h *host) writeSettings() error {
+	text, err := platform.EncodeSettings(h.settings)
+	if err != nil {
+		return err
+	}
+	const mode = 0o600
+	return os.WriteFile(h.file, text, mode)
+}
+
 // freeNetwork returns the third byte of a loopback network and the first of four ports that are
 // free there.
 func freeNetwork() (network byte, port uint16, err error) {
@@ -272,12 +277,28 @@
 
 // publish publishes a configuration with some routes and services of one customer.
 func (b *bed) publish(version names.Version, routes []routing.Route, services ...routing.Service) error {
+	return b.store.PutConfig(newConfig(version, routes, services))
+}
+
+// newConfig returns a configuration of one customer.
+func newConfig(version names.Version, routes []routing.Route, services []routing.Service) *routing.Config {
 	const headerBytes, bodyBytes = 16 << 10, 4 << 20
-	return b.store.PutConfig(&routing.Config{
+	return &routing.Config{
 		Version: version, Routes: routes, Services: services,
 		Customers: []routing.Customer{{Name: customer, Keys: []string{key}}},
 		Limits:    routing.Limits{HeaderBytes: headerBytes, BodyBytes: bodyBytes, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-	})
+	}
+}
+
+// useStore makes the daemons that are started later use another store.
+func (b *bed) useStore(address string) error {
+	for _, h := range b.hosts {
+		h.settings.StoreAddress = netip.MustParseAddrPort(address)
+		if err := h.writeSettings(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // list publishes the entry of a target.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -27,6 +27,7 @@
 
 var cases = map[string]play{
 	"6": truncatedThroughPeer,
+	"7": usedPartialEntry,
 }
 
 func main() {
