Review case 8: after a crash of all targets the part that all prompts share is refused

The case shows that no sound prompt begins for ten minutes after all targets of the model service crashed once, while prompts with a crashing part come.

--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -47,9 +47,10 @@
 	folder  string
 	started time.Time
 
-	store  *emulator.Store
-	server *http.Server
-	hosts  []*host
+	store        *emulator.Store
+	storeAddress string
+	server       *http.Server
+	hosts        []*host
 
 	mu     sync.Mutex
 	record *os.File
@@ -84,7 +85,8 @@
 	b.server = &http.Server{Handler: b.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = b.server.Serve(listener) }() // returns after close
 	b.note("trouble: %v", b.trouble)
-	return b, b.addHosts(listener.Addr().String())
+	b.storeAddress = listener.Addr().String()
+	return b, b.addHosts(b.storeAddress, daemons, seeds)
 }
 
 // note writes a line into the record.
@@ -139,11 +141,14 @@
 	}
 }
 
-// daemons is the number of daemons of a case.
-const daemons = 3
+// daemons is the number of daemons of most cases, of which the first ones are seeds.
+const (
+	daemons = 3
+	seeds   = 2
+)
 
-// addHosts prepares the daemons, which are started by start.
-func (b *bed) addHosts(store string) error {
+// addHosts prepares daemons, which are started by start.
+func (b *bed) addHosts(store string, daemons, seeds int) error {
 	network, port, err := freeNetwork()
 	if err != nil {
 		return err
@@ -153,11 +158,15 @@
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, network, byte(first + i)}), port+uint16(offset))
 	}
 	const front, ready, peer, share = 0, 1, 2, 3
+	var seedList []netip.AddrPort
+	for i := range seeds {
+		seedList = append(seedList, address(i, peer))
+	}
 	for i := range daemons {
 		h := &host{settings: &edge.Settings{
 			Name: fmt.Sprintf("edge-%d", i), DataCentre: dataCentre, Regions: map[names.DataCentre]names.Region{dataCentre: region},
 			CallerAddress: address(i, front), ReadyAddress: address(i, ready), PeerAddress: address(i, peer), SharePort: port + share,
-			Seeds: []netip.AddrPort{address(0, peer), address(1, peer)}, StoreAddress: netip.MustParseAddrPort(store),
+			Seeds: seedList, StoreAddress: netip.MustParseAddrPort(store),
 			GracePeriod: grace, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow,
 			MemoryBytes: memoryBytes, Descriptors: descriptors,
 		}}
@@ -236,20 +245,23 @@
 }
 
 // startAll starts the daemons, and waits until all are ready and know each other.
-func (b *bed) startAll() error {
-	for _, h := range b.hosts {
+func (b *bed) startAll() error { return b.startSome(b.hosts) }
+
+// startSome is startAll for some of the daemons.
+func (b *bed) startSome(hosts []*host) error {
+	for _, h := range hosts {
 		if err := h.start(); err != nil {
 			return err
 		}
 	}
-	for _, h := range b.hosts {
+	for _, h := range hosts {
 		if err := h.awaitReady(); err != nil {
 			return err
 		}
 	}
 	const acquaintance = 4 * time.Second
 	time.Sleep(acquaintance)
-	b.note("%d daemons are ready", len(b.hosts))
+	b.note("%d daemons are ready", len(hosts))
 	return nil
 }
 
--- a/review/standin-2/case7.go
+++ b/review/standin-2/case7.go
@@ -184,13 +184,17 @@
 }
 
 // submit sends a non-idempotent request.
-func (b *bed) submit(n int, h *host) {
+func (b *bed) submit(n int, h *host) { b.submitFrom(n, h) }
+
+// submitFrom sends a non-idempotent request whose body names the daemon that it is sent to, and
+// reports whether the answer of a target came.
+func (b *bed) submitFrom(n int, h *host) bool {
 	const patience = 2 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.settings.CallerAddress.String()+"/submit/form", strings.NewReader("form"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.settings.CallerAddress.String()+"/submit/form", strings.NewReader(h.settings.Name))
 	if err != nil {
-		return
+		return false
 	}
 	id := attemptID(n)
 	request.Host = hostname
@@ -201,11 +205,13 @@
 	response, err := client.Do(request)
 	if err != nil {
 		b.note("request %s to %s: no answer: %v", id, h.settings.Name, err)
-		return
+		return false
 	}
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(response.Body)
-	b.note("request %s to %s: status %d, seal %q, %q, error %v", id, h.settings.Name, response.StatusCode, response.Header.Get(platform.HeaderSeal), answer, err)
+	seal := response.Header.Get(platform.HeaderSeal)
+	b.note("request %s to %s: status %d, seal %q, %q, error %v", id, h.settings.Name, response.StatusCode, seal, answer, err)
+	return seal != ""
 }
 
 // encodeConfig returns the value of a configuration of one customer.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -26,8 +26,10 @@
 type play func(b *bed) ([]string, error)
 
 var cases = map[string]play{
-	"6": truncatedThroughPeer,
-	"7": usedPartialEntry,
+	"6":  truncatedThroughPeer,
+	"7":  usedPartialEntry,
+	"8":  refusedCommonPart,
+	"9":  untrackedPart,
 }
 
 func main() {
