Review case 10: daemons whose seeds are down each let the whole limit of a target through

The case shows 53 to 54 requests in 4 s at a target that takes 2 a second, where 17 are allowed, while the three seeds are down.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,7 @@
 	"7":  usedPartialEntry,
 	"8":  refusedCommonPart,
 	"9":  untrackedPart,
+	"10": exceededLimit,
 }
 
 func main() {
