Review case 9: after a loss of all daemons a crashing part takes all prompts with it

The case shows sound prompts that are refused beside a crashing part, after all daemons were killed at the same time. The case of the limit becomes case 10.

--- a/review/standin-2/case9.go
+++ b/review/standin-2/case9.go
@@ -2,154 +2,139 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
-	"net/http"
-	"strconv"
+	"os"
 	"sync"
 	"time"
 
 	"carobspoke.example/core/version/routing"
-	"carobspoke.example/platform"
 )
 
-// Case 9: the seeds of the fleet are down when the others start. A target in need names how many
-// requests a second it takes from all daemons together.
+// Case 9: requests with a part of a prompt that crashes targets come, and are refused. Then all
+// daemons are killed at the same time and started again.
 
 const (
-	case9Daemons, case9Seeds = 9, 3
-	limitRate                = 2.0
-	case9Time                = 40 * time.Second
-	// The bound: in any limitWindow at most one and a half times what the limit allows, and
-	// limitSlack more.
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitSlack  = 5
-	// passedOnFor is how long before a request its daemon must have passed on an answer with
-	// the limit, for the request to count.
-	passedOnFor = 500 * time.Millisecond
-	// callEvery is the time between two calls at one daemon.
-	callEvery = 150 * time.Millisecond
+	// Times since the daemons are ready.
+	case9PartsFrom  = 6 * time.Second
+	case9KillAt     = 16 * time.Second
+	case9End        = 40 * time.Second
+	case9Engines    = 4
+	case9SoundEvery = 60 * time.Millisecond
+	// case9Every is the time between two requests with the part.
+	case9Every = 125 * time.Millisecond
+	// restartTime is how long a killed daemon is away.
+	restartTime = 500 * time.Millisecond
 )
 
-// limitedTarget is a sound target in need. It learns from the body of a call at which daemon its
-// client has sent it.
-type limitedTarget struct {
-	bed     *bed
-	id      string
-	address string
-	mu      sync.Mutex
-	firstAt time.Time
-	// passedOn holds since when each daemon has passed on an answer with the limit.
-	passedOn map[string]time.Time
-	// counted are the arrivals that count against the limit.
-	counted []time.Time
-	arrived int
-}
-
-// ServeHTTP implements http.Handler.
-func (t *limitedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(platform.HeaderAttempt)
-	w.Header().Set(platform.HeaderAttempt, id)
-	w.Header().Set(platform.HeaderLimit, strconv.FormatFloat(limitRate, 'f', -1, 64))
-	if r.Header.Get(platform.HeaderTarget) != t.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
+func refusedAfterKill(b *bed) ([]string, error) {
+	e, err := startEngines(b, case9Engines, crashPart)
+	if err != nil {
+		return nil, err
 	}
-	body, _ := io.ReadAll(r.Body)
-	from, now := string(body), time.Now()
-	t.mu.Lock()
-	t.arrived++
-	if t.firstAt.IsZero() {
-		t.firstAt = now
+	if err := b.publishModel(routing.Route{
+		Name: "petition-draft", Hostname: hostname, Prefix: "/draft/", Kind: routing.Streaming, Timeout: 10 * time.Second, LatencyTarget: 300 * time.Millisecond,
+		GapTarget: 200 * time.Millisecond, MaxAttempts: 2, Resumable: true, Services: []routing.WeightedService{{Service: modelService, Weight: 1}},
+	}); err != nil {
+		return nil, err
 	}
-	since, known := t.passedOn[from]
-	if known && now.Sub(since) >= passedOnFor && now.Sub(t.firstAt) >= stableTime {
-		t.counted = append(t.counted, now)
+	if err := b.startAll(); err != nil {
+		return nil, err
 	}
-	t.mu.Unlock()
-	const work = 30 * time.Millisecond
-	time.Sleep(work)
-	w.Header().Set(platform.HeaderSeal, t.id)
-	_, _ = io.WriteString(w, "done "+id)
-}
-
-// passed records that a daemon has passed on an answer.
-func (t *limitedTarget) passed(from string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if _, known := t.passedOn[from]; !known {
-		t.passedOn[from] = time.Now()
+	began := time.Now()
+	var before tally
+	var later []soundResult
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	killed := make(chan error, 1)
+	if b.trouble && os.Getenv("WITHOUT") != "kill" {
+		go func() {
+			time.Sleep(case9KillAt)
+			killed <- b.killAll()
+		}()
+	} else {
+		killed <- nil
 	}
-}
-
-// most returns the largest number of counted arrivals in a window.
-func (t *limitedTarget) most() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	most, first := 0, 0
-	for i, at := range t.counted {
-		for at.Sub(t.counted[first]) > limitWindow {
-			first++
+	lastPart := began.Add(case9PartsFrom)
+	for n := 0; time.Since(began) < case9End; n++ {
+		h := b.hosts[n%len(b.hosts)]
+		since := time.Since(began)
+		if b.trouble && since >= case9PartsFrom && time.Since(lastPart) >= case9Every {
+			lastPart = time.Now()
+			running.Go(func() { b.stream(h, n, "c", []string{commonPart, crashPart}) })
 		}
-		most = max(most, i-first+1)
+		running.Go(func() {
+			begun := b.stream(h, n, "s", []string{commonPart})
+			mu.Lock()
+			defer mu.Unlock()
+			if since < case9PartsFrom-eventInterval*events {
+				before.add(begun)
+				return
+			}
+			later = append(later, soundResult{since, begun})
+		})
+		time.Sleep(case9SoundEvery)
 	}
-	return most
-}
-
-func exceededLimit(b *bed) ([]string, error) {
-	b.hosts = nil
-	if err := b.addHosts(b.storeAddress, case9Daemons, case9Seeds); err != nil {
+	running.Wait()
+	if err := <-killed; err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
+	judgedFrom := e.fifth().Sub(began) + 2*stableTime
+	if !b.trouble {
+		judgedFrom = case9End / 2
 	}
-	t := &limitedTarget{bed: b, id: "i-need", address: listener.Addr().String(), passedOn: make(map[string]time.Time)}
-	server := &http.Server{Handler: t, ReadHeaderTimeout: time.Second}
-	go func() { _ = server.Serve(listener) }() // returns after Close
-	b.atEnd(func() { _ = server.Close() })
-	if err := b.list("i-need", deskService, t.address, time.Now().UnixMilli()); err != nil {
-		return nil, err
+	var after tally
+	for _, r := range later {
+		if r.sentAt >= judgedFrom {
+			after.add(r.begun)
+		}
 	}
-	route := routing.Route{
-		Name: "form-submit", Hostname: hostname, Prefix: "/submit/", Kind: routing.NonIdempotent, Timeout: 1200 * time.Millisecond,
-		LatencyTarget: 150 * time.Millisecond, MaxAttempts: 1, Services: []routing.WeightedService{{Service: deskService, Weight: 1}},
+	b.note("sound requests that began at the first attempt: %d of %d before any disruption, %d of %d from %.2f s after the daemons were ready on",
+		before.begun, before.sent, after.begun, after.sent, judgedFrom.Seconds())
+	if before.sent < minJudged || after.sent < minJudged {
+		return nil, fmt.Errorf("too few requests")
 	}
-	if err := b.publish(1, []routing.Route{route}, routing.Service{Name: deskService, MaxConnections: 110}); err != nil {
-		return nil, err
+	if after.share() < before.share()/2 {
+		return []string{fmt.Sprintf("sound requests with the same key and first part began at the first attempt in %.0f of 100 cases, before in %.0f", 100*after.share(), 100*before.share())}, nil
 	}
-	up := b.hosts
-	if b.trouble {
-		up = b.hosts[case9Seeds:]
-		b.note("the %d seeds are down", case9Seeds)
+	return nil, nil
+}
+
+// soundResult is a sound request: when it was sent, and whether it began at the first attempt.
+type soundResult struct {
+	sentAt time.Duration
+	begun  bool
+}
+
+// fifthCrash is the crash from which the bound counts, or the last one if there are fewer.
+const fifthCrash = 5
+
+// fifth returns the time of the fifth crash by the part.
+func (e *engines) fifth() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.bed.note("%d crashes by the part", len(e.crashes))
+	if len(e.crashes) == 0 {
+		return time.Time{}
 	}
-	if err := b.startSome(up); err != nil {
-		return nil, err
+	return e.crashes[min(len(e.crashes), fifthCrash)-1]
+}
+
+// killAll kills all daemons at the same time, and starts them again.
+func (b *bed) killAll() error {
+	b.note("all %d daemons are killed", len(b.hosts))
+	for _, h := range b.hosts {
+		h.kill()
 	}
-	// Clients call the same daemons in both cases.
-	var running sync.WaitGroup
-	until := time.Now().Add(case9Time)
-	for at, h := range b.hosts[case9Seeds:] {
-		running.Go(func() {
-			for n := 0; time.Now().Before(until); n++ {
-				const ids = 100_000
-				if b.submitFrom(ids*(at+1)+n, h) {
-					t.passed(h.settings.Name)
-				}
-				time.Sleep(callEvery)
-			}
-		})
+	time.Sleep(restartTime)
+	for _, h := range b.hosts {
+		if err := h.start(); err != nil {
+			return err
+		}
 	}
-	running.Wait()
-	allowed := int(limitFactor*limitRate*limitWindow.Seconds()) + limitSlack
-	most := t.most()
-	t.mu.Lock()
-	b.note("%d requests reached the target; at most %d in %s that count, %d allowed", t.arrived, most, limitWindow, allowed)
-	t.mu.Unlock()
-	if most > allowed {
-		return []string{fmt.Sprintf("%d requests in %s reached a target that takes %g a second, %d are allowed", most, limitWindow, limitRate, allowed)}, nil
+	for _, h := range b.hosts {
+		if err := h.awaitReady(); err != nil {
+			return err
+		}
 	}
-	return nil, nil
+	b.note("all %d daemons are ready again", len(b.hosts))
+	return nil
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -26,10 +26,11 @@
 type play func(b *bed) ([]string, error)
 
 var cases = map[string]play{
-	"6": truncatedThroughPeer,
-	"7": usedPartialEntry,
-	"8": refusedCommonPart,
-	"9": exceededLimit,
+	"6":  truncatedThroughPeer,
+	"7":  usedPartialEntry,
+	"8":  refusedCommonPart,
+	"10": exceededLimit,
+	"9":  refusedAfterKill,
 }
 
 func main() {
