--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -15,11 +15,9 @@
 	"time"
 
 	"carobspoke.example/core/names"
-	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/version/routing"
 	"carobspoke.example/platform"
 	"carobspoke.example/serving/process/edge"
-	"carobspoke.example/tools/emulator"
 )
 
 // Names in the published records.
@@ -47,7 +45,7 @@
 	folder  string
 	started time.Time
 
-	store        *emulator.Store
+	store        *rawStore
 	storeAddress string
 	server       *http.Server
 	hosts        []*host
@@ -77,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &bed{trouble: os.Getenv("TROUBLE") != "0", folder: folder, started: time.Now(), record: file, store: emulator.NewStore()}
+	b := &bed{trouble: os.Getenv("TROUBLE") != "0", folder: folder, started: time.Now(), record: file, store: newRawStore()}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -149,7 +147,7 @@
 
 // addHosts prepares daemons, which are started by start.
 func (b *bed) addHosts(store string, daemons, seeds int) error {
-	network, port, err := freeNetwork()
+	network, port, err := b.freeNetwork()
 	if err != nil {
 		return err
 	}
@@ -191,10 +189,15 @@
 
 // freeNetwork returns the third byte of a loopback network and the first of four ports that are
 // free there.
-func freeNetwork() (network byte, port uint16, err error) {
+func (b *bed) freeNetwork() (network byte, port uint16, err error) {
 	const tries, lowest, ports, needed, networks, last = 100, 20_000, 10_000, 4, 250, 10
 	for range tries {
 		network, port = byte(1+rand.IntN(networks)), uint16(lowest+rand.IntN(ports))
+		claim, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.1:%d", network, platform.MetricsPort-1))
+		if err != nil {
+			continue // another case has claimed the network
+		}
+		b.atEnd(func() { _ = claim.Close() })
 		free := true
 		for _, p := range []uint16{port, port + 1, port + 2, port + needed - 1, platform.MetricsPort} {
 			listener, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:%d", network, last, p))
@@ -289,7 +292,12 @@
 
 // publish publishes a configuration with some routes and services of one customer.
 func (b *bed) publish(version names.Version, routes []routing.Route, services ...routing.Service) error {
-	return b.store.PutConfig(newConfig(version, routes, services))
+	value, err := platform.EncodeConfig(newConfig(version, routes, services))
+	if err != nil {
+		return err
+	}
+	b.store.put(platform.KeyConfig, value)
+	return nil
 }
 
 // newConfig returns a configuration of one customer.
@@ -302,21 +310,9 @@
 	}
 }
 
-// useStore makes the daemons that are started later use another store.
-func (b *bed) useStore(address string) error {
-	for _, h := range b.hosts {
-		h.settings.StoreAddress = netip.MustParseAddrPort(address)
-		if err := h.writeSettings(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// list publishes the entry of a target.
-func (b *bed) list(id names.Target, service names.Service, address string, started int64) error {
-	const slots = 6
-	return b.store.PutTarget(&replicas.Target{ID: id, Service: service, Address: address, DataCentre: dataCentre, Slots: slots, Started: started})
+// list publishes the entry of a target of the plain service, complete as a target writes it.
+func (b *bed) list(id, service, address string, started int64) {
+	b.store.putEntry(id, entry{Service: service, Address: address, Zone: dataCentre, Version: softwareVersion, Slots: slots, State: ready, Seq: 1, Born: started})
 }
 
 // attemptID returns the ID of the n-th request.
--- a/review/standin-2/case10.go
+++ b/review/standin-2/case10.go
@@ -110,9 +110,7 @@
 	server := &http.Server{Handler: t, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }() // returns after Close
 	b.atEnd(func() { _ = server.Close() })
-	if err := b.list("i-need", deskService, t.address, time.Now().UnixMilli()); err != nil {
-		return nil, err
-	}
+	b.list("i-need", deskService, t.address, time.Now().UnixMilli())
 	route := routing.Route{
 		Name: "form-submit", Hostname: hostname, Prefix: "/submit/", Kind: routing.NonIdempotent, Timeout: 1200 * time.Millisecond,
 		LatencyTarget: 150 * time.Millisecond, MaxAttempts: 1, Services: []routing.WeightedService{{Service: deskService, Weight: 1}},
--- a/review/standin-2/case6.go
+++ b/review/standin-2/case6.go
@@ -13,8 +13,6 @@
 	"syscall"
 	"time"
 
-	"carobspoke.example/core/names"
-	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/core/version/routing"
 	"carobspoke.example/platform"
 )
@@ -36,15 +34,13 @@
 	const service = deskService
 	var targets earlyTargets
 	for n := range case6Targets {
-		id := names.Target(fmt.Sprintf("i-6%d", n))
-		target, err := newEarlyTarget(b, string(id))
+		id := fmt.Sprintf("i-6%d", n)
+		target, err := newEarlyTarget(b, id)
 		if err != nil {
 			return nil, err
 		}
 		targets = append(targets, target)
-		if err := b.list(id, service, target.address, time.Now().UnixMilli()); err != nil {
-			return nil, err
-		}
+		b.list(id, service, target.address, time.Now().UnixMilli())
 	}
 	route := routing.Route{
 		Name: "status-check", Hostname: hostname, Prefix: "/check/", Kind: routing.Idempotent, Timeout: 2500 * time.Millisecond,
@@ -228,7 +224,7 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	time.AfterFunc(lapseTime, func() { t.bed.store.RemoveTarget(&replicas.Target{ID: names.Target(t.id)}) })
+	time.AfterFunc(lapseTime, func() { t.bed.store.removeEntry(t.id) })
 }
 
 // serve answers the request of a connection before its body was read.
--- a/review/standin-2/case7.go
+++ b/review/standin-2/case7.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"carobspoke.example/core/names"
 	"carobspoke.example/core/version/routing"
 	"carobspoke.example/platform"
 )
@@ -46,7 +45,9 @@
 	modelService = "lekhak-llm"
 	slots        = 6
 	ready        = "ready"
-	case7Rounds  = 4
+	// softwareVersion is that of the targets.
+	softwareVersion = "1"
+	case7Rounds     = 4
 	// heartbeat is the interval at which targets write their entries.
 	heartbeat = 1200 * time.Millisecond
 )
@@ -102,18 +103,14 @@
 
 // write writes the target's own entry.
 func (t *plainTarget) write(s *rawStore) {
-	value, _ := json.Marshal(&entry{
-		Service: t.service, Address: t.address, Zone: dataCentre, Version: "1", Slots: slots, State: ready,
+	s.putEntry(t.id, entry{
+		Service: t.service, Address: t.address, Zone: dataCentre, Version: softwareVersion, Slots: slots, State: ready,
 		Seq: int(t.seq.Add(1)), Born: t.born,
 	})
-	s.put(platform.PrefixTargets+t.id, value)
 }
 
 func usedPartialEntry(b *bed) ([]string, error) {
-	s, err := b.startRawStore()
-	if err != nil {
-		return nil, err
-	}
+	s := b.store
 	desk, err := newPlainTarget(b, "i-desk", deskService)
 	if err != nil {
 		return nil, err
@@ -126,11 +123,9 @@
 		Name: "form-submit", Hostname: hostname, Prefix: "/submit/", Kind: routing.NonIdempotent, Timeout: 1200 * time.Millisecond,
 		LatencyTarget: 150 * time.Millisecond, MaxAttempts: 1, Services: []routing.WeightedService{{Service: deskService, Weight: 1}},
 	}
-	config, err := encodeConfig(1, []routing.Route{route}, routing.Service{Name: deskService, MaxConnections: 110}, routing.Service{Name: modelService, MaxConnections: 274})
-	if err != nil {
+	if err := b.publish(1, []routing.Route{route}, routing.Service{Name: deskService, MaxConnections: 110}, routing.Service{Name: modelService, MaxConnections: 274}); err != nil {
 		return nil, err
 	}
-	s.put(platform.KeyConfig, config)
 	stop := make(chan struct{})
 	defer close(stop)
 	for _, t := range []*plainTarget{desk, model} {
@@ -213,8 +208,3 @@
 	b.note("request %s to %s: status %d, seal %q, %q, error %v", id, h.settings.Name, response.StatusCode, seal, answer, err)
 	return seal != ""
 }
-
-// encodeConfig returns the value of a configuration of one customer.
-func encodeConfig(version names.Version, routes []routing.Route, services ...routing.Service) ([]byte, error) {
-	return platform.EncodeConfig(newConfig(version, routes, services))
-}
--- a/review/standin-2/case8.go
+++ b/review/standin-2/case8.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"carobspoke.example/core/names"
 	"carobspoke.example/core/version/routing"
 	"carobspoke.example/platform"
 )
@@ -148,14 +147,12 @@
 // publishModel publishes a route to the model service, and starts the targets of the other
 // service, which are sound throughout.
 func (b *bed) publishModel(route routing.Route) error {
-	for _, id := range []names.Target{"i-desk-1", "i-desk-2"} {
-		desk, err := newPlainTarget(b, string(id), deskService)
+	for _, id := range []string{"i-desk-1", "i-desk-2"} {
+		desk, err := newPlainTarget(b, id, deskService)
 		if err != nil {
 			return err
 		}
-		if err := b.list(id, deskService, desk.address, desk.born); err != nil {
-			return err
-		}
+		b.list(id, deskService, desk.address, desk.born)
 	}
 	model := routing.Service{Name: modelService, MaxConnections: 274, Engine: &routing.Engine{
 		Slots: 12, MemoryTokens: 450_000, StepsPerPass: 46, StepTime: 925 * time.Microsecond, PrefillRate: 256_000, ChunkTokens: 2048,
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -9,8 +10,6 @@
 	"sync"
 	"time"
 
-	"carobspoke.example/core/names"
-	"carobspoke.example/core/process/replicas"
 	"carobspoke.example/platform"
 )
 
@@ -83,8 +82,8 @@
 	e.mu.Unlock()
 	go func() { _ = server.Serve(listener) }() // returns after stop
 	const slots = 12
-	_ = e.of.bed.store.PutTarget(&replicas.Target{
-		ID: names.Target(id), Service: modelService, Address: e.address, DataCentre: dataCentre, Slots: slots, Started: time.Now().UnixMilli(),
+	e.of.bed.store.putEntry(id, entry{
+		Service: modelService, Address: e.address, Zone: dataCentre, Version: softwareVersion, Slots: slots, State: ready, Seq: 1, Born: time.Now().UnixMilli(),
 	})
 }
 
@@ -107,7 +106,7 @@
 	if id == "" {
 		return
 	}
-	time.AfterFunc(min(lapseTime, down), func() { e.of.bed.store.RemoveTarget(&replicas.Target{ID: names.Target(id)}) })
+	time.AfterFunc(lapseTime, func() { e.of.bed.store.removeEntry(id) })
 	time.AfterFunc(down, func() {
 		for range 50 {
 			listener, err := net.Listen("tcp", e.address)
@@ -141,6 +140,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == platform.PathReport {
+		_, _ = io.WriteString(w, "{}")
+		return
+	}
 	w.Header().Set(platform.HeaderSeal, id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	const prefill = 20 * time.Millisecond
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,7 +12,7 @@
 	"carobspoke.example/platform"
 )
 
-// rawStore is a stand-in of the platform's store that holds any bytes, as other writers may put
+// rawStore is a stand-in of the platform's store. It holds any bytes, as other writers may put
 // them.
 type rawStore struct {
 	mu       sync.Mutex
@@ -27,35 +27,54 @@
 	Key      string `json:"key"`
 	Value    []byte `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"create_revision,omitempty"`
+	Lease    uint64 `json:"lease"`
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
 // rawAnswer is the answer to a range read or a watch.
 type rawAnswer struct {
-	Entries  []rawItem `json:"entries,omitempty"`
-	Events   []rawItem `json:"events,omitempty"`
-	Revision uint64    `json:"current_rev"`
+	Entries   []rawItem `json:"entries"`
+	Events    []rawItem `json:"events"`
+	Truncated bool      `json:"truncated"`
+	Revision  uint64    `json:"current_rev"`
 }
 
-// startRawStore starts a store, which daemons that are started later use.
-func (b *bed) startRawStore() (*rawStore, error) {
-	s := &rawStore{revision: 1, items: make(map[string]rawItem), changed: make(chan struct{})}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
-	go func() { _ = server.Serve(listener) }() // returns after Close
-	b.atEnd(func() { _ = server.Close() })
-	return s, b.useStore(listener.Addr().String())
+func newRawStore() *rawStore {
+	return &rawStore{revision: 1, items: make(map[string]rawItem), changed: make(chan struct{})}
 }
 
 // put writes an item, or removes it if the value is nil.
 func (s *rawStore) put(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.putLocked(key, value)
+}
+
+// putEntry writes the entry of a target. It changes when more than the sequence changes.
+func (s *rawStore) putEntry(id string, e entry) {
+	value, _ := json.Marshal(&e)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var known entry
+	if old, ok := s.items[platform.PrefixTargets+id]; ok && json.Unmarshal(old.Value, &known) == nil {
+		if known.Seq = e.Seq; known == e {
+			return
+		}
+	}
+	s.putLocked(platform.PrefixTargets+id, value)
+}
+
+// removeEntry removes the entry of a target.
+func (s *rawStore) removeEntry(id string) { s.put(platform.PrefixTargets+id, nil) }
+
+// putLocked is put for a caller that holds mu.
+func (s *rawStore) putLocked(key string, value []byte) {
 	s.revision++
-	item := rawItem{Key: key, Value: value, Revision: s.revision, Deleted: value == nil}
+	item := rawItem{Key: key, Value: value, Revision: s.revision, Created: s.revision, Deleted: value == nil}
+	if old, ok := s.items[key]; ok {
+		item.Created = old.Created
+	}
 	s.history = append(s.history, item)
 	if item.Deleted {
 		delete(s.items, key)
@@ -69,6 +88,7 @@
 // ServeHTTP implements http.Handler.
 func (s *rawStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("prefix")
+	w.Header().Set(platform.HeaderEra, "1")
 	switch r.URL.Path {
 	case platform.PathRange:
 		s.mu.Lock()
@@ -79,6 +99,7 @@
 			}
 		}
 		s.mu.Unlock()
+		slices.SortFunc(answer.Entries, func(x, y rawItem) int { return strings.Compare(x.Key, y.Key) })
 		_ = json.NewEncoder(w).Encode(&answer)
 	case platform.PathWatch:
 		s.watch(w, r, prefix)
