Log what the refusal of a part rests on

A refused part was logged with its hash and duration only. Whether a daemon refuses it by its own ends, how many and since when, and whether sound requests with it were known of late could not be told, so that a part that crashes targets and a part that all requests share look alike in the log.

The line 'requests with a suspect part are refused' now has a field basis.

--- a/core/process/suspects/decide.go
+++ b/core/process/suspects/decide.go
@@ -6,6 +6,38 @@
 	"time"
 )
 
+// Basis is what a daemon knows of a refused item, for the log.
+type Basis struct {
+	// Decided is true if this daemon refuses the item by the ends that it knows, and not
+	// only because another daemon has announced it.
+	Decided bool
+	// Ends is the number of ends that accuse the item. FirstEndAgo and LastEndAgo are the
+	// times since the first and the last of them, zero if there is none.
+	Ends                    int
+	FirstEndAgo, LastEndAgo time.Duration
+	// SoundAgo is the time since the last sound request with the item was sent, negative if
+	// none of late is known.
+	SoundAgo time.Duration
+	// Common is true if the accusations say that many requests have the item.
+	Common bool
+}
+
+// Basis returns what is known of an item. It is empty for one without a record.
+func (t *Table) Basis(item Item, now time.Time) Basis {
+	r, ok := t.items[item]
+	if !ok {
+		return Basis{SoundAgo: -1}
+	}
+	b := Basis{Decided: t.Decides(item, now), Ends: len(r.ends), SoundAgo: -1, Common: r.isCommon()}
+	if ago, sound := t.SoundAgo(item, now); sound {
+		b.SoundAgo = ago
+	}
+	if len(r.ends) > 0 {
+		b.FirstEndAgo, b.LastEndAgo = now.Sub(r.ends[0].at), now.Sub(r.lastEnd())
+	}
+	return b
+}
+
 // Decides reports whether this daemon refuses an item by the ends that it knows.
 func (t *Table) Decides(item Item, now time.Time) bool {
 	record, ok := t.items[item]
--- a/core/process/suspects/exchange.go
+++ b/core/process/suspects/exchange.go
@@ -350,6 +350,9 @@
 // Refusals returns the refusals in force, ordered by item.
 func (x *Exchange) Refusals(now time.Time) []Refusal { return x.table.Refusals(now) }
 
+// Basis returns what is known of an item, for the log.
+func (x *Exchange) Basis(item Item, now time.Time) Basis { return x.table.Basis(item, now) }
+
 // Counts are the numbers of items of a table, for metrics.
 type Counts struct {
 	// Accused is the number of items under an end or refused, Refused the number of the
--- a/serving/process/suspects/suspects.go
+++ b/serving/process/suspects/suspects.go
@@ -14,6 +14,7 @@
 	"carobspoke.example/core/verdict"
 	"carobspoke.example/serving/request/relay"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // flushDelay is how long an accusation waits for the other requests that the same end cut
@@ -175,7 +176,7 @@
 // tick makes the announcements that are due, and logs the refusals that have begun or
 // ended.
 func (g *Guard) tick() {
-	var begun []core.Refusal
+	var begun []begunRefusal
 	var ended []core.Item
 	g.step(func(now time.Time) []core.Message {
 		list := g.exchange.Tick(now)
@@ -183,17 +184,42 @@
 		return list
 	})
 	for i := range begun {
-		g.config.Log.Warn("requests with a suspect part are refused", zap.Stringer("item", begun[i].Item),
-			zap.Duration("remaining", begun[i].Remaining), zap.Int("customers", len(begun[i].Customers)))
+		b := &begun[i]
+		g.config.Log.Warn("requests with a suspect part are refused", zap.Stringer("item", b.Item),
+			zap.Duration("remaining", b.Remaining), zap.Int("customers", len(b.Customers)), zap.Object("basis", basisField(b.basis)))
 	}
 	for _, item := range ended {
 		g.config.Log.Info("requests with a suspect part are accepted again", zap.Stringer("item", item))
 	}
 }
 
+// begunRefusal is a refusal that has begun, and what it rests on.
+type begunRefusal struct {
+	core.Refusal
+	basis core.Basis
+}
+
+// basisField describes what a refusal rests on, for the log.
+type basisField core.Basis
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (b basisField) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	e.AddBool("decided", b.Decided)
+	e.AddInt("ends", b.Ends)
+	e.AddBool("common", b.Common)
+	if b.Ends > 0 {
+		e.AddDuration("first_end_ago", b.FirstEndAgo)
+		e.AddDuration("last_end_ago", b.LastEndAgo)
+	}
+	if b.SoundAgo >= 0 {
+		e.AddDuration("sound_ago", b.SoundAgo)
+	}
+	return nil
+}
+
 // changedRefusals returns the refusals that have begun and ended since the last call. The
 // caller must hold g.mu.
-func (g *Guard) changedRefusals(now time.Time) (begun []core.Refusal, ended []core.Item) {
+func (g *Guard) changedRefusals(now time.Time) (begun []begunRefusal, ended []core.Item) {
 	inForce := g.exchange.Refusals(now)
 	if len(inForce) == 0 && len(g.refused) == 0 {
 		return nil, nil
@@ -202,7 +228,7 @@
 	for _, r := range inForce {
 		known[r.Item] = true
 		if !g.refused[r.Item] {
-			begun = append(begun, r)
+			begun = append(begun, begunRefusal{r, g.exchange.Basis(r.Item, now)})
 		}
 	}
 	for item := range g.refused {
