Refuse no shared part after all targets end at once

Callers saw: after a crash of all targets of a service, beside requests with a part that crashes targets, the part that all prompts share was refused for ten minutes, while all targets were up. None of the sound requests began.

Cause: the time since an end was taken for time in which sound requests could have been heard of, also while no target ran any; and an end of any cause, which cuts off whatever is in flight, was taken for evidence against a part that all requests have. From five ends on such a part was refused 2.2 s later. No request with it ran then, so that nothing could show that it is sound.

Change: time counts only while targets of the service run requests, which a sound request of the service shows. Or the item is in more ends than its share of the requests accounts for; accusations carry the counts for that.

Why it works: an end says nothing about what all requests have, and silence nothing while nobody could speak.

--- a/core/process/suspects/decide.go
+++ b/core/process/suspects/decide.go
@@ -20,6 +20,8 @@
 	SoundAgo time.Duration
 	// Common is true if the accusations say that many requests have the item.
 	Common bool
+	// Evidence is the evidence against the item, see Table.evidence.
+	Evidence float64
 }
 
 // Basis returns what is known of an item. It is empty for one without a record.
@@ -28,7 +30,7 @@
 	if !ok {
 		return Basis{SoundAgo: -1}
 	}
-	b := Basis{Decided: t.Decides(item, now), Ends: len(r.ends), SoundAgo: -1, Common: r.isCommon()}
+	b := Basis{Decided: t.Decides(item, now), Ends: len(r.ends), SoundAgo: -1, Common: r.isCommon(), Evidence: t.evidence(r)}
 	if ago, sound := t.SoundAgo(item, now); sound {
 		b.SoundAgo = ago
 	}
@@ -48,41 +50,61 @@
 // it does not.
 func (t *Table) decided(item Item, r *itemRecord, now time.Time) time.Time {
 	if len(r.ends) < EndsToRefuse {
-		r.refused = false
+		r.accept()
 		return time.Time{}
 	}
 	_, sound := t.SoundAgo(item, now)
 	if r.refused && r.refusedAsUnknown && sound {
-		r.refused = false // sound requests have become known since
+		r.accept() // sound requests have become known since
 		t.version++
 	}
 	if !r.refused {
-		if !t.isSettled(item, r, now) || !t.isInEnoughEnds(r) {
+		settled, exposed := t.isSettled(item, r, now)
+		if !settled || !t.isInEnoughEnds(r) {
 			return time.Time{}
 		}
-		r.refused, r.refusedAsUnknown = true, !sound
+		r.refused, r.refusedAsUnknown, r.exposed = true, !sound, exposed
 		t.version++
 	}
-	if len(r.ends) < EndsToRefuseLong {
+	if !t.isProved(r) {
 		return r.lastEnd().Add(RefusedShortlyFor)
 	}
 	return r.lastEnd().Add(RefusedFor)
 }
 
-// isSettled reports whether a sound request with an item would be known by now if the item
-// did not crash targets.
-func (t *Table) isSettled(item Item, r *itemRecord, now time.Time) bool {
-	sinceEnd := func(n int) time.Duration { return now.Sub(r.ends[n-1].at) }
+// isSettled reports whether an item may be refused: a sound request with it would be known by
+// now if it did not crash targets, or the ends alone are evidence enough. exposed is true in
+// the first case.
+func (t *Table) isSettled(item Item, r *itemRecord, now time.Time) (settled, exposed bool) {
+	sinceEnd := func(e *itemEnd) time.Duration { return now.Sub(e.at) }
+	if !t.isOverdue(item, r, r.ends, now, sinceEnd) {
+		return false, false // nor if less time counts
+	}
+	sinceServed := func(e *itemEnd) time.Duration { return t.exposure(e, now) }
+	if sinceServed(&r.ends[EndsToRefuse-1]) >= SoundSettleTime && t.isOverdue(item, r, t.separate(r), now, sinceServed) {
+		return true, true
+	}
+	return t.isSurprising(r) || r.rounds() >= minRounds, false
+}
+
+// isOverdue reports whether a sound request with an item would be known by now. since returns
+// for how long since an end such requests could have been sent.
+func (t *Table) isOverdue(item Item, r *itemRecord, ends []itemEnd, now time.Time, since func(*itemEnd) time.Duration) bool {
+	if len(ends) < EndsToRefuse {
+		return false
+	}
+	third := since(&ends[EndsToRefuse-1])
 	soundAgo, sound := t.SoundAgo(item, now)
 	switch {
 	case !sound && t.isTied(item, r, now):
-		return sinceEnd(EndsToRefuse) >= TiedSettleTime
+		return third >= TiedSettleTime
 	case !sound:
-		return sinceEnd(EndsToRefuse) >= SettleTime
-	case len(r.ends) >= EndsToRefuseLong && sinceEnd(EndsToRefuseLong) >= LongSettleTime:
+		return third >= SettleTime
+	case len(ends) >= EndsToRefuseLong && since(&ends[EndsToRefuseLong-1]) >= LongSettleTime:
 		return true
 	default:
-		return !r.isCommon() && sinceEnd(EndsToRefuse) >= SoundSettleTime && r.soundRate()*(soundAgo-usualSoundTime).Seconds() >= overdueRequests
+		missing := r.soundRate() * (min(soundAgo, third) - usualSoundTime).Seconds()
+		return !r.isCommon() && third >= SoundSettleTime && missing >= overdueRequests
 	}
 }
 
@@ -120,23 +142,35 @@
 	if r.explainedAt == t.version {
 		return r.explained
 	}
-	left := slices.Clone(r.ends)
+	left, accounted := slices.Clone(r.ends), make(map[End]bool)
 	for candidate, other := range t.items {
 		if other == r || !t.accountsFor(candidate, item, now) || !now.Before(t.decided(candidate, other, now)) {
 			continue
 		}
-		left = slices.DeleteFunc(left, func(e itemEnd) bool { return other.hasEnd(e.end) })
+		for _, e := range other.ends {
+			accounted[e.end] = true
+		}
 	}
-	r.explained = len(left) < min(len(r.ends), EndsToRefuse)
+	left = slices.DeleteFunc(left, func(e itemEnd) bool { return accounted[e.end] })
+	r.explained = len(left) < min(len(r.ends), EndsToRefuse) ||
+		r.refused && !r.exposed && len(left) < len(r.ends) && t.evidenceBy(r, accounted) < r.minEvidence(false)
 	r.explainedAt = t.version
 	return r.explained
 }
 
 // accountsFor reports whether the ends of an item, if it is refused, are no evidence against
-// another one: it is more suspicious, or it is as suspicious and in more ends.
+// another one: it is more suspicious, or it is as suspicious and in more ends, or in as many
+// with clearly more evidence.
 func (t *Table) accountsFor(item, other Item, now time.Time) bool {
-	byPrior := cmp.Compare(t.prior(item, now), t.prior(other, now))
-	return byPrior > 0 || byPrior == 0 && len(t.items[item].ends) > len(t.items[other].ends)
+	a, b := t.items[item], t.items[other]
+	switch cmp.Or(cmp.Compare(t.prior(item, now), t.prior(other, now)), cmp.Compare(len(a.ends), len(b.ends))) {
+	case 1:
+		return true
+	case 0:
+		return len(a.ends) >= EndsToRefuse && t.evidence(a) >= t.evidence(b)+clearlyMoreEvidence
+	default:
+		return false
+	}
 }
 
 // prior returns how suspicious an item is apart from its ends. Higher is more suspicious.
--- a/core/process/suspects/doc.go
+++ b/core/process/suspects/doc.go
@@ -11,12 +11,24 @@
 // time at which it was sent: its items lose the ends from before that time. Later ones stay,
 // since an item may begin to crash targets at any time.
 //
-// An item is refused from its third end on, once sound requests with it would be known if
-// it did not crash targets, and if it is in a third of the ends of its services since its
-// first. Ends that a more suspicious refused item is in, or one in more ends, do not count.
-// Items that are in the same ends are refused together. So a part that nearly all requests of
-// a route share is not refused while its requests are sound, and the simultaneous end of
-// many targets by another cause refuses no part.
+// An item is refused from its third end on, if it is in a third of the ends of its services
+// since its first, and either
+//   - sound requests with it would be known if it did not crash targets. Only time counts in
+//     which targets of the service ran requests, which a sound request of the service shows:
+//     while all targets are down, nothing is heard of any item. Or
+//   - the item is in more ends than its share of the requests accounts for, see
+//     Table.evidence. An item that most requests have is in the ends of any cause.
+//
+// A refusal lasts long only if that is clear, since no request with a refused item can show
+// that it is sound; otherwise it ends soon, and a further end renews it. Ends that a more
+// suspicious refused item is in, or one in more ends, do not count. Items that are in the same
+// ends, with similar evidence, are refused together.
+//
+// So a part that nearly all requests of a route share is not refused while its requests are
+// sound, and the simultaneous end of many or all targets by another cause refuses no part, with
+// one limit: a part of few requests that happens to run on nearly all targets that end. How
+// unlikely that must be is set by minEvidence, and less strictly by minEvidenceNew while daemons
+// know few sound requests, such as after a loss of all.
 //
 // Customers are kept apart: an item is refused only for customers that it was accused
 // with, or for all once two customers have accused it.
--- a/core/process/suspects/exchange.go
+++ b/core/process/suspects/exchange.go
@@ -95,7 +95,11 @@
 
 // Cut records that an end cut off a request of this daemon. Flush returns the accusation.
 func (x *Exchange) Cut(e End, service ServiceHash, r *Request, now time.Time) {
-	x.unsent[e] = x.table.Cut(e, service, r, now)
+	a := x.table.Cut(e, service, r, now)
+	if earlier, ok := x.unsent[e]; ok {
+		a.addEarlier(&earlier)
+	}
+	x.unsent[e] = a
 }
 
 // Flush returns the accusations of this daemon that have changed, for the collectors. If
--- a/core/process/suspects/recent.go
+++ b/core/process/suspects/recent.go
@@ -96,13 +96,17 @@
 	return float64(own.count-1) / own.last.Sub(own.first).Seconds()
 }
 
+// requests returns how many of this daemon's sound requests of a service have an item.
+func (r *recent) requests(item Item, service ServiceHash) share {
+	return share{with: r.newer.own[item].count + r.older.own[item].count, all: r.newer.services[service] + r.older.services[service]}
+}
+
 // frequency returns the frequency of an item among the requests of a service.
 func (r *recent) frequency(item Item, service ServiceHash) Frequency {
-	all := r.newer.services[service] + r.older.services[service]
-	switch with := r.newer.own[item].count + r.older.own[item].count; {
-	case all < minRequests:
+	switch s := r.requests(item, service); {
+	case s.all < minRequests:
 		return Unknown
-	case with*commonShare >= all:
+	case s.with*commonShare >= s.all:
 		return Common
 	default:
 		return Rare
--- a/core/process/suspects/record.go
+++ b/core/process/suspects/record.go
@@ -17,8 +17,14 @@
 	common, rare int
 	// refused is true once this daemon has refused the item by these ends.
 	refused bool
-	// refusedAsUnknown is true if this daemon knew of no recent sound request then.
-	refusedAsUnknown bool
+	// refusedAsUnknown is true if this daemon knew of no recent sound request then, and
+	// exposed if sound requests would have been known by then.
+	refusedAsUnknown, exposed bool
+	// resumed is true if an end came after the item had been refused for a short time.
+	resumed bool
+	// evidence is the result of Table.evidence as of the version evidenceAt of the table.
+	evidence   float64
+	evidenceAt uint64
 	// refusedUntil and refusedEnd are the end of the refusal that another daemon has
 	// announced and the time of the item's last end, as far as it follows from that.
 	refusedUntil, refusedEnd time.Time
@@ -36,8 +42,12 @@
 type itemEnd struct {
 	end End
 	at  time.Time
-	// soundRate is the sum of Suspect.SoundRate of the daemons that accuse the item.
+	// soundRate is the sum of Suspect.SoundRate of the daemons that accuse the item, sound
+	// that of their sound requests of late.
 	soundRate float64
+	sound     share
+	// requests is the number of requests with the item that the end cut off.
+	requests int
 }
 
 // accuse adds an end to a record, unless it is known.
@@ -51,13 +61,17 @@
 	case Unknown:
 	}
 	if known := slices.IndexFunc(r.ends, func(e itemEnd) bool { return e.end == a.End }); known >= 0 {
-		r.ends[known].soundRate += s.SoundRate
+		e := &r.ends[known]
+		e.soundRate += s.SoundRate
+		e.requests += s.Requests
+		e.sound.with, e.sound.all = e.sound.with+s.SoundWith, e.sound.all+s.SoundAll
 		return
 	}
 	if len(r.ends) >= maxItemEnds {
 		return
 	}
-	r.ends = append(r.ends, itemEnd{end: a.End, at: at, soundRate: s.SoundRate})
+	r.resumed = r.resumed || r.refused && at.Sub(r.lastEnd()) >= RefusedShortlyFor
+	r.ends = append(r.ends, itemEnd{end: a.End, at: at, soundRate: s.SoundRate, sound: share{s.SoundWith, s.SoundAll}, requests: s.Requests})
 	slices.SortStableFunc(r.ends, func(a, b itemEnd) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.end, b.end)) })
 	if !slices.Contains(r.services, a.Service) {
 		r.services = append(r.services, a.Service)
@@ -108,7 +122,7 @@
 	dropped = first > 0
 	r.ends = slices.Delete(r.ends, 0, first)
 	if len(r.ends) < EndsToRefuse {
-		r.refused = false
+		r.accept()
 	}
 	if !r.refusedUntil.IsZero() && !r.refusedEnd.After(at) {
 		r.withdraw()
@@ -120,6 +134,11 @@
 	return dropped
 }
 
+// accept ends the refusal by this daemon.
+func (r *itemRecord) accept() {
+	r.refused, r.refusedAsUnknown, r.exposed, r.resumed = false, false, false, false
+}
+
 // isEmpty reports whether nothing is known against the item.
 func (r *itemRecord) isEmpty() bool {
 	return len(r.ends) == 0 && r.refusedUntil.IsZero() && r.suspectedEnd.IsZero()
--- a/core/process/suspects/simulation_test.go
+++ b/core/process/suspects/simulation_test.go
@@ -164,6 +164,7 @@
 	s.requests++
 	parts = append(parts, "first", fmt.Sprint("group-", s.random.IntN(s.groups)))
 	r := NewRequest(s.customer(s.requests), "POST", "/", fmt.Append(nil, s.requests), parts)
+	r.Service = service
 	return &r
 }
 
--- a/core/process/suspects/table.go
+++ b/core/process/suspects/table.go
@@ -77,6 +77,12 @@
 	// SoundRate is how many sound requests with the item a second the accusing daemon had
 	// of late, zero if it had fewer than two.
 	SoundRate float64
+	// SoundAll is the number of sound requests of the service that the accusing daemon had of
+	// late, and SoundWith how many of them have the item.
+	SoundWith, SoundAll int
+	// Requests is the number of requests with the item that were cut off, see
+	// Accusation.Requests.
+	Requests int
 }
 
 // Accusation names the suspects of an end at one daemon.
@@ -84,6 +90,22 @@
 	End      End
 	Service  ServiceHash
 	Suspects []Suspect
+	// Requests is the number of requests that the end cut off at the daemon since its last
+	// accusation of this end. It is zero in accusations of earlier releases.
+	Requests int
+}
+
+// addEarlier adds the requests of an earlier accusation of the same end that was not sent.
+func (a *Accusation) addEarlier(earlier *Accusation) {
+	a.Requests += earlier.Requests
+	for i := range a.Suspects {
+		s := &a.Suspects[i]
+		for _, e := range earlier.Suspects {
+			if e.Item == s.Item && e.Customer == s.Customer {
+				s.Requests += e.Requests
+			}
+		}
+	}
 }
 
 // Refusal is a refused item, or one that is not sent again after it was cut off.
@@ -108,6 +130,11 @@
 type endRecord struct {
 	service ServiceHash
 	at      time.Time
+	// requests is the number of requests that the end cut off, by the accusations.
+	requests int
+	// servedSince is when the first sound request of the service after the end was sent, zero
+	// if none is known.
+	servedSince time.Time
 	// own are the suspects of this daemon's requests.
 	own []ownSuspect
 }
@@ -128,6 +155,7 @@
 // its items that are suspect; other daemons have to be told.
 func (t *Table) Sound(r *Request, sentAt, now time.Time) []Item {
 	t.sound.count(r, sentAt)
+	t.recordServed(r.Service, sentAt)
 	var suspect []Item
 	for _, item := range r.Items {
 		t.sound.add(item, sentAt, now)
@@ -145,7 +173,13 @@
 	if ago >= SoundFor {
 		return
 	}
-	t.sound.add(item, now.Add(-max(ago, 0)), now)
+	sentAt := now.Add(-max(ago, 0))
+	if record, ok := t.items[item]; ok {
+		for _, service := range record.services {
+			t.recordServed(service, sentAt)
+		}
+	}
+	t.sound.add(item, sentAt, now)
 	t.dropEndsBefore(item)
 }
 
@@ -188,15 +222,22 @@
 	slices.SortFunc(suspects, func(a, b Item) int { return cmp.Compare(rank(a, e), rank(b, e)) })
 	for position, item := range suspects {
 		if !slices.ContainsFunc(record.own, func(s ownSuspect) bool { return s.Item == item && s.Customer == r.Customer }) {
-			suspect := Suspect{Item: item, Customer: r.Customer, Frequency: t.sound.frequency(item, r.Service), SoundRate: t.sound.rate(item)}
+			known := t.sound.requests(item, r.Service)
+			suspect := Suspect{
+				Item: item, Customer: r.Customer, Frequency: t.sound.frequency(item, r.Service), SoundRate: t.sound.rate(item),
+				SoundWith: known.with, SoundAll: known.all,
+			}
 			record.own = append(record.own, ownSuspect{Suspect: suspect, position: position})
 		}
 	}
 	t.sortSuspects(e, record.own)
 	record.own = record.own[:min(len(record.own), maxOwnSuspects)]
 	t.ends[e] = record
-	a := Accusation{End: e, Service: service}
+	a := Accusation{End: e, Service: service, Requests: 1}
 	for _, s := range record.own[:min(len(record.own), MaxSuspects)] {
+		if s.Customer == r.Customer && slices.Contains(r.Items, s.Item) {
+			s.Requests = 1
+		}
 		if ago, ok := t.OwnSoundAgo(s.Item, now); ok {
 			s.SoundAgo = max(ago, 1)
 		}
@@ -235,7 +276,11 @@
 
 // Merge adds an accusation of this or another daemon.
 func (t *Table) Merge(a *Accusation, now time.Time) {
+	a = a.withRequests()
 	end := t.end(a.End, a.Service, now)
+	end.requests += a.Requests
+	t.ends[a.End] = end
+	t.version++
 	for _, s := range a.Suspects[:min(len(a.Suspects), MaxSuspects)] {
 		if s.SoundAgo > 0 {
 			t.HearSound(s.Item, s.SoundAgo, now)
@@ -248,6 +293,27 @@
 	}
 }
 
+// withRequests returns the accusation itself, or for one of an earlier release a copy in which
+// the numbers of requests are estimated.
+func (a *Accusation) withRequests() *Accusation {
+	if a.Requests > 0 {
+		return a
+	}
+	estimate := &Accusation{End: a.End, Service: a.Service, Suspects: slices.Clone(a.Suspects), Requests: len(a.Suspects)}
+	for i := range estimate.Suspects {
+		s := &estimate.Suspects[i]
+		s.Requests = 1
+		switch s.Frequency {
+		case Common:
+			s.SoundWith, s.SoundAll = minRequests, minRequests
+		case Rare:
+			s.SoundWith, s.SoundAll = minRequests/(2*commonShare), minRequests
+		case Unknown:
+		}
+	}
+	return estimate
+}
+
 // Check returns the refusal that applies to a request, and whether there is one. Of
 // several refusals it returns the one that expires last.
 func (t *Table) Check(r *Request, now time.Time) (Refusal, bool) {
--- a/core/process/suspects/table_test.go
+++ b/core/process/suspects/table_test.go
@@ -15,6 +15,7 @@
 // request returns a request of its own with the given shared parts.
 func request(customer names.Customer, id int, parts ...string) *Request {
 	r := NewRequest(customer, "POST", fmt.Sprint("/", id), nil, parts)
+	r.Service = service
 	return &r
 }
 
--- a/serving/process/dispatchsync/convert.go
+++ b/serving/process/dispatchsync/convert.go
@@ -107,23 +107,32 @@
 	}
 }
 
+// maxEndRequests bounds the numbers of requests in a message of an end, above those of the
+// busiest daemon in a minute.
+const maxEndRequests = 1 << 20
+
 func encodeEnd(a *suspects.Accusation) *peerpb.TargetEnd {
-	end := &peerpb.TargetEnd{End: uint64(a.End), Service: uint32(a.Service)}
+	end := &peerpb.TargetEnd{End: uint64(a.End), Service: uint32(a.Service), Requests: uint32(a.Requests)}
 	for _, s := range a.Suspects {
 		end.Suspects = append(end.Suspects, &peerpb.Suspect{
 			Item: uint64(s.Item), Customer: uint32(s.Customer), SoundMs: millis(s.SoundAgo), Frequency: uint32(s.Frequency), SoundRate: float32(s.SoundRate),
+			SoundAll: uint32(s.SoundAll), SoundWith: uint32(s.SoundWith), Requests: uint32(s.Requests),
 		})
 	}
 	return end
 }
 
 func decodeEnd(end *peerpb.TargetEnd) *suspects.Accusation {
-	a := &suspects.Accusation{End: suspects.End(end.GetEnd()), Service: suspects.ServiceHash(end.GetService())}
+	a := &suspects.Accusation{
+		End: suspects.End(end.GetEnd()), Service: suspects.ServiceHash(end.GetService()), Requests: int(min(end.GetRequests(), maxEndRequests)),
+	}
 	for _, s := range end.GetSuspects() {
 		a.Suspects = append(a.Suspects, suspects.Suspect{
 			Item: suspects.Item(s.GetItem()), Customer: suspects.CustomerHash(s.GetCustomer()),
 			SoundAgo: fromMillis(s.GetSoundMs()), Frequency: suspects.Frequency(min(s.GetFrequency(), math.MaxUint8)),
 			SoundRate: decodeRate(s.GetSoundRate()),
+			SoundAll:  int(min(s.GetSoundAll(), maxEndRequests)), SoundWith: int(min(s.GetSoundWith(), s.GetSoundAll(), maxEndRequests)),
+			Requests: int(min(s.GetRequests(), end.GetRequests(), maxEndRequests)),
 		})
 	}
 	return a
--- a/serving/process/dispatchsync/dispatchsync_test.go
+++ b/serving/process/dispatchsync/dispatchsync_test.go
@@ -225,7 +225,9 @@
 		got.ConfirmedAt, got.MustRead = heartbeat.ConfirmedAt, false
 		return got == heartbeat && late <= 0 && late > -50*time.Millisecond
 	})
-	accusation := suspects.Accusation{End: 1 << 63, Service: 1 << 31, Suspects: []suspects.Suspect{{Item: 1 << 63, Customer: 1 << 31}, {Item: 2}}}
+	accusation := suspects.Accusation{End: 1 << 63, Service: 1 << 31, Requests: 7, Suspects: []suspects.Suspect{
+		{Item: 1 << 63, Customer: 1 << 31, SoundAll: 1 << 20, SoundWith: 3, Requests: 7}, {Item: 2, Frequency: suspects.Rare, SoundRate: 0.5},
+	}}
 	from.exchange.RecordEnd(to, &accusation)
 	eventually(t, "the end of a target", func() bool {
 		home.sink.mu.Lock()
--- a/serving/process/suspects/suspects.go
+++ b/serving/process/suspects/suspects.go
@@ -208,6 +208,7 @@
 	e.AddInt("ends", b.Ends)
 	e.AddBool("common", b.Common)
 	if b.Ends > 0 {
+		e.AddFloat64("evidence", b.Evidence)
 		e.AddDuration("first_end_ago", b.FirstEndAgo)
 		e.AddDuration("last_end_ago", b.LastEndAgo)
 	}
