--- a/tools/emulator/target.go
+++ b/tools/emulator/target.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -59,6 +60,8 @@
 	// Region is the region of the target, RegionAt that of the target at an address.
 	Region   names.Region
 	RegionAt func(address string) (names.Region, bool)
+	// EventInterval is the time between the events of a stream, eventInterval if zero.
+	EventInterval time.Duration
 	// Warmup is zero if targets of the service are never cold.
 	Warmup Warmup
 }
@@ -351,7 +354,7 @@
 			return
 		}
 		_ = controller.Flush() // an error shows at the next write
-		if !sleep(r, eventInterval) {
+		if !sleep(r, cmp.Or(t.EventInterval, eventInterval)) {
 			return
 		}
 	}
--- a/tools/soak/command.go
+++ b/tools/soak/command.go
@@ -33,6 +33,7 @@
 			&cli.BoolFlag{Name: "parts", Usage: "prompts with a part that crashes targets come, for at least " + minPartsTime.String()},
 			&cli.BoolFlag{Name: "turning", Usage: "with --parts: requests with the part complete until it begins to crash targets"},
 			&cli.DurationFlag{Name: "crash-every", Value: defaults.CrashingInterval, Usage: "with --parts: `TIME` between two requests with the part"},
+			&cli.IntFlag{Name: "outages", Usage: "all engines also end at once, this `NUMBER` of times"},
 			&cli.BoolFlag{Name: "leaving", Usage: "targets also state in their answers that they leave, or for how long they want no requests"},
 			&cli.BoolFlag{Name: "limits", Usage: "targets also name how many requests a second they take from all daemons"},
 			&cli.BoolFlag{Name: "evacuate", Usage: "data centres are also evacuated and taken back"},
@@ -92,6 +93,7 @@
 			Services: DefaultConfig().Services, Callers: c.Int("callers"), PlannedOnly: c.Bool("planned"), RestoreStore: c.Bool("restore"),
 			Unframed: c.Bool("unframed"), Parts: c.Bool("parts"), Leaving: c.Bool("leaving"), Limits: c.Bool("limits"),
 			Evacuate: c.Bool("evacuate"), Cold: c.Bool("cold"), Regions: c.Bool("regions"),
+			Outages: c.Int("outages"),
 			Turning: c.Bool("turning"), CrashingInterval: c.Duration("crash-every"),
 			Program: program, Beside: c.String("beside"),
 		}
--- a/tools/soak/evacuation.go
+++ b/tools/soak/evacuation.go
@@ -96,6 +96,9 @@
 		Region:     b.config.regions()[t.DataCentre],
 		RegionAt:   b.regionAt,
 	}
+	if b.config.Outages > 0 {
+		t.EventInterval = outageEventInterval
+	}
 	if b.config.Evacuate {
 		t.EvacuatedSince = b.store.EvacuatedSince
 	}
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -320,12 +320,15 @@
 
 // returnCrashed starts a new target for one that a part of a prompt has crashed, in
 // half of the cases at the same address unless another program has taken the port.
-func (b *testbed) returnCrashed(t *target) {
+func (b *testbed) returnCrashed(t *target) { b.returnAfter(t, minReturnTime+rand.N(returnSpread)) }
+
+// returnAfter is returnCrashed with the time for which the target is away.
+func (b *testbed) returnAfter(t *target, away time.Duration) {
 	t.proxy.Close()
 	if !b.unlist(t) {
 		return
 	}
-	time.Sleep(minReturnTime + rand.N(returnSpread))
+	time.Sleep(away)
 	var err error
 	sameAddress := rand.IntN(2) == 0
 	if sameAddress {
--- a/tools/soak/parts.go
+++ b/tools/soak/parts.go
@@ -162,7 +162,7 @@
 		switch {
 		case q.sent.Before(c.crashingFrom):
 			p.Before.add(q)
-		case q.sent.After(calm) && q.sent.Before(c.crashingUntil):
+		case q.sent.Before(c.crashingUntil) && (q.sent.After(calm) || c.testbed.outages.hasPassed(q.sent)) && !c.testbed.outages.excuses(q.sent):
 			p.After.add(q)
 		}
 	}
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -62,6 +62,7 @@
 	if c.Parts {
 		c.FaultTime = max(c.FaultTime, minPartsTime)
 	}
+	c.FaultTime = max(c.FaultTime, faultTimeOf(c.Outages))
 	if c.zoned() {
 		c.DataCentres = zonedDataCentres
 	}
@@ -90,6 +91,7 @@
 	if c.Parts {
 		b.active.Go(func() { all.sendCrashing(loadCtx) })
 	}
+	b.active.Go(func() { b.runOutages(loadCtx) })
 	b.inject(loadCtx)
 	if c.Cold {
 		time.Sleep(coldTime) // the targets that have started last are warm then
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -105,6 +105,19 @@
 	})
 }
 
+// TestSeedWithOutage has all engines end at once beside a crashing part. Guards against the
+// refusal of a part that all prompts share, since none of them could be sound meanwhile.
+func TestSeedWithOutage(t *testing.T) {
+	program, err := Build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	runSeed(t, program, 42, func(c *Config) {
+		c.PlannedOnly, c.Parts, c.Outages = true, true, 1
+		c.Engines, c.Callers, c.CrashingInterval = 6, 100, 500*time.Millisecond
+	})
+}
+
 // TestSeedWithEvacuations evacuates data centres amid planned work and takes them back. Guards
 // against requests that go on to an evacuated data centre, and against requests that are cut
 // while its targets are restarted.
--- a/tools/soak/testbed.go
+++ b/tools/soak/testbed.go
@@ -57,6 +57,9 @@
 	Turning bool
 	// CrashingInterval is the time between two requests with the part.
 	CrashingInterval time.Duration
+	// Outages is how often all engines end at once by another cause. FaultTime is then at least
+	// faultTimeOf.
+	Outages int
 	// Leaving adds targets that state in their answers that they leave, or for how
 	// long they want no requests.
 	Leaving bool
@@ -81,7 +84,7 @@
 
 // mayNotCut reports whether no fault of the run excuses a request without a
 // complete answer.
-func (c *Config) mayNotCut() bool { return c.PlannedOnly && !c.Unframed && !c.Parts }
+func (c *Config) mayNotCut() bool { return c.PlannedOnly && !c.Unframed && !c.Parts && c.Outages == 0 }
 
 // Names in the published entries and configurations, and times of the run.
 const (
@@ -108,6 +111,8 @@
 	claim net.Listener
 	hosts []*host
 
+	// outages are the times at which all engines ended.
+	outages outages
 	// active is done when all faults have ended.
 	active sync.WaitGroup
 	// noneCold makes targets that start warm at once. It is set when no more faults begin:
@@ -187,6 +192,9 @@
 
 // addTargetIn is addTargetAt with the data centre of the target.
 func (b *testbed) addTargetIn(dc names.DataCentre, service names.Service, address string) error {
+	if service == engineService {
+		b.outages.await()
+	}
 	b.mu.Lock()
 	b.nextID++
 	id := names.Target(fmt.Sprintf("t-%d", b.nextID))
