Tunnel: a reset while the body is written is no end of an answer

Cause: the kernel reports that a connection was reset once. At the peer the write of the rest of the request's body got the error, which copyUp dropped; the read of the answer then got io.EOF, and copyDown told the daemon that the target had ended the connection in order. Direct connections have a guard against this, which needs the socket.

Looked at: orders and probes write a body of some bytes before they read; the targets' own interface reads frames or JSON, of which a part is no whole.

Whole early answers followed by a reset stay whole.

--- a/serving/connection/tunnel/tunnel_test.go
+++ b/serving/connection/tunnel/tunnel_test.go
@@ -383,3 +383,39 @@
 		})
 	}
 }
+
+// A target answers before it has read a long body, without a length, and the connection ends
+// while the body is still written. The kernel reports a reset once; if the write gets it, the
+// read gets the end of the connection. Guards against a part of an answer that looks whole,
+// and against a whole one that does not.
+func TestResetWhileBodyIsWrittenIsNoEnd(t *testing.T) {
+	const runs = 8            // the read may get the error first
+	const bodyBytes = 4 << 20 // above what the sockets buffer
+	const readTime, pause = 20 * time.Millisecond, 20 * time.Millisecond
+	cases := map[string]struct {
+		end      func(*net.TCPConn)
+		complete bool
+	}{
+		"reset":                   {func(*net.TCPConn) { time.Sleep(readTime) }, false},
+		"end, then reset":         {func(conn *net.TCPConn) { _ = conn.CloseWrite() }, true},
+		"end, then reset later":   {func(conn *net.TCPConn) { _ = conn.CloseWrite(); time.Sleep(pause) }, true},
+		"end, nothing is read on": {func(conn *net.TCPConn) { _ = conn.CloseWrite(); time.Sleep(10 * pause) }, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			for range runs {
+				f := newFarEnd(t)
+				conn := f.dial(t, target(t, afterRequest(func(conn net.Conn) {
+					_, _ = io.WriteString(conn, bodyWithoutLength) // the reader shows an error
+					c.end(conn.(*net.TCPConn))
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				})))
+				go func() { _, _ = conn.Write(append([]byte("request"), make([]byte, bodyBytes)...)) }() // fails once the connection ends
+				answer, err := io.ReadAll(conn)
+				if complete := err == nil; complete != c.complete || complete && string(answer) != bodyWithoutLength {
+					t.Fatalf("%q, %v", answer, err)
+				}
+			}
+		})
+	}
+}
--- a/serving/connection/upstream/reset.go
+++ b/serving/connection/upstream/reset.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"syscall"
 
@@ -46,7 +47,7 @@
 // Read implements io.Reader. It returns io.ErrUnexpectedEOF if the connection was reset.
 func (b *closeFramedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && b.exchange.conn.closedByKernel() && b.exchange.writeWasReset() {
+	if errors.Is(err, io.EOF) && ClosedByKernel(b.exchange.conn.Conn) && b.exchange.writeWasReset() {
 		return n, io.ErrUnexpectedEOF
 	}
 	return n, err
@@ -64,15 +65,21 @@
 func (x *Exchange) writeWasReset() bool {
 	err := <-x.written
 	x.written <- err
-	return err != nil && !errors.Is(err, syscall.EPIPE)
+	return IsReset(err)
 }
 
+// IsReset reports whether an error of a write to a connection that the kernel has closed
+// means that it was reset before its other end had ended it in order. After such an end the
+// write gets EPIPE.
+func IsReset(err error) bool { return err != nil && !errors.Is(err, syscall.EPIPE) }
+
 // tcpClose is the state of a connection that was reset or has timed out (TCP_CLOSE).
 const tcpClose = 7
 
-// closedByKernel reports whether the connection was reset or has timed out.
-func (c *Conn) closedByKernel() bool {
-	socket, ok := c.Conn.(syscall.Conn)
+// ClosedByKernel reports whether a connection was reset or has timed out. Reads and writes
+// that wait then return. It is false for connections without a socket.
+func ClosedByKernel(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/serving/request/relay/endings_test.go
+++ b/serving/request/relay/endings_test.go
@@ -76,16 +76,19 @@
 		time.Sleep(20 * time.Millisecond) // lets the relay read what was sent
 	}
 	for path, part := range map[string]string{"/read/x": "hal", "/order/x": "hal", "/stream/x": events(0, 2), "/once/x": events(0, 2)} {
-		t.Run(path, func(t *testing.T) {
-			for range runs {
-				f := newFixture(t, newEarlyServer(t, part, reset), newEarlyServer(t, part, reset))
-				f.limitBodies(longBodyBytes)
-				response, body, err := f.call(path, withLongBody)
-				if err == nil && response.StatusCode < http.StatusMultipleChoices {
-					t.Fatalf("the caller got %q as a complete answer", body)
+		for _, w := range []way{direct, throughPeer} {
+			t.Run(path+" "+string(w), func(t *testing.T) {
+				for range runs {
+					f := newFixture(t, newEarlyServer(t, part, reset), newEarlyServer(t, part, reset))
+					f.limitBodies(longBodyBytes)
+					f.reach(w, openGate{})
+					response, body, err := f.call(path, withLongBody)
+					if err == nil && response.StatusCode < http.StatusMultipleChoices {
+						t.Fatalf("the caller got %q as a complete answer", body)
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 }
 
@@ -94,19 +97,22 @@
 func TestEarlyAnswerReachesCallerWhole(t *testing.T) {
 	const runs = 8
 	for name, pause := range map[string]time.Duration{"reset at once": 0, "reset later": 20 * time.Millisecond} {
-		t.Run(name, func(t *testing.T) {
-			for range runs {
-				f := newFixture(t, newEarlyServer(t, "whole", func(conn *net.TCPConn) {
-					_ = conn.CloseWrite()
-					time.Sleep(pause)
-				}))
-				f.limitBodies(longBodyBytes)
-				response, body, err := f.call("/order/x", withLongBody)
-				if err != nil || response.StatusCode != http.StatusOK || body != "whole" {
-					t.Fatalf("%+v %q %v", response, body, err)
+		for _, w := range []way{direct, throughPeer} {
+			t.Run(name+" "+string(w), func(t *testing.T) {
+				for range runs {
+					f := newFixture(t, newEarlyServer(t, "whole", func(conn *net.TCPConn) {
+						_ = conn.CloseWrite()
+						time.Sleep(pause)
+					}))
+					f.limitBodies(longBodyBytes)
+					f.reach(w, openGate{})
+					response, body, err := f.call("/order/x", withLongBody)
+					if err != nil || response.StatusCode != http.StatusOK || body != "whole" {
+						t.Fatalf("%+v %q %v", response, body, err)
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 }
 
