Take heads that HTTP does not have for broken answers

Cause: http.ReadResponse checks neither the range of the status nor the version, and whatever was below 200 was skipped as an interim answer.

Change: upstream.CheckHead is asked by all that read heads of targets: daemons, peers that pass answers on, orders and probes, the targets' own interface. What it rejects is an answer that broke: MayHaveRun, known at once, and nothing that it states is believed, also not at the peer.

Interim answers and all statuses from 200 to 599 are passed on as before.

--- a/serving/connection/targetapi/client.go
+++ b/serving/connection/targetapi/client.go
@@ -13,6 +13,7 @@
 
 	"carobspoke.example/core/target"
 	"carobspoke.example/core/verdict"
+	"carobspoke.example/serving/connection/upstream"
 	"github.com/pkg/errors"
 )
 
@@ -226,6 +227,10 @@
 	if err != nil {
 		return nil, sendError(ctx, err, trace.verdict())
 	}
+	if err := upstream.CheckHead(response); err != nil {
+		_ = response.Body.Close() // is discarded
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.AnswerMismatch, "the target sent bytes that are no answer")
+	}
 	if response.StatusCode/100 == 2 {
 		return response, nil
 	}
--- a/serving/connection/tunnel/head.go
+++ b/serving/connection/tunnel/head.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"net/http"
 	"time"
+
+	"carobspoke.example/serving/connection/upstream"
 )
 
 // maxHeadBytes bounds the head of an answer that is read as it passes.
@@ -34,7 +36,10 @@
 		}
 		end += len(endOfHead)
 		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(h.bytes[:end])), nil) //nolint:bodyclose // the body is not read here
-		if err == nil && response.StatusCode < http.StatusOK {
+		if err == nil {
+			err = upstream.CheckHead(response)
+		}
+		if err == nil && upstream.IsInterim(response) {
 			h.bytes = h.bytes[end:]
 			continue
 		}
--- a/serving/connection/tunnel/tunnel_test.go
+++ b/serving/connection/tunnel/tunnel_test.go
@@ -365,6 +365,8 @@
 		"one piece":     {[]string{"HTTP/1.1 503 X\r\nServer-Note: 1\r\n\r\nbody"}, http.StatusServiceUnavailable},
 		"many pieces":   {strings.Split("HTTP/1.1 200 OK\r\nServer-Note: 1\r\n\r\nHTTP/1.1 500 X\r\n\r\n", ""), http.StatusOK},
 		"after interim": {[]string{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nServer-Note: 2\r\n\r\nHTTP/1.1 404 X\r\nServer-Note: 1\r\n\r\n"}, http.StatusNotFound},
+		"other version": {[]string{"HTTP/9.9 200 OK\r\nServer-Note: 1\r\n\r\n"}, 0},
+		"no status":     {[]string{"HTTP/1.1 000 X\r\nServer-Note: 1\r\n\r\nHTTP/1.1 200 OK\r\nServer-Note: 1\r\n\r\n"}, 0},
 		"no answer":     {[]string{"nonsense\r\n\r\n"}, 0},
 		"endless head":  {[]string{long[:maxHeadBytes], long[maxHeadBytes:]}, 0},
 	} {
--- a/serving/connection/upstream/attempt.go
+++ b/serving/connection/upstream/attempt.go
@@ -190,7 +190,10 @@
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
-		if response.StatusCode >= http.StatusOK {
+		if err := CheckHead(response); err != nil {
+			return nil, err
+		}
+		if !IsInterim(response) {
 			return response, nil
 		}
 	}
