--- a/core/process/suspects/decide.go
+++ b/core/process/suspects/decide.go
@@ -81,7 +81,7 @@
 		return false, false // nor if less time counts
 	}
 	sinceServed := func(e *itemEnd) time.Duration { return t.exposure(e, now) }
-	if sinceServed(&r.ends[EndsToRefuse-1]) >= SoundSettleTime && t.isOverdue(item, r, t.separate(r), now, sinceServed) {
+	if sinceServed(&r.ends[EndsToRefuse-1]) >= SoundSettleTime && t.isOverdue(item, r, t.distinctEnds(r), now, sinceServed) {
 		return true, true
 	}
 	return t.isSurprising(r) || r.rounds() >= minRounds, false
--- a/core/process/suspects/doc.go
+++ b/core/process/suspects/doc.go
@@ -27,7 +27,7 @@
 // So a part that nearly all requests of a route share is not refused while its requests are
 // sound, and the simultaneous end of many or all targets by another cause refuses no part, with
 // one limit: a part of few requests that happens to run on nearly all targets that end. How
-// unlikely that must be is set by minEvidence, and less strictly by minEvidenceNew while daemons
+// unlikely that must be is set by minEvidence, and less strictly by minEvidenceUnknown while daemons
 // know few sound requests, such as after a loss of all.
 //
 // Customers are kept apart: an item is refused only for customers that it was accused
--- a/core/process/suspects/evidence.go
+++ b/core/process/suspects/evidence.go
@@ -12,10 +12,10 @@
 	// minEvidenceLong on, 150 times, it is refused for long.
 	minEvidence     = 3
 	minEvidenceLong = 5
-	// minEvidenceNew and minEvidenceNewLong are the same while daemons know too few sound
+	// minEvidenceUnknown and minEvidenceUnknownLong are the same while daemons know too few sound
 	// requests to say how many have the item.
-	minEvidenceNew     = 1.2
-	minEvidenceNewLong = 2.7
+	minEvidenceUnknown     = 1.2
+	minEvidenceUnknownLong = 2.7
 	// clearlyMoreEvidence is by how much the evidence against one of two items in equally
 	// many ends exceeds the other's if it accounts for these ends.
 	clearlyMoreEvidence = 1
@@ -112,11 +112,11 @@
 
 // minEvidence returns the evidence from which an item is refused by its ends alone.
 func (r *itemRecord) minEvidence(long bool) float64 {
-	switch isNew := r.soundShare().all < minRequests; {
-	case isNew && long:
-		return minEvidenceNewLong
-	case isNew:
-		return minEvidenceNew
+	switch unknown := r.soundShare().all < minRequests; {
+	case unknown && long:
+		return minEvidenceUnknownLong
+	case unknown:
+		return minEvidenceUnknown
 	case long:
 		return minEvidenceLong
 	default:
@@ -124,9 +124,9 @@
 	}
 }
 
-// separate returns the ends of an item that count: all of them if they are evidence enough, and
+// distinctEnds returns the ends of an item that count: all of them if they are evidence enough, and
 // otherwise those that are minApart from one another.
-func (t *Table) separate(r *itemRecord) []itemEnd {
+func (t *Table) distinctEnds(r *itemRecord) []itemEnd {
 	if t.isSurprising(r) {
 		return r.ends
 	}
@@ -146,10 +146,10 @@
 	switch {
 	case len(r.ends) < EndsToRefuseLong:
 		return false
-	case r.exposed && len(t.separate(r)) >= EndsToRefuseLong:
+	case r.exposed && len(t.distinctEnds(r)) >= EndsToRefuseLong:
 		return true
 	default:
-		return t.evidence(r) >= r.minEvidence(!r.resumed)
+		return t.evidence(r) >= r.minEvidence(!r.endedAgain)
 	}
 }
 
--- a/core/process/suspects/record.go
+++ b/core/process/suspects/record.go
@@ -20,8 +20,8 @@
 	// refusedAsUnknown is true if this daemon knew of no recent sound request then, and
 	// exposed if sound requests would have been known by then.
 	refusedAsUnknown, exposed bool
-	// resumed is true if an end came after the item had been refused for a short time.
-	resumed bool
+	// endedAgain is true if an end came after the item had been refused for a short time.
+	endedAgain bool
 	// evidence is the result of Table.evidence as of the version evidenceAt of the table.
 	evidence   float64
 	evidenceAt uint64
@@ -70,7 +70,7 @@
 	if len(r.ends) >= maxItemEnds {
 		return
 	}
-	r.resumed = r.resumed || r.refused && at.Sub(r.lastEnd()) >= RefusedShortlyFor
+	r.endedAgain = r.endedAgain || r.refused && at.Sub(r.lastEnd()) >= RefusedShortlyFor
 	r.ends = append(r.ends, itemEnd{end: a.End, at: at, soundRate: s.SoundRate, sound: share{s.SoundWith, s.SoundAll}, requests: s.Requests})
 	slices.SortStableFunc(r.ends, func(a, b itemEnd) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.end, b.end)) })
 	if !slices.Contains(r.services, a.Service) {
@@ -136,7 +136,7 @@
 
 // accept ends the refusal by this daemon.
 func (r *itemRecord) accept() {
-	r.refused, r.refusedAsUnknown, r.exposed, r.resumed = false, false, false, false
+	r.refused, r.refusedAsUnknown, r.exposed, r.endedAgain = false, false, false, false
 }
 
 // isEmpty reports whether nothing is known against the item.
