Keep refusals of collectors that have just started, and doubt others longer

Cause: the time for which no request with the part was sound was counted from the ends on also where the ends alone are evidence. And sound requests that are overdue were taken for proof also of an item of which none was ever known, so that nobody knows how often they come.

Change: only the rule on overdue sound requests leaves out the time without targets.

Measured: both new tests failed before.

--- a/core/process/suspects/decide.go
+++ b/core/process/suspects/decide.go
@@ -76,25 +76,28 @@
 // now if it did not crash targets, or the ends alone are evidence enough. exposed is true in
 // the first case.
 func (t *Table) isSettled(item Item, r *itemRecord, now time.Time) (settled, exposed bool) {
+	soundAgo, _ := t.SoundAgo(item, now)
 	sinceEnd := func(e *itemEnd) time.Duration { return now.Sub(e.at) }
-	if !t.isOverdue(item, r, r.ends, now, sinceEnd) {
+	if !t.isOverdue(item, r, r.ends, now, soundAgo, sinceEnd) {
 		return false, false // nor if less time counts
 	}
 	sinceServed := func(e *itemEnd) time.Duration { return t.exposure(e, now) }
-	if sinceServed(&r.ends[EndsToRefuse-1]) >= SoundSettleTime && t.isOverdue(item, r, t.distinctEnds(r), now, sinceServed) {
+	third := sinceServed(&r.ends[EndsToRefuse-1])
+	if third >= SoundSettleTime && t.isOverdue(item, r, t.distinctEnds(r), now, min(soundAgo, third), sinceServed) {
 		return true, true
 	}
 	return t.isSurprising(r) || r.rounds() >= minRounds, false
 }
 
-// isOverdue reports whether a sound request with an item would be known by now. since returns
-// for how long since an end such requests could have been sent.
-func (t *Table) isOverdue(item Item, r *itemRecord, ends []itemEnd, now time.Time, since func(*itemEnd) time.Duration) bool {
+// isOverdue reports whether a sound request with an item would be known by now. quiet is for
+// how long none was known although some could have been sent, and since returns the same for
+// the time after an end.
+func (t *Table) isOverdue(item Item, r *itemRecord, ends []itemEnd, now time.Time, quiet time.Duration, since func(*itemEnd) time.Duration) bool {
 	if len(ends) < EndsToRefuse {
 		return false
 	}
 	third := since(&ends[EndsToRefuse-1])
-	soundAgo, sound := t.SoundAgo(item, now)
+	_, sound := t.SoundAgo(item, now)
 	switch {
 	case !sound && t.isTied(item, r, now):
 		return third >= TiedSettleTime
@@ -103,7 +106,7 @@
 	case len(ends) >= EndsToRefuseLong && since(&ends[EndsToRefuseLong-1]) >= LongSettleTime:
 		return true
 	default:
-		missing := r.soundRate() * (min(soundAgo, third) - usualSoundTime).Seconds()
+		missing := r.soundRate() * (quiet - usualSoundTime).Seconds()
 		return !r.isCommon() && third >= SoundSettleTime && missing >= overdueRequests
 	}
 }
--- a/core/process/suspects/evidence.go
+++ b/core/process/suspects/evidence.go
@@ -140,13 +140,13 @@
 }
 
 // isProved reports whether an item is refused for long: sound requests would have shown by
-// then if it did not crash targets, or the ends alone are evidence enough, or further ones
-// came after a short refusal.
+// then if it did not crash targets, or the ends alone are evidence enough. Less is enough if a
+// further end came after a short refusal: how often an item is sound that never was is unknown.
 func (t *Table) isProved(r *itemRecord) bool {
 	switch {
 	case len(r.ends) < EndsToRefuseLong:
 		return false
-	case r.exposed && len(t.distinctEnds(r)) >= EndsToRefuseLong:
+	case r.exposed && len(t.distinctEnds(r)) >= EndsToRefuseLong && (!r.refusedAsUnknown || r.endedAgain):
 		return true
 	default:
 		return t.evidence(r) >= r.minEvidence(!r.endedAgain)
--- a/core/process/suspects/evidence_test.go
+++ b/core/process/suspects/evidence_test.go
@@ -117,3 +117,46 @@
 		t.Errorf("not refused although no request with the part was sound for %s", LongSettleTime)
 	}
 }
+
+// A collector that has just started refuses a part by ends alone, and then learns that requests
+// with the part were sound until some time before. Guards against the withdrawal of a refusal
+// since the time before the ends does not count, in which none was sound either.
+func TestStartedCollectorKeepsRefusalOfPartThatTurned(t *testing.T) {
+	table := New()
+	for n := range EndsToRefuse + 1 {
+		a := Accusation{End: end(n), Service: service, Requests: 4, Suspects: []Suspect{{
+			Item: PartItem("bad"), Customer: HashCustomer("c"), Frequency: Rare, SoundAll: 200, SoundWith: 10, SoundRate: 1, Requests: 1,
+		}}}
+		table.Merge(&a, at(time.Duration(n)*200*time.Millisecond))
+	}
+	if now := at(time.Second); !refused(table, now, "c", "bad") {
+		t.Fatal("not refused by the ends")
+	}
+	now := at(3 * time.Second)
+	table.HearSound(PartItem("bad"), 20*time.Second, now)
+	if !refused(table, now, "c", "bad") {
+		t.Fatal("accepted again, though no request with the part was sound for 20 s")
+	}
+}
+
+// After a loss of all daemons the part of some sound callers is in a few ends, and none of their
+// requests becomes sound for a while. Guards against a refusal for ten minutes by sound requests
+// that are overdue, although it is not known how often they come.
+func TestPartThatWasNeverSoundIsRefusedForLongByFurtherEndsOnly(t *testing.T) {
+	table := New()
+	for n := range EndsToRefuseLong {
+		accuseAll(table, end(n), at(time.Duration(n)*100*time.Millisecond), 8, 20, map[string][2]int{"group": {0, 5}})
+	}
+	sent := at(600 * time.Millisecond)
+	table.Sound(request("c", 5000), sent, sent.Add(time.Second)) // without the part
+	now := at(3 * time.Second)
+	r, ok := table.Check(request("c", 1, "group"), now)
+	if !ok || r.Remaining > RefusedShortlyFor {
+		t.Fatalf("refused: %t, for %s", ok, r.Remaining)
+	}
+	lapsed := at(400*time.Millisecond + RefusedShortlyFor + time.Second)
+	accuseAll(table, end(50), lapsed, 8, 20, map[string][2]int{"group": {0, 1}})
+	if r, ok := table.Check(request("c", 1, "group"), lapsed); !ok || r.Remaining <= RefusedShortlyFor {
+		t.Fatalf("after a further end: refused: %t, for %s", ok, r.Remaining)
+	}
+}
