--- a/tools/soak/outages.go
+++ b/tools/soak/outages.go
@@ -66,7 +66,7 @@
 }
 
 // hasPassed reports whether an outage has begun by a time. Once it excuses no streams any more,
-// these are to begin even if the part has crashed few targets yet.
+// these are to begin calmAfter after the last crash even if the part has crashed few targets yet.
 func (o *outages) hasPassed(at time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/tools/soak/parts.go
+++ b/tools/soak/parts.go
@@ -162,7 +162,8 @@
 		switch {
 		case q.sent.Before(c.crashingFrom):
 			p.Before.add(q)
-		case q.sent.Before(c.crashingUntil) && (q.sent.After(calm) || c.testbed.outages.hasPassed(q.sent)) && !c.testbed.outages.excuses(q.sent):
+		case q.sent.Before(c.crashingUntil) && !c.testbed.outages.excuses(q.sent) &&
+			(q.sent.After(calm) || c.testbed.outages.hasPassed(q.sent) && q.sent.After(lastBefore(crashes, q.sent).Add(calmAfter))):
 			p.After.add(q)
 		}
 	}
@@ -172,6 +173,16 @@
 	return p
 }
 
+// lastBefore returns the last of some times that is not after another one, zero if none is.
+func lastBefore(times []time.Time, at time.Time) (last time.Time) {
+	for _, t := range times {
+		if !t.After(at) {
+			last = t
+		}
+	}
+	return last
+}
+
 func (s *Started) add(p prompt) {
 	s.Sent++
 	if p.begun {
