--- a/serving/connection/tunnel/server.go
+++ b/serving/connection/tunnel/server.go
@@ -101,9 +101,9 @@
 	}
 	stop := context.AfterFunc(stream.Context(), func() { _ = conn.Close() }) // unblocks the copies
 	defer stop()
-	up := &upload{conn: conn}
-	go s.copyUp(stream, up, id)
-	return s.copyDown(stream, up, id)
+	target := &targetConn{conn: conn}
+	go s.copyUp(stream, target, id)
+	return s.copyDown(stream, target, id)
 }
 
 // failedStatus returns the status of a connection that could not be opened.
@@ -118,9 +118,9 @@
 	return stream.Send(&peerpb.TunnelDown{Status: why, ReachesTargets: reachesTargets})
 }
 
-// upload is the way of a connection to its target. The kernel reports that a connection was
-// reset once: to a read or to a write.
-type upload struct {
+// targetConn is a connection to a target that one goroutine reads and another writes. The
+// kernel reports that it was reset once, to either of them.
+type targetConn struct {
 	conn net.Conn
 	// mu is held while a write waits.
 	mu  sync.Mutex
@@ -128,35 +128,35 @@
 }
 
 // write writes to the connection.
-func (u *upload) write(p []byte) error {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	_, u.err = u.conn.Write(p)
-	return u.err
+func (c *targetConn) write(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, c.err = c.conn.Write(p)
+	return c.err
 }
 
 // wasReset reports, after a read has got io.EOF, whether the connection was reset in truth. If
 // the kernel has not closed it, the target has ended it in order, and a write may still wait.
-func (u *upload) wasReset() bool {
-	if !upstream.ClosedByKernel(u.conn) {
+func (c *targetConn) wasReset() bool {
+	if !upstream.ClosedByKernel(c.conn) {
 		return false
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return upstream.IsReset(u.err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return upstream.IsReset(c.err)
 }
 
 // copyUp copies bytes to the target until the peer or the target ends. The target's data centre
 // may have been evacuated since the connection was opened, unknown to a peer that was paused or
 // cut off: the request then does not begin.
-func (s *Server) copyUp(stream grpc.BidiStreamingServer[peerpb.TunnelUp, peerpb.TunnelDown], to *upload, id names.Target) {
+func (s *Server) copyUp(stream grpc.BidiStreamingServer[peerpb.TunnelUp, peerpb.TunnelDown], target *targetConn, id names.Target) {
 	for begun := false; ; begun = true {
 		up, err := stream.Recv()
 		if err != nil || !begun && s.Gate.Evacuated(id) {
-			_ = to.conn.Close() // the peer is not interested in the answer any more, or learns that there is none
+			_ = target.conn.Close() // the peer is not interested in the answer any more, or learns that there is none
 			return
 		}
-		if err := to.write(up.GetData()); err != nil {
+		if err := target.write(up.GetData()); err != nil {
 			return // the end of the answer shows how the connection ended
 		}
 	}
@@ -164,11 +164,11 @@
 
 // copyDown copies bytes from the target. It returns nil after an end of the connection in
 // order, which the peer is told, and an error after any other end.
-func (s *Server) copyDown(stream grpc.BidiStreamingServer[peerpb.TunnelUp, peerpb.TunnelDown], from *upload, id names.Target) error {
+func (s *Server) copyDown(stream grpc.BidiStreamingServer[peerpb.TunnelUp, peerpb.TunnelDown], target *targetConn, id names.Target) error {
 	head := headReader{found: func(r *http.Response, sentAt time.Time) { s.Gate.Observe(id, r, sentAt) }, began: time.Now()}
 	buffer := make([]byte, bufferBytes)
 	for {
-		n, err := from.conn.Read(buffer)
+		n, err := target.conn.Read(buffer)
 		if n > 0 {
 			head.add(buffer[:n])
 			if sendErr := stream.Send(&peerpb.TunnelDown{Data: buffer[:n]}); sendErr != nil {
@@ -177,7 +177,7 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && !from.wasReset():
+		case errors.Is(err, io.EOF) && !target.wasReset():
 			return stream.Send(&peerpb.TunnelDown{Ended: true})
 		default:
 			return status.Error(codes.Aborted, "the connection to the target broke")
