--- a/core/process/suspects/decide.go
+++ b/core/process/suspects/decide.go
@@ -79,7 +79,7 @@
 	soundAgo, _ := t.SoundAgo(item, now)
 	sinceEnd := func(e *itemEnd) time.Duration { return now.Sub(e.at) }
 	if !t.isOverdue(item, r, r.ends, now, soundAgo, sinceEnd) {
-		return false, false // nor if less time counts
+		return false, false // exposure is at most the time since the end
 	}
 	sinceServed := func(e *itemEnd) time.Duration { return t.exposure(e, now) }
 	third := sinceServed(&r.ends[EndsToRefuse-1])
--- a/core/process/suspects/evidence_test.go
+++ b/core/process/suspects/evidence_test.go
@@ -119,8 +119,8 @@
 }
 
 // A collector that has just started refuses a part by ends alone, and then learns that requests
-// with the part were sound until some time before. Guards against the withdrawal of a refusal
-// since the time before the ends does not count, in which none was sound either.
+// with the part were sound until some time before. Guards against the withdrawal of the refusal:
+// none was sound in the time before the ends either.
 func TestStartedCollectorKeepsRefusalOfPartThatTurned(t *testing.T) {
 	table := New()
 	for n := range EndsToRefuse + 1 {
--- a/serving/connection/targetapi/client.go
+++ b/serving/connection/targetapi/client.go
@@ -228,7 +228,7 @@
 		return nil, sendError(ctx, err, trace.verdict())
 	}
 	if err := upstream.CheckHead(response); err != nil {
-		_ = response.Body.Close() // is discarded
+		_ = response.Body.Close() // the answer is not used
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.AnswerMismatch, "the target sent bytes that are no answer")
 	}
 	if response.StatusCode/100 == 2 {
--- a/serving/connection/tunnel/server.go
+++ b/serving/connection/tunnel/server.go
@@ -135,7 +135,7 @@
 	return c.err
 }
 
-// wasReset reports, after a read has got io.EOF, whether the connection was reset in truth. If
+// wasReset reports, after a read has got io.EOF, whether the connection was in fact reset. If
 // the kernel has not closed it, the target has ended it in order, and a write may still wait.
 func (c *targetConn) wasReset() bool {
 	if !upstream.ClosedByKernel(c.conn) {
