--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -224,16 +224,22 @@
 	replicas.Target
 	fleet *fleet
 	serve http.HandlerFunc
+	// early replicas are served the request before its body was read.
+	early bool
 }
 
 // startReplica starts a replica and publishes its entry.
 func (f *fleet) startReplica(id names.Target, service names.Service, serve http.HandlerFunc) error {
-	r := &replica{fleet: f, serve: serve, Target: replicas.Target{ID: id, Service: service, DataCentre: zone, Slots: slots, Started: time.Now().UnixMilli()}}
-	var err error
+	return f.start(&replica{serve: serve, Target: replicas.Target{ID: id, Service: service, DataCentre: zone, Slots: slots, Started: time.Now().UnixMilli()}})
+}
+
+// start starts a replica at a free port and publishes its entry.
+func (f *fleet) start(r *replica) (err error) {
+	r.fleet = f
 	if r.Address, err = f.listen(r); err != nil {
 		return err
 	}
-	f.record.add("replica %s of %s at %s", id, service, r.Address)
+	f.record.add("replica %s of %s at %s", r.ID, r.Service, r.Address)
 	return f.store.PutTarget(&r.Target)
 }
 
@@ -248,7 +254,9 @@
 		w.WriteHeader(http.StatusOK) // a look at the replica
 		return
 	}
-	_, _ = io.Copy(io.Discard, q.Body) // a request that is cut off is seen by its context
+	if !r.early {
+		_, _ = io.Copy(io.Discard, q.Body) // a request that is cut off is seen by its context
+	}
 	r.fleet.record.add("replica %s of %s runs %s: %s %s", r.ID, r.Service, id, q.Method, q.RequestURI)
 	w.Header().Set(platform.HeaderAttempt, id)
 	w.Header().Set(platform.HeaderSeal, "seal."+string(r.ID))
--- a/review/standin-3/ids.go
+++ b/review/standin-3/ids.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"carobspoke.example/core/names"
@@ -77,17 +78,30 @@
 		}
 	}
 	time.Sleep(applyTime + time.Second)
-	cut := make(map[string]int)
+	return f.countCuts(1200, streamEvents)
+}
+
+// countCuts has clients ask for streams on connections that they keep, and returns the number of
+// daemons that closed more than mayCut of these in place of a complete answer.
+func (f *fleet) countCuts(body, events int) (breaches int, err error) {
+	var running sync.WaitGroup
+	cut := make([]int, keptClients)
+	failed := make([]error, keptClients)
 	for client := range keptClients {
-		d := f.daemons[client%len(f.daemons)]
-		n, err := f.keptConnection(d, client)
-		if err != nil {
-			return 0, err
-		}
-		cut[d.name] += n
+		running.Go(func() {
+			cut[client], failed[client] = f.keptConnection(f.daemons[client%len(f.daemons)], client, body, events)
+		})
 	}
-	for name, n := range cut {
-		f.record.add("%s closed a kept connection %d times before the answer of a sound replica was complete", name, n)
+	running.Wait()
+	for i, d := range f.daemons {
+		n := 0
+		for client := i; client < keptClients; client += len(f.daemons) {
+			if failed[client] != nil {
+				return 0, failed[client]
+			}
+			n += cut[client]
+		}
+		f.record.add("%s closed kept connections %d times before the answer of a sound replica was complete", d.name, n)
 		if n > mayCut {
 			f.record.add("BROKEN: more than %d times", mayCut)
 			breaches++
@@ -99,7 +113,7 @@
 // keptConnection asks for streams one after the other on a connection, and on a new one after it
 // was closed. The first request on each connection is a small one that keeps it. It returns how
 // often the connection was closed instead of a complete answer.
-func (f *fleet) keptConnection(d *daemon, client int) (cut int, err error) {
+func (f *fleet) keptConnection(d *daemon, client, body, events int) (cut int, err error) {
 	var conn net.Conn
 	var reader *bufio.Reader
 	for i := range requestsPerClient {
@@ -112,10 +126,10 @@
 				return 0, a.err
 			}
 		}
-		q := &request{id: fmt.Sprintf("s-%d-%d", client, i), method: http.MethodPost, path: streamPrefix + "petition", deadline: 10 * time.Second, body: 1200}
+		q := &request{id: fmt.Sprintf("s-%d-%d", client, i), method: http.MethodPost, path: streamPrefix + "petition", deadline: 15 * time.Second, body: body}
 		f.record.add("client sends %s to %s on a kept connection", q.id, d.name)
 		a := f.exchange(conn, reader, q)
-		f.record.add("client got for %s: status %d, %d of %d events, error %v", q.id, a.status, strings.Count(a.body, "\n\n"), streamEvents, a.err)
+		f.record.add("client got for %s: status %d, %d of %d events, error %v", q.id, a.status, strings.Count(a.body, "\n\n"), events, a.err)
 		if a.err != nil {
 			if !isTimeout(a.err) { // otherwise its deadline was reached
 				cut++
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -32,6 +32,7 @@
 	"unframed": unframedAnswers,
 	"encoded":  encodedSlash,
 	"ids":      growingIDs,
+	"slow":     slowReader,
 	"stop":     lateBodyAtStop,
 }
 
