--- a/review/standin-3/slow.go
+++ b/review/standin-3/slow.go
@@ -77,7 +77,7 @@
 	if err := f.publish(config); err != nil {
 		return 0, err
 	}
-	if err := f.startDaemons(1); err != nil {
+	if err := f.startDaemons(3); err != nil {
 		return 0, err
 	}
 	return f.countCuts(longBody, slowEvents)
