--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -20,7 +20,6 @@
 	"carobspoke.example/core/version/routing"
 	"carobspoke.example/platform"
 	"carobspoke.example/serving/process/edge"
-	"carobspoke.example/tools/emulator"
 	"github.com/pkg/errors"
 )
 
@@ -42,8 +41,12 @@
 	zone        = "zone-a"
 	region      = "region-a"
 	hostname    = "desk.example"
-	// applyTime is config_apply_ms of the sheets.
-	applyTime = 2 * time.Second
+	// applyTime is config_apply_ms of the sheets, and stableTime is stable_ms and a margin: machines
+	// that have run for so long are in touch.
+	applyTime  = 2 * time.Second
+	stableTime = 3500 * time.Millisecond
+	// tenant holds key, which all clients send.
+	tenant, key = "stall-keepers", "key-of-stall-keepers"
 )
 
 // recorder writes what was sent, answered and run, with the time since the start.
@@ -63,7 +66,7 @@
 type fleet struct {
 	record  *recorder
 	dir     string
-	store   *emulator.Store
+	store   *store
 	storeAt netip.AddrPort
 	network [2]byte
 	daemons []*daemon
@@ -78,7 +81,7 @@
 	}
 	const lowest, blocks, subnets = 64, 128, 250
 	f := &fleet{
-		record: record, dir: dir, store: emulator.NewStore(),
+		record: record, dir: dir, store: newStore(),
 		network: [2]byte{byte(lowest + rand.IntN(blocks)), byte(1 + rand.IntN(subnets))},
 	}
 	address, err := f.listen(f.store)
@@ -123,11 +126,12 @@
 	const step = 3
 	f.version += step
 	c.Version = f.version
+	c.Customers = []routing.Customer{{Name: tenant, Keys: []string{key}}}
 	var prefixes []string
 	for i := range c.Routes {
 		prefixes = append(prefixes, fmt.Sprintf("%s to %s", c.Routes[i].Prefix, c.Routes[i].Services[0].Service))
 	}
-	err := f.store.PutConfig(c)
+	err := f.store.putConfig(c)
 	f.record.add("configuration %d acknowledged: %s", c.Version, strings.Join(prefixes, ", "))
 	return err
 }
@@ -142,7 +146,7 @@
 
 func (d *daemon) callers() string { return netip.AddrPortFrom(d.address, callerPort).String() }
 
-// startDaemons starts daemons and waits until all are ready.
+// startDaemons starts daemons and waits until all are ready and in touch.
 func (f *fleet) startDaemons(count int) error {
 	const firstHost = 10
 	address := func(i int) netip.Addr {
@@ -163,6 +167,8 @@
 		}
 	}
 	f.record.add("%d daemons are ready", count)
+	time.Sleep(stableTime)
+	f.record.add("they are in touch")
 	return nil
 }
 
@@ -240,7 +246,7 @@
 		return err
 	}
 	f.record.add("replica %s of %s at %s", r.ID, r.Service, r.Address)
-	return f.store.PutTarget(&r.Target)
+	return f.store.putTarget(&r.Target)
 }
 
 // ServeHTTP implements http.Handler.
@@ -275,6 +281,10 @@
 func (q *request) head() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", q.method, q.path, hostname, platform.HeaderAttempt, q.id, platform.HeaderDeadline, q.deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s: %s\r\n", platform.HeaderKey, key)
+	if strings.HasPrefix(q.path, streamPrefix) {
+		fmt.Fprintf(&b, "X-Model: m\r\n%s: 4960,4000\r\n%s: 5c1e07a2:40,%x:4920\r\n", platform.HeaderTokens, platform.HeaderParts, []byte(q.id))
+	}
 	for name, value := range q.header {
 		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
 	}
@@ -322,3 +332,12 @@
 	var network net.Error
 	return errors.As(err, &network) && network.Timeout()
 }
+
+// modelService returns the parameters of a service of engines, those of the pages' example.
+func modelService(name names.Service) routing.Service {
+	return routing.Service{Name: name, MaxConnections: connections, Engine: &routing.Engine{
+		Slots: slots, MemoryTokens: 450_000, StepsPerPass: 46, StepTime: 925 * time.Microsecond, StepTimePerSequence: 4830 * time.Nanosecond,
+		StepTimePerThousandTokens: 2540 * time.Nanosecond, PrefillRate: 256_000, PrefillTimePerMillionPairs: 91_700 * time.Nanosecond, ChunkTokens: 2048,
+		MeanPromptTokens: 13_227, MeanAnswerTokens: 1541, ParallelPrefill: true,
+	}}
+}
--- a/review/standin-3/ids.go
+++ b/review/standin-3/ids.go
@@ -62,7 +62,7 @@
 	route := callRoute("r-draft", streamPrefix, plainIDs, 10*time.Second)
 	route.Kind, route.Resumable, route.MaxAttempts, route.GapTarget, route.LatencyTarget = routing.Streaming, true, 2, 200*time.Millisecond, 300*time.Millisecond
 	config := &routing.Config{
-		Limits: limits(), Services: []routing.Service{{Name: plainIDs, MaxConnections: connections}, {Name: tokenIDs, MaxConnections: connections}},
+		Limits: limits(), Services: []routing.Service{modelService(plainIDs), modelService(tokenIDs)},
 		Routes: []routing.Route{route},
 	}
 	if err := f.publish(config); err != nil {
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -21,7 +21,7 @@
 	callParts    = 8
 	callBytes    = 800
 	eventPause   = 50 * time.Millisecond
-	partPause    = 100 * time.Millisecond
+	partPause    = 40 * time.Millisecond
 	streamPrefix = "/draft/"
 	callPrefix   = "/status/"
 	// everyUnframed is one in how many answers of a kind has neither a length nor chunks, at
--- a/review/standin-3/slow.go
+++ b/review/standin-3/slow.go
@@ -72,7 +72,7 @@
 	route := callRoute("r-draft", streamPrefix, drafts, 15*time.Second)
 	route.Kind, route.Resumable, route.MaxAttempts, route.GapTarget, route.LatencyTarget = routing.Streaming, true, 2, 800*time.Millisecond, 3*time.Second
 	config := &routing.Config{
-		Limits: limits(), Services: []routing.Service{{Name: drafts, MaxConnections: connections}}, Routes: []routing.Route{route},
+		Limits: limits(), Services: []routing.Service{modelService(drafts)}, Routes: []routing.Route{route},
 	}
 	if err := f.publish(config); err != nil {
 		return 0, err
--- a/review/standin-3/unframed.go
+++ b/review/standin-3/unframed.go
@@ -24,7 +24,7 @@
 	perService = 6
 	// killAfter is how long after the begin of an answer without a length its replica is
 	// killed.
-	killAfter = 300 * time.Millisecond
+	killAfter = 150 * time.Millisecond
 	// lapse is three heartbeats, after which the platform removes the entry of a replica that
 	// is silent.
 	lapse         = 3600 * time.Millisecond
@@ -75,7 +75,7 @@
 	}
 	c.fleet.record.add("replica %s of %s at %s", id, c.service, target.Address)
 	go c.follow(target, command, lines)
-	return c.fleet.store.PutTarget(target)
+	return c.fleet.store.putTarget(target)
 }
 
 // follow records what a replica prints, and kills it while it sends an answer without a length.
@@ -97,7 +97,7 @@
 func (c *crashing) kill(target *replicas.Target, command *exec.Cmd, id string) {
 	c.fleet.record.add("replica %s is killed while it answers %s", target.ID, id)
 	_ = command.Process.Kill()
-	time.AfterFunc(lapse, func() { c.fleet.store.RemoveTarget(target) })
+	time.AfterFunc(lapse, func() { c.fleet.store.removeTarget(target) })
 }
 
 // unframedAnswers kills a replica while it sends an answer that has neither a length nor chunks.
@@ -120,7 +120,7 @@
 	status := callRoute("r-status", callPrefix, desk, 2500*time.Millisecond)
 	status.Kind, status.MaxAttempts = routing.Idempotent, 2
 	config := &routing.Config{
-		Limits: limits(), Services: []routing.Service{{Name: drafts, MaxConnections: connections}, {Name: desk, MaxConnections: connections}},
+		Limits: limits(), Services: []routing.Service{modelService(drafts), {Name: desk, MaxConnections: connections}},
 		Routes: []routing.Route{draft, status},
 	}
 	if err := f.publish(config); err != nil {
